Add file formats, outside interfaces and their stand-ins

Cause: nothing stood yet. The strict decoder walks the YAML syntax tree itself because the library's strict mode stops at the first unknown or duplicate field, while operators need every finding of a file in one pass. Before: empty repository.

--- /dev/null
+++ b/internal/config/defaults.go
@@ -0,0 +1,77 @@
+package config
+
+import "time"
+
+// Defaults of a deployment.
+const (
+	defaultPrefillRate    = 8000.0
+	defaultDecodeInterval = Duration(25 * time.Millisecond)
+	defaultMaxBatch       = 16
+	defaultMaxTokens      = 4096
+	defaultWeight         = 1
+	defaultFirstToken     = Duration(1500 * time.Millisecond)
+	defaultBetweenTokens  = Duration(72 * time.Millisecond)
+	defaultAnswer         = Duration(2 * time.Second)
+	defaultQueueWait      = Duration(10 * time.Second)
+	deferrableQueueWait   = Duration(10 * time.Minute)
+	defaultObjective      = 0.95
+)
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// applyDefaults fills in what the files left out.
+func (d *Deployment) applyDefaults() {
+	for i := range d.Services {
+		service := &d.Services[i]
+		setDefault(&service.Fencing, FencingIgnored)
+		if service.Model == nil {
+			continue
+		}
+		setDefault(&service.Model.PrefillRate, defaultPrefillRate)
+		setDefault(&service.Model.DecodeInterval, defaultDecodeInterval)
+		setDefault(&service.Model.MaxBatch, defaultMaxBatch)
+		setDefault(&service.Model.MaxTokens, defaultMaxTokens)
+	}
+	for i := range d.Workspaces {
+		setDefault(&d.Workspaces[i].Weight, defaultWeight)
+	}
+	for i := range d.Routes {
+		d.Routes[i].applyDefaults()
+	}
+}
+
+func (r *Route) applyDefaults() {
+	setDefault(&r.Targets.FirstToken, defaultFirstToken)
+	setDefault(&r.Targets.BetweenTokens, defaultBetweenTokens)
+	setDefault(&r.Targets.Answer, defaultAnswer)
+	setDefault(&r.Targets.Objective, defaultObjective)
+	if r.Class == ClassDeferrable {
+		setDefault(&r.Targets.QueueWait, deferrableQueueWait)
+	}
+	setDefault(&r.Targets.QueueWait, defaultQueueWait)
+}
+
+// DefaultSettings returns the settings that hold where a file is silent.
+func DefaultSettings() Settings {
+	return Settings{
+		Limits: RequestLimits{
+			BodyBytes:     8 << 20,
+			HeaderBytes:   64 << 10,
+			AnswerBytes:   16 << 20,
+			ReadTimeout:   Duration(30 * time.Second),
+			WriteTimeout:  Duration(30 * time.Second),
+			HeldBytes:     32 << 20,
+			AnswerKept:    Duration(10 * time.Minute),
+			ResumeGrace:   Duration(5 * time.Second),
+			MaxWork:       Duration(10 * time.Minute),
+			TryTimeout:    Duration(60 * time.Second),
+			PlainTryLimit: Duration(30 * time.Second),
+		},
+		Drain: Drain{Delay: Duration(3 * time.Second)},
+	}
+}
--- /dev/null
+++ b/internal/config/load.go
@@ -0,0 +1,129 @@
+package config
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plankridge/plankridge/internal/finding"
+	"github.com/plankridge/plankridge/internal/strictyaml"
+)
+
+// File is the name and content of one file that operators apply.
+type File struct {
+	Name    string `json:"name"`
+	Content []byte `json:"content"`
+}
+
+// ReadFiles reads the named files. A folder stands for the .yaml and .yml
+// files in it.
+func ReadFiles(paths []string) ([]File, error) {
+	var files []File
+	for _, path := range paths {
+		names, err := expand(path)
+		if err != nil {
+			return nil, err
+		}
+		for _, name := range names {
+			content, err := os.ReadFile(name)
+			if err != nil {
+				return nil, eris.Wrap(err, "read file to apply")
+			}
+			files = append(files, File{Name: name, Content: content})
+		}
+	}
+	return files, nil
+}
+
+func expand(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, eris.Wrap(err, "read file to apply")
+	}
+	if !info.IsDir() {
+		return []string{path}, nil
+	}
+	var names []string
+	for _, pattern := range []string{"*.yaml", "*.yml"} {
+		matches, err := filepath.Glob(filepath.Join(path, pattern))
+		if err != nil {
+			return nil, eris.Wrap(err, "list folder to apply")
+		}
+		names = append(names, matches...)
+	}
+	if len(names) == 0 {
+		return nil, eris.Errorf("folder %s holds no .yaml or .yml file", path)
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// place returns the position of an item of the merged deployment.
+type place func(suffix string) finding.Place
+
+// located is an item of a section together with where it stands.
+type located[T any] struct {
+	item  *T
+	place place
+}
+
+// merged is the deployment with the place of each item.
+type merged struct {
+	deployment Deployment
+	zones      []place
+	classes    []place
+	services   []place
+	workspaces []place
+	routes     []place
+}
+
+// Load decodes and checks the files as one deployment. The error is a
+// *finding.Error with every mistake in any of them.
+func Load(files []File) (*Deployment, error) {
+	var found finding.List
+	all := &merged{}
+	for _, file := range files {
+		var part Deployment
+		source := strictyaml.Decode(file.Name, file.Content, &part, &found)
+		all.add(part, source)
+	}
+	all.deployment.applyDefaults()
+	all.check(&found)
+	if err := found.Err(); err != nil {
+		return nil, err
+	}
+	return &all.deployment, nil
+}
+
+func (m *merged) add(part Deployment, source *strictyaml.Source) {
+	d := &m.deployment
+	d.Zones = appendLocated(d.Zones, part.Zones, &m.zones, source, "zones")
+	d.VMClasses = appendLocated(d.VMClasses, part.VMClasses, &m.classes, source, "vm_classes")
+	d.Services = appendLocated(d.Services, part.Services, &m.services, source, "services")
+	d.Workspaces = appendLocated(d.Workspaces, part.Workspaces, &m.workspaces, source, "workspaces")
+	d.Routes = appendLocated(d.Routes, part.Routes, &m.routes, source, "routes")
+}
+
+func appendLocated[T any](all, part []T, places *[]place, source *strictyaml.Source, section string) []T {
+	for i := range part {
+		path := fmt.Sprintf("%s[%d]", section, i)
+		*places = append(*places, func(suffix string) finding.Place {
+			if suffix == "" {
+				return source.Place(path)
+			}
+			return source.Place(path + "." + suffix)
+		})
+	}
+	return append(all, part...)
+}
+
+func zip[T any](items []T, places []place) []located[T] {
+	pairs := make([]located[T], len(items))
+	for i := range items {
+		pairs[i] = located[T]{item: &items[i], place: places[i]}
+	}
+	return pairs
+}
--- /dev/null
+++ b/internal/config/lookup.go
@@ -0,0 +1,118 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// DigestKey returns the digest under which a bearer key stands in the files.
+func DigestKey(key string) KeyDigest {
+	sum := sha256.Sum256([]byte(key))
+	return KeyDigest(hex.EncodeToString(sum[:]))
+}
+
+// Index answers the questions of the request path about a deployment. It is
+// immutable; a new generation makes a new one.
+type Index struct {
+	Deployment *Deployment
+	byKey      map[KeyDigest]*Workspace
+	services   map[string]*Service
+	routes     map[string][]*Route
+	prices     map[priceKey]float64
+}
+
+type priceKey struct {
+	class  string
+	zone   string
+	market Market
+}
+
+// NewIndex builds the index of a checked deployment.
+func NewIndex(d *Deployment) *Index {
+	index := &Index{
+		Deployment: d,
+		byKey:      map[KeyDigest]*Workspace{},
+		services:   map[string]*Service{},
+		routes:     map[string][]*Route{},
+		prices:     map[priceKey]float64{},
+	}
+	for i := range d.Workspaces {
+		for _, digest := range d.Workspaces[i].KeySHA256 {
+			index.byKey[digest] = &d.Workspaces[i]
+		}
+	}
+	for i := range d.Services {
+		index.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Routes {
+		name := d.Routes[i].Service
+		index.routes[name] = append(index.routes[name], &d.Routes[i])
+	}
+	for _, class := range d.VMClasses {
+		for _, price := range class.Prices {
+			index.prices[priceKey{class.Name, price.Zone, price.Market}] = price.PerHour
+		}
+	}
+	return index
+}
+
+// WorkspaceByKey returns the workspace that owns a bearer key, or nil.
+func (x *Index) WorkspaceByKey(key string) *Workspace {
+	return x.byKey[DigestKey(key)]
+}
+
+// Service returns a service by name, or nil.
+func (x *Index) Service(name string) *Service { return x.services[name] }
+
+// Price returns the price of a VM per hour, and zero where none is known.
+func (x *Index) Price(class, zone string, market Market) float64 {
+	return x.prices[priceKey{class, zone, market}]
+}
+
+// May reports whether the workspace may call the service.
+func (w *Workspace) May(service string) bool {
+	return slices.Contains(w.Services, service)
+}
+
+// Route returns the route with the longest path prefix that fits the call. A
+// call that no route names is awaited and as idempotent as its method is by
+// RFC 9110.
+func (x *Index) Route(service *Service, method, path string) Route {
+	var best *Route
+	for _, route := range x.routes[service.Name] {
+		if !route.fits(method, path) {
+			continue
+		}
+		if best == nil || len(route.Path) > len(best.Path) {
+			best = route
+		}
+	}
+	if best != nil {
+		return *best
+	}
+	fallback := Route{Service: service.Name, Class: ClassAwaited, Idempotent: service.Kind == KindModel || idempotentMethod(method)}
+	fallback.applyDefaults()
+	return fallback
+}
+
+func (r *Route) fits(method, path string) bool {
+	if len(r.Methods) > 0 && !slices.Contains(r.Methods, method) {
+		return false
+	}
+	rest, ok := strings.CutPrefix(path, r.Path)
+	if !ok {
+		return false
+	}
+	return rest == "" || strings.HasSuffix(r.Path, "/") || r.Path == "" || rest[0] == '/'
+}
+
+func idempotentMethod(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,167 @@
+package config
+
+import (
+	"os"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plankridge/plankridge/internal/finding"
+	"github.com/plankridge/plankridge/internal/strictyaml"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	Daemon    DaemonIdentity   `yaml:"daemon,required"`
+	Listen    Listen           `yaml:"listen,required"`
+	Platform  PlatformSettings `yaml:"platform,required"`
+	Peers     PeerSettings     `yaml:"peers"`
+	Operators OperatorSettings `yaml:"operators"`
+	Limits    RequestLimits    `yaml:"limits"`
+	Drain     Drain            `yaml:"drain"`
+}
+
+// DaemonIdentity says who and where the daemon is.
+type DaemonIdentity struct {
+	// ID is the ID of the daemon's VM in the VM list.
+	ID   string `yaml:"id,required"`
+	Zone string `yaml:"zone,required"`
+}
+
+// Listen holds the addresses that the daemon listens on, as IP:port.
+type Listen struct {
+	Callers   string `yaml:"callers,required"`
+	Peers     string `yaml:"peers,required"`
+	Operators string `yaml:"operators,required"`
+}
+
+// PlatformSettings names the platform's endpoints.
+type PlatformSettings struct {
+	Objects string `yaml:"objects,required"`
+	VMs     string `yaml:"vms,required"`
+	Cloud   string `yaml:"cloud,required"`
+	Token   Secret `yaml:"token"`
+}
+
+// PeerSettings secure the traffic between daemons. Either TLS is set or
+// Plaintext is true.
+type PeerSettings struct {
+	Plaintext bool     `yaml:"plaintext"`
+	TLS       *PeerTLS `yaml:"tls"`
+}
+
+// PeerTLS names the files of mutual TLS between daemons. The files are read
+// again when they change.
+type PeerTLS struct {
+	CertFile string `yaml:"cert_file,required"`
+	KeyFile  string `yaml:"key_file,required"`
+	CAFile   string `yaml:"ca_file,required"`
+}
+
+// OperatorSettings hold the bearer token of the operator API.
+type OperatorSettings struct {
+	Token Secret `yaml:"token"`
+}
+
+// Secret is read from a file or from an environment variable.
+type Secret struct {
+	File string `yaml:"file"`
+	Env  string `yaml:"env"`
+}
+
+// Read returns the secret. An unset secret reads as the empty string.
+func (s Secret) Read() (string, error) {
+	if s.Env != "" {
+		value := os.Getenv(s.Env)
+		if value == "" {
+			return "", eris.Errorf("environment variable %s is not set", s.Env)
+		}
+		return value, nil
+	}
+	if s.File == "" {
+		return "", nil
+	}
+	raw, err := os.ReadFile(s.File)
+	if err != nil {
+		return "", eris.Wrap(err, "read secret")
+	}
+	return strings.TrimSpace(string(raw)), nil
+}
+
+// RequestLimits bound what one caller or one request can take.
+type RequestLimits struct {
+	BodyBytes    int      `yaml:"body_bytes"`
+	HeaderBytes  int      `yaml:"header_bytes"`
+	AnswerBytes  int      `yaml:"answer_bytes"`
+	ReadTimeout  Duration `yaml:"read_timeout"`
+	WriteTimeout Duration `yaml:"write_timeout"`
+	// HeldBytes bounds the memory of finished answers that are kept for late
+	// readers.
+	HeldBytes int `yaml:"held_bytes"`
+	// AnswerKept is how long a finished answer can be read again.
+	AnswerKept Duration `yaml:"answer_kept"`
+	// ResumeGrace is how long an idempotent request runs on after its last
+	// reader has gone.
+	ResumeGrace Duration `yaml:"resume_grace"`
+	// MaxWork is the longest time from acceptance to the end of a request.
+	MaxWork Duration `yaml:"max_work"`
+	// TryTimeout is the longest silence of an engine within one attempt.
+	TryTimeout Duration `yaml:"try_timeout"`
+	// PlainTryLimit is the longest time of one attempt at a plain service.
+	PlainTryLimit Duration `yaml:"plain_try_limit"`
+}
+
+// Drain says how a daemon shuts down.
+type Drain struct {
+	// Delay is how long the daemon still accepts requests after it has
+	// reported itself as not ready.
+	Delay Duration `yaml:"delay"`
+}
+
+// LoadSettings reads a daemon's settings from a file.
+func LoadSettings(path string) (Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, eris.Wrap(err, "read settings")
+	}
+	return ParseSettings(path, raw)
+}
+
+// ParseSettings decodes a daemon's settings. The name stands in the places of
+// findings.
+func ParseSettings(name string, raw []byte) (Settings, error) {
+	settings := DefaultSettings()
+	var found finding.List
+	source := strictyaml.Decode(name, raw, &settings, &found)
+	settings.check(source, &found)
+	return settings, found.Err()
+}
+
+func (s *Settings) check(source *strictyaml.Source, found *finding.List) {
+	if s.Peers.Plaintext && s.Peers.TLS != nil {
+		found.Addf(source.Place("peers.plaintext"), "peers: plaintext and tls contradict each other")
+	}
+	if !s.Peers.Plaintext && s.Peers.TLS == nil {
+		found.Addf(source.Place("peers"), "peers: set tls, or plaintext: true to do without it")
+	}
+	secrets := []struct {
+		path   string
+		secret Secret
+	}{{"platform.token", s.Platform.Token}, {"operators.token", s.Operators.Token}}
+	for _, item := range secrets {
+		if item.secret.File != "" && item.secret.Env != "" {
+			found.Addf(source.Place(item.path), "%s: file and env contradict each other", item.path)
+		}
+	}
+	sizes := map[string]int{
+		"limits.body_bytes":   s.Limits.BodyBytes,
+		"limits.header_bytes": s.Limits.HeaderBytes,
+		"limits.answer_bytes": s.Limits.AnswerBytes,
+		"limits.held_bytes":   s.Limits.HeldBytes,
+	}
+	for path, size := range sizes {
+		if size <= 0 {
+			found.Addf(source.Place(path), "%s: must be greater than zero", path)
+		}
+	}
+}
--- /dev/null
+++ b/internal/config/types.go
@@ -0,0 +1,216 @@
+// Package config defines the two kinds of YAML file that operators write: the
+// settings of one daemon, and the deployment (services, workspaces, routes)
+// that is applied as a whole. It decodes them strictly, fills in defaults in
+// one place and reports every mistake with its place.
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"time"
+)
+
+// Duration is a time.Duration written in Go's notation, such as "1.5s".
+type Duration time.Duration
+
+// UnmarshalText parses Go's notation for durations. Negative values are
+// rejected.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil || parsed < 0 {
+		return fmt.Errorf("%q is not a duration such as 1.5s or 250ms", text)
+	}
+	*d = Duration(parsed)
+	return nil
+}
+
+// MarshalText writes the duration in Go's notation.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// Std returns the duration as a time.Duration.
+func (d Duration) Std() time.Duration { return time.Duration(d) }
+
+// oneOf parses a closed set of words.
+func oneOf[T ~string](text []byte, out *T, allowed ...T) error {
+	for _, word := range allowed {
+		if string(text) == string(word) {
+			*out = word
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is not one of %v", text, allowed)
+}
+
+// ServiceKind says what stands behind a service.
+type ServiceKind string
+
+// The kinds of service.
+const (
+	KindModel ServiceKind = "model"
+	KindPlain ServiceKind = "plain"
+)
+
+// UnmarshalText accepts the known kinds only.
+func (k *ServiceKind) UnmarshalText(text []byte) error {
+	return oneOf(text, k, KindModel, KindPlain)
+}
+
+// Market says how a VM is bought.
+type Market string
+
+// The markets of the cloud API.
+const (
+	MarketReclaimable Market = "reclaimable"
+	MarketOnDemand    Market = "on-demand"
+)
+
+// UnmarshalText accepts the known markets only.
+func (m *Market) UnmarshalText(text []byte) error {
+	return oneOf(text, m, MarketReclaimable, MarketOnDemand)
+}
+
+// Class says whether a caller waits for the answer.
+type Class string
+
+// The classes of work.
+const (
+	ClassAwaited    Class = "awaited"
+	ClassDeferrable Class = "deferrable"
+)
+
+// UnmarshalText accepts the known classes only.
+func (c *Class) UnmarshalText(text []byte) error {
+	return oneOf(text, c, ClassAwaited, ClassDeferrable)
+}
+
+// Fencing says whether the backend servers of a service check the fencing
+// number of an order.
+type Fencing string
+
+// The ways a backend server treats fencing numbers.
+const (
+	FencingChecked Fencing = "checked"
+	FencingIgnored Fencing = "ignored"
+)
+
+// UnmarshalText accepts the known words only.
+func (f *Fencing) UnmarshalText(text []byte) error {
+	return oneOf(text, f, FencingChecked, FencingIgnored)
+}
+
+// KeyDigest is the SHA-256 digest of a bearer key, in hexadecimal. The keys
+// themselves never stand in applied files.
+type KeyDigest string
+
+// UnmarshalText accepts 64 hexadecimal digits.
+func (k *KeyDigest) UnmarshalText(text []byte) error {
+	raw, err := hex.DecodeString(string(text))
+	if err != nil || len(raw) != 32 {
+		return fmt.Errorf("want the SHA-256 digest of a key, as 64 hexadecimal digits")
+	}
+	*k = KeyDigest(hex.EncodeToString(raw))
+	return nil
+}
+
+// Deployment is everything that operators apply as a whole.
+type Deployment struct {
+	Zones      []Zone      `yaml:"zones" json:"zones"`
+	VMClasses  []VMClass   `yaml:"vm_classes" json:"vm_classes"`
+	Services   []Service   `yaml:"services" json:"services"`
+	Workspaces []Workspace `yaml:"workspaces" json:"workspaces"`
+	Routes     []Route     `yaml:"routes" json:"routes"`
+}
+
+// Zone is an availability zone and the region that it lies in.
+type Zone struct {
+	Name   string `yaml:"name,required" json:"name"`
+	Region string `yaml:"region,required" json:"region"`
+}
+
+// VMClass is a class of VM with its prices.
+type VMClass struct {
+	Name         string  `yaml:"name,required" json:"name"`
+	Accelerators int     `yaml:"accelerators" json:"accelerators"`
+	Prices       []Price `yaml:"prices,required" json:"prices"`
+}
+
+// Price is the price of a VM class in one availability zone and market.
+type Price struct {
+	Zone    string  `yaml:"zone,required" json:"zone"`
+	Market  Market  `yaml:"market,required" json:"market"`
+	PerHour float64 `yaml:"per_hour,required" json:"per_hour"`
+}
+
+// Service is a model or a plain service and the runners that it wants.
+type Service struct {
+	Name    string       `yaml:"name,required" json:"name"`
+	Kind    ServiceKind  `yaml:"kind,required" json:"kind"`
+	Model   *Model       `yaml:"model" json:"model,omitempty"`
+	Runners []RunnerPool `yaml:"runners,required" json:"runners"`
+	Fencing Fencing      `yaml:"fencing" json:"fencing"`
+}
+
+// Model names what the engines of a service run, and how fast.
+type Model struct {
+	Name     string   `yaml:"name,required" json:"name"`
+	Version  string   `yaml:"version,required" json:"version"`
+	Adapters []string `yaml:"adapters" json:"adapters,omitempty"`
+	// PrefillRate is in prompt tokens per second of one runner.
+	PrefillRate float64 `yaml:"prefill_rate" json:"prefill_rate"`
+	// DecodeInterval is the time between two tokens of one stream on an idle
+	// runner.
+	DecodeInterval Duration `yaml:"decode_interval" json:"decode_interval"`
+	// MaxBatch is the number of requests that a runner decodes at once.
+	MaxBatch int `yaml:"max_batch" json:"max_batch"`
+	// MaxTokens caps the tokens generated for one request.
+	MaxTokens int `yaml:"max_tokens" json:"max_tokens"`
+}
+
+// RunnerPool is a number of like runners in one availability zone.
+type RunnerPool struct {
+	Zone   string `yaml:"zone,required" json:"zone"`
+	Class  string `yaml:"class,required" json:"class"`
+	Market Market `yaml:"market,required" json:"market"`
+	Count  int    `yaml:"count,required" json:"count"`
+}
+
+// Workspace is a customer with its keys, weight and limits.
+type Workspace struct {
+	Name      string      `yaml:"name,required" json:"name"`
+	KeySHA256 []KeyDigest `yaml:"key_sha256,required" json:"key_sha256"`
+	Weight    int         `yaml:"weight" json:"weight"`
+	Limits    Limits      `yaml:"limits" json:"limits"`
+	Services  []string    `yaml:"services,required" json:"services"`
+}
+
+// Limits bound one workspace over the whole deployment. Zero means no limit.
+type Limits struct {
+	RequestsPerSecond float64 `yaml:"requests_per_second" json:"requests_per_second"`
+	InFlight          int     `yaml:"in_flight" json:"in_flight"`
+}
+
+// Route says how the calls under one path of a service are treated.
+type Route struct {
+	Service string `yaml:"service,required" json:"service"`
+	// Path is a prefix of the path below the service. It is empty for models.
+	Path       string   `yaml:"path" json:"path"`
+	Methods    []string `yaml:"methods" json:"methods,omitempty"`
+	Idempotent bool     `yaml:"idempotent,required" json:"idempotent"`
+	Class      Class    `yaml:"class,required" json:"class"`
+	Targets    Targets  `yaml:"targets" json:"targets"`
+}
+
+// Targets are the latencies that a route asks for.
+type Targets struct {
+	FirstToken    Duration `yaml:"first_token" json:"first_token"`
+	BetweenTokens Duration `yaml:"between_tokens" json:"between_tokens"`
+	// Answer is the time to the whole answer of a plain service.
+	Answer Duration `yaml:"answer" json:"answer"`
+	// QueueWait is the longest predicted wait with which a request is still
+	// accepted.
+	QueueWait Duration `yaml:"queue_wait" json:"queue_wait"`
+	// Objective is the share of requests that has to meet the targets.
+	Objective float64 `yaml:"objective" json:"objective"`
+}
--- /dev/null
+++ b/internal/standin/memnet/memnet.go
@@ -0,0 +1,126 @@
+// Package memnet is an in-memory network for tests under synctest time. Links
+// between hosts can be cut.
+package memnet
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+
+	"google.golang.org/grpc/test/bufconn"
+)
+
+const pipeBytes = 256 << 10
+
+// Net is an in-memory network. The zero value is not usable; call New.
+type Net struct {
+	mu        sync.Mutex
+	listeners map[string]*listener
+	cut       map[[2]string]bool
+	conns     map[[2]string][]net.Conn
+}
+
+// New returns an empty network.
+func New() *Net {
+	return &Net{
+		listeners: map[string]*listener{},
+		cut:       map[[2]string]bool{},
+		conns:     map[[2]string][]net.Conn{},
+	}
+}
+
+// Host is the network as seen from one IP address. It implements
+// network.Network.
+type Host struct {
+	net *Net
+	ip  string
+}
+
+// Host returns the network as seen from ip.
+func (n *Net) Host(ip string) *Host { return &Host{net: n, ip: ip} }
+
+// link returns the unordered pair of two hosts.
+func link(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// Cut breaks all connections between two hosts and refuses new ones.
+func (n *Net) Cut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[link(a, b)] = true
+	for _, conn := range n.conns[link(a, b)] {
+		_ = conn.Close()
+	}
+	delete(n.conns, link(a, b))
+}
+
+// Heal undoes Cut.
+func (n *Net) Heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, link(a, b))
+}
+
+type listener struct {
+	*bufconn.Listener
+	net     *Net
+	address string
+}
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.net.mu.Lock()
+	if l.net.listeners[l.address] == l {
+		delete(l.net.listeners, l.address)
+	}
+	l.net.mu.Unlock()
+	return l.Listener.Close()
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr { return address(l.address) }
+
+type address string
+
+// Network implements net.Addr.
+func (address) Network() string { return "memnet" }
+
+// String implements net.Addr.
+func (a address) String() string { return string(a) }
+
+// Listen implements network.Network.
+func (h *Host) Listen(addr string) (net.Listener, error) {
+	h.net.mu.Lock()
+	defer h.net.mu.Unlock()
+	if h.net.listeners[addr] != nil {
+		return nil, syscall.EADDRINUSE
+	}
+	l := &listener{Listener: bufconn.Listen(pipeBytes), net: h.net, address: addr}
+	h.net.listeners[addr] = l
+	return l, nil
+}
+
+// Dial implements network.Network.
+func (h *Host) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	ip, _, _ := strings.Cut(addr, ":")
+	h.net.mu.Lock()
+	target, cut := h.net.listeners[addr], h.net.cut[link(h.ip, ip)]
+	h.net.mu.Unlock()
+	if target == nil || cut {
+		return nil, syscall.ECONNREFUSED
+	}
+	conn, err := target.DialContext(ctx)
+	if err != nil {
+		return nil, err
+	}
+	h.net.mu.Lock()
+	h.net.conns[link(h.ip, ip)] = append(h.net.conns[link(h.ip, ip)], conn)
+	h.net.mu.Unlock()
+	return conn, nil
+}
