--- /dev/null
+++ b/internal/callerapi/answer.go
@@ -0,0 +1,340 @@
+package callerapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/plankridge/plankridge/internal/dispatch"
+	"github.com/plankridge/plankridge/internal/request"
+)
+
+// find returns a request of the caller's workspace, here or at a peer. One of
+// another workspace looks like one that does not exist.
+func (a *API) find(c echo.Context) (dispatch.Source, dispatch.Status, error) {
+	call, err := a.authenticate(c)
+	if err != nil {
+		return nil, dispatch.Status{}, err
+	}
+	id := request.ID(c.Param("id"))
+	source, err := a.locate(c.Request().Context(), id)
+	if errors.Is(err, dispatch.ErrNotFound) {
+		return nil, dispatch.Status{}, newProblem(http.StatusNotFound, request.OutcomeUnknown, "no daemon holds this request").Err()
+	}
+	if err != nil {
+		return nil, dispatch.Status{}, unreachable().Err()
+	}
+	status, err := source.Status(c.Request().Context())
+	if err != nil {
+		return nil, dispatch.Status{}, unreachable().Err()
+	}
+	if status.Spec.Workspace != call.workspace.Name {
+		return nil, dispatch.Status{}, newProblem(http.StatusNotFound, request.OutcomeUnknown, "no daemon holds this request").Err()
+	}
+	c.Response().Header().Set(headerRequestID, string(id))
+	_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(time.Time{})
+	return source, status, nil
+}
+
+func unreachable() *problem {
+	p := newProblem(http.StatusServiceUnavailable, request.OutcomeUnknown, "the daemon that holds this request cannot be reached")
+	p.retryAfter = time.Second
+	return p
+}
+
+func (a *API) locate(ctx context.Context, id request.ID) (dispatch.Source, error) {
+	flight, err := a.options.Dispatcher.Find(id)
+	if err == nil {
+		return flight, nil
+	}
+	return a.options.Locator.Locate(ctx, id)
+}
+
+// stateBody is the answer of GET /v1/requests/{id}.
+type stateBody struct {
+	ID       request.ID      `json:"id"`
+	Service  string          `json:"service"`
+	Class    string          `json:"class"`
+	State    request.State   `json:"state"`
+	Outcome  request.Outcome `json:"outcome,omitempty"`
+	Attempts int             `json:"attempts"`
+	Tokens   int             `json:"tokens"`
+	Accepted time.Time       `json:"accepted"`
+	Response string          `json:"response"`
+}
+
+func (a *API) state(c echo.Context) error {
+	_, status, err := a.find(c)
+	if err != nil {
+		return err
+	}
+	body := stateBody{
+		ID:       status.Spec.ID,
+		Service:  status.Spec.Service,
+		Class:    string(status.Spec.Class),
+		State:    status.State,
+		Attempts: status.Attempts,
+		Tokens:   status.Tokens,
+		Accepted: status.Spec.Accepted,
+		Response: "/v1/requests/" + string(status.Spec.ID) + "/response",
+	}
+	if status.State.Final() {
+		body.Outcome = status.Outcome
+	}
+	return c.JSON(http.StatusOK, body)
+}
+
+func (a *API) response(c echo.Context) error {
+	source, status, err := a.find(c)
+	if err != nil {
+		return err
+	}
+	spec := status.Spec
+	if strings.Contains(c.Request().Header.Get("Accept"), "text/event-stream") {
+		spec.Stream = true
+	}
+	after := 0
+	if last := c.Request().Header.Get("Last-Event-ID"); last != "" {
+		after, err = strconv.Atoi(last)
+		if err != nil || after < 0 {
+			return newProblem(http.StatusBadRequest, request.OutcomeUnknown, "Last-Event-ID: want a number of tokens").Err()
+		}
+		spec.Stream = spec.Kind != request.KindPlain
+	}
+	return a.answer(c, source, &spec, after)
+}
+
+// answer sends the answer of a request in the form that its kind has.
+func (a *API) answer(c echo.Context, source dispatch.Source, spec *request.Spec, after int) error {
+	switch {
+	case spec.Kind == request.KindPlain:
+		return a.answerPlain(c, source, spec)
+	case spec.Stream:
+		return a.answerStream(c, source, spec, after)
+	}
+	return a.answerWhole(c, source, spec)
+}
+
+// collect reads an answer to its end.
+func collect(ctx context.Context, source dispatch.Source) (string, dispatch.Event, error) {
+	var text strings.Builder
+	var last dispatch.Event
+	err := source.Follow(ctx, 0, func(event dispatch.Event) error {
+		text.WriteString(event.Token)
+		last = event
+		return nil
+	})
+	return text.String(), last, err
+}
+
+func (a *API) answerPlain(c echo.Context, source dispatch.Source, spec *request.Spec) error {
+	_, last, err := collect(c.Request().Context(), source)
+	if err != nil {
+		return readError(spec, err)
+	}
+	if last.Failure != nil {
+		return fromFailure(spec.ID, last.Failure).Err()
+	}
+	header := c.Response().Header()
+	for name, values := range endToEnd(last.Plain.Header) {
+		header[name] = values
+	}
+	c.Response().WriteHeader(last.Plain.Status)
+	_, err = c.Response().Write(last.Plain.Body)
+	return err
+}
+
+// readError is the problem of an answer that could not be read. The request
+// itself may go on.
+func readError(spec *request.Spec, err error) error {
+	if errors.Is(err, context.Canceled) {
+		return err
+	}
+	p := unreachable()
+	p.RequestID = spec.ID
+	return p.Err()
+}
+
+// extendWrite allows the next write its time.
+func (a *API) extendWrite(c echo.Context) {
+	deadline := time.Now().Add(a.options.Limits.WriteTimeout.Std())
+	_ = http.NewResponseController(c.Response().Writer).SetWriteDeadline(deadline)
+}
+
+// Objects of the OpenAI wire format.
+type (
+	usage struct {
+		PromptTokens     int           `json:"prompt_tokens"`
+		CompletionTokens int           `json:"completion_tokens"`
+		TotalTokens      int           `json:"total_tokens"`
+		Details          promptDetails `json:"prompt_tokens_details"`
+	}
+	promptDetails struct {
+		CachedTokens int `json:"cached_tokens"`
+	}
+	chatMessage struct {
+		Role    string `json:"role,omitempty"`
+		Content string `json:"content"`
+	}
+	choice struct {
+		Index        int          `json:"index"`
+		Message      *chatMessage `json:"message,omitempty"`
+		Delta        *chatMessage `json:"delta,omitempty"`
+		Text         *string      `json:"text,omitempty"`
+		FinishReason *string      `json:"finish_reason"`
+	}
+	completion struct {
+		ID      string   `json:"id"`
+		Object  string   `json:"object"`
+		Created int64    `json:"created"`
+		Model   string   `json:"model"`
+		Choices []choice `json:"choices"`
+		Usage   *usage   `json:"usage,omitempty"`
+	}
+)
+
+func usageOf(finish *request.Finish) *usage {
+	return &usage{
+		PromptTokens:     finish.PromptTokens,
+		CompletionTokens: finish.OutputTokens,
+		TotalTokens:      finish.PromptTokens + finish.OutputTokens,
+		Details:          promptDetails{CachedTokens: finish.CachedTokens},
+	}
+}
+
+// object names the wire object of a request's answer.
+func object(spec *request.Spec) string {
+	switch {
+	case spec.Kind == request.KindCompletion:
+		return "text_completion"
+	case spec.Stream:
+		return "chat.completion.chunk"
+	}
+	return "chat.completion"
+}
+
+func newCompletion(spec *request.Spec, choices ...choice) *completion {
+	return &completion{
+		ID:      string(spec.ID),
+		Object:  object(spec),
+		Created: created(spec.Accepted),
+		Model:   spec.Model.Name,
+		Choices: choices,
+	}
+}
+
+func (a *API) answerWhole(c echo.Context, source dispatch.Source, spec *request.Spec) error {
+	text, last, err := collect(c.Request().Context(), source)
+	if err != nil {
+		return readError(spec, err)
+	}
+	if last.Failure != nil {
+		return fromFailure(spec.ID, last.Failure).Err()
+	}
+	only := choice{FinishReason: &last.Finish.Reason}
+	if spec.Kind == request.KindChat {
+		only.Message = &chatMessage{Role: "assistant", Content: text}
+	} else {
+		only.Text = &text
+	}
+	body := newCompletion(spec, only)
+	body.Usage = usageOf(last.Finish)
+	return c.JSON(http.StatusOK, body)
+}
+
+// answerStream sends the answer as server-sent events. The ID of an event is
+// the number of tokens up to and including it.
+func (a *API) answerStream(c echo.Context, source dispatch.Source, spec *request.Spec, after int) error {
+	header := c.Response().Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	c.Response().WriteHeader(http.StatusOK)
+	if _, err := fmt.Fprintf(c.Response(), ": request %s\n\n", spec.ID); err != nil {
+		return nil
+	}
+	c.Response().Flush()
+	stream := &eventStream{api: a, c: c, spec: spec, first: after == 0}
+	err := source.Follow(c.Request().Context(), after, stream.event)
+	if err != nil && c.Request().Context().Err() == nil {
+		stream.problem(unreachable())
+	}
+	return nil
+}
+
+// eventStream writes the events of one answer.
+type eventStream struct {
+	api   *API
+	c     echo.Context
+	spec  *request.Spec
+	first bool
+}
+
+func (s *eventStream) event(event dispatch.Event) error {
+	switch {
+	case event.Failure != nil:
+		s.problem(fromFailure(s.spec.ID, event.Failure))
+		return nil
+	case event.Finish != nil:
+		return s.finish(event)
+	}
+	return s.send(event.Offset, newCompletion(s.spec, s.delta(event.Token, nil)))
+}
+
+func (s *eventStream) delta(text string, finish *string) choice {
+	if s.spec.Kind == request.KindCompletion {
+		return choice{Text: &text, FinishReason: finish}
+	}
+	delta := &chatMessage{Content: text}
+	if s.first {
+		delta.Role = "assistant"
+		s.first = false
+	}
+	return choice{Delta: delta, FinishReason: finish}
+}
+
+func (s *eventStream) finish(event dispatch.Event) error {
+	if err := s.send(event.Offset, newCompletion(s.spec, s.delta("", &event.Finish.Reason))); err != nil {
+		return err
+	}
+	if s.spec.Model.IncludeUsage {
+		chunk := newCompletion(s.spec)
+		chunk.Choices = []choice{}
+		chunk.Usage = usageOf(event.Finish)
+		if err := s.send(event.Offset, chunk); err != nil {
+			return err
+		}
+	}
+	return s.write("data: [DONE]\n\n")
+}
+
+// problem ends a stream without its last event.
+func (s *eventStream) problem(p *problem) {
+	raw, err := json.Marshal(p)
+	if err == nil {
+		_ = s.write("event: error\ndata: " + string(raw) + "\n\n")
+	}
+}
+
+func (s *eventStream) send(offset int, value any) error {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	return s.write("id: " + strconv.Itoa(offset) + "\ndata: " + string(raw) + "\n\n")
+}
+
+func (s *eventStream) write(text string) error {
+	s.api.extendWrite(s.c)
+	if _, err := s.c.Response().Write([]byte(text)); err != nil {
+		return err
+	}
+	s.c.Response().Flush()
+	return nil
+}
--- /dev/null
+++ b/internal/callerapi/api.go
@@ -0,0 +1,228 @@
+// Package callerapi is the HTTP API for callers: the OpenAI wire format for
+// models, plain services below /services, and the state and answer of
+// requests.
+package callerapi
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/labstack/echo/v4/middleware"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/dispatch"
+	"github.com/plankridge/plankridge/internal/generation"
+	"github.com/plankridge/plankridge/internal/request"
+)
+
+// Locator finds requests that other daemons hold.
+type Locator interface {
+	// Locate returns dispatch.ErrNotFound when no daemon holds the request.
+	Locate(ctx context.Context, id request.ID) (dispatch.Source, error)
+}
+
+// Options are what the API works with.
+type Options struct {
+	Limits     config.RequestLimits
+	Dispatcher *dispatch.Dispatcher
+	Follower   *generation.Follower
+	Locator    Locator
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+	// Ready reports whether the daemon can serve.
+	Ready func() bool
+}
+
+// API serves callers.
+type API struct {
+	options  Options
+	refusals *prometheus.CounterVec
+	draining atomic.Bool
+	echo     *echo.Echo
+}
+
+// New returns the API.
+func New(options Options) *API {
+	a := &API{
+		options: options,
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "plankridge_refusals_total", Help: "Requests refused before acceptance, by status.",
+		}, []string{"status"}),
+		echo: echo.New(),
+	}
+	options.Registerer.MustRegister(a.refusals)
+	a.echo.HideBanner = true
+	a.echo.HTTPErrorHandler = a.handleError
+	a.echo.Use(a.deadlines, a.closeWhileDraining, middleware.BodyLimit(bodyLimit(options.Limits.BodyBytes)))
+	a.routes()
+	return a
+}
+
+func (a *API) routes() {
+	a.echo.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	a.echo.GET("/readyz", a.ready)
+	a.echo.GET("/v1/models", a.models)
+	a.echo.POST("/v1/chat/completions", a.chat)
+	a.echo.POST("/v1/completions", a.completion)
+	a.echo.Any("/services/:service/*", a.plain)
+	a.echo.Any("/services/:service", a.plain)
+	a.echo.GET("/v1/requests/:id", a.state)
+	a.echo.GET("/v1/requests/:id/response", a.response)
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.echo.ServeHTTP(w, r) }
+
+// Drain makes the API report itself as not ready and ask callers to open new
+// connections, while it goes on serving.
+func (a *API) Drain() { a.draining.Store(true) }
+
+func (a *API) ready(c echo.Context) error {
+	if a.draining.Load() || !a.options.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+// deadlines allows an answer its time when it begins to be written. The time
+// allowed for reading ends with the body: past it, the server would take a
+// waiting caller for one that has gone.
+func (a *API) deadlines(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() { a.extendWrite(c) })
+		return next(c)
+	}
+}
+
+func (a *API) closeWhileDraining(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if a.draining.Load() {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
+// handleError writes the problem document of an error.
+func (a *API) handleError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var known problemError
+	var httpError *echo.HTTPError
+	var p *problem
+	switch {
+	case errors.As(err, &known):
+		p = known.problem
+	case errors.As(err, &httpError):
+		p = refuse(httpError.Code, strings.ToLower(http.StatusText(httpError.Code)))
+	default:
+		a.options.Logger.Error("caller API failed", "error", err)
+		p = newProblem(http.StatusInternalServerError, request.OutcomeUnknown, "internal error")
+	}
+	if p.Outcome == request.OutcomeNotRun {
+		a.refusals.WithLabelValues(http.StatusText(p.Status)).Inc()
+	}
+	if err := p.write(c); err != nil {
+		a.options.Logger.Debug("cannot write problem", "error", err)
+	}
+}
+
+// call is what every authenticated call needs.
+type call struct {
+	index     *config.Index
+	workspace *config.Workspace
+}
+
+// authenticate finds the workspace of the bearer key.
+func (a *API) authenticate(c echo.Context) (call, error) {
+	index := a.options.Follower.Index()
+	if index == nil {
+		p := refuse(http.StatusServiceUnavailable, "daemon has no deployment yet")
+		p.retryAfter = time.Second
+		return call{}, p.Err()
+	}
+	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return call{}, refuse(http.StatusUnauthorized, "send the workspace's key as a bearer token").Err()
+	}
+	workspace := index.WorkspaceByKey(key)
+	if workspace == nil {
+		return call{}, refuse(http.StatusUnauthorized, "key belongs to no workspace").Err()
+	}
+	return call{index: index, workspace: workspace}, nil
+}
+
+// service returns a service that the workspace may call. One that it may not
+// call looks like one that does not exist.
+func (k *call) service(name string, kind config.ServiceKind) (*config.Service, error) {
+	service := k.index.Service(name)
+	if service == nil || service.Kind != kind || !k.workspace.May(name) {
+		return nil, refuse(http.StatusNotFound, "no such "+string(kind)+": "+name).Err()
+	}
+	return service, nil
+}
+
+// spec returns the specification of a call.
+func (k *call) spec(c echo.Context, service *config.Service, path string) (request.Spec, error) {
+	route := k.index.Route(service, c.Request().Method, path)
+	spec := request.Spec{
+		Workspace: k.workspace.Name,
+		Service:   service.Name,
+		Route:     route,
+		Class:     route.Class,
+		Async:     prefersAsync(c.Request().Header),
+	}
+	if word := c.Request().Header.Get(headerClass); word != "" {
+		if err := spec.Class.UnmarshalText([]byte(word)); err != nil {
+			return spec, refuse(http.StatusBadRequest, headerClass+": "+err.Error()).Err()
+		}
+	}
+	return spec, nil
+}
+
+func prefersAsync(header http.Header) bool {
+	for _, value := range header.Values("Prefer") {
+		for _, preference := range strings.Split(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(preference), "respond-async") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// submit hands a request to the dispatcher and answers it.
+func (a *API) submit(c echo.Context, spec request.Spec) error {
+	flight, refusal := a.options.Dispatcher.Submit(spec)
+	if refusal != nil {
+		p := refuse(refusal.Status, refusal.Detail)
+		p.retryAfter = refusal.RetryAfter
+		return p.Err()
+	}
+	c.Response().Header().Set(headerRequestID, string(flight.ID()))
+	_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(time.Time{})
+	if spec.Async {
+		return accepted(c, flight.ID())
+	}
+	return a.answer(c, flight, flight.Spec(), 0)
+}
+
+// accepted answers 202 with the place of the answer.
+func accepted(c echo.Context, id request.ID) error {
+	location := "/v1/requests/" + string(id)
+	c.Response().Header().Set("Location", location)
+	c.Response().Header().Set("Preference-Applied", "respond-async")
+	return c.JSON(http.StatusAccepted, map[string]string{
+		"id":       string(id),
+		"status":   location,
+		"response": location + "/response",
+	})
+}
--- /dev/null
+++ b/internal/callerapi/models.go
@@ -0,0 +1,236 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/request"
+)
+
+// adapterSeparator stands between a service and its adapter in a model name.
+const adapterSeparator = ":"
+
+// tierFlex is the service tier by which OpenAI clients ask for cheap, slow
+// work.
+const tierFlex = "flex"
+
+// modelEntry is one entry of GET /v1/models.
+type modelEntry struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists the models and adapters that the workspace may call.
+func (a *API) models(c echo.Context) error {
+	call, err := a.authenticate(c)
+	if err != nil {
+		return err
+	}
+	entries := []modelEntry{}
+	for _, service := range call.index.Deployment.Services {
+		if service.Kind != config.KindModel || !call.workspace.May(service.Name) {
+			continue
+		}
+		names := []string{service.Name}
+		for _, adapter := range service.Model.Adapters {
+			names = append(names, service.Name+adapterSeparator+adapter)
+		}
+		for _, name := range names {
+			entries = append(entries, modelEntry{ID: name, Object: "model", OwnedBy: service.Model.Name})
+		}
+	}
+	return c.JSON(http.StatusOK, map[string]any{"object": "list", "data": entries})
+}
+
+// generateBody is the part of a chat or completion body that this API reads.
+// Every other member is passed on to the engine.
+type generateBody struct {
+	Model               string          `json:"model"`
+	Messages            []message       `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       *streamOptions  `json:"stream_options"`
+	MaxTokens           *int            `json:"max_tokens"`
+	MaxCompletionTokens *int            `json:"max_completion_tokens"`
+	N                   *int            `json:"n"`
+	ServiceTier         string          `json:"service_tier"`
+}
+
+// readMembers are the members of generateBody.
+var readMembers = []string{"model", "messages", "prompt", "stream", "stream_options",
+	"max_tokens", "max_completion_tokens", "n", "service_tier"}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type message struct {
+	Role    string  `json:"role"`
+	Content content `json:"content"`
+}
+
+// content is the text of a message, given as a text or as a list of parts.
+type content string
+
+// UnmarshalJSON accepts a text, null, or a list of text parts.
+func (t *content) UnmarshalJSON(raw []byte) error {
+	var text *string
+	if json.Unmarshal(raw, &text) == nil {
+		if text != nil {
+			*t = content(*text)
+		}
+		return nil
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return err
+	}
+	for _, part := range parts {
+		if part.Type != "text" {
+			return errOnlyText
+		}
+		*t += content(part.Text)
+	}
+	return nil
+}
+
+// flatten makes the prompt of a chat: one line of role and text a message,
+// and the line that the model continues.
+func flatten(messages []message) string {
+	var prompt strings.Builder
+	for _, m := range messages {
+		prompt.WriteString(m.Role)
+		prompt.WriteString(": ")
+		prompt.WriteString(string(m.Content))
+		prompt.WriteString("\n")
+	}
+	prompt.WriteString("assistant:")
+	return prompt.String()
+}
+
+func (a *API) chat(c echo.Context) error {
+	return a.generate(c, request.KindChat, func(body *generateBody) (string, error) {
+		if len(body.Messages) == 0 {
+			return "", refuse(http.StatusBadRequest, "messages: must not be empty").Err()
+		}
+		return flatten(body.Messages), nil
+	})
+}
+
+func (a *API) completion(c echo.Context) error {
+	return a.generate(c, request.KindCompletion, func(body *generateBody) (string, error) {
+		var prompt string
+		if json.Unmarshal(body.Prompt, &prompt) != nil {
+			return "", refuse(http.StatusBadRequest, "prompt: want one text").Err()
+		}
+		return prompt, nil
+	})
+}
+
+// generate reads a body, makes its specification and submits it.
+func (a *API) generate(c echo.Context, kind request.Kind, promptOf func(*generateBody) (string, error)) error {
+	call, err := a.authenticate(c)
+	if err != nil {
+		return err
+	}
+	body, parameters, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	prompt, err := promptOf(body)
+	if err != nil {
+		return err
+	}
+	name, adapter, _ := strings.Cut(body.Model, adapterSeparator)
+	service, err := call.service(name, config.KindModel)
+	if err != nil {
+		return err
+	}
+	if adapter != "" && !hasAdapter(service, adapter) {
+		return refuse(http.StatusNotFound, "no such adapter: "+body.Model).Err()
+	}
+	spec, err := call.spec(c, service, "")
+	if err != nil {
+		return err
+	}
+	if body.ServiceTier == tierFlex {
+		spec.Class = config.ClassDeferrable
+	}
+	spec.Kind = kind
+	spec.Stream = body.Stream
+	spec.Model = &request.ModelRequest{
+		Name:         body.Model,
+		Adapter:      adapter,
+		Prompt:       prompt,
+		MaxTokens:    body.maxTokens(service),
+		Parameters:   parameters,
+		IncludeUsage: body.StreamOptions != nil && body.StreamOptions.IncludeUsage,
+	}
+	return a.submit(c, spec)
+}
+
+func hasAdapter(service *config.Service, name string) bool {
+	for _, adapter := range service.Model.Adapters {
+		if adapter == name {
+			return true
+		}
+	}
+	return false
+}
+
+// readBody decodes a body and keeps the members that this API does not read.
+func readBody(c echo.Context) (*generateBody, map[string][]byte, error) {
+	raw, err := readAll(c)
+	if err != nil {
+		return nil, nil, err
+	}
+	body := &generateBody{}
+	if err := json.Unmarshal(raw, body); err != nil {
+		return nil, nil, refuse(http.StatusBadRequest, "body: "+err.Error()).Err()
+	}
+	if body.N != nil && *body.N != 1 {
+		return nil, nil, refuse(http.StatusBadRequest, "n: only one choice a request is offered").Err()
+	}
+	if limit := body.limit(); limit != nil && *limit <= 0 {
+		return nil, nil, refuse(http.StatusBadRequest, "max_tokens: must be greater than zero").Err()
+	}
+	var members map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &members); err != nil {
+		return nil, nil, refuse(http.StatusBadRequest, "body: "+err.Error()).Err()
+	}
+	for _, name := range readMembers {
+		delete(members, name)
+	}
+	parameters := make(map[string][]byte, len(members))
+	for name, value := range members {
+		parameters[name] = value
+	}
+	return body, parameters, nil
+}
+
+func (b *generateBody) limit() *int {
+	if b.MaxCompletionTokens != nil {
+		return b.MaxCompletionTokens
+	}
+	return b.MaxTokens
+}
+
+func (b *generateBody) maxTokens(service *config.Service) int {
+	if limit := b.limit(); limit != nil {
+		return min(*limit, service.Model.MaxTokens)
+	}
+	return service.Model.MaxTokens
+}
+
+// created is the time that answers carry, in seconds since 1970.
+func created(accepted time.Time) int64 { return accepted.Unix() }
--- /dev/null
+++ b/internal/callerapi/problem.go
@@ -0,0 +1,90 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/plankridge/plankridge/internal/request"
+)
+
+// Headers of answers.
+const (
+	headerRequestID = "Plankridge-Request-Id"
+	headerOutcome   = "Plankridge-Outcome"
+	headerClass     = "Plankridge-Class"
+)
+
+const contentTypeProblem = "application/problem+json"
+
+// problem is an RFC 9457 problem document. Outcome tells whether the request
+// has run; Error repeats the detail in the form that OpenAI clients read.
+type problem struct {
+	Type      string          `json:"type"`
+	Title     string          `json:"title"`
+	Status    int             `json:"status"`
+	Detail    string          `json:"detail"`
+	Outcome   request.Outcome `json:"outcome"`
+	RequestID request.ID      `json:"request_id,omitempty"`
+	Error     *openAIError    `json:"error,omitempty"`
+
+	retryAfter time.Duration
+}
+
+type openAIError struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+// refuse returns the problem of a request that has not run.
+func refuse(status int, detail string) *problem {
+	return newProblem(status, request.OutcomeNotRun, detail)
+}
+
+func newProblem(status int, outcome request.Outcome, detail string) *problem {
+	return &problem{
+		Type:    "about:blank",
+		Title:   http.StatusText(status),
+		Status:  status,
+		Detail:  detail,
+		Outcome: outcome,
+		Error:   &openAIError{Message: detail, Type: "plankridge_error", Code: string(outcome)},
+	}
+}
+
+// fromFailure returns the problem of an accepted request that has no answer.
+func fromFailure(id request.ID, failure *request.Failure) *problem {
+	p := newProblem(failure.Status, failure.Outcome, failure.Detail)
+	p.RequestID = id
+	return p
+}
+
+// Err makes the problem an error, so that handlers can return it.
+func (p *problem) Err() error { return problemError{p} }
+
+type problemError struct{ problem *problem }
+
+// Error implements error.
+func (e problemError) Error() string { return e.problem.Detail }
+
+// write sends the problem document.
+func (p *problem) write(c echo.Context) error {
+	header := c.Response().Header()
+	header.Set(headerOutcome, string(p.Outcome))
+	if p.RequestID != "" {
+		header.Set(headerRequestID, string(p.RequestID))
+	}
+	if p.retryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retryAfter.Seconds()))))
+	}
+	raw, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	return c.Blob(p.Status, contentTypeProblem, raw)
+}
--- a/internal/config/lookup.go
+++ b/internal/config/lookup.go
@@ -116,3 +116,14 @@
 	}
 	return false
 }
+
+// FleetPrice returns the price per hour of all runners of the deployment.
+func (x *Index) FleetPrice() float64 {
+	total := 0.0
+	for _, service := range x.Deployment.Services {
+		for _, pool := range service.Runners {
+			total += float64(pool.Count) * x.Price(pool.Class, pool.Zone, pool.Market)
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/dev/standins.go
@@ -0,0 +1,177 @@
+package dev
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plankridge/plankridge/internal/cloud"
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/standin/fleet"
+	"github.com/plankridge/plankridge/internal/standin/modelengine"
+	"github.com/plankridge/plankridge/internal/standin/objectapi"
+	"github.com/plankridge/plankridge/internal/standin/plainservice"
+	"github.com/plankridge/plankridge/internal/standin/weightstore"
+)
+
+// Sizes of the stand-ins. They are round assumptions, not measurements of a
+// real system.
+const (
+	engineCacheBlocks = 4096
+	engineReportLag   = 500 * time.Millisecond
+	plainWork         = 8 * time.Millisecond
+	artifactBytes     = 24 << 30
+	weightStoreRate   = 2 << 30
+)
+
+// StandIns are the stand-ins of every outside system, on loopback addresses.
+type StandIns struct {
+	Store   *objectapi.Server
+	Fleet   *fleet.Fleet
+	Weights *weightstore.Server
+	// Ledgers count the runs of each plain service's references.
+	Ledgers map[string]*plainservice.Ledger
+
+	ObjectsURL string
+	VMsURL     string
+	CloudURL   string
+	WeightsURL string
+
+	wanted  *config.Deployment
+	servers []*http.Server
+}
+
+// StartStandIns starts the stand-ins and the backend servers of a deployment.
+func StartStandIns(wanted *config.Deployment, listLag time.Duration) (*StandIns, error) {
+	s := &StandIns{
+		Store:   objectapi.New(),
+		Weights: weightstore.New(artifactBytes, weightStoreRate),
+		Ledgers: map[string]*plainservice.Ledger{},
+		wanted:  wanted,
+	}
+	s.Fleet = fleet.New(s.launch)
+	for _, service := range wanted.Services {
+		if service.Kind == config.KindPlain {
+			s.Ledgers[service.Name] = plainservice.NewLedger()
+		}
+	}
+	endpoints := []struct {
+		handler http.Handler
+		url     *string
+	}{
+		{s.Store, &s.ObjectsURL},
+		{s.Fleet.ListHandler(), &s.VMsURL},
+		{s.Fleet.CloudHandler(), &s.CloudURL},
+		{s.Weights, &s.WeightsURL},
+	}
+	for _, endpoint := range endpoints {
+		address, server, err := serve(endpoint.handler)
+		if err != nil {
+			s.Close()
+			return nil, err
+		}
+		s.servers = append(s.servers, server)
+		*endpoint.url = "http://" + address
+	}
+	if err := s.startRunners(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.Fleet.SetLag(listLag)
+	return s, nil
+}
+
+func serve(handler http.Handler) (string, *http.Server, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, eris.Wrap(err, "listen for stand-in")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), server, nil
+}
+
+// startRunners starts a backend server for each runner of the deployment.
+func (s *StandIns) startRunners() error {
+	for _, service := range s.wanted.Services {
+		for p, pool := range service.Runners {
+			for i := range pool.Count {
+				_, err := s.Fleet.Start(cloud.StartOrder{
+					OrderID: fmt.Sprintf("dev-%s-%d-%d", service.Name, p, i),
+					Zone:    pool.Zone,
+					Class:   pool.Class,
+					Market:  pool.Market,
+					Service: service.Name,
+				})
+				if err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// launch starts the process of a backend server.
+func (s *StandIns) launch(vm platform.VM) (string, func(), error) {
+	handler, err := s.backend(vm.Service)
+	if err != nil {
+		return "", nil, err
+	}
+	address, server, err := serve(handler)
+	if err != nil {
+		return "", nil, err
+	}
+	return address, func() { _ = server.Close() }, nil
+}
+
+func (s *StandIns) backend(name string) (http.Handler, error) {
+	for _, service := range s.wanted.Services {
+		if service.Name != name {
+			continue
+		}
+		if service.Kind == config.KindPlain {
+			return plainservice.New(s.Ledgers[name], plainWork), nil
+		}
+		return modelengine.New(EngineConfig(&service)), nil
+	}
+	return nil, eris.Errorf("no service is called %q", name)
+}
+
+// EngineConfig returns the stand-in engine of a model service.
+func EngineConfig(service *config.Service) modelengine.Config {
+	return modelengine.Config{
+		PrefillRate:    service.Model.PrefillRate,
+		DecodeInterval: service.Model.DecodeInterval.Std(),
+		MaxBatch:       service.Model.MaxBatch,
+		CacheBlocks:    engineCacheBlocks,
+		ChecksFence:    service.Fencing == config.FencingChecked,
+		ReportLag:      engineReportLag,
+	}
+}
+
+// Settings returns the settings of a daemon of the deployment, with free
+// loopback ports.
+func (s *StandIns) Settings(id, zone string) config.Settings {
+	settings := config.DefaultSettings()
+	settings.Daemon = config.DaemonIdentity{ID: id, Zone: zone}
+	settings.Listen = config.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
+	settings.Platform = config.PlatformSettings{Objects: s.ObjectsURL, VMs: s.VMsURL, Cloud: s.CloudURL}
+	settings.Peers.Plaintext = true
+	return settings
+}
+
+// Close ends every stand-in and backend server.
+func (s *StandIns) Close() {
+	s.Fleet.KillAll()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
+
+// Wanted returns the deployment that the stand-ins were started for.
+func (s *StandIns) Wanted() *config.Deployment { return s.wanted }
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,344 @@
+// Package discovery knows the VMs of the deployment: the backend servers with
+// what this daemon has in flight on each, and the other daemons. It learns
+// them from the VM list and from reclaim notices.
+package discovery
+
+import (
+	"cmp"
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/cloud"
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/route"
+)
+
+const (
+	// pollWait is how long one call waits at the VM list or at the notices.
+	pollWait = 30 * time.Second
+	// retryDelay follows a failed call.
+	retryDelay = time.Second
+	// evacuationMargin is the time before a reclaim's deadline at which
+	// running streams move away.
+	evacuationMargin = time.Second
+	// suspectBase is the first time that a failed server is avoided; it
+	// doubles with each failure up to suspectMax.
+	suspectBase = time.Second
+	suspectMax  = 30 * time.Second
+	// excessHalfLife is the time in which an observed delay loses half of its
+	// weight.
+	excessHalfLife = 5 * time.Second
+	// smoothing is the weight of a new observation of the service time.
+	smoothing = 0.2
+)
+
+// Registry holds the VMs. It is safe for concurrent use.
+type Registry struct {
+	logger *slog.Logger
+
+	mu       sync.Mutex
+	index    *config.Index
+	servers  map[string]*server
+	daemons  map[string]platform.VM
+	revision int64
+	listed   bool
+	changed  chan struct{}
+	onChange []func([]platform.VM)
+}
+
+type server struct {
+	vm       platform.VM
+	evacuate chan struct{}
+	moved    bool
+	timer    *time.Timer
+
+	running       int
+	pendingTokens int
+	failures      int
+	suspectUntil  time.Time
+	excess        time.Duration
+	excessAt      time.Time
+	serviceTime   time.Duration
+}
+
+// NewRegistry returns a registry without VMs.
+func NewRegistry(logger *slog.Logger) *Registry {
+	return &Registry{
+		logger:  logger,
+		servers: map[string]*server{},
+		daemons: map[string]platform.VM{},
+		changed: make(chan struct{}),
+	}
+}
+
+// ApplyConfig takes over speeds and prices of a new generation.
+func (r *Registry) ApplyConfig(index *config.Index) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.index = index
+	r.wake()
+}
+
+// OnDaemons registers a function that is called with the daemons of the
+// deployment whenever they change.
+func (r *Registry) OnDaemons(f func([]platform.VM)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.onChange = append(r.onChange, f)
+}
+
+func (r *Registry) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change.
+func (r *Registry) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Listed reports whether the VM list has been read at least once.
+func (r *Registry) Listed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed
+}
+
+// Run follows the VM list and the notices until the context ends.
+func (r *Registry) Run(ctx context.Context, lister platform.VMLister, provider cloud.Provider) {
+	var loops sync.WaitGroup
+	loops.Go(func() { r.followList(ctx, lister) })
+	loops.Go(func() { r.followNotices(ctx, provider) })
+	loops.Wait()
+}
+
+func (r *Registry) followList(ctx context.Context, lister platform.VMLister) {
+	for ctx.Err() == nil {
+		changes, err := lister.ListVMs(ctx, r.revision, pollWait)
+		if err != nil {
+			r.pause(ctx, "read VM list", err)
+			continue
+		}
+		r.Apply(changes)
+	}
+}
+
+func (r *Registry) followNotices(ctx context.Context, provider cloud.Provider) {
+	var after int64
+	for ctx.Err() == nil {
+		notices, err := provider.Notices(ctx, after, pollWait)
+		if err != nil {
+			r.pause(ctx, "read reclaim notices", err)
+			continue
+		}
+		for _, notice := range notices {
+			after = max(after, notice.Sequence)
+			r.Leave(notice.VM, notice.Deadline)
+		}
+	}
+}
+
+func (r *Registry) pause(ctx context.Context, what string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.logger.Warn("platform call failed", "call", what, "error", err)
+	select {
+	case <-time.After(retryDelay):
+	case <-ctx.Done():
+	}
+}
+
+// Apply takes over changes of the VM list.
+func (r *Registry) Apply(changes platform.VMChanges) {
+	r.mu.Lock()
+	if changes.Full {
+		r.forgetMissing(changes.VMs)
+	}
+	daemonsChanged := false
+	for _, vm := range changes.VMs {
+		if vm.Role == platform.RoleEntry {
+			daemonsChanged = true
+			r.applyDaemon(vm)
+			continue
+		}
+		r.applyServer(vm)
+	}
+	r.revision = changes.Revision
+	r.listed = true
+	r.wake()
+	callbacks := slices.Clone(r.onChange)
+	r.mu.Unlock()
+	if !daemonsChanged {
+		return
+	}
+	daemons := r.Daemons()
+	for _, callback := range callbacks {
+		callback(daemons)
+	}
+}
+
+// forgetMissing drops what a whole list no longer holds.
+func (r *Registry) forgetMissing(vms []platform.VM) {
+	present := map[string]bool{}
+	for _, vm := range vms {
+		present[vm.ID] = true
+	}
+	for id, s := range r.servers {
+		if !present[id] {
+			s.leaveNow()
+			delete(r.servers, id)
+		}
+	}
+	for id := range r.daemons {
+		if !present[id] {
+			delete(r.daemons, id)
+		}
+	}
+}
+
+func (r *Registry) applyDaemon(vm platform.VM) {
+	if vm.State == platform.VMGone {
+		delete(r.daemons, vm.ID)
+		return
+	}
+	r.daemons[vm.ID] = vm
+}
+
+func (r *Registry) applyServer(vm platform.VM) {
+	s := r.servers[vm.ID]
+	if vm.State == platform.VMGone {
+		if s != nil {
+			s.leaveNow()
+			delete(r.servers, vm.ID)
+		}
+		return
+	}
+	if s == nil {
+		s = &server{vm: vm, evacuate: make(chan struct{})}
+		r.servers[vm.ID] = s
+		return
+	}
+	// A notice can be ahead of the list; leaving is never taken back.
+	if s.vm.State == platform.VMLeaving {
+		vm.State = platform.VMLeaving
+	}
+	s.vm = vm
+}
+
+// leaveNow tells the attempts on the server to move away at once.
+func (s *server) leaveNow() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	if !s.moved {
+		s.moved = true
+		close(s.evacuate)
+	}
+}
+
+// Leave marks a VM as leaving. Streams on it move away shortly before the
+// deadline.
+func (r *Registry) Leave(id string, deadline time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if daemon, ok := r.daemons[id]; ok {
+		daemon.State = platform.VMLeaving
+		r.daemons[id] = daemon
+	}
+	s := r.servers[id]
+	if s == nil || s.timer != nil {
+		return
+	}
+	s.vm.State = platform.VMLeaving
+	left := time.Until(deadline)
+	margin := min(evacuationMargin, left/2)
+	s.timer = time.AfterFunc(left-margin, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		s.leaveNow()
+	})
+	r.wake()
+}
+
+// Daemons returns the entry VMs ordered by ID.
+func (r *Registry) Daemons() []platform.VM {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	daemons := make([]platform.VM, 0, len(r.daemons))
+	for _, vm := range r.daemons {
+		daemons = append(daemons, vm)
+	}
+	slices.SortFunc(daemons, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	return daemons
+}
+
+// ServerCounts returns the number of servers of each service by state.
+func (r *Registry) ServerCounts() map[string]map[platform.VMState]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	counts := map[string]map[platform.VMState]int{}
+	for _, s := range r.servers {
+		if counts[s.vm.Service] == nil {
+			counts[s.vm.Service] = map[platform.VMState]int{}
+		}
+		counts[s.vm.Service][s.vm.State]++
+	}
+	return counts
+}
+
+// Candidates returns the servers of a service for the router.
+func (r *Registry) Candidates(service string, now time.Time) []route.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.index == nil {
+		return nil
+	}
+	definition := r.index.Service(service)
+	if definition == nil {
+		return nil
+	}
+	var candidates []route.Server
+	for _, s := range r.servers {
+		if s.vm.Service == service {
+			candidates = append(candidates, r.view(s, definition, now))
+		}
+	}
+	return candidates
+}
+
+func (r *Registry) view(s *server, definition *config.Service, now time.Time) route.Server {
+	view := route.Server{
+		ID:            s.vm.ID,
+		Zone:          s.vm.Zone,
+		Address:       s.vm.Address,
+		PricePerHour:  r.index.Price(s.vm.Class, s.vm.Zone, config.Market(s.vm.Market)),
+		Leaving:       s.vm.State != platform.VMLive,
+		Suspect:       now.Before(s.suspectUntil),
+		PendingTokens: s.pendingTokens,
+		Running:       s.running,
+		Excess:        s.decayedExcess(now),
+		ServiceTime:   s.serviceTime,
+		MaxBatch:      1,
+	}
+	if definition.Model != nil {
+		view.MaxBatch = definition.Model.MaxBatch
+		view.PrefillRate = definition.Model.PrefillRate
+	}
+	return view
+}
+
+// decayedExcess halves the observed delay with each half-life that has passed.
+func (s *server) decayedExcess(now time.Time) time.Duration {
+	halves := now.Sub(s.excessAt) / excessHalfLife
+	if halves > 16 {
+		return 0
+	}
+	return s.excess >> halves
+}
--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,266 @@
+// Package dispatch runs accepted requests: it picks a backend server for each
+// attempt, streams the answer into the flight that readers follow, and tries
+// again where that is safe.
+package dispatch
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/plankridge/plankridge/internal/burn"
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/discovery"
+	"github.com/plankridge/plankridge/internal/engine"
+	"github.com/plankridge/plankridge/internal/limit"
+	"github.com/plankridge/plankridge/internal/plain"
+	"github.com/plankridge/plankridge/internal/prefix"
+	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/route"
+)
+
+// Options are what a Dispatcher works with.
+type Options struct {
+	DaemonID   string
+	Zone       string
+	Limits     config.RequestLimits
+	Registry   *discovery.Registry
+	Limiter    *limit.Limiter
+	Engine     engine.Engine
+	Plain      plain.Service
+	Burn       *burn.Recorder
+	Logger     *slog.Logger
+	Registerer prometheus.Registerer
+	// OnViolation is called when the program breaks an invariant; tests make
+	// it fatal.
+	OnViolation func(error)
+}
+
+// Dispatcher runs the requests of one daemon.
+type Dispatcher struct {
+	options Options
+	metrics *metrics
+	ctx     context.Context
+	stop    context.CancelCauseFunc
+
+	mu       sync.Mutex
+	draining bool
+	flights  map[request.ID]*Flight
+	finished []*Flight
+	held     int
+	active   sync.WaitGroup
+}
+
+// New returns a dispatcher.
+func New(options Options) *Dispatcher {
+	ctx, stop := context.WithCancelCause(context.Background())
+	return &Dispatcher{
+		options: options,
+		metrics: newMetrics(options.Registerer),
+		ctx:     ctx,
+		stop:    stop,
+		flights: map[request.ID]*Flight{},
+	}
+}
+
+// Refusal says why a request was not accepted. A refused request has not run.
+type Refusal struct {
+	Status     int
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// noServerRetry is the advice when a service has no server.
+const noServerRetry = 5 * time.Second
+
+// Submit admits a request and starts it. The ID and the time of acceptance are
+// filled in. A refusal means that nothing has run and nothing will.
+func (d *Dispatcher) Submit(spec request.Spec) (*Flight, *Refusal) {
+	now := time.Now()
+	if refusal := d.refuseForWait(&spec, now); refusal != nil {
+		return nil, refusal
+	}
+	verdict := d.options.Limiter.Admit(spec.Workspace, now)
+	if !verdict.Admitted {
+		return nil, &Refusal{Status: http.StatusTooManyRequests, Detail: verdict.Reason, RetryAfter: verdict.RetryAfter}
+	}
+	var random [16]byte
+	_, _ = rand.Read(random[:])
+	spec.ID = request.NewID(d.options.DaemonID, random)
+	spec.Accepted = now
+	spec.ResumeGrace = d.options.Limits.ResumeGrace.Std()
+	flight := newFlight(spec)
+	if !d.start(flight) {
+		d.options.Limiter.Release(spec.Workspace)
+		return nil, &Refusal{Status: http.StatusServiceUnavailable, Detail: ErrDraining.Error(), RetryAfter: time.Second}
+	}
+	return flight, nil
+}
+
+// refuseForWait refuses what would wait for longer than its route allows.
+func (d *Dispatcher) refuseForWait(spec *request.Spec, now time.Time) *Refusal {
+	choice, ok := d.pick(spec, nil, now)
+	if !ok {
+		return &Refusal{Status: http.StatusServiceUnavailable, Detail: "service has no backend server", RetryAfter: noServerRetry}
+	}
+	if most := spec.Route.Targets.QueueWait.Std(); choice.Wait > most {
+		return &Refusal{Status: http.StatusServiceUnavailable, Detail: "predicted wait is too long", RetryAfter: choice.Wait - most}
+	}
+	return nil
+}
+
+func (d *Dispatcher) start(flight *Flight) bool {
+	ctx, cancel := context.WithCancelCause(d.ctx)
+	flight.cancel = func() { cancel(errReadersGone) }
+	if flight.spec.Idempotent() && !flight.spec.Async {
+		flight.grace = time.AfterFunc(flight.spec.ResumeGrace, flight.cancel)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining {
+		return false
+	}
+	d.flights[flight.spec.ID] = flight
+	d.active.Add(1)
+	d.metrics.inFlight.Inc()
+	go func() {
+		defer d.active.Done()
+		defer cancel(nil)
+		limited, stop := context.WithTimeoutCause(ctx, d.options.Limits.MaxWork.Std(), errWorkTooLong)
+		defer stop()
+		d.run(limited, flight)
+		d.finish(flight)
+	}()
+	return true
+}
+
+// pick asks the router for a server.
+func (d *Dispatcher) pick(spec *request.Spec, tried map[string]bool, now time.Time) (route.Choice, bool) {
+	need := route.Need{Zone: d.options.Zone, PromptTokens: promptTokens(spec), Tried: tried, Target: spec.Route.Targets.FirstToken.Std()}
+	return route.Pick(d.options.Registry.Candidates(spec.Service, now), need)
+}
+
+func promptTokens(spec *request.Spec) int {
+	if spec.Model == nil {
+		return 0
+	}
+	return prefix.CountTokens(spec.Model.Prompt)
+}
+
+// finish counts an ended request and keeps its answer for late readers.
+func (d *Dispatcher) finish(flight *Flight) {
+	d.options.Limiter.Release(flight.spec.Workspace)
+	d.metrics.inFlight.Dec()
+	status, _ := flight.Status(context.Background())
+	d.metrics.requests.WithLabelValues(flight.spec.Service, string(status.Outcome)).Inc()
+	d.log(flight).Info("request ended", "state", status.State, "outcome", status.Outcome,
+		"attempts", status.Attempts, "tokens", status.Tokens, "took", time.Since(flight.spec.Accepted))
+	d.keep(flight)
+}
+
+func (d *Dispatcher) log(flight *Flight) *slog.Logger {
+	return d.options.Logger.With("request_id", flight.spec.ID, "workspace", flight.spec.Workspace,
+		"service", flight.spec.Service, "attempt", flight.attempts())
+}
+
+// keep holds a finished answer within the limits of time and memory.
+func (d *Dispatcher) keep(flight *Flight) {
+	size := flight.size()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.flights[flight.spec.ID] = flight
+	d.finished = append(d.finished, flight)
+	d.held += size
+	now := time.Now()
+	for len(d.finished) > 0 {
+		oldest := d.finished[0]
+		expired := now.Sub(oldest.ended) > d.options.Limits.AnswerKept.Std()
+		if !expired && d.held <= d.options.Limits.HeldBytes {
+			break
+		}
+		d.finished = d.finished[1:]
+		d.held -= oldest.size()
+		delete(d.flights, oldest.spec.ID)
+	}
+	d.metrics.heldBytes.Set(float64(d.held))
+}
+
+// Find returns a request that this daemon holds, or ErrNotFound.
+func (d *Dispatcher) Find(id request.ID) (*Flight, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	flight, ok := d.flights[id]
+	if !ok {
+		return nil, ErrNotFound
+	}
+	return flight, nil
+}
+
+// Drain stops taking requests and waits until every accepted one has ended.
+func (d *Dispatcher) Drain(ctx context.Context) error {
+	d.mu.Lock()
+	d.draining = true
+	d.mu.Unlock()
+	idle := make(chan struct{})
+	go func() {
+		d.active.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Stop ends every request at once, as the death of the process would.
+func (d *Dispatcher) Stop() { d.stop(errDispatcherEnd) }
+
+// violated reports a broken invariant.
+func (d *Dispatcher) violated(flight *Flight, err error) {
+	d.metrics.violations.Inc()
+	d.log(flight).Error("invariant violated", "error", err)
+	if d.options.OnViolation != nil && errors.Is(err, request.ErrInvariant) {
+		d.options.OnViolation(err)
+	}
+}
+
+// Load returns the number of requests that have not ended, and whether the
+// daemon takes no more.
+func (d *Dispatcher) Load() (inFlight int, draining bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.flights) - len(d.finished), d.draining
+}
+
+// Hold keeps the finished answer of another daemon's request.
+func (d *Dispatcher) Hold(spec request.Spec, tokens []string, last Event) {
+	flight := newFlight(spec)
+	flight.held = true
+	flight.tokens = tokens
+	flight.publish(last, time.Now())
+	d.keep(flight)
+}
+
+// HandOver passes each finished answer that nobody has read to hold. It is
+// called after Drain.
+func (d *Dispatcher) HandOver(hold func(request.Spec, []string, Event) error) {
+	d.mu.Lock()
+	finished := append([]*Flight(nil), d.finished...)
+	d.mu.Unlock()
+	for _, flight := range finished {
+		if !flight.unread() {
+			continue
+		}
+		if err := hold(flight.spec, flight.produced(), *flight.last); err != nil {
+			d.log(flight).Warn("cannot hand over an unread answer", "error", err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/dispatch/errors.go
@@ -0,0 +1,19 @@
+package dispatch
+
+import "errors"
+
+// Errors of the dispatcher.
+var (
+	// ErrNotFound means that this daemon does not hold the request.
+	ErrNotFound = errors.New("request not found")
+	// ErrDraining means that the daemon takes no more requests.
+	ErrDraining = errors.New("daemon is shutting down")
+
+	errTokenGap      = errors.New("engine left out a token")
+	errForeignEvent  = errors.New("engine event has another identity")
+	errEvacuated     = errors.New("backend server is leaving")
+	errSilent        = errors.New("backend server was silent for too long")
+	errReadersGone   = errors.New("no reader is left")
+	errWorkTooLong   = errors.New("request took longer than the daemon allows")
+	errDispatcherEnd = errors.New("dispatcher was stopped")
+)
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,385 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/burn"
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/discovery"
+	"github.com/plankridge/plankridge/internal/engine"
+	"github.com/plankridge/plankridge/internal/plain"
+	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/route"
+)
+
+const (
+	// backoffBase is the pause after the first failed attempt; it doubles up
+	// to backoffMax.
+	backoffBase = 50 * time.Millisecond
+	backoffMax  = 2 * time.Second
+	// cancelTimeout bounds the call that ends a request at an engine.
+	cancelTimeout = 2 * time.Second
+)
+
+// result is how an attempt ended.
+type result struct {
+	step request.Step
+	// last is the end of the answer when step is StepAnswer.
+	last Event
+	// fatal means that no further attempt can succeed.
+	fatal *request.Failure
+}
+
+// run makes attempts until the request has ended.
+func (d *Dispatcher) run(ctx context.Context, flight *Flight) {
+	tried := map[string]bool{}
+	for round := 0; ; round++ {
+		if ctx.Err() != nil {
+			d.giveUp(flight, context.Cause(ctx))
+			return
+		}
+		if err := flight.mayDispatch(); err != nil {
+			d.giveUp(flight, err)
+			return
+		}
+		choice, slot, ok := d.place(flight, tried)
+		if !ok {
+			d.await(ctx, round)
+			continue
+		}
+		if d.attempt(ctx, flight, choice, slot) {
+			return
+		}
+		tried[choice.Server.ID] = true
+		d.pause(ctx, round)
+	}
+}
+
+func (f *Flight) mayDispatch() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.life.MayDispatch()
+}
+
+// place picks a server and takes a slot on it.
+func (d *Dispatcher) place(flight *Flight, tried map[string]bool) (route.Choice, *discovery.Slot, bool) {
+	now := time.Now()
+	choice, ok := d.pick(&flight.spec, tried, now)
+	if !ok {
+		return choice, nil, false
+	}
+	slot, ok := d.options.Registry.Acquire(choice.Server.ID, promptTokens(&flight.spec), now)
+	return choice, slot, ok
+}
+
+// await waits until a server may be there.
+func (d *Dispatcher) await(ctx context.Context, round int) {
+	timer := time.NewTimer(backoff(round))
+	defer timer.Stop()
+	select {
+	case <-d.options.Registry.Changed():
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Dispatcher) pause(ctx context.Context, round int) {
+	timer := time.NewTimer(backoff(round))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func backoff(round int) time.Duration {
+	return min(backoffMax, backoffBase<<min(round, 6))
+}
+
+// attempt makes one attempt and reports whether the request has ended.
+func (d *Dispatcher) attempt(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) bool {
+	if err := flight.step(request.StepDispatch); err != nil {
+		slot.Release(false, time.Now())
+		d.violated(flight, err)
+		d.giveUp(flight, err)
+		return true
+	}
+	var outcome result
+	if flight.spec.Kind == request.KindPlain {
+		outcome = d.tryPlain(ctx, flight, choice, slot)
+	} else {
+		outcome = d.tryModel(ctx, flight, choice, slot)
+	}
+	failed := outcome.step != request.StepAnswer && ctx.Err() == nil
+	slot.Release(failed, time.Now())
+	d.metrics.attempts.WithLabelValues(flight.spec.Service, string(outcome.step)).Inc()
+	return d.settle(flight, choice, outcome)
+}
+
+// settle takes the step that an attempt ended with.
+func (d *Dispatcher) settle(flight *Flight, choice route.Choice, outcome result) bool {
+	now := time.Now()
+	if outcome.step == request.StepAnswer {
+		if err := flight.end(request.StepAnswer, outcome.last, now); err != nil {
+			d.violated(flight, err)
+		}
+		d.metrics.countUsage(flight.spec.Service, outcome.last.Finish)
+		d.record(flight, flight.inTime(now), now)
+		return true
+	}
+	d.log(flight).Warn("attempt failed", "server", choice.Server.ID, "result", outcome.step)
+	if err := flight.step(outcome.step); err != nil {
+		d.violated(flight, err)
+	}
+	if outcome.fatal != nil {
+		d.fail(flight, request.StepGiveUp, *outcome.fatal)
+		return true
+	}
+	return false
+}
+
+// inTime reports whether the answer met its route's latency targets. The time
+// between tokens is taken as the mean over the stream.
+func (f *Flight) inTime(now time.Time) bool {
+	targets := f.spec.Route.Targets
+	took := now.Sub(f.spec.Accepted)
+	if f.spec.Kind == request.KindPlain {
+		return took <= targets.Answer.Std()
+	}
+	steps := time.Duration(max(1, len(f.produced())-1))
+	return f.firstToken <= targets.FirstToken.Std() && (took-f.firstToken)/steps <= targets.BetweenTokens.Std()
+}
+
+// giveUp ends a request for which no further attempt is made.
+func (d *Dispatcher) giveUp(flight *Flight, cause error) {
+	if errors.Is(cause, errReadersGone) {
+		d.fail(flight, request.StepCancel, request.Failure{
+			Outcome: request.OutcomeUnknown, Detail: cause.Error(), Status: http.StatusGone,
+		})
+		return
+	}
+	outcome := flight.honest(request.OutcomeNotRun)
+	d.fail(flight, request.StepGiveUp, request.Failure{
+		Outcome: outcome, Detail: cause.Error(), Status: statusOf(outcome),
+	})
+}
+
+// honest returns the wanted outcome, or a weaker one when an attempt may have
+// run.
+func (f *Flight) honest(wanted request.Outcome) request.Outcome {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case f.life.Outcome() == request.OutcomeNotRun:
+		return wanted
+	case f.spec.Idempotent():
+		return request.OutcomeFailed
+	}
+	return request.OutcomeUnknown
+}
+
+func statusOf(outcome request.Outcome) int {
+	switch outcome {
+	case request.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	case request.OutcomeUnknown:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+func (d *Dispatcher) fail(flight *Flight, step request.Step, failure request.Failure) {
+	now := time.Now()
+	failure.Outcome = flight.honest(failure.Outcome)
+	if err := flight.end(step, Event{Failure: &failure}, now); err != nil {
+		d.violated(flight, err)
+	}
+	if step != request.StepCancel {
+		d.record(flight, false, now)
+	}
+}
+
+// record counts the request as good or bad against its objective. Deferrable
+// work is good when it is whole.
+func (d *Dispatcher) record(flight *Flight, inTime bool, now time.Time) {
+	status, _ := flight.Status(context.Background())
+	good := status.Outcome == request.OutcomeOK && (inTime || flight.spec.Class == config.ClassDeferrable)
+	key := burn.Key{Service: flight.spec.Service, Workspace: flight.spec.Workspace}
+	d.options.Burn.Record(key, flight.spec.Route.Targets.Objective, good, now)
+}
+
+func (d *Dispatcher) tryPlain(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) result {
+	ctx, stop := context.WithTimeoutCause(ctx, d.options.Limits.PlainTryLimit.Std(), errSilent)
+	defer stop()
+	if flight.spec.Idempotent() {
+		var leave context.CancelCauseFunc
+		ctx, leave = context.WithCancelCause(ctx)
+		defer leave(nil)
+		go cancelOn(ctx, slot.Evacuate, leave)
+	}
+	spec := flight.spec.Plain
+	answer, err := d.options.Plain.Do(ctx, choice.Server.Address, plain.Call{
+		RequestID:  string(flight.spec.ID),
+		Attempt:    flight.attempts(),
+		Workspace:  flight.spec.Workspace,
+		Idempotent: flight.spec.Idempotent(),
+		Method:     spec.Method,
+		Path:       spec.Path,
+		Header:     spec.Header,
+		Body:       spec.Body,
+	})
+	switch {
+	case err == nil:
+		slot.FirstToken(choice.Wait+choice.Server.ServiceTime, time.Now())
+		return result{step: request.StepAnswer, last: Event{Plain: &request.PlainAnswer{
+			Status: answer.Status, Header: answer.Header, Body: answer.Body,
+		}}}
+	case errors.Is(err, plain.ErrNotSent):
+		return result{step: request.StepNotSent}
+	case errors.Is(err, plain.ErrAnswerTooLarge):
+		return result{step: request.StepLost, fatal: &request.Failure{
+			Outcome: request.OutcomeFailed, Detail: err.Error(), Status: http.StatusBadGateway,
+		}}
+	case errors.Is(err, plain.ErrForeignAnswer):
+		d.metrics.mismatched.Inc()
+	}
+	return result{step: request.StepLost}
+}
+
+// cancelOn ends an attempt when its server has to be left.
+func cancelOn(ctx context.Context, evacuate <-chan struct{}, cancel context.CancelCauseFunc) {
+	select {
+	case <-evacuate:
+		cancel(errEvacuated)
+	case <-ctx.Done():
+	}
+}
+
+func (d *Dispatcher) tryModel(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go cancelOn(ctx, slot.Evacuate, cancel)
+	silence := time.AfterFunc(d.options.Limits.TryTimeout.Std(), func() { cancel(errSilent) })
+	defer silence.Stop()
+
+	stream := &modelStream{dispatcher: d, flight: flight, slot: slot, predicted: choice.Wait, number: flight.attempts()}
+	attempt := d.engineAttempt(flight)
+	err := d.options.Engine.Generate(ctx, choice.Server.Address, attempt, func(event engine.Event) error {
+		silence.Reset(d.options.Limits.TryTimeout.Std())
+		return stream.event(event)
+	})
+	if err == nil {
+		return result{step: request.StepAnswer, last: Event{Finish: stream.finish}}
+	}
+	if ctx.Err() != nil {
+		go d.cancelAtEngine(choice.Server.Address, flight)
+	}
+	return modelFailure(err)
+}
+
+// modelFailure maps an engine error to the step that it means.
+func modelFailure(err error) result {
+	switch {
+	case errors.Is(err, engine.ErrNotSent):
+		return result{step: request.StepNotSent}
+	case errors.Is(err, engine.ErrRefused):
+		return result{step: request.StepDeclined}
+	case errors.Is(err, engine.ErrInvalid):
+		return result{step: request.StepDeclined, fatal: &request.Failure{
+			Outcome: request.OutcomeNotRun, Detail: err.Error(), Status: http.StatusBadRequest,
+		}}
+	}
+	return result{step: request.StepLost}
+}
+
+func (d *Dispatcher) engineAttempt(flight *Flight) engine.Attempt {
+	model := flight.spec.Model
+	attempt := engine.Attempt{
+		RequestID:  string(flight.spec.ID),
+		Number:     flight.attempts(),
+		Model:      flight.spec.Service,
+		Adapter:    model.Adapter,
+		Prompt:     model.Prompt,
+		CacheSalt:  flight.spec.Workspace,
+		Resume:     flight.produced(),
+		MaxTokens:  model.MaxTokens,
+		Priority:   engine.PriorityAwaited,
+		Parameters: map[string]json.RawMessage{},
+	}
+	if flight.spec.Class == config.ClassDeferrable {
+		attempt.Priority = engine.PriorityDeferrable
+	}
+	for name, value := range model.Parameters {
+		attempt.Parameters[name] = value
+	}
+	return attempt
+}
+
+// cancelAtEngine frees the engine from an attempt that nobody follows any
+// more. The closed connection tells it too; the call covers an engine that
+// does not notice.
+func (d *Dispatcher) cancelAtEngine(address string, flight *Flight) {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	if err := d.options.Engine.Cancel(ctx, address, string(flight.spec.ID)); err != nil {
+		d.log(flight).Debug("cancel at engine failed", "error", err)
+	}
+}
+
+// modelStream takes the events of one attempt.
+type modelStream struct {
+	dispatcher *Dispatcher
+	flight     *Flight
+	slot       *discovery.Slot
+	predicted  time.Duration
+	number     int
+	lastToken  time.Time
+	finish     *request.Finish
+}
+
+// event checks an event's identity and adds it to the answer. A mismatched
+// event is never delivered.
+func (s *modelStream) event(event engine.Event) error {
+	if event.RequestID != string(s.flight.spec.ID) || event.Number != s.number {
+		s.dispatcher.metrics.mismatched.Inc()
+		return errForeignEvent
+	}
+	now := time.Now()
+	s.slot.FirstToken(s.predicted, now)
+	if event.FinishReason != "" {
+		return s.end(event)
+	}
+	first, err := s.flight.addToken(event.Index, event.Token)
+	if err != nil {
+		return err
+	}
+	s.measure(first, now)
+	return nil
+}
+
+func (s *modelStream) measure(first bool, now time.Time) {
+	if first {
+		took := now.Sub(s.flight.spec.Accepted)
+		s.dispatcher.metrics.firstToken.Observe(took.Seconds())
+		s.flight.firstToken = took
+	} else if !s.lastToken.IsZero() {
+		s.dispatcher.metrics.between.Observe(now.Sub(s.lastToken).Seconds())
+	}
+	s.lastToken = now
+}
+
+func (s *modelStream) end(event engine.Event) error {
+	if event.Index != len(s.flight.produced()) {
+		return errTokenGap
+	}
+	s.finish = &request.Finish{Reason: event.FinishReason, OutputTokens: event.Index}
+	if event.Usage != nil {
+		s.finish.PromptTokens = event.Usage.PromptTokens
+		s.finish.CachedTokens = event.Usage.CachedTokens
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/generation/follower.go
@@ -0,0 +1,239 @@
+package generation
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rotisserie/eris"
+
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/platform"
+)
+
+const (
+	// watchWait is how long one watch call waits.
+	watchWait = 30 * time.Second
+	// retryDelay follows a failed call.
+	retryDelay = time.Second
+)
+
+// Subscriber is a component that takes over each new generation. ApplyConfig
+// must not fail: what could be wrong was found when the files were applied.
+type Subscriber interface {
+	ApplyConfig(index *config.Index)
+}
+
+// Bundle is a manifest with the contents of its parts, as peers exchange it.
+type Bundle struct {
+	// Manifest is the JSON of the manifest object.
+	Manifest []byte
+	Contents map[string][]byte
+}
+
+// Fetcher gets the deployment of another daemon, leaving out the parts whose
+// digests are known.
+type Fetcher func(ctx context.Context, known []string) (Bundle, error)
+
+// Follower keeps the generation in force at this daemon.
+type Follower struct {
+	logger      *slog.Logger
+	store       platform.ObjectStore
+	subscribers []Subscriber
+	gauge       prometheus.Gauge
+
+	mu       sync.Mutex
+	manifest *Manifest
+	raw      []byte
+	contents map[string][]byte
+	index    *config.Index
+	changed  chan struct{}
+}
+
+// NewFollower returns a follower without a generation.
+func NewFollower(store platform.ObjectStore, logger *slog.Logger, registerer prometheus.Registerer, subscribers ...Subscriber) *Follower {
+	gauge := prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "plankridge_config_generation", Help: "Generation of the deployment in force at this daemon.",
+	})
+	registerer.MustRegister(gauge)
+	return &Follower{
+		logger:      logger,
+		store:       store,
+		subscribers: subscribers,
+		gauge:       gauge,
+		manifest:    &Manifest{},
+		contents:    map[string][]byte{},
+		changed:     make(chan struct{}),
+	}
+}
+
+// Generation returns the generation in force; zero means none.
+func (f *Follower) Generation() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.manifest.Generation
+}
+
+// Index returns the deployment in force, or nil.
+func (f *Follower) Index() *config.Index {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.index
+}
+
+// Changed returns a channel that is closed when a generation takes effect.
+func (f *Follower) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+// Run watches the manifest until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	var version int64
+	for ctx.Err() == nil {
+		object, err := f.store.Watch(ctx, manifestKey, version, watchWait)
+		if errors.Is(err, platform.ErrUnchanged) {
+			continue
+		}
+		if err == nil {
+			err = f.fromStore(ctx, object.Value)
+		}
+		if err != nil {
+			f.pause(ctx, err)
+			continue
+		}
+		version = object.Version
+	}
+}
+
+func (f *Follower) pause(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.logger.Warn("cannot follow the deployment at the platform", "error", err)
+	select {
+	case <-time.After(retryDelay):
+	case <-ctx.Done():
+	}
+}
+
+// fromStore takes over a manifest read from the store.
+func (f *Follower) fromStore(ctx context.Context, raw []byte) error {
+	manifest, err := decodeManifest(raw)
+	if err != nil {
+		return err
+	}
+	if manifest.Generation <= f.Generation() {
+		return nil
+	}
+	contents := f.knownContents()
+	if err := fetchParts(ctx, f.store, manifest, contents); err != nil {
+		return err
+	}
+	return f.take(manifest, raw, contents)
+}
+
+// FromPeer takes over the deployment of a peer that reports a higher
+// generation.
+func (f *Follower) FromPeer(ctx context.Context, generation int64, fetch Fetcher) error {
+	if generation <= f.Generation() {
+		return nil
+	}
+	contents := f.knownContents()
+	known := make([]string, 0, len(contents))
+	for digest := range contents {
+		known = append(known, digest)
+	}
+	bundle, err := fetch(ctx, known)
+	if err != nil {
+		return eris.Wrap(err, "fetch deployment from peer")
+	}
+	manifest, err := decodeManifest(bundle.Manifest)
+	if err != nil {
+		return err
+	}
+	for digest, content := range bundle.Contents {
+		if digestOf(content) != digest {
+			return eris.Errorf("peer sent a part that does not have the digest %s", digest)
+		}
+		contents[digest] = content
+	}
+	return f.take(manifest, bundle.Manifest, contents)
+}
+
+func (f *Follower) knownContents() map[string][]byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	contents := make(map[string][]byte, len(f.contents))
+	for digest, content := range f.contents {
+		contents[digest] = content
+	}
+	return contents
+}
+
+// take puts a generation in force. A generation that is not higher than the
+// present one is left alone: another way may have brought a newer one first.
+func (f *Follower) take(manifest *Manifest, raw []byte, contents map[string][]byte) error {
+	d, err := assemble(manifest, contents)
+	if err != nil {
+		return err
+	}
+	index := config.NewIndex(d)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if manifest.Generation <= f.manifest.Generation {
+		return nil
+	}
+	f.manifest, f.raw, f.index = manifest, raw, index
+	f.contents = map[string][]byte{}
+	for _, ref := range manifest.Parts {
+		f.contents[ref.Digest] = contents[ref.Digest]
+	}
+	for _, subscriber := range f.subscribers {
+		subscriber.ApplyConfig(index)
+	}
+	f.gauge.Set(float64(manifest.Generation))
+	f.logger.Info("deployment in force", "generation", manifest.Generation, "apply_id", manifest.ApplyID)
+	close(f.changed)
+	f.changed = make(chan struct{})
+	return nil
+}
+
+// Bundle returns the deployment in force for a peer, without the parts that
+// the peer knows.
+func (f *Follower) Bundle(known []string) (Bundle, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.index == nil {
+		return Bundle{}, ErrNone
+	}
+	bundle := Bundle{Manifest: f.raw, Contents: map[string][]byte{}}
+	for digest, content := range f.contents {
+		bundle.Contents[digest] = content
+	}
+	for _, digest := range known {
+		delete(bundle.Contents, digest)
+	}
+	return bundle, nil
+}
+
+// Document returns the deployment in force as JSON with its generation.
+func (f *Follower) Document() ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.index == nil {
+		return nil, ErrNone
+	}
+	return json.Marshal(Document{Generation: f.manifest.Generation, Deployment: f.index.Deployment})
+}
+
+// Document is a deployment with its generation.
+type Document struct {
+	Generation int64              `json:"generation"`
+	Deployment *config.Deployment `json:"deployment"`
+}
--- /dev/null
+++ b/internal/limit/limit.go
@@ -0,0 +1,125 @@
+// Package limit admits requests by the limits of their workspace. It does no
+// I/O; the time is passed in.
+package limit
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/plankridge/plankridge/internal/config"
+)
+
+// Limiter holds what the workspaces have used of their limits at this daemon.
+type Limiter struct {
+	mu         sync.Mutex
+	daemons    int
+	workspaces map[string]*usage
+}
+
+type usage struct {
+	limits   config.Limits
+	bucket   *rate.Limiter
+	inFlight int
+}
+
+// NewLimiter returns a limiter without workspaces.
+func NewLimiter() *Limiter {
+	return &Limiter{daemons: 1, workspaces: map[string]*usage{}}
+}
+
+// ApplyConfig takes over the limits of a new generation. What is in flight
+// stays counted.
+func (l *Limiter) ApplyConfig(index *config.Index) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := map[string]*usage{}
+	for _, workspace := range index.Deployment.Workspaces {
+		entry := l.workspaces[workspace.Name]
+		if entry == nil {
+			entry = &usage{}
+		}
+		entry.limits = workspace.Limits
+		entry.setRate(l.daemons)
+		next[workspace.Name] = entry
+	}
+	l.workspaces = next
+}
+
+// SetDaemons sets the number of daemons that share each limit.
+func (l *Limiter) SetDaemons(count int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.daemons = max(count, 1)
+	for _, entry := range l.workspaces {
+		entry.setRate(l.daemons)
+	}
+}
+
+// setRate gives this daemon an even share of the rate. The burst is a second's
+// worth of the whole limit, because a balancer does not spread callers evenly.
+func (u *usage) setRate(daemons int) {
+	if u.limits.RequestsPerSecond == 0 {
+		u.bucket = nil
+		return
+	}
+	share := rate.Limit(u.limits.RequestsPerSecond / float64(daemons))
+	burst := max(1, int(u.limits.RequestsPerSecond))
+	if u.bucket == nil {
+		u.bucket = rate.NewLimiter(share, burst)
+		return
+	}
+	u.bucket.SetLimit(share)
+	u.bucket.SetBurst(burst)
+}
+
+// Verdict is the answer of Admit.
+type Verdict struct {
+	Admitted bool
+	// RetryAfter is when a refused request may come again.
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// inFlightRetry is the advice to a workspace that has too much in flight.
+const inFlightRetry = time.Second
+
+// Admit counts a request in, or says why not. Each admitted request has to be
+// followed by one Release.
+func (l *Limiter) Admit(workspace string, now time.Time) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	entry := l.workspaces[workspace]
+	if entry == nil {
+		return Verdict{Reason: "workspace is not known"}
+	}
+	if most := entry.shareInFlight(l.daemons); most > 0 && entry.inFlight >= most {
+		return Verdict{RetryAfter: inFlightRetry, Reason: "workspace has too many requests in flight"}
+	}
+	if entry.bucket != nil {
+		reservation := entry.bucket.ReserveN(now, 1)
+		if delay := reservation.DelayFrom(now); delay > 0 {
+			reservation.CancelAt(now)
+			return Verdict{RetryAfter: delay, Reason: "workspace is above its rate"}
+		}
+	}
+	entry.inFlight++
+	return Verdict{Admitted: true}
+}
+
+func (u *usage) shareInFlight(daemons int) int {
+	if u.limits.InFlight == 0 {
+		return 0
+	}
+	return max(1, u.limits.InFlight/daemons)
+}
+
+// Release counts a request out.
+func (l *Limiter) Release(workspace string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if entry := l.workspaces[workspace]; entry != nil && entry.inFlight > 0 {
+		entry.inFlight--
+	}
+}
--- /dev/null
+++ b/internal/operatorapi/api.go
@@ -0,0 +1,252 @@
+// Package operatorapi is the HTTP API for operators, which every daemon
+// serves: apply and read the deployment, and see what the daemons do.
+package operatorapi
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/plankridge/plankridge/internal/burn"
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/discovery"
+	"github.com/plankridge/plankridge/internal/finding"
+	"github.com/plankridge/plankridge/internal/generation"
+	"github.com/plankridge/plankridge/internal/peer"
+	"github.com/plankridge/plankridge/internal/platform"
+)
+
+// applyTimeout bounds one apply, including the time to settle a lost answer.
+const applyTimeout = 20 * time.Second
+
+// Options are what the API works with.
+type Options struct {
+	// Token is the bearer token of operators; empty means that none is asked.
+	Token     string
+	Publisher *generation.Publisher
+	Follower  *generation.Follower
+	Registry  *discovery.Registry
+	Mesh      *peer.Mesh
+	Gatherer  prometheus.Gatherer
+	Logger    *slog.Logger
+	// Self returns the status of this daemon.
+	Self func() peer.DaemonStatus
+	// Ready reports whether the daemon can serve.
+	Ready func() bool
+}
+
+// API serves operators.
+type API struct {
+	options Options
+	echo    *echo.Echo
+}
+
+// New returns the API.
+func New(options Options) *API {
+	a := &API{options: options, echo: echo.New()}
+	a.echo.HideBanner = true
+	a.echo.GET("/healthz", func(c echo.Context) error { return c.String(http.StatusOK, "ok\n") })
+	a.echo.GET("/readyz", a.ready)
+	a.echo.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(options.Gatherer, promhttp.HandlerOpts{})))
+	operators := a.echo.Group("/v1", a.authenticate)
+	operators.POST("/apply", a.apply)
+	operators.POST("/diff", a.diff)
+	operators.GET("/deployment", a.deployment)
+	operators.GET("/status", a.status)
+	operators.GET("/burn", a.burn)
+	return a
+}
+
+// ServeHTTP implements http.Handler.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.echo.ServeHTTP(w, r) }
+
+func (a *API) ready(c echo.Context) error {
+	if !a.options.Ready() {
+		return c.String(http.StatusServiceUnavailable, "not ready\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (a *API) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if a.options.Token == "" {
+			return next(c)
+		}
+		token, _ := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+		if subtle.ConstantTimeCompare([]byte(token), []byte(a.options.Token)) != 1 {
+			return c.JSON(http.StatusUnauthorized, Failure{Message: "operator token is missing or wrong"})
+		}
+		return next(c)
+	}
+}
+
+// ApplyRequest asks to make files the next generation.
+type ApplyRequest struct {
+	Files []config.File `json:"files"`
+	// BasedOn is the generation that the files were made for.
+	BasedOn int64 `json:"based_on"`
+	// ApplyID makes a repeated apply harmless.
+	ApplyID string `json:"apply_id"`
+	// DryRun checks the files and changes nothing.
+	DryRun bool `json:"dry_run,omitempty"`
+}
+
+// ApplyResponse names the generation that an apply made.
+type ApplyResponse struct {
+	Generation int64 `json:"generation"`
+	DryRun     bool  `json:"dry_run,omitempty"`
+}
+
+// Failure says why an operator's call failed.
+type Failure struct {
+	Message  string            `json:"message"`
+	Findings []finding.Finding `json:"findings,omitempty"`
+	BasedOn  int64             `json:"based_on,omitempty"`
+	Current  int64             `json:"current,omitempty"`
+}
+
+func (a *API) apply(c echo.Context) error {
+	var body ApplyRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
+		return c.JSON(http.StatusBadRequest, Failure{Message: err.Error()})
+	}
+	if body.ApplyID == "" {
+		return c.JSON(http.StatusBadRequest, Failure{Message: "apply_id is missing"})
+	}
+	deployment, err := config.Load(body.Files)
+	if err != nil {
+		return a.fail(c, err)
+	}
+	if body.DryRun {
+		return c.JSON(http.StatusOK, ApplyResponse{Generation: body.BasedOn + 1, DryRun: true})
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), applyTimeout)
+	defer cancel()
+	manifest, err := a.options.Publisher.Apply(ctx, deployment, body.BasedOn, body.ApplyID)
+	if err != nil {
+		return a.fail(c, err)
+	}
+	a.options.Logger.Info("deployment applied", "generation", manifest.Generation, "apply_id", body.ApplyID)
+	return c.JSON(http.StatusOK, ApplyResponse{Generation: manifest.Generation})
+}
+
+// fail answers with the status that fits an error.
+func (a *API) fail(c echo.Context, err error) error {
+	var findings *finding.Error
+	var conflict *generation.ConflictError
+	switch {
+	case errors.As(err, &findings):
+		return c.JSON(http.StatusUnprocessableEntity, Failure{Message: "files have mistakes", Findings: findings.Findings})
+	case errors.As(err, &conflict):
+		return c.JSON(http.StatusConflict, Failure{Message: err.Error(), BasedOn: conflict.BasedOn, Current: conflict.Current})
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown), errors.Is(err, context.DeadlineExceeded):
+		return c.JSON(http.StatusServiceUnavailable, Failure{Message: err.Error()})
+	}
+	return c.JSON(http.StatusInternalServerError, Failure{Message: err.Error()})
+}
+
+// current returns the deployment in the store or, when the store cannot be
+// reached, the one in force here.
+func (a *API) current(ctx context.Context) (generation.Document, error) {
+	manifest, deployment, err := a.options.Publisher.Read(ctx)
+	if errors.Is(err, generation.ErrNone) {
+		return generation.Document{Deployment: &config.Deployment{}}, nil
+	}
+	if err == nil {
+		return generation.Document{Generation: manifest.Generation, Deployment: deployment}, nil
+	}
+	index := a.options.Follower.Index()
+	if index == nil {
+		return generation.Document{}, err
+	}
+	return generation.Document{Generation: a.options.Follower.Generation(), Deployment: index.Deployment}, nil
+}
+
+func (a *API) deployment(c echo.Context) error {
+	document, err := a.current(c.Request().Context())
+	if err != nil {
+		return a.fail(c, err)
+	}
+	return c.JSON(http.StatusOK, document)
+}
+
+// DiffRequest asks how files differ from the current deployment.
+type DiffRequest struct {
+	Files []config.File `json:"files"`
+}
+
+// DiffResponse lists the differences to a generation.
+type DiffResponse struct {
+	Generation int64           `json:"generation"`
+	Changes    []config.Change `json:"changes"`
+}
+
+func (a *API) diff(c echo.Context) error {
+	var body DiffRequest
+	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
+		return c.JSON(http.StatusBadRequest, Failure{Message: err.Error()})
+	}
+	wanted, err := config.Load(body.Files)
+	if err != nil {
+		return a.fail(c, err)
+	}
+	document, err := a.current(c.Request().Context())
+	if err != nil {
+		return a.fail(c, err)
+	}
+	changes := config.Diff(document.Deployment, wanted)
+	return c.JSON(http.StatusOK, DiffResponse{Generation: document.Generation, Changes: changes})
+}
+
+// StatusResponse is what operators see of the whole system.
+type StatusResponse struct {
+	Daemons []peer.DaemonStatus                 `json:"daemons"`
+	Servers map[string]map[platform.VMState]int `json:"servers"`
+}
+
+func (a *API) status(c echo.Context) error {
+	return c.JSON(http.StatusOK, StatusResponse{
+		Daemons: a.daemons(c.Request().Context()),
+		Servers: a.options.Registry.ServerCounts(),
+	})
+}
+
+// daemons returns the status of every daemon, this one from its own memory.
+func (a *API) daemons(ctx context.Context) []peer.DaemonStatus {
+	self := a.options.Self()
+	statuses := a.options.Mesh.Statuses(ctx)
+	for i := range statuses {
+		if statuses[i].ID == self.ID {
+			statuses[i] = self
+			return statuses
+		}
+	}
+	return append(statuses, self)
+}
+
+// BurnResponse holds the counts of all reachable daemons together.
+type BurnResponse struct {
+	Windows []string   `json:"windows"`
+	Rows    []burn.Row `json:"rows"`
+}
+
+func (a *API) burn(c echo.Context) error {
+	var sets [][]burn.Row
+	for _, daemon := range a.daemons(c.Request().Context()) {
+		sets = append(sets, daemon.Burn)
+	}
+	response := BurnResponse{Rows: burn.Merge(sets...)}
+	for _, window := range burn.Windows {
+		response.Windows = append(response.Windows, window.String())
+	}
+	return c.JSON(http.StatusOK, response)
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/plankridge/plankridge/internal/burn"
+	"github.com/plankridge/plankridge/internal/dispatch"
+	"github.com/plankridge/plankridge/internal/generation"
+	"github.com/plankridge/plankridge/internal/peer/peerpb"
+	"github.com/plankridge/plankridge/internal/request"
+)
+
+// Server answers the peers of a daemon.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+	mesh       *Mesh
+	dispatcher *dispatch.Dispatcher
+	follower   *generation.Follower
+	burn       *burn.Recorder
+}
+
+// NewServer returns the peer server of a daemon.
+func NewServer(mesh *Mesh, dispatcher *dispatch.Dispatcher, follower *generation.Follower, recorder *burn.Recorder) *Server {
+	return &Server{mesh: mesh, dispatcher: dispatcher, follower: follower, burn: recorder}
+}
+
+// Heartbeat implements peerpb.PeerServer.
+func (s *Server) Heartbeat(_ context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
+	s.mesh.heard(in.GetDaemonId(), in.GetIncarnation(), in.GetGeneration())
+	return &peerpb.HeartbeatResponse{
+		DaemonId:    s.mesh.self.ID,
+		Incarnation: s.mesh.incarnation,
+		Generation:  s.follower.Generation(),
+	}, nil
+}
+
+// FetchDeployment implements peerpb.PeerServer.
+func (s *Server) FetchDeployment(_ context.Context, in *peerpb.FetchDeploymentRequest) (*peerpb.FetchDeploymentResponse, error) {
+	bundle, err := s.follower.Bundle(in.GetKnownDigests())
+	if err != nil {
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
+	}
+	out := &peerpb.FetchDeploymentResponse{Manifest: bundle.Manifest}
+	for digest, content := range bundle.Contents {
+		out.Parts = append(out.Parts, &peerpb.Part{Digest: digest, Content: content})
+	}
+	return out, nil
+}
+
+func (s *Server) find(id string) (*dispatch.Flight, error) {
+	flight, err := s.dispatcher.Find(request.ID(id))
+	if errors.Is(err, dispatch.ErrNotFound) {
+		return nil, status.Error(codes.NotFound, err.Error())
+	}
+	return flight, err
+}
+
+// GetRequest implements peerpb.PeerServer.
+func (s *Server) GetRequest(ctx context.Context, in *peerpb.GetRequestRequest) (*peerpb.GetRequestResponse, error) {
+	flight, err := s.find(in.GetRequestId())
+	if err != nil {
+		return nil, err
+	}
+	state, err := flight.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	spec, err := encodeSpec(state.Spec)
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.GetRequestResponse{
+		Spec:     spec,
+		State:    string(state.State),
+		Attempts: int32(state.Attempts),
+		Tokens:   int32(state.Tokens),
+		Outcome:  string(state.Outcome),
+	}, nil
+}
+
+// FollowRequest implements peerpb.PeerServer.
+func (s *Server) FollowRequest(in *peerpb.FollowRequestRequest, stream peerpb.Peer_FollowRequestServer) error {
+	flight, err := s.find(in.GetRequestId())
+	if err != nil {
+		return err
+	}
+	return flight.Follow(stream.Context(), int(in.GetAfter()), func(event dispatch.Event) error {
+		return stream.Send(toWire(flight.ID(), event))
+	})
+}
+
+// HoldAnswer implements peerpb.PeerServer.
+func (s *Server) HoldAnswer(_ context.Context, in *peerpb.HoldAnswerRequest) (*peerpb.HoldAnswerResponse, error) {
+	spec, err := decodeSpec(in.GetSpec())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	last := fromWire(in.GetLast())
+	if !last.Last() {
+		return nil, status.Error(codes.InvalidArgument, "answer is not finished")
+	}
+	s.dispatcher.Hold(spec, in.GetTokens(), last)
+	return &peerpb.HoldAnswerResponse{}, nil
+}
+
+// GetStatus implements peerpb.PeerServer.
+func (s *Server) GetStatus(context.Context, *peerpb.GetStatusRequest) (*peerpb.GetStatusResponse, error) {
+	rows, err := json.Marshal(s.burn.Rows(time.Now()))
+	if err != nil {
+		return nil, err
+	}
+	inFlight, draining := s.dispatcher.Load()
+	return &peerpb.GetStatusResponse{
+		DaemonId:   s.mesh.self.ID,
+		Zone:       s.mesh.self.Zone,
+		Generation: s.follower.Generation(),
+		Draining:   draining,
+		InFlight:   int32(inFlight),
+		Burn:       rows,
+	}, nil
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/plankridge/plankridge/internal/config"
 )
 
 // Object is one value in the Object API. Version grows with each change of any
@@ -53,13 +51,14 @@
 
 // VM is an entry of the VM list.
 type VM struct {
-	ID      string        `json:"id"`
-	Zone    string        `json:"zone"`
-	Role    Role          `json:"role"`
-	Service string        `json:"service,omitempty"`
-	Class   string        `json:"class"`
-	Market  config.Market `json:"market"`
-	State   VMState       `json:"state"`
+	ID      string `json:"id"`
+	Zone    string `json:"zone"`
+	Role    Role   `json:"role"`
+	Service string `json:"service,omitempty"`
+	Class   string `json:"class"`
+	// Market is the market that the VM was bought in, as the platform names it.
+	Market string  `json:"market,omitempty"`
+	State  VMState `json:"state"`
 	// Address is the IP:port of the backend server, or of the daemon's peer
 	// listener on an entry VM.
 	Address string `json:"address"`
--- /dev/null
+++ b/internal/request/life.go
@@ -0,0 +1,186 @@
+package request
+
+import (
+	"errors"
+	"fmt"
+)
+
+// State is the state of an accepted request.
+type State string
+
+// The states. Answered, Failed, Unknown and Cancelled are final.
+const (
+	// StateAccepted means that admission has said yes and that no attempt is
+	// on its way.
+	StateAccepted State = "accepted"
+	// StateDispatched means that an attempt is on its way or running.
+	StateDispatched State = "dispatched"
+	// StateStreaming means that a part of the answer has arrived.
+	StateStreaming State = "streaming"
+	StateAnswered  State = "answered"
+	StateFailed    State = "failed"
+	StateUnknown   State = "unknown"
+	StateCancelled State = "cancelled"
+)
+
+// Final reports whether a state has no successor.
+func (s State) Final() bool {
+	switch s {
+	case StateAnswered, StateFailed, StateUnknown, StateCancelled:
+		return true
+	}
+	return false
+}
+
+// Errors of the state machine.
+var (
+	// ErrMayHaveRun means that a non-idempotent request must not be sent
+	// again, because an earlier attempt may have run.
+	ErrMayHaveRun = errors.New("an earlier attempt may have run")
+	// ErrInvariant means that the program asked for a step that the state
+	// machine does not have.
+	ErrInvariant = errors.New("request invariant violated")
+)
+
+// Step is something that happens to a request.
+type Step string
+
+// The steps.
+const (
+	StepDispatch Step = "dispatch"
+	// StepNotSent: the attempt has provably not reached a backend server.
+	StepNotSent Step = "not-sent"
+	// StepDeclined: the backend server has said that it did not run it.
+	StepDeclined Step = "declined"
+	// StepLost: the attempt may have run; its answer will not come.
+	StepLost   Step = "lost"
+	StepToken  Step = "token"
+	StepAnswer Step = "answer"
+	StepGiveUp Step = "give-up"
+	StepCancel Step = "cancel"
+)
+
+// Life is the state machine of one accepted request.
+type Life struct {
+	idempotent bool
+	state      State
+	attempts   int
+	// mayHaveRun is true once an attempt may have reached a backend server.
+	mayHaveRun bool
+	history    []Step
+}
+
+// maxHistory bounds the recorded steps; tokens are recorded once.
+const maxHistory = 64
+
+// NewLife returns the life of a request that has just been accepted.
+func NewLife(idempotent bool) *Life {
+	return &Life{idempotent: idempotent, state: StateAccepted}
+}
+
+// State returns the present state.
+func (l *Life) State() State { return l.state }
+
+// Attempts returns the number of attempts begun.
+func (l *Life) Attempts() int { return l.attempts }
+
+// History returns the steps so far.
+func (l *Life) History() []Step { return l.history }
+
+// MayDispatch returns nil when another attempt may begin.
+func (l *Life) MayDispatch() error {
+	if l.state != StateAccepted {
+		return l.violation(StepDispatch)
+	}
+	if l.mayHaveRun && !l.idempotent {
+		return ErrMayHaveRun
+	}
+	return nil
+}
+
+// Apply takes a step. It returns ErrMayHaveRun for a dispatch that must not
+// be, and ErrInvariant for a step that the present state does not have. A
+// step that returns an error changes nothing.
+func (l *Life) Apply(step Step) error {
+	next, err := l.next(step)
+	if err != nil {
+		return err
+	}
+	switch step {
+	case StepDispatch:
+		l.attempts++
+		l.mayHaveRun = true
+	case StepNotSent, StepDeclined:
+		l.mayHaveRun = l.attemptsBefore()
+	}
+	l.state = next
+	l.record(step)
+	return nil
+}
+
+// attemptsBefore reports whether an attempt before the present one may have
+// run. Every such attempt ended in StepLost.
+func (l *Life) attemptsBefore() bool {
+	for _, step := range l.history {
+		if step == StepLost {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Life) record(step Step) {
+	if step == StepToken && len(l.history) > 0 && l.history[len(l.history)-1] == StepToken {
+		return
+	}
+	if len(l.history) < maxHistory || step == StepLost {
+		l.history = append(l.history, step)
+	}
+}
+
+func (l *Life) next(step Step) (State, error) {
+	running := l.state == StateDispatched || l.state == StateStreaming
+	switch {
+	case step == StepDispatch:
+		return StateDispatched, l.MayDispatch()
+	case l.state.Final():
+	case step == StepCancel:
+		return StateCancelled, nil
+	case step == StepGiveUp && l.state == StateAccepted:
+		return l.givenUp(), nil
+	case (step == StepNotSent || step == StepDeclined) && l.state == StateDispatched:
+		return StateAccepted, nil
+	case step == StepLost && running:
+		return StateAccepted, nil
+	case step == StepToken && running:
+		return StateStreaming, nil
+	case step == StepAnswer && running:
+		return StateAnswered, nil
+	}
+	return l.state, l.violation(step)
+}
+
+// givenUp is the final state when no further attempt will be made.
+func (l *Life) givenUp() State {
+	if l.mayHaveRun && !l.idempotent {
+		return StateUnknown
+	}
+	return StateFailed
+}
+
+func (l *Life) violation(step Step) error {
+	return fmt.Errorf("%w: step %s in state %s after %v", ErrInvariant, step, l.state, l.history)
+}
+
+// Outcome returns what the caller may be told in the present state.
+func (l *Life) Outcome() Outcome {
+	switch {
+	case l.state == StateAnswered:
+		return OutcomeOK
+	case !l.mayHaveRun:
+		return OutcomeNotRun
+	case l.idempotent && l.state == StateFailed:
+		return OutcomeFailed
+	}
+	return OutcomeUnknown
+}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -50,17 +50,23 @@
 	visible time.Time
 }
 
-// New returns an empty fleet. lag is how late the VM list shows a change.
-func New(lag time.Duration, launch Launcher) *Fleet {
+// New returns an empty fleet whose VM list shows changes at once.
+func New(launch Launcher) *Fleet {
 	return &Fleet{
 		launch:  launch,
-		lag:     lag,
 		members: map[string]*member{},
 		orders:  map[string]string{},
 		changed: make(chan struct{}),
 	}
 }
 
+// SetLag sets how late the VM list shows later changes.
+func (f *Fleet) SetLag(lag time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lag = lag
+}
+
 // Add puts a VM into the list at once. kill, when not nil, ends its process.
 func (f *Fleet) Add(vm platform.VM, kill func()) {
 	f.mu.Lock()
@@ -96,7 +102,7 @@
 		Role:    platform.RoleBackend,
 		Service: order.Service,
 		Class:   order.Class,
-		Market:  order.Market,
+		Market:  string(order.Market),
 		State:   platform.VMLive,
 	}
 	f.orders[order.OrderID] = vm.ID
