Prove replay, shutdown and reclaim in synctest time

Cause: the promises need failure tests whose verdict does not depend on the machine. Ruled out: grpc's bufconn as the in-memory pipe. Its zero-delay AfterFunc in each new pipe crashed the race build of the runtime inside a bubble (SIGSEGV in timer.modify, seen in two of two runs); a pipe of our own sets timers only for deadlines.

--- a/cmd/plankridge/flags.go
+++ b/cmd/plankridge/flags.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 
@@ -27,7 +26,7 @@
 // command is a parsed command line.
 type command struct {
 	output string
-	run    func(env *cli.Environment, kill context.Context) error
+	run    func(env *cli.Environment) error
 }
 
 // flags hold the values of all subcommands.
@@ -52,7 +51,7 @@
 // subcommand pairs a subcommand with what it runs.
 type subcommand struct {
 	flaggy *flaggy.Subcommand
-	run    func(env *cli.Environment, kill context.Context) error
+	run    func(env *cli.Environment) error
 }
 
 func parse(args []string) command {
@@ -104,8 +103,8 @@
 func (f *flags) serve() subcommand {
 	sub := newSubcommand("serve", "run the daemon of an entry VM")
 	sub.String(&f.settings, "s", "settings", "YAML file with the daemon's settings")
-	return subcommand{sub, func(env *cli.Environment, kill context.Context) error {
-		return cli.Serve(env, f.settings, kill)
+	return subcommand{sub, func(env *cli.Environment) error {
+		return cli.Serve(env, f.settings)
 	}}
 }
 
@@ -114,7 +113,7 @@
 	sub.String(&f.example, "e", "example", "sample files: ndiaye or amakusa")
 	sub.String(&f.listen, "l", "listen", "IP:port for callers")
 	sub.Bool(&f.verbose, "v", "verbose", "log every request")
-	return subcommand{sub, func(env *cli.Environment, _ context.Context) error {
+	return subcommand{sub, func(env *cli.Environment) error {
 		return cli.Dev(env, cli.DevOptions{Example: f.example, Listen: f.listen, Verbose: f.verbose})
 	}}
 }
@@ -123,7 +122,7 @@
 	sub := newSubcommand("validate", "check files and print every finding with its place")
 	f.addFiles(sub)
 	sub.StringSlice(&f.daemons, "s", "settings", "settings file of a daemon; may be given several times")
-	return subcommand{sub, func(env *cli.Environment, _ context.Context) error {
+	return subcommand{sub, func(env *cli.Environment) error {
 		return cli.Validate(env, f.files, f.daemons)
 	}}
 }
@@ -135,7 +134,7 @@
 	sub.Int64(&f.basedOn, "b", "based-on", "generation that the files were made for (default: the current one)")
 	sub.Bool(&f.dryRun, "n", "dry-run", "check the files and change nothing")
 	sub.Bool(&f.wait, "w", "wait", "wait until every reachable daemon has the new generation")
-	return subcommand{sub, func(env *cli.Environment, _ context.Context) error {
+	return subcommand{sub, func(env *cli.Environment) error {
 		return cli.Apply(env, cli.ApplyOptions{
 			Operator: f.operator, Files: f.files, BasedOn: f.basedOn, DryRun: f.dryRun, Wait: f.wait,
 		})
@@ -146,7 +145,7 @@
 	sub := newSubcommand("diff", "compare files with the deployment in force")
 	f.addFiles(sub)
 	f.addOperator(sub)
-	return subcommand{sub, func(env *cli.Environment, _ context.Context) error {
+	return subcommand{sub, func(env *cli.Environment) error {
 		return cli.Diff(env, f.operator, f.files)
 	}}
 }
@@ -154,13 +153,13 @@
 func (f *flags) get() subcommand {
 	sub := newSubcommand("get", "print the deployment in force as a file that can be applied")
 	f.addOperator(sub)
-	return subcommand{sub, func(env *cli.Environment, _ context.Context) error { return cli.Get(env, f.operator) }}
+	return subcommand{sub, func(env *cli.Environment) error { return cli.Get(env, f.operator) }}
 }
 
 func (f *flags) status() subcommand {
 	sub := newSubcommand("status", "show daemons, generations and backend servers")
 	f.addOperator(sub)
-	return subcommand{sub, func(env *cli.Environment, _ context.Context) error { return cli.Status(env, f.operator) }}
+	return subcommand{sub, func(env *cli.Environment) error { return cli.Status(env, f.operator) }}
 }
 
 func (f *flags) report() subcommand {
@@ -168,7 +167,7 @@
 	kind := ""
 	sub.AddPositionalValue(&kind, "kind", 1, false, "burn: how fast each error budget is spent")
 	f.addOperator(sub)
-	return subcommand{sub, func(env *cli.Environment, _ context.Context) error {
+	return subcommand{sub, func(env *cli.Environment) error {
 		if kind != "burn" {
 			return &cli.UsageError{Message: "report: the only report is burn"}
 		}
@@ -182,7 +181,7 @@
 	sub.String(&f.replayURL, "u", "url", "where callers send requests")
 	sub.Float64(&f.speed, "x", "speed", "send N times as fast as recorded")
 	sub.String(&f.operators, "p", "operators", "operator API of any daemon, for the cost")
-	return subcommand{sub, func(env *cli.Environment, _ context.Context) error {
+	return subcommand{sub, func(env *cli.Environment) error {
 		return cli.Replay(env, cli.ReplayOptions{
 			Trace: f.trace, URL: f.replayURL, Speed: f.speed, Operator: cli.Operator{URL: f.operators},
 		})
@@ -191,5 +190,5 @@
 
 func (f *flags) version() subcommand {
 	sub := newSubcommand("version", "print the version")
-	return subcommand{sub, func(env *cli.Environment, _ context.Context) error { return printVersion(env) }}
+	return subcommand{sub, func(env *cli.Environment) error { return printVersion(env) }}
 }
--- a/cmd/plankridge/main.go
+++ b/cmd/plankridge/main.go
@@ -19,13 +19,13 @@
 
 func run() int {
 	ctx, kill := shutdownContexts()
-	env := &cli.Environment{Context: ctx, Stdout: os.Stdout, Stderr: os.Stderr, Output: cli.OutputTable}
+	env := &cli.Environment{Context: ctx, Kill: kill, Stdout: os.Stdout, Stderr: os.Stderr, Output: cli.OutputTable}
 	command := parse(os.Args[1:])
 	env.Output = cli.Output(command.output)
 	if err := env.Output.Check(); err != nil {
 		return cli.ExitCode(env, err)
 	}
-	return cli.ExitCode(env, command.run(env, kill))
+	return cli.ExitCode(env, command.run(env))
 }
 
 // shutdownContexts returns a context that ends at the first SIGINT or SIGTERM
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -27,7 +27,10 @@
 
 // Environment is what a subcommand works in.
 type Environment struct {
+	// Context ends when the command is to finish what it does, Kill when it is
+	// to stop at once.
 	Context context.Context
+	Kill    context.Context
 	Stdout  io.Writer
 	Stderr  io.Writer
 	// Output is the form of answers.
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -1,7 +1,6 @@
 package cli
 
 import (
-	"context"
 	"fmt"
 	"log/slog"
 	"time"
@@ -19,8 +18,8 @@
 }
 
 // Serve runs one daemon until the context ends, then shuts it down
-// gracefully. kill ends it at once.
-func Serve(env *Environment, settingsPath string, kill context.Context) error {
+// gracefully.
+func Serve(env *Environment, settingsPath string) error {
 	if settingsPath == "" {
 		return &UsageError{Message: "--settings is missing: the YAML file with the daemon's settings"}
 	}
@@ -36,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	return one.Run(env.Context, kill)
+	return one.Run(env.Context, env.Kill)
 }
 
 // DevOptions are the flags of dev.
@@ -57,9 +56,9 @@
 	}
 	deployment, err := dev.Start(env.Context, dev.Options{
 		Example: options.Example,
-		Listen:  options.Listen,
 		Logger:  Logger(env, level),
 		ListLag: devListLag,
+		Plane:   dev.Loopback{},
 	})
 	if err != nil {
 		return err
@@ -68,6 +67,9 @@
 	if err := deployment.WaitReady(env.Context); err != nil {
 		return err
 	}
+	if err := deployment.Balance(options.Listen); err != nil {
+		return err
+	}
 	printDev(env, options.Example, deployment)
 	<-env.Context.Done()
 	return nil
@@ -92,9 +94,9 @@
   go run ./cmd/plankridge replay testdata/traces/%s-day.jsonl --url %s --operators %s
   go run ./cmd/plankridge status --url %s
   curl %s/reclaim -d '{"zone":"%s","role":"backend","notice":"10s"}'
-`, example, len(d.Daemons), len(d.Cloud.Fleet.Members())-len(d.Daemons), d.URL, d.OperatorURL(), d.Cloud.CloudURL,
+`, example, len(d.Nodes), len(d.Cloud.Fleet.Members())-len(d.Nodes), d.URL, d.OperatorURL(), d.Cloud.CloudURL,
 		key, workspace, d.URL, key, model, example, d.URL, d.OperatorURL(), d.OperatorURL(),
-		d.Cloud.CloudURL, d.Daemons[0].VM().Zone)
+		d.Cloud.CloudURL, d.Nodes[0].Daemon.VM().Zone)
 }
 
 // sampleCaller returns a workspace of the sample and a model that it may call.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -60,6 +61,7 @@
 	mesh       *peer.Mesh
 	creds      *peer.Credentials
 
+	draining  atomic.Bool
 	callers   net.Listener
 	peers     net.Listener
 	operators net.Listener
@@ -220,9 +222,10 @@
 // CallerAddress returns the IP:port of the caller API.
 func (d *Daemon) CallerAddress() string { return d.callers.Addr().String() }
 
-// Ready reports whether the daemon has a deployment and has read the VM list.
+// Ready reports whether the daemon has a deployment, has read the VM list and
+// is not shutting down.
 func (d *Daemon) Ready() bool {
-	return d.follower.Index() != nil && d.registry.Listed()
+	return !d.draining.Load() && d.follower.Index() != nil && d.registry.Listed()
 }
 
 // Generation returns the generation in force at this daemon.
@@ -281,6 +284,7 @@
 // answers what it has accepted, and gives unread answers to other daemons.
 func (d *Daemon) shutDown(kill context.Context) error {
 	d.logger.Info("shutting down", "delay", d.settings.Drain.Delay.Std())
+	d.draining.Store(true)
 	d.callerAPI.Drain()
 	select {
 	case <-time.After(d.settings.Drain.Delay.Std()):
@@ -309,3 +313,8 @@
 	d.mesh.Close()
 	d.creds.Close()
 }
+
+// Owns reports whether the daemon has accepted the request with the ID.
+func (d *Daemon) Owns(id string) bool {
+	return request.ID(id).Tag() == request.DaemonTag(d.settings.Daemon.ID)
+}
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -6,11 +6,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -27,32 +25,69 @@
 // daemonsPerZone is the number of entry VMs in each availability zone.
 const daemonsPerZone = 2
 
+// Ports of a daemon whose VM has an address of its own.
+const (
+	callerPort   = 8080
+	peerPort     = 9080
+	operatorPort = 7080
+)
+
 // Options choose what runs.
 type Options struct {
 	// Example names the sample files to apply.
 	Example string
-	// Listen is the IP:port of the balancer.
-	Listen string
-	Logger *slog.Logger
+	Logger  *slog.Logger
 	// ListLag is how late the VM list shows a change.
 	ListLag time.Duration
+	Plane   Plane
+	// Adjust, when not nil, changes the settings of each daemon.
+	Adjust func(*config.Settings)
+	// OnViolation is called when the program breaks an invariant.
+	OnViolation func(error)
 }
 
 // Deployment is a running deployment.
 type Deployment struct {
 	// Cloud are the stand-ins of the outside systems.
 	Cloud *StandIns
-	// Daemons are the daemons of all availability zones.
-	Daemons []*daemon.Daemon
-	// URL is where callers send requests, through the balancer.
+	// Nodes are the entry VMs of all availability zones.
+	Nodes []*Node
+	// URL is where callers send requests, once Balance has been called.
 	URL string
 
-	stop    context.CancelFunc
-	kill    context.CancelFunc
-	running sync.WaitGroup
+	options  Options
+	operator Host
+	stop     []func()
+}
+
+// Node is an entry VM with its daemon.
+type Node struct {
+	Daemon *daemon.Daemon
+	Host   Host
+
+	drain context.CancelFunc
+	kill  context.CancelFunc
+	done  chan struct{}
+	err   error
+}
+
+// Drain begins the graceful shutdown of the daemon, as SIGTERM does.
+func (n *Node) Drain() { n.drain() }
+
+// Kill ends the daemon at once.
+func (n *Node) Kill() {
+	n.kill()
+	<-n.done
+}
+
+// Wait waits until the daemon has ended and returns its error.
+func (n *Node) Wait() error {
+	<-n.done
+	return n.err
 }
 
-// Start runs a deployment until Stop is called.
+// Start runs a deployment until Stop is called. The sample is applied; daemons
+// may need a moment to take it over.
 func Start(ctx context.Context, options Options) (*Deployment, error) {
 	sample, err := examples.Files(options.Example)
 	if err != nil {
@@ -62,110 +97,105 @@
 	if err != nil {
 		return nil, err
 	}
-	standIns, err := StartStandIns(wanted, options.ListLag)
+	standIns, err := StartStandIns(wanted, options.Plane, options.ListLag)
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{Cloud: standIns}
-	if err := d.startDaemons(ctx, wanted, options); err != nil {
-		standIns.Close()
-		return nil, err
+	d := &Deployment{Cloud: standIns, options: options, operator: options.Plane.NewHost()}
+	for _, zone := range wanted.Zones {
+		for i := range daemonsPerZone {
+			id := fmt.Sprintf("%s-entry-%d", zone.Name, i+1)
+			if _, err := d.StartNode(id, zone.Name, options.Plane.NewHost()); err != nil {
+				d.Stop()
+				return nil, err
+			}
+		}
 	}
-	publisher := generation.NewPublisher(platform.NewClient(standIns.ObjectsURL, standIns.VMsURL, "", nil))
-	if _, err := publisher.Apply(ctx, wanted, 0, "dev"); err != nil {
+	if _, err := d.Publisher().Apply(ctx, wanted, 0, "dev"); err != nil {
 		d.Stop()
 		return nil, eris.Wrap(err, "apply sample")
 	}
 	return d, nil
 }
 
-func (d *Deployment) startDaemons(ctx context.Context, wanted *config.Deployment, options Options) error {
-	listener, err := net.Listen("tcp", options.Listen)
-	if err != nil {
-		return eris.Wrap(err, "listen for callers")
-	}
-	serving, stop := context.WithCancel(ctx)
-	killing, kill := context.WithCancel(context.WithoutCancel(ctx))
-	d.stop, d.kill = stop, kill
-	var targets []balancer.Target
-	for _, zone := range wanted.Zones {
-		for i := range daemonsPerZone {
-			settings := d.Cloud.Settings(fmt.Sprintf("%s-entry-%d", zone.Name, i+1), zone.Name)
-			one, err := daemon.New(daemon.Options{Settings: settings, Network: network.TCP{}, Logger: options.Logger})
-			if err != nil {
-				_ = listener.Close()
-				d.Stop()
-				return err
-			}
-			d.add(serving, killing, one, options.Logger)
-			targets = append(targets, balancer.Target{
-				Callers: one.CallerAddress(),
-				Ready:   "http://" + one.CallerAddress() + "/readyz",
-			})
-		}
-	}
-	d.URL = "http://" + listener.Addr().String()
-	d.running.Go(func() { balancer.New(targets).Serve(killing, listener) })
-	return nil
+// Publisher returns a publisher that applies to the platform directly.
+func (d *Deployment) Publisher() *generation.Publisher {
+	client := &http.Client{Transport: network.Transport(d.operator.Network, true)}
+	return generation.NewPublisher(platform.NewClient(d.Cloud.ObjectsURL, d.Cloud.VMsURL, "", client))
 }
 
-func (d *Deployment) add(serving, killing context.Context, one *daemon.Daemon, logger *slog.Logger) {
-	d.Daemons = append(d.Daemons, one)
-	d.Cloud.Fleet.Add(one.VM(), nil)
-	d.running.Go(func() {
-		if err := one.Run(serving, killing); err != nil {
-			logger.Error("daemon failed", "error", err)
-		}
+// StartNode starts a daemon on an entry VM and puts it into the VM list.
+func (d *Deployment) StartNode(id, zone string, host Host) (*Node, error) {
+	settings := d.Cloud.Settings(id, zone, host)
+	if d.options.Adjust != nil {
+		d.options.Adjust(&settings)
+	}
+	one, err := daemon.New(daemon.Options{
+		Settings: settings, Network: host.Network, Logger: d.options.Logger, OnViolation: d.options.OnViolation,
 	})
+	if err != nil {
+		return nil, err
+	}
+	serving, drain := context.WithCancel(context.Background())
+	killing, kill := context.WithCancel(context.Background())
+	node := &Node{Daemon: one, Host: host, drain: drain, kill: kill, done: make(chan struct{})}
+	d.Nodes = append(d.Nodes, node)
+	d.Cloud.Fleet.Add(one.VM(), node.Kill)
+	go func() {
+		defer close(node.done)
+		node.err = one.Run(serving, killing)
+	}()
+	return node, nil
 }
 
-// WaitReady waits until every daemon has the applied deployment and the
-// balancer passes requests on.
+// WaitReady waits until every daemon has the applied deployment.
 func (d *Deployment) WaitReady(ctx context.Context) error {
 	const poll = 20 * time.Millisecond
-	for {
-		if d.ready(ctx) {
-			return nil
-		}
-		select {
-		case <-time.After(poll):
-		case <-ctx.Done():
-			return eris.Wrap(ctx.Err(), "deployment is not ready")
+	for _, node := range d.Nodes {
+		for !node.Daemon.Ready() {
+			select {
+			case <-time.After(poll):
+			case <-ctx.Done():
+				return eris.Wrap(ctx.Err(), "deployment is not ready")
+			}
 		}
 	}
+	return nil
 }
 
-func (d *Deployment) ready(ctx context.Context) bool {
-	for _, one := range d.Daemons {
-		if !one.Ready() {
-			return false
-		}
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.URL+"/readyz", nil)
+// Balance puts a balancer before the daemons. It returns when the balancer
+// has found them ready.
+func (d *Deployment) Balance(listen string) error {
+	listener, err := net.Listen("tcp", listen)
 	if err != nil {
-		return false
+		return eris.Wrap(err, "listen for callers")
 	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return false
+	var targets []balancer.Target
+	for _, node := range d.Nodes {
+		address := node.Daemon.CallerAddress()
+		targets = append(targets, balancer.Target{Callers: address, Ready: "http://" + address + "/readyz"})
 	}
-	_, _ = io.Copy(io.Discard, resp.Body)
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	ctx, stop := context.WithCancel(context.Background())
+	d.stop = append(d.stop, stop)
+	b := balancer.New(targets)
+	b.Check(ctx)
+	go b.Serve(ctx, listener)
+	d.URL = "http://" + listener.Addr().String()
+	return nil
 }
 
 // OperatorURL returns the operator API of the first daemon.
 func (d *Deployment) OperatorURL() string {
-	return "http://" + d.Daemons[0].VM().OperatorAddress
+	return "http://" + d.Nodes[0].Daemon.VM().OperatorAddress
 }
 
-// Drain shuts the daemons down gracefully.
-func (d *Deployment) Drain() { d.stop() }
-
 // Stop ends everything at once.
 func (d *Deployment) Stop() {
-	d.kill()
-	d.stop()
-	d.running.Wait()
+	for _, stop := range d.stop {
+		stop()
+	}
+	for _, node := range d.Nodes {
+		node.Kill()
+	}
 	d.Cloud.Close()
 }
--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -42,12 +41,14 @@
 	WeightsURL string
 
 	wanted  *config.Deployment
+	plane   Plane
 	servers []*http.Server
 }
 
 // StartStandIns starts the stand-ins and the backend servers of a deployment.
-func StartStandIns(wanted *config.Deployment, listLag time.Duration) (*StandIns, error) {
+func StartStandIns(wanted *config.Deployment, plane Plane, listLag time.Duration) (*StandIns, error) {
 	s := &StandIns{
+		plane:   plane,
 		Store:   objectapi.New(),
 		Weights: weightstore.New(artifactBytes, weightStoreRate),
 		Ledgers: map[string]*plainservice.Ledger{},
@@ -69,7 +70,7 @@
 		{s.Weights, &s.WeightsURL},
 	}
 	for _, endpoint := range endpoints {
-		address, server, err := serve(endpoint.handler)
+		address, server, err := serve(plane.NewHost(), endpoint.handler)
 		if err != nil {
 			s.Close()
 			return nil, err
@@ -85,8 +86,11 @@
 	return s, nil
 }
 
-func serve(handler http.Handler) (string, *http.Server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// backendPort is the port of a stand-in whose VM has an address of its own.
+const backendPort = 8000
+
+func serve(host Host, handler http.Handler) (string, *http.Server, error) {
+	listener, err := host.Network.Listen(host.Address(backendPort))
 	if err != nil {
 		return "", nil, eris.Wrap(err, "listen for stand-in")
 	}
@@ -122,7 +126,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	address, server, err := serve(handler)
+	address, server, err := serve(s.plane.NewHost(), handler)
 	if err != nil {
 		return "", nil, err
 	}
@@ -154,12 +158,15 @@
 	}
 }
 
-// Settings returns the settings of a daemon of the deployment, with free
-// loopback ports.
-func (s *StandIns) Settings(id, zone string) config.Settings {
+// Settings returns the settings of a daemon of the deployment.
+func (s *StandIns) Settings(id, zone string, host Host) config.Settings {
 	settings := config.DefaultSettings()
 	settings.Daemon = config.DaemonIdentity{ID: id, Zone: zone}
-	settings.Listen = config.Listen{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0", Operators: "127.0.0.1:0"}
+	settings.Listen = config.Listen{
+		Callers:   host.Address(callerPort),
+		Peers:     host.Address(peerPort),
+		Operators: host.Address(operatorPort),
+	}
 	settings.Platform = config.PlatformSettings{Objects: s.ObjectsURL, VMs: s.VMsURL, Cloud: s.CloudURL}
 	settings.Peers.Plaintext = true
 	return settings
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -22,6 +22,8 @@
 	// FleetPerHour is the price of all backend VMs per hour; zero leaves the
 	// cost out.
 	FleetPerHour float64
+	// Transport carries the requests; nil means TCP.
+	Transport http.RoundTripper
 }
 
 // Summary is the result of a replay.
@@ -81,9 +83,12 @@
 
 // Run sends a trace and returns its summary.
 func Run(ctx context.Context, trace *Trace, options Options) (*Summary, error) {
-	transport := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdle}
-	defer transport.CloseIdleConnections()
-	s := &sender{url: options.URL, client: &http.Client{Transport: transport}, trace: trace}
+	client := &http.Client{Transport: options.Transport}
+	if options.Transport == nil {
+		client.Transport = &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdle}
+	}
+	defer client.CloseIdleConnections()
+	s := &sender{url: options.URL, client: client, trace: trace}
 	tally := newTally(trace)
 	begin := time.Now()
 	var sending sync.WaitGroup
--- a/internal/standin/balancer/balancer.go
+++ b/internal/standin/balancer/balancer.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// Check looks once whether each target is ready.
+func (b *Balancer) Check(ctx context.Context) {
+	for i := range b.targets {
+		b.ready[i].Store(b.check(ctx, b.targets[i].Ready))
+	}
+}
+
 // Serve passes connections on until the context ends.
 func (b *Balancer) Serve(ctx context.Context, listener net.Listener) {
 	var checks sync.WaitGroup
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -8,12 +8,8 @@
 	"strings"
 	"sync"
 	"syscall"
-
-	"google.golang.org/grpc/test/bufconn"
 )
 
-const pipeBytes = 256 << 10
-
 // Net is an in-memory network. The zero value is not usable; call New.
 type Net struct {
 	mu        sync.Mutex
@@ -67,10 +63,26 @@
 	delete(n.cut, link(a, b))
 }
 
+// backlog is the number of connections that wait for Accept.
+const backlog = 1024
+
+// listener implements net.Listener.
 type listener struct {
-	*bufconn.Listener
 	net     *Net
 	address string
+	waiting chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.waiting:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
 }
 
 // Close implements net.Listener.
@@ -80,7 +92,8 @@
 		delete(l.net.listeners, l.address)
 	}
 	l.net.mu.Unlock()
-	return l.Listener.Close()
+	l.once.Do(func() { close(l.closed) })
+	return nil
 }
 
 // Addr implements net.Listener.
@@ -101,7 +114,7 @@
 	if h.net.listeners[addr] != nil {
 		return nil, syscall.EADDRINUSE
 	}
-	l := &listener{Listener: bufconn.Listen(pipeBytes), net: h.net, address: addr}
+	l := &listener{net: h.net, address: addr, waiting: make(chan net.Conn, backlog), closed: make(chan struct{})}
 	h.net.listeners[addr] = l
 	return l, nil
 }
@@ -115,12 +128,16 @@
 	if target == nil || cut {
 		return nil, syscall.ECONNREFUSED
 	}
-	conn, err := target.DialContext(ctx)
-	if err != nil {
-		return nil, err
+	client, server := newPair(address(h.ip), address(addr))
+	select {
+	case target.waiting <- server:
+	case <-target.closed:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
 	h.net.mu.Lock()
-	h.net.conns[link(h.ip, ip)] = append(h.net.conns[link(h.ip, ip)], conn)
-	h.net.mu.Unlock()
-	return conn, nil
+	defer h.net.mu.Unlock()
+	h.net.conns[link(h.ip, ip)] = append(h.net.conns[link(h.ip, ip)], client)
+	return client, nil
 }
--- /dev/null
+++ b/robustness/path_test.go
@@ -0,0 +1,72 @@
+package robustness
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/platform"
+)
+
+func TestRecordedDaysReplayAsStated(t *testing.T) {
+	for example, trace := range map[string]string{"ndiaye": "ndiaye-day", "amakusa": "amakusa-day"} {
+		t.Run(example, func(t *testing.T) {
+			run(t, example, func(b *bed) { b.holds(b.replayDay(trace, func() {})) })
+		})
+	}
+}
+
+func TestGracefulShutdownCutsNoRequest(t *testing.T) {
+	for example, trace := range map[string]string{"ndiaye": "ndiaye-day", "amakusa": "amakusa-day"} {
+		t.Run(example, func(t *testing.T) {
+			run(t, example, func(b *bed) {
+				b.holds(b.replayDay(trace, func() {
+					time.Sleep(12 * time.Second)
+					for _, node := range b.d.Nodes[:2] {
+						node.Drain()
+						b.Check(node.Wait(), qt.IsNil)
+					}
+				}))
+			})
+		})
+	}
+}
+
+func TestReclaimOfZoneLosesNoRequest(t *testing.T) {
+	for _, notice := range []time.Duration{3 * time.Second, 10 * time.Second} {
+		t.Run(notice.String(), func(t *testing.T) {
+			run(t, "ndiaye", func(b *bed) {
+				b.holds(b.replayDay("ndiaye-day", func() {
+					time.Sleep(14 * time.Second)
+					b.d.Cloud.Fleet.ReclaimZone("hall-nord", platform.RoleBackend, notice)
+				}))
+			})
+		})
+	}
+}
+
+func TestUnreadAnswerOutlivesShutdown(t *testing.T) {
+	run(t, "amakusa", func(b *bed) {
+		resp, _ := b.call(http.MethodPost, balancerURL+"/v1/chat/completions", "reviews",
+			`{"model":"plankridge-llm","messages":[{"role":"user","content":"Review chapter 3."}]}`, "Prefer", "respond-async")
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusAccepted)
+		location := resp.Header.Get("Location")
+		b.client.CloseIdleConnections()
+		_, before := b.call(http.MethodGet, balancerURL+location, "reviews", "")
+		b.Assert(before, qt.Contains, `"state"`)
+		for _, node := range b.d.Nodes {
+			if node.Daemon.Owns(location[len("/v1/requests/"):]) {
+				node.Drain()
+				b.Assert(node.Wait(), qt.IsNil)
+			}
+		}
+		resp, body := b.call(http.MethodGet, balancerURL+location+"/response", "reviews", "")
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		b.Assert(body, qt.Contains, `"finish_reason":"stop"`)
+
+		resp, _ = b.call(http.MethodGet, balancerURL+location+"/response", "clerks", "")
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusNotFound)
+	})
+}
