Check files, limits, generations, contacts and peer TLS by tests

Cause: four faults that these tests found. Making TLS credentials fills in the options passed to it, so that one set for both sides was rejected; the rate limiter moved its bucket to the wall clock when limits changed, which gave a burst for free; a mapping's place was its first colon; and heartbeat contacts taken as ring successors needed 15 rounds to reach 330 daemons. Before: peer TLS could not start at all; 15 rounds.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -15,6 +15,7 @@
 type Limiter struct {
 	mu         sync.Mutex
 	daemons    int
+	latest     time.Time
 	workspaces map[string]*usage
 }
 
@@ -41,7 +42,7 @@
 			entry = &usage{}
 		}
 		entry.limits = workspace.Limits
-		entry.setRate(l.daemons)
+		entry.setRate(l.daemons, l.latest)
 		next[workspace.Name] = entry
 	}
 	l.workspaces = next
@@ -53,13 +54,13 @@
 	defer l.mu.Unlock()
 	l.daemons = max(count, 1)
 	for _, entry := range l.workspaces {
-		entry.setRate(l.daemons)
+		entry.setRate(l.daemons, l.latest)
 	}
 }
 
 // setRate gives this daemon an even share of the rate. The burst is a second's
 // worth of the whole limit, because a balancer does not spread callers evenly.
-func (u *usage) setRate(daemons int) {
+func (u *usage) setRate(daemons int, now time.Time) {
 	if u.limits.RequestsPerSecond == 0 {
 		u.bucket = nil
 		return
@@ -70,8 +71,8 @@
 		u.bucket = rate.NewLimiter(share, burst)
 		return
 	}
-	u.bucket.SetLimit(share)
-	u.bucket.SetBurst(burst)
+	u.bucket.SetLimitAt(now, share)
+	u.bucket.SetBurstAt(now, burst)
 }
 
 // Verdict is the answer of Admit.
@@ -90,6 +91,7 @@
 func (l *Limiter) Admit(workspace string, now time.Time) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.latest = now
 	entry := l.workspaces[workspace]
 	if entry == nil {
 		return Verdict{Reason: "workspace is not known"}
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,41 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/config"
+)
+
+func TestLimits(t *testing.T) {
+	c := qt.New(t)
+	l := NewLimiter()
+	now := time.Unix(1000, 0)
+	c.Check(l.Admit("w", now).Admitted, qt.IsFalse)
+	index := config.NewIndex(&config.Deployment{Workspaces: []config.Workspace{
+		{Name: "w", Limits: config.Limits{RequestsPerSecond: 4, InFlight: 6}},
+		{Name: "free"},
+	}})
+	l.ApplyConfig(index)
+	l.SetDaemons(2)
+	for range 3 {
+		c.Assert(l.Admit("w", now).Admitted, qt.IsTrue)
+	}
+	verdict := l.Admit("w", now)
+	c.Check(verdict.Admitted, qt.IsFalse)
+	c.Check(verdict.RetryAfter, qt.Equals, inFlightRetry)
+	l.Release("w")
+	c.Assert(l.Admit("w", now).Admitted, qt.IsTrue)
+	l.Release("w")
+	verdict = l.Admit("w", now)
+	c.Check(verdict.Admitted, qt.IsFalse)
+	c.Check(verdict.RetryAfter, qt.Equals, 500*time.Millisecond)
+	l.ApplyConfig(index)
+	c.Check(l.Admit("w", now).Admitted, qt.IsFalse)
+	c.Check(l.Admit("w", now.Add(500*time.Millisecond)).Admitted, qt.IsTrue)
+	for range 100 {
+		c.Assert(l.Admit("free", now).Admitted, qt.IsTrue)
+	}
+}
--- a/internal/peer/contacts.go
+++ b/internal/peer/contacts.go
@@ -17,9 +17,10 @@
 	outsideContacts = 1
 )
 
-// Contacts returns the daemons that self sends heartbeats to: the next ones
-// after it in its own zone's ring, and a few of each other zone. The number
-// does not grow with the number of daemons.
+// Contacts returns the daemons that self sends heartbeats to: in its own zone
+// the next one on a hash ring, which connects all, and others chosen by hash,
+// which keep the paths short; and a few of each other zone. The number does
+// not grow with the number of daemons.
 func Contacts(self platform.VM, daemons []platform.VM) []platform.VM {
 	zones := map[string][]platform.VM{}
 	for _, daemon := range daemons {
@@ -30,30 +31,47 @@
 	var contacts []platform.VM
 	for zone, members := range zones {
 		if zone == self.Zone {
-			contacts = append(contacts, ringAfter(self, members, zoneContacts)...)
+			contacts = append(contacts, zoneContactsOf(self, members)...)
 			continue
 		}
-		contacts = append(contacts, ringAfter(self, members, outsideContacts)...)
+		contacts = append(contacts, ranked(self.ID, members)[:min(outsideContacts, len(members))]...)
 	}
 	slices.SortFunc(contacts, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
 	return contacts
 }
 
-// ringAfter returns the first count members that follow self on a hash ring.
-func ringAfter(self platform.VM, members []platform.VM, count int) []platform.VM {
+func zoneContactsOf(self platform.VM, members []platform.VM) []platform.VM {
+	next := ringSuccessor(self, members)
+	contacts := []platform.VM{next}
+	for _, member := range ranked(self.ID, members) {
+		if len(contacts) < zoneContacts && member.ID != next.ID {
+			contacts = append(contacts, member)
+		}
+	}
+	return contacts
+}
+
+// ringSuccessor returns the member that follows self on a hash ring.
+func ringSuccessor(self platform.VM, members []platform.VM) platform.VM {
 	origin := xxhash.Sum64String(self.ID)
-	sorted := slices.Clone(members)
-	slices.SortFunc(sorted, func(a, b platform.VM) int {
+	return slices.MinFunc(members, func(a, b platform.VM) int {
 		return cmp.Compare(xxhash.Sum64String(a.ID)-origin, xxhash.Sum64String(b.ID)-origin)
 	})
-	return sorted[:min(count, len(sorted))]
+}
+
+// ranked orders daemons by the hash of a key with each.
+func ranked(key string, daemons []platform.VM) []platform.VM {
+	weights := make(map[string]uint64, len(daemons))
+	for _, daemon := range daemons {
+		weights[daemon.ID] = xxhash.Sum64String(key + "/" + daemon.ID)
+	}
+	sorted := slices.Clone(daemons)
+	slices.SortFunc(sorted, func(a, b platform.VM) int { return cmp.Compare(weights[b.ID], weights[a.ID]) })
+	return sorted
 }
 
 // Keepers returns the daemons that keep the answer of a request whose owner
 // has gone, the likeliest first. Every daemon computes the same order.
 func Keepers(requestID string, daemons []platform.VM) []platform.VM {
-	sorted := slices.Clone(daemons)
-	weight := func(vm platform.VM) uint64 { return xxhash.Sum64String(requestID + "/" + vm.ID) }
-	slices.SortFunc(sorted, func(a, b platform.VM) int { return cmp.Compare(weight(b), weight(a)) })
-	return sorted
+	return ranked(requestID, daemons)
 }
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -67,18 +67,21 @@
 		}
 		return &advancedtls.PostHandshakeVerificationResults{}, nil
 	}
-	options := advancedtls.Options{
-		IdentityOptions:            advancedtls.IdentityCertificateOptions{IdentityProvider: identity},
-		RootOptions:                advancedtls.RootCertificateOptions{RootProvider: roots},
-		AdditionalPeerVerification: verify,
-		RequireClientCert:          true,
-		VerificationType:           advancedtls.CertVerification,
+	options := func() *advancedtls.Options {
+		// Making credentials fills in the options, so each side has its own.
+		return &advancedtls.Options{
+			IdentityOptions:            advancedtls.IdentityCertificateOptions{IdentityProvider: identity},
+			RootOptions:                advancedtls.RootCertificateOptions{RootProvider: roots},
+			AdditionalPeerVerification: verify,
+			RequireClientCert:          true,
+			VerificationType:           advancedtls.CertVerification,
+		}
 	}
-	server, err := advancedtls.NewServerCreds(&options)
+	server, err := advancedtls.NewServerCreds(options())
 	if err != nil {
 		return eris.Wrap(err, "make peer server credentials")
 	}
-	client, err := advancedtls.NewClientCreds(&options)
+	client, err := advancedtls.NewClientCreds(options())
 	if err != nil {
 		return eris.Wrap(err, "make peer client credentials")
 	}
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,80 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+func TestPickPrefersHomeThenWaitThenPrice(t *testing.T) {
+	c := qt.New(t)
+	need := Need{Zone: "a", PromptTokens: 1000, Target: time.Second}
+	home := Server{ID: "1", Zone: "a", PrefillRate: 10000, MaxBatch: 8}
+	away := Server{ID: "2", Zone: "b", PrefillRate: 10000, MaxBatch: 8}
+	pick := func(servers ...Server) string {
+		choice, ok := Pick(servers, need)
+		c.Assert(ok, qt.IsTrue)
+		return choice.Server.ID
+	}
+	c.Check(pick(away, home), qt.Equals, "1")
+	home.PendingTokens = 3000 // 0.4 s: still within half of the target
+	c.Check(pick(away, home), qt.Equals, "1")
+	home.PendingTokens = 9000
+	c.Check(pick(away, home), qt.Equals, "2")
+	away.Suspect = true
+	c.Check(pick(away, home), qt.Equals, "1")
+	home.Leaving = true
+	c.Check(pick(away, home), qt.Equals, "2")
+	away.Leaving = true
+	_, ok := Pick([]Server{home, away}, need)
+	c.Check(ok, qt.IsFalse)
+	cheap := Server{ID: "9", Zone: "a", PrefillRate: 10000, MaxBatch: 8, PricePerHour: 1}
+	dear := Server{ID: "3", Zone: "a", PrefillRate: 10000, MaxBatch: 8, PricePerHour: 3}
+	c.Check(pick(dear, cheap), qt.Equals, "9")
+}
+
+func TestPickNeverTakesLeavingServer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := rapid.SliceOf(rapid.Custom(func(t *rapid.T) Server {
+			return Server{
+				ID:            fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "id")),
+				Zone:          rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone"),
+				Leaving:       rapid.Bool().Draw(t, "leaving"),
+				Suspect:       rapid.Bool().Draw(t, "suspect"),
+				PendingTokens: rapid.IntRange(0, 1e6).Draw(t, "pending"),
+				Running:       rapid.IntRange(0, 64).Draw(t, "running"),
+				MaxBatch:      16,
+				PrefillRate:   8000,
+			}
+		})).Draw(t, "servers")
+		choice, ok := Pick(servers, Need{Zone: "a", PromptTokens: 100, Target: time.Second})
+		live := 0
+		for _, s := range servers {
+			if !s.Leaving {
+				live++
+			}
+		}
+		if ok != (live > 0) || (ok && choice.Server.Leaving) {
+			t.Fatalf("%d live servers, choice %+v %t", live, choice, ok)
+		}
+	})
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, count := range []int{10, 100, 1000} {
+		servers := make([]Server, count)
+		for i := range servers {
+			servers[i] = Server{ID: fmt.Sprint(i), Zone: fmt.Sprint(i % 3), PendingTokens: i * 37 % 5000, PrefillRate: 8000, MaxBatch: 16}
+		}
+		need := Need{Zone: "1", PromptTokens: 2000, Target: time.Second}
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Pick(servers, need)
+			}
+		})
+	}
+}
--- a/internal/standin/objectapi/objectapi.go
+++ b/internal/standin/objectapi/objectapi.go
@@ -27,6 +27,8 @@
 	objects map[string]platform.Object
 	version int64
 	changed chan struct{}
+	// loseWrite counts the writes down to the one whose answer is lost.
+	loseWrite int
 }
 
 // Calls counts the calls by kind; a waiting watch counts as one read.
@@ -94,9 +96,26 @@
 		http.Error(w, "version differs", http.StatusPreconditionFailed)
 		return
 	}
+	if s.losesThis() {
+		panic(http.ErrAbortHandler)
+	}
 	writeJSON(w, object)
 }
 
+// LoseWrite loses the answer of one write after the given number of others.
+func (s *Server) LoseWrite(after int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseWrite = after + 1
+}
+
+func (s *Server) losesThis() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseWrite--
+	return s.loseWrite == 0
+}
+
 func (s *Server) update(name string, value []byte, expected int64) (platform.Object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/strictyaml/strictyaml.go
+++ b/internal/strictyaml/strictyaml.go
@@ -98,7 +98,12 @@
 	return finding.Place{File: d.source.file, Line: line, Column: column}
 }
 
+// place returns where a node begins. A mapping begins at its first key; its
+// own token is the first colon.
 func (d *decoder) place(node ast.Node) finding.Place {
+	if pairs, ok := mappings(node); ok && len(pairs) > 0 {
+		node = pairs[0].Key
+	}
 	token := node.GetToken()
 	if token == nil || token.Position == nil {
 		return d.at(1, 1)
