--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -40,6 +40,9 @@
 	// ListLag is how late the VM list shows a change.
 	ListLag time.Duration
 	Plane   Plane
+	// Instant makes the backend servers answer at once and takes the limits of
+	// the workspaces away, for benchmarks of the daemons.
+	Instant bool
 	// Adjust, when not nil, changes the settings of each daemon.
 	Adjust func(*config.Settings)
 	// OnViolation is called when the program breaks an invariant.
@@ -97,7 +100,12 @@
 	if err != nil {
 		return nil, err
 	}
-	standIns, err := StartStandIns(wanted, options.Plane, options.ListLag)
+	if options.Instant {
+		for i := range wanted.Workspaces {
+			wanted.Workspaces[i].Limits = config.Limits{}
+		}
+	}
+	standIns, err := StartStandIns(wanted, options)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -41,14 +41,14 @@
 	WeightsURL string
 
 	wanted  *config.Deployment
-	plane   Plane
+	options Options
 	servers []*http.Server
 }
 
 // StartStandIns starts the stand-ins and the backend servers of a deployment.
-func StartStandIns(wanted *config.Deployment, plane Plane, listLag time.Duration) (*StandIns, error) {
+func StartStandIns(wanted *config.Deployment, options Options) (*StandIns, error) {
 	s := &StandIns{
-		plane:   plane,
+		options: options,
 		Store:   objectapi.New(),
 		Weights: weightstore.New(artifactBytes, weightStoreRate),
 		Ledgers: map[string]*plainservice.Ledger{},
@@ -70,7 +70,7 @@
 		{s.Weights, &s.WeightsURL},
 	}
 	for _, endpoint := range endpoints {
-		address, server, err := serve(plane.NewHost(), endpoint.handler)
+		address, server, err := serve(options.Plane.NewHost(), endpoint.handler)
 		if err != nil {
 			s.Close()
 			return nil, err
@@ -82,7 +82,7 @@
 		s.Close()
 		return nil, err
 	}
-	s.Fleet.SetLag(listLag)
+	s.Fleet.SetLag(options.ListLag)
 	return s, nil
 }
 
@@ -126,7 +126,7 @@
 	if err != nil {
 		return "", nil, err
 	}
-	address, server, err := serve(s.plane.NewHost(), handler)
+	address, server, err := serve(s.options.Plane.NewHost(), handler)
 	if err != nil {
 		return "", nil, err
 	}
@@ -139,13 +139,24 @@
 			continue
 		}
 		if service.Kind == config.KindPlain {
-			return plainservice.New(s.Ledgers[name], plainWork), nil
+			return plainservice.New(s.Ledgers[name], s.plainWork()), nil
 		}
-		return modelengine.New(EngineConfig(&service)), nil
+		engine := EngineConfig(&service)
+		if s.options.Instant {
+			engine.DecodeInterval = 0
+		}
+		return modelengine.New(engine), nil
 	}
 	return nil, eris.Errorf("no service is called %q", name)
 }
 
+func (s *StandIns) plainWork() time.Duration {
+	if s.options.Instant {
+		return 0
+	}
+	return plainWork
+}
+
 // EngineConfig returns the stand-in engine of a model service.
 func EngineConfig(service *config.Service) modelengine.Config {
 	return modelengine.Config{
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -31,8 +31,9 @@
 )
 
 const (
-	// heartbeatInterval is the time between two heartbeats to a contact.
-	heartbeatInterval = time.Second
+	// heartbeatInterval is the time between two heartbeats to a contact. A new
+	// generation is told at once.
+	heartbeatInterval = 2 * time.Second
 	// callTimeout bounds a short call to a peer.
 	callTimeout = 2 * time.Second
 	// MaxMessage bounds a message between daemons, in bytes.
@@ -148,10 +149,12 @@
 	pulling.Go(func() { m.pullLoop(ctx) })
 	defer pulling.Wait()
 	for ctx.Err() == nil {
+		changed := m.follower.Changed()
 		m.beat(ctx)
 		jitter := time.Duration(mathrand.Int64N(int64(heartbeatInterval / 4)))
 		select {
 		case <-time.After(heartbeatInterval - heartbeatInterval/8 + jitter):
+		case <-changed:
 		case <-ctx.Done():
 		}
 	}
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 )
 
@@ -16,6 +17,7 @@
 	listeners map[string]*listener
 	cut       map[[2]string]bool
 	conns     map[[2]string][]net.Conn
+	traffic   map[string]*Traffic
 }
 
 // New returns an empty network.
@@ -24,6 +26,7 @@
 		listeners: map[string]*listener{},
 		cut:       map[[2]string]bool{},
 		conns:     map[[2]string][]net.Conn{},
+		traffic:   map[string]*Traffic{},
 	}
 }
 
@@ -45,6 +48,22 @@
 	return [2]string{a, b}
 }
 
+// Traffic counts the bytes of one host.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// Traffic returns the counters of a host.
+func (n *Net) Traffic(ip string) *Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.traffic[ip] == nil {
+		n.traffic[ip] = &Traffic{}
+	}
+	return n.traffic[ip]
+}
+
 // Cut breaks all connections between two hosts and refuses new ones.
 func (n *Net) Cut(a, b string) {
 	n.mu.Lock()
@@ -128,7 +147,7 @@
 	if target == nil || cut {
 		return nil, syscall.ECONNREFUSED
 	}
-	client, server := newPair(address(h.ip), address(addr))
+	client, server := newPair(address(h.ip), address(addr), h.net.Traffic(h.ip), h.net.Traffic(ip))
 	select {
 	case target.waiting <- server:
 	case <-target.closed:
--- a/internal/standin/memnet/pipe.go
+++ b/internal/standin/memnet/pipe.go
@@ -128,20 +128,27 @@
 type conn struct {
 	in, out       *stream
 	local, remote address
+	// here and there count the bytes of the local and of the remote host.
+	here, there *Traffic
 }
 
 // newPair returns the two ends of a connection.
-func newPair(client, server address) (*conn, *conn) {
+func newPair(client, server address, clientTraffic, serverTraffic *Traffic) (*conn, *conn) {
 	up, down := newStream(), newStream()
-	return &conn{in: down, out: up, local: client, remote: server},
-		&conn{in: up, out: down, local: server, remote: client}
+	return &conn{in: down, out: up, local: client, remote: server, here: clientTraffic, there: serverTraffic},
+		&conn{in: up, out: down, local: server, remote: client, here: serverTraffic, there: clientTraffic}
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) { return c.in.read(p) }
 
 // Write implements net.Conn.
-func (c *conn) Write(p []byte) (int, error) { return c.out.write(p) }
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.out.write(p)
+	c.here.Sent.Add(int64(n))
+	c.there.Received.Add(int64(n))
+	return n, err
+}
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
--- a/robustness/bed_test.go
+++ b/robustness/bed_test.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -141,12 +140,3 @@
 	b.Assert(err, qt.IsNil)
 	b.Assert(summary.Holds(), qt.IsTrue, qt.Commentf("%s", raw))
 }
-
-// outcome returns the outcome that a problem document states.
-func (b *bed) outcome(body string) string {
-	var problem struct {
-		Outcome string `json:"outcome"`
-	}
-	b.Assert(json.NewDecoder(strings.NewReader(body)).Decode(&problem), qt.IsNil, qt.Commentf("%s", body))
-	return problem.Outcome
-}
