Test what callers see when they, servers and daemons go

Cause: resume at another daemon, cancel, refusals and at-most-once had code but no failure test. Ruled out: that a passed read deadline cancels a handler (it does not in Go 1.26, shown by a small program); what it does is stop the server from seeing the caller go, so an engine kept working for nobody.

--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -39,7 +39,7 @@
 		return nil, dispatch.Status{}, newProblem(http.StatusNotFound, request.OutcomeUnknown, "no daemon holds this request").Err()
 	}
 	c.Response().Header().Set(headerRequestID, string(id))
-	_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(time.Time{})
+	watchCaller(c)
 	return source, status, nil
 }
 
--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -91,9 +91,7 @@
 	return c.String(http.StatusOK, "ready\n")
 }
 
-// deadlines allows an answer its time when it begins to be written. The time
-// allowed for reading ends with the body: past it, the server would take a
-// waiting caller for one that has gone.
+// deadlines allows an answer its time when it begins to be written.
 func (a *API) deadlines(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		c.Response().Before(func() { a.extendWrite(c) })
@@ -208,13 +206,20 @@
 		return p.Err()
 	}
 	c.Response().Header().Set(headerRequestID, string(flight.ID()))
-	_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(time.Time{})
+	watchCaller(c)
 	if spec.Async {
 		return accepted(c, flight.ID())
 	}
 	return a.answer(c, flight, flight.Spec(), 0)
 }
 
+// watchCaller ends the time allowed for reading a request. Once that time has
+// passed the server no longer reads from the connection, and would not see the
+// caller go away.
+func watchCaller(c echo.Context) {
+	_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(time.Time{})
+}
+
 // accepted answers 202 with the place of the answer.
 func accepted(c echo.Context, id request.ID) error {
 	location := "/v1/requests/" + string(id)
--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -43,6 +46,31 @@
 	wanted  *config.Deployment
 	options Options
 	servers []*http.Server
+
+	mu      sync.Mutex
+	engines map[string]*modelengine.Server
+	plain   []*plainservice.Server
+}
+
+// Engines returns the model engines started so far.
+func (s *StandIns) Engines() []*modelengine.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.engines))
+}
+
+// Engine returns the model engine on a VM, or nil.
+func (s *StandIns) Engine(vm string) *modelengine.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engines[vm]
+}
+
+// PlainServers returns the servers of plain services started so far.
+func (s *StandIns) PlainServers() []*plainservice.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.plain)
 }
 
 // StartStandIns starts the stand-ins and the backend servers of a deployment.
@@ -52,6 +80,7 @@
 		Store:   objectapi.New(),
 		Weights: weightstore.New(artifactBytes, weightStoreRate),
 		Ledgers: map[string]*plainservice.Ledger{},
+		engines: map[string]*modelengine.Server{},
 		wanted:  wanted,
 	}
 	s.Fleet = fleet.New(s.launch)
@@ -122,7 +151,7 @@
 
 // launch starts the process of a backend server.
 func (s *StandIns) launch(vm platform.VM) (string, func(), error) {
-	handler, err := s.backend(vm.Service)
+	handler, err := s.backend(vm)
 	if err != nil {
 		return "", nil, err
 	}
@@ -133,21 +162,27 @@
 	return address, func() { _ = server.Close() }, nil
 }
 
-func (s *StandIns) backend(name string) (http.Handler, error) {
+func (s *StandIns) backend(vm platform.VM) (http.Handler, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, service := range s.wanted.Services {
-		if service.Name != name {
+		if service.Name != vm.Service {
 			continue
 		}
 		if service.Kind == config.KindPlain {
-			return plainservice.New(s.Ledgers[name], s.plainWork()), nil
+			server := plainservice.New(s.Ledgers[vm.Service], s.plainWork())
+			s.plain = append(s.plain, server)
+			return server, nil
 		}
 		engine := EngineConfig(&service)
 		if s.options.Instant {
 			engine.DecodeInterval = 0
 		}
-		return modelengine.New(engine), nil
+		server := modelengine.New(engine)
+		s.engines[vm.ID] = server
+		return server, nil
 	}
-	return nil, eris.Errorf("no service is called %q", name)
+	return nil, eris.Errorf("no service is called %q", vm.Service)
 }
 
 func (s *StandIns) plainWork() time.Duration {
--- a/internal/standin/modelengine/modelengine.go
+++ b/internal/standin/modelengine/modelengine.go
@@ -53,6 +53,7 @@
 	prefillFree time.Time
 	cache       *prefixCache
 	running     map[string]run
+	started     int
 	reports     []timedLoad
 	fence       int64
 	orders      []engine.Order
@@ -124,6 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.running[id] = r
+	s.started++
 	s.report()
 }
 
@@ -298,6 +300,20 @@
 	s.orders = append(s.orders, order)
 }
 
+// Running returns the number of requests inside the engine.
+func (s *Server) Running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running)
+}
+
+// Started returns the number of attempts that the engine has begun.
+func (s *Server) Started() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.started
+}
+
 // Orders returns the orders that the engine has carried out.
 func (s *Server) Orders() []engine.Order {
 	s.mu.Lock()
--- a/robustness/bed_test.go
+++ b/robustness/bed_test.go
@@ -37,6 +37,7 @@
 
 // run runs a test on a deployment in synctest time.
 func run(t *testing.T, example string, test func(b *bed)) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		b := start(t, example, nil)
 		test(b)
@@ -61,6 +62,8 @@
 	t.Cleanup(func() {
 		b.client.CloseIdleConnections()
 		d.Stop()
+		// The HTTP servers linger over connections that they close.
+		time.Sleep(5 * time.Second)
 	})
 	return b
 }
