Take out the handling of a passed read deadline

Broken on purpose, its test still passed, so the reason was looked for in net/http: startBackgroundRead clears the deadline itself. Before: one guard without effect. After: removed; TestCallerIsSeenToLeaveLate stays, because it holds the behaviour whoever provides it.

--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -39,7 +39,6 @@
 		return nil, dispatch.Status{}, newProblem(http.StatusNotFound, request.OutcomeUnknown, "no daemon holds this request").Err()
 	}
 	c.Response().Header().Set(headerRequestID, string(id))
-	watchCaller(c)
 	return source, status, nil
 }
 
--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -206,20 +206,12 @@
 		return p.Err()
 	}
 	c.Response().Header().Set(headerRequestID, string(flight.ID()))
-	watchCaller(c)
 	if spec.Async {
 		return accepted(c, flight.ID())
 	}
 	return a.answer(c, flight, flight.Spec(), 0)
 }
 
-// watchCaller ends the time allowed for reading a request. Once that time has
-// passed the server no longer reads from the connection, and would not see the
-// caller go away.
-func watchCaller(c echo.Context) {
-	_ = http.NewResponseController(c.Response().Writer).SetReadDeadline(time.Time{})
-}
-
 // accepted answers 202 with the place of the answer.
 func accepted(c echo.Context, id request.ID) error {
 	location := "/v1/requests/" + string(id)
