--- a/capacity/cost_test.go
+++ b/capacity/cost_test.go
@@ -53,7 +53,7 @@
 
 // withRunners returns a registry with that many servers of modele-devis.
 func withRunners(b *testing.B, count int) *discovery.Registry {
-	registry := discovery.NewRegistry(slog.New(slog.DiscardHandler))
+	registry := discovery.NewRegistry("d", slog.New(slog.DiscardHandler))
 	registry.ApplyConfig(sampleIndex(b))
 	changes := platform.VMChanges{Revision: 1, Full: true}
 	for i := range count {
@@ -96,6 +96,15 @@
 // Cancel implements engine.Engine.
 func (stuckEngine) Cancel(context.Context, string, string) error { return nil }
 
+// noReplicator keeps no copies.
+type noReplicator struct{ dispatch.Replicator }
+
+// Copy implements dispatch.Replicator.
+func (noReplicator) Copy(context.Context, dispatch.Copy) (string, error) { return "none", nil }
+
+// Release implements dispatch.Replicator.
+func (noReplicator) Release(context.Context, string, request.ID) error { return nil }
+
 // BenchmarkRequestsInFlight measures the memory of an accepted request beside
 // its prompt, with connections left out.
 func BenchmarkRequestsInFlight(b *testing.B) {
@@ -107,7 +116,7 @@
 			limiter.ApplyConfig(index)
 			d := dispatch.New(dispatch.Options{
 				DaemonID: "d", Zone: "hall-nord", Limits: config.DefaultSettings().Limits, Registry: withRunners(b, 10),
-				Limiter: limiter, Engine: stuckEngine{}, Burn: burn.NewRecorder(),
+				Limiter: limiter, Engine: stuckEngine{}, Burn: burn.NewRecorder(), Replicator: noReplicator{},
 				Logger: slog.New(slog.DiscardHandler), Registerer: prometheus.NewRegistry(),
 			})
 			route := index.Route(index.Service("modele-devis"), http.MethodPost, "")
--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -82,7 +82,7 @@
 		Attempts: status.Attempts,
 		Tokens:   status.Tokens,
 		Accepted: status.Spec.Accepted,
-		Response: "/v1/requests/" + string(status.Spec.ID) + "/response",
+		Response: responsePath(status.Spec.ID),
 	}
 	if status.State.Final() {
 		body.Outcome = status.Outcome
@@ -138,6 +138,9 @@
 	if err != nil {
 		return readError(spec, err)
 	}
+	if last.Moved {
+		return seeOther(c, spec.ID)
+	}
 	if last.Failure != nil {
 		return fromFailure(spec.ID, last.Failure).Err()
 	}
@@ -150,6 +153,17 @@
 	return err
 }
 
+// seeOther sends a waiting caller to the place of its answer, where any daemon
+// serves it.
+func seeOther(c echo.Context, id request.ID) error {
+	c.Response().Header().Set("Location", responsePath(id))
+	return c.NoContent(http.StatusSeeOther)
+}
+
+func responsePath(id request.ID) string {
+	return "/v1/requests/" + string(id) + "/response"
+}
+
 // readError is the problem of an answer that could not be read. The request
 // itself may go on.
 func readError(spec *request.Spec, err error) error {
@@ -234,6 +248,9 @@
 	if err != nil {
 		return readError(spec, err)
 	}
+	if last.Moved {
+		return seeOther(c, spec.ID)
+	}
 	if last.Failure != nil {
 		return fromFailure(spec.ID, last.Failure).Err()
 	}
@@ -277,6 +294,8 @@
 
 func (s *eventStream) event(event dispatch.Event) error {
 	switch {
+	case event.Moved:
+		return s.moved(event.Offset)
 	case event.Failure != nil:
 		s.problem(fromFailure(s.spec.ID, event.Failure))
 		return nil
@@ -313,6 +332,16 @@
 	return s.write("data: [DONE]\n\n")
 }
 
+// moved ends a stream that goes on at the place of its answer. The caller
+// reconnects there with the ID of the last event.
+func (s *eventStream) moved(offset int) error {
+	raw, err := json.Marshal(map[string]string{"location": responsePath(s.spec.ID)})
+	if err != nil {
+		return err
+	}
+	return s.write("event: moved\nid: " + strconv.Itoa(offset) + "\ndata: " + string(raw) + "\n\n")
+}
+
 // problem ends a stream without its last event.
 func (s *eventStream) problem(p *problem) {
 	raw, err := json.Marshal(p)
--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -220,6 +220,6 @@
 	return c.JSON(http.StatusAccepted, map[string]string{
 		"id":       string(id),
 		"status":   location,
-		"response": location + "/response",
+		"response": responsePath(id),
 	})
 }
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -66,6 +66,7 @@
 			ReadTimeout:   Duration(30 * time.Second),
 			WriteTimeout:  Duration(30 * time.Second),
 			HeldBytes:     32 << 20,
+			CopyBytes:     256 << 20,
 			AnswerKept:    Duration(10 * time.Minute),
 			ResumeGrace:   Duration(5 * time.Second),
 			MaxWork:       Duration(10 * time.Minute),
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -98,6 +98,8 @@
 	// HeldBytes bounds the memory of finished answers that are kept for late
 	// readers.
 	HeldBytes int `yaml:"held_bytes"`
+	// CopyBytes bounds the memory of copies kept for other daemons.
+	CopyBytes int `yaml:"copy_bytes"`
 	// AnswerKept is how long a finished answer can be read again.
 	AnswerKept Duration `yaml:"answer_kept"`
 	// ResumeGrace is how long an idempotent request runs on after its last
@@ -158,6 +160,7 @@
 		"limits.header_bytes": s.Limits.HeaderBytes,
 		"limits.answer_bytes": s.Limits.AnswerBytes,
 		"limits.held_bytes":   s.Limits.HeldBytes,
+		"limits.copy_bytes":   s.Limits.CopyBytes,
 	}
 	for path, size := range sizes {
 		if size <= 0 {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
 
+	"github.com/plankridge/plankridge/internal/backup"
 	"github.com/plankridge/plankridge/internal/burn"
 	"github.com/plankridge/plankridge/internal/callerapi"
 	"github.com/plankridge/plankridge/internal/cloud"
@@ -137,8 +138,16 @@
 	endpoints := d.settings.Platform
 	d.platform = platform.NewClient(endpoints.Objects, endpoints.VMs, platformToken, client)
 	d.cloud = cloud.NewClient(endpoints.Cloud, platformToken, client)
-	d.registry = discovery.NewRegistry(d.logger)
+	d.registry = discovery.NewRegistry(d.settings.Daemon.ID, d.logger)
 	d.follower = generation.NewFollower(d.platform, d.logger, d.metrics, d.registry, d.limiter)
+	d.mesh = peer.NewMesh(peer.Options{
+		Self:        d.VM(),
+		Network:     options.Network,
+		Credentials: d.creds.Client,
+		Follower:    d.follower,
+		Copies:      backup.NewStore(d.settings.Limits.CopyBytes),
+		Logger:      d.logger,
+	})
 	d.dispatcher = dispatch.New(dispatch.Options{
 		DaemonID:    d.settings.Daemon.ID,
 		Zone:        d.settings.Daemon.Zone,
@@ -147,18 +156,13 @@
 		Limiter:     d.limiter,
 		Engine:      engine.NewClient(client),
 		Plain:       plain.NewClient(options.Network, d.settings.Limits.AnswerBytes),
+		Replicator:  d.mesh,
 		Burn:        d.burn,
 		Logger:      d.logger,
 		Registerer:  d.metrics,
 		OnViolation: options.OnViolation,
 	})
-	d.mesh = peer.NewMesh(peer.Options{
-		Self:        d.VM(),
-		Network:     options.Network,
-		Credentials: d.creds.Client,
-		Follower:    d.follower,
-		Logger:      d.logger,
-	})
+	d.mesh.SetHeir(d.dispatcher)
 	d.registry.OnDaemons(func(daemons []platform.VM) {
 		d.mesh.SetDaemons(daemons)
 		d.limiter.SetDaemons(len(daemons))
@@ -264,6 +268,8 @@
 	select {
 	case <-ctx.Done():
 		err = d.shutDown(kill)
+	case deadline := <-d.registry.SelfLeaves():
+		err = d.evacuate(kill, deadline)
 	case <-kill.Done():
 	case err = <-failed:
 	}
@@ -297,20 +303,41 @@
 	if err := d.dispatcher.Drain(kill); err != nil {
 		return eris.Wrap(err, "wait for requests")
 	}
-	d.dispatcher.HandOver(func(spec request.Spec, tokens []string, last dispatch.Event) error {
-		return d.mesh.Hold(kill, spec, tokens, last)
-	})
+	d.dispatcher.HandOver(kill)
 	d.logger.Info("every request has ended")
 	return nil
 }
 
+// evacuationMargin is the time before a reclaim's deadline at which the daemon
+// hands over what has not ended. A shorter notice leaves half of itself.
+const evacuationMargin = 1500 * time.Millisecond
+
+// evacuate empties the daemon before its VM is reclaimed: short requests still
+// end here, the others go to other daemons.
+func (d *Daemon) evacuate(kill context.Context, deadline time.Time) error {
+	left := time.Until(deadline)
+	d.logger.Info("VM is being reclaimed", "left", left)
+	d.draining.Store(true)
+	d.callerAPI.Drain()
+	select {
+	case <-time.After(left - min(evacuationMargin, left/2)):
+	case <-kill.Done():
+		return kill.Err()
+	}
+	ctx, cancel := context.WithDeadline(kill, deadline)
+	defer cancel()
+	d.dispatcher.Evacuate(ctx)
+	d.logger.Info("every request has ended or moved")
+	return d.callerHTTP.Shutdown(ctx)
+}
+
 // close ends everything at once.
 func (d *Daemon) close() {
+	d.mesh.Close()
+	d.peerServer.Stop()
 	d.dispatcher.Stop()
 	_ = d.callerHTTP.Close()
 	_ = d.operatorAPI.Close()
-	d.peerServer.Stop()
-	d.mesh.Close()
 	d.creds.Close()
 }
 
@@ -318,3 +345,9 @@
 func (d *Daemon) Owns(id string) bool {
 	return request.ID(id).Tag() == request.DaemonTag(d.settings.Daemon.ID)
 }
+
+// Copies returns the number of requests that the daemon keeps a copy of.
+func (d *Daemon) Copies() int {
+	copies, _ := d.mesh.Copies()
+	return copies
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -38,6 +38,8 @@
 
 // Registry holds the VMs. It is safe for concurrent use.
 type Registry struct {
+	self   string
+	leaves chan time.Time
 	logger *slog.Logger
 
 	mu       sync.Mutex
@@ -65,9 +67,12 @@
 	serviceTime   time.Duration
 }
 
-// NewRegistry returns a registry without VMs.
-func NewRegistry(logger *slog.Logger) *Registry {
+// NewRegistry returns a registry without VMs for the daemon on the VM with the
+// ID self.
+func NewRegistry(self string, logger *slog.Logger) *Registry {
 	return &Registry{
+		self:    self,
+		leaves:  make(chan time.Time, 1),
 		logger:  logger,
 		servers: map[string]*server{},
 		daemons: map[string]platform.VM{},
@@ -173,17 +178,27 @@
 	r.revision = changes.Revision
 	r.listed = true
 	r.wake()
-	callbacks := slices.Clone(r.onChange)
 	r.mu.Unlock()
-	if !daemonsChanged {
-		return
+	if daemonsChanged {
+		r.tellDaemons()
 	}
+}
+
+// tellDaemons tells who has asked for it which daemons there are.
+func (r *Registry) tellDaemons() {
+	r.mu.Lock()
+	callbacks := slices.Clone(r.onChange)
+	r.mu.Unlock()
 	daemons := r.Daemons()
 	for _, callback := range callbacks {
 		callback(daemons)
 	}
 }
 
+// SelfLeaves returns a channel that gives the deadline when the reclaim of the
+// daemon's own VM is announced.
+func (r *Registry) SelfLeaves() <-chan time.Time { return r.leaves }
+
 // forgetMissing drops what a whole list no longer holds.
 func (r *Registry) forgetMissing(vms []platform.VM) {
 	present := map[string]bool{}
@@ -208,6 +223,9 @@
 		delete(r.daemons, vm.ID)
 		return
 	}
+	if r.daemons[vm.ID].State == platform.VMLeaving && r.daemons[vm.ID].Address == vm.Address {
+		vm.State = platform.VMLeaving
+	}
 	r.daemons[vm.ID] = vm
 }
 
@@ -246,15 +264,29 @@
 // Leave marks a VM as leaving. Streams on it move away shortly before the
 // deadline.
 func (r *Registry) Leave(id string, deadline time.Time) {
+	if id == r.self {
+		select {
+		case r.leaves <- deadline:
+		default:
+		}
+	}
+	if r.markLeaving(id, deadline) {
+		r.tellDaemons()
+	}
+}
+
+// markLeaving reports whether the VM is a daemon's.
+func (r *Registry) markLeaving(id string, deadline time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if daemon, ok := r.daemons[id]; ok {
 		daemon.State = platform.VMLeaving
 		r.daemons[id] = daemon
+		return true
 	}
 	s := r.servers[id]
 	if s == nil || s.timer != nil {
-		return
+		return false
 	}
 	s.vm.State = platform.VMLeaving
 	left := time.Until(deadline)
@@ -265,6 +297,7 @@
 		s.leaveNow()
 	})
 	r.wake()
+	return false
 }
 
 // Daemons returns the entry VMs ordered by ID.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,6 +34,7 @@
 	Limiter    *limit.Limiter
 	Engine     engine.Engine
 	Plain      plain.Service
+	Replicator Replicator
 	Burn       *burn.Recorder
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
@@ -96,9 +97,13 @@
 	spec.Accepted = now
 	spec.ResumeGrace = d.options.Limits.ResumeGrace.Std()
 	flight := newFlight(spec)
-	if !d.start(flight) {
+	if spec.Async && spec.Idempotent() {
+		d.refreshCopy(flight)
+	}
+	if err := d.start(flight); err != nil {
 		d.options.Limiter.Release(spec.Workspace)
-		return nil, &Refusal{Status: http.StatusServiceUnavailable, Detail: ErrDraining.Error(), RetryAfter: time.Second}
+		d.release(flight)
+		return nil, &Refusal{Status: http.StatusServiceUnavailable, Detail: err.Error(), RetryAfter: time.Second}
 	}
 	return flight, nil
 }
@@ -115,20 +120,26 @@
 	return nil
 }
 
-func (d *Dispatcher) start(flight *Flight) bool {
+func (d *Dispatcher) start(flight *Flight) error {
 	ctx, cancel := context.WithCancelCause(d.ctx)
-	flight.cancel = func() { cancel(errReadersGone) }
+	flight.cancel = cancel
 	if flight.spec.Idempotent() && !flight.spec.Async {
-		flight.grace = time.AfterFunc(flight.spec.ResumeGrace, flight.cancel)
+		flight.grace = time.AfterFunc(flight.spec.ResumeGrace, func() { cancel(errReadersGone) })
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.draining {
-		return false
+		return ErrDraining
+	}
+	if _, known := d.flights[flight.spec.ID]; known {
+		return errKnown
 	}
 	d.flights[flight.spec.ID] = flight
 	d.active.Add(1)
 	d.metrics.inFlight.Inc()
+	if flight.spec.Idempotent() {
+		go d.replicate(flight)
+	}
 	go func() {
 		defer d.active.Done()
 		defer cancel(nil)
@@ -137,7 +148,7 @@
 		d.run(limited, flight)
 		d.finish(flight)
 	}()
-	return true
+	return nil
 }
 
 // pick asks the router for a server.
@@ -157,11 +168,26 @@
 func (d *Dispatcher) finish(flight *Flight) {
 	d.options.Limiter.Release(flight.spec.Workspace)
 	d.metrics.inFlight.Dec()
+	if flight.movedAway() {
+		d.forget(flight)
+		return
+	}
 	status, _ := flight.Status(context.Background())
 	d.metrics.requests.WithLabelValues(flight.spec.Service, string(status.Outcome)).Inc()
 	d.log(flight).Info("request ended", "state", status.State, "outcome", status.Outcome,
 		"attempts", status.Attempts, "tokens", status.Tokens, "took", time.Since(flight.spec.Accepted))
 	d.keep(flight)
+	if !flight.spec.Idempotent() {
+		go d.release(flight)
+	}
+}
+
+// forget drops a request that another daemon owns now.
+func (d *Dispatcher) forget(flight *Flight) {
+	d.metrics.requests.WithLabelValues(flight.spec.Service, string(request.StateHandedOver)).Inc()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.flights, flight.spec.ID)
 }
 
 func (d *Dispatcher) log(flight *Flight) *slog.Logger {
@@ -180,7 +206,7 @@
 	now := time.Now()
 	for len(d.finished) > 0 {
 		oldest := d.finished[0]
-		expired := now.Sub(oldest.ended) > d.options.Limits.AnswerKept.Std()
+		expired := now.Sub(oldest.endedAt) > d.options.Limits.AnswerKept.Std()
 		if !expired && d.held <= d.options.Limits.HeldBytes {
 			break
 		}
@@ -249,18 +275,13 @@
 	d.keep(flight)
 }
 
-// HandOver passes each finished answer that nobody has read to hold. It is
-// called after Drain.
-func (d *Dispatcher) HandOver(hold func(request.Spec, []string, Event) error) {
+// HandOver gives each finished answer that nobody has read to another daemon.
+// It is called after Drain.
+func (d *Dispatcher) HandOver(ctx context.Context) {
 	d.mu.Lock()
 	finished := append([]*Flight(nil), d.finished...)
 	d.mu.Unlock()
 	for _, flight := range finished {
-		if !flight.unread() {
-			continue
-		}
-		if err := hold(flight.spec, flight.produced(), *flight.last); err != nil {
-			d.log(flight).Warn("cannot hand over an unread answer", "error", err)
-		}
+		d.handOverAnswer(ctx, flight)
 	}
 }
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -13,6 +13,8 @@
 	errForeignEvent  = errors.New("engine event has another identity")
 	errEvacuated     = errors.New("backend server is leaving")
 	errSilent        = errors.New("backend server was silent for too long")
+	errKnown         = errors.New("request is known already")
+	errLeaving       = errors.New("daemon is leaving")
 	errReadersGone   = errors.New("no reader is left")
 	errWorkTooLong   = errors.New("request took longer than the daemon allows")
 	errDispatcherEnd = errors.New("dispatcher was stopped")
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -17,11 +17,13 @@
 	Finish  *request.Finish
 	Plain   *request.PlainAnswer
 	Failure *request.Failure
+	// Moved says that the answer goes on at another daemon.
+	Moved bool
 }
 
 // Last reports whether no event follows.
 func (e *Event) Last() bool {
-	return e.Finish != nil || e.Plain != nil || e.Failure != nil
+	return e.Finish != nil || e.Plain != nil || e.Failure != nil || e.Moved
 }
 
 // Status is the state of a request for its caller.
@@ -46,23 +48,31 @@
 // readers come and go.
 type Flight struct {
 	spec request.Spec
+	done chan struct{}
+	// firstToken is the time from acceptance to the first token. Only the
+	// running attempt uses it.
+	firstToken time.Duration
 
 	mu      sync.Mutex
 	life    *request.Life
 	tokens  []string
 	last    *Event
 	changed chan struct{}
+	endedAt time.Time
+	cancel  context.CancelCauseFunc
+	// grace, when not nil, cancels the request some time after its last reader
+	// has gone.
+	grace   *time.Timer
 	readers int
-	read    bool
+	// read is true when a reader has seen the end.
+	read bool
 	// held marks the answer of another daemon's request.
-	held   bool
-	grace  *time.Timer
-	cancel context.CancelFunc
-	done   chan struct{}
-	ended  time.Time
-	// firstToken is the time from acceptance to the first token. Only the
-	// running attempt uses it.
-	firstToken time.Duration
+	held bool
+	// away sends readers to another daemon while the request stays here.
+	away bool
+	// backup is the daemon with a copy of copiedTokens tokens.
+	backup       string
+	copiedTokens int
 }
 
 func newFlight(spec request.Spec) *Flight {
@@ -98,7 +108,7 @@
 		Tokens:   len(f.tokens),
 		Outcome:  f.life.Outcome(),
 	}
-	if f.held {
+	if f.last != nil && f.held {
 		status.State, status.Outcome = heldState(f.last)
 	}
 	if f.last != nil && f.last.Failure != nil {
@@ -136,19 +146,29 @@
 	f.changed = make(chan struct{})
 }
 
-// Follow implements Source.
+// Follow implements Source. While the daemon is leaving, it may end with an
+// event that sends the reader to another daemon.
 func (f *Flight) Follow(ctx context.Context, after int, sink func(Event) error) error {
+	return f.follow(ctx, after, true, sink)
+}
+
+// FollowToEnd is Follow for readers at other daemons, which are not sent away.
+func (f *Flight) FollowToEnd(ctx context.Context, after int, sink func(Event) error) error {
+	return f.follow(ctx, after, false, sink)
+}
+
+func (f *Flight) follow(ctx context.Context, after int, here bool, sink func(Event) error) error {
 	f.attach()
 	defer f.detach()
 	for {
-		events, changed := f.eventsAfter(after)
+		events, changed := f.eventsAfter(after, here)
 		for i := range events {
 			if err := sink(events[i]); err != nil {
 				return err
 			}
 			after = events[i].Offset
 			if events[i].Last() {
-				f.markRead()
+				f.markRead(&events[i])
 				return nil
 			}
 		}
@@ -163,15 +183,18 @@
 	}
 }
 
-func (f *Flight) eventsAfter(after int) ([]Event, <-chan struct{}) {
+func (f *Flight) eventsAfter(after int, here bool) ([]Event, <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var events []Event
 	for i := max(after, 0); i < len(f.tokens); i++ {
 		events = append(events, Event{Offset: i + 1, Token: f.tokens[i]})
 	}
-	if f.last != nil {
+	switch {
+	case f.last != nil:
 		events = append(events, *f.last)
+	case f.away && here:
+		events = append(events, Event{Offset: len(f.tokens), Moved: true})
 	}
 	return events, f.changed
 }
@@ -197,17 +220,42 @@
 	f.grace.Reset(f.spec.ResumeGrace)
 }
 
-func (f *Flight) markRead() {
+func (f *Flight) markRead(event *Event) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.read = true
+	f.read = !event.Moved
 }
 
-// unread reports whether the request has ended and nobody has read its end.
-func (f *Flight) unread() bool {
+// hasEnded reports whether the request has ended.
+func (f *Flight) hasEnded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.last != nil && !f.read
+	return f.last != nil
+}
+
+// leave tells the request to go to another daemon. Without effect on an
+// attempt that must not be repeated.
+func (f *Flight) leave(cause error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.spec.Idempotent() || f.life.State() == request.StateAccepted {
+		f.cancel(cause)
+	}
+}
+
+// sendAway sends the readers to another daemon.
+func (f *Flight) sendAway() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = true
+	f.wake()
+}
+
+// close publishes the last event of a request that has taken its final step.
+func (f *Flight) close(last Event, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.publish(last, now)
 }
 
 // step takes a step of the state machine.
@@ -263,7 +311,7 @@
 func (f *Flight) publish(last Event, now time.Time) {
 	last.Offset = len(f.tokens)
 	f.last = &last
-	f.ended = now
+	f.endedAt = now
 	if f.grace != nil {
 		f.grace.Stop()
 	}
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -16,6 +16,7 @@
 	mismatched prometheus.Counter
 	violations prometheus.Counter
 	heldBytes  prometheus.Gauge
+	uncopied   prometheus.Counter
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -50,7 +51,10 @@
 			Name: "plankridge_held_answer_bytes", Help: "Memory of finished answers kept for late readers.",
 		}),
 	}
-	registerer.MustRegister(m.requests, m.attempts, m.inFlight, m.firstToken, m.between,
+	m.uncopied = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "plankridge_uncopied_requests_total", Help: "Times that no daemon took the copy of a request.",
+	})
+	registerer.MustRegister(m.uncopied, m.requests, m.attempts, m.inFlight, m.firstToken, m.between,
 		m.tokens, m.mismatched, m.violations, m.heldBytes)
 	return m
 }
--- /dev/null
+++ b/internal/dispatch/replicate.go
@@ -0,0 +1,237 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/request"
+)
+
+// Copy is what a backup is told of a request.
+type Copy struct {
+	Spec request.Spec
+	// Offset is the number of tokens before Tokens.
+	Offset int
+	Tokens []string
+	// Permitted says that a non-idempotent request is about to be sent.
+	Permitted bool
+}
+
+// Replicator keeps copies of this daemon's requests at other daemons.
+type Replicator interface {
+	// Copy keeps a whole copy at a daemon and returns that daemon's ID.
+	Copy(ctx context.Context, c Copy) (backup string, err error)
+	// Extend adds tokens to the copy at a backup.
+	Extend(ctx context.Context, backup string, c Copy) error
+	// Release drops the copy at a backup.
+	Release(ctx context.Context, backup string, id request.ID) error
+	// TakeOver makes another daemon the owner, the backup if there is one.
+	// When it returns an error, a daemon may have taken the request over.
+	TakeOver(ctx context.Context, backup string, c Copy) error
+	// Hold gives a finished answer to a daemon that keeps it.
+	Hold(ctx context.Context, spec request.Spec, tokens []string, last Event) error
+}
+
+const (
+	// copyAfter is the age at which an idempotent request that its caller
+	// waits for is copied. Until then the caller, whose connection breaks with
+	// the daemon, is no worse off than with a daemon that refused.
+	copyAfter = 250 * time.Millisecond
+	// extendInterval is the time between two updates of a copy.
+	extendInterval = time.Second
+	// copyTimeout bounds one message to a backup, all tries included.
+	copyTimeout = 2 * time.Second
+)
+
+// replicate keeps a copy of an idempotent request up to date until it ends.
+func (d *Dispatcher) replicate(flight *Flight) {
+	wait := copyAfter
+	for {
+		timer := time.NewTimer(wait)
+		select {
+		case <-flight.done:
+			timer.Stop()
+			d.release(flight)
+			return
+		case <-timer.C:
+		}
+		d.refreshCopy(flight)
+		wait = extendInterval
+	}
+}
+
+// refreshCopy makes the copy of a request, or brings it up to date.
+func (d *Dispatcher) refreshCopy(flight *Flight) {
+	ctx, cancel := context.WithTimeout(d.ctx, copyTimeout)
+	defer cancel()
+	tokens := flight.produced()
+	backup, copied := flight.copied()
+	if backup != "" {
+		update := Copy{Spec: flight.spec, Offset: copied, Tokens: tokens[copied:]}
+		if len(update.Tokens) == 0 || d.options.Replicator.Extend(ctx, backup, update) == nil {
+			flight.setCopied(backup, len(tokens))
+			return
+		}
+	}
+	backup, err := d.options.Replicator.Copy(ctx, Copy{Spec: flight.spec, Tokens: tokens})
+	if err != nil {
+		d.metrics.uncopied.Inc()
+		d.log(flight).Warn("request has no copy", "error", err)
+		return
+	}
+	flight.setCopied(backup, len(tokens))
+}
+
+// release drops the copy of a request that has ended.
+func (d *Dispatcher) release(flight *Flight) {
+	backup, _ := flight.copied()
+	if backup == "" || flight.movedAway() {
+		return
+	}
+	// A daemon that is stopped has not ended its requests: the copies stay.
+	ctx, cancel := context.WithTimeout(d.ctx, copyTimeout)
+	defer cancel()
+	if err := d.options.Replicator.Release(ctx, backup, flight.spec.ID); err != nil {
+		d.log(flight).Debug("copy was not released", "error", err)
+	}
+}
+
+// permit tells a backup that a non-idempotent request is about to be sent.
+// After that the backup can tell the caller "unknown" instead of nothing.
+// Without a reachable backup the owner goes on alone, which is counted.
+func (d *Dispatcher) permit(ctx context.Context, flight *Flight) {
+	if backup, _ := flight.copied(); backup != "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	backup, err := d.options.Replicator.Copy(ctx, Copy{Spec: flight.spec, Permitted: true})
+	if err != nil {
+		d.metrics.uncopied.Inc()
+		d.log(flight).Warn("non-idempotent request has no copy", "error", err)
+		return
+	}
+	flight.setCopied(backup, 0)
+}
+
+func (f *Flight) copied() (backup string, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.backup, f.copiedTokens
+}
+
+func (f *Flight) setCopied(backup string, tokens int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.backup, f.copiedTokens = backup, tokens
+}
+
+// movedAway reports whether another daemon owns the request.
+func (f *Flight) movedAway() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.life.State() == request.StateHandedOver
+}
+
+// Evacuate hands every request over that has not ended. Requests that may have
+// run and must not run again stay; their readers are sent to the result, which
+// is handed over when it comes.
+func (d *Dispatcher) Evacuate(ctx context.Context) {
+	d.mu.Lock()
+	d.draining = true
+	var flights []*Flight
+	for _, flight := range d.flights {
+		flights = append(flights, flight)
+	}
+	d.mu.Unlock()
+	var moving sync.WaitGroup
+	for _, flight := range flights {
+		moving.Go(func() { d.evacuate(ctx, flight) })
+	}
+	moving.Wait()
+}
+
+func (d *Dispatcher) evacuate(ctx context.Context, flight *Flight) {
+	if flight.hasEnded() {
+		d.handOverAnswer(ctx, flight)
+		return
+	}
+	flight.leave(errLeaving)
+	if flight.spec.Idempotent() {
+		<-flight.done
+		return
+	}
+	flight.sendAway()
+	select {
+	case <-flight.done:
+		d.handOverAnswer(ctx, flight)
+	case <-ctx.Done():
+	}
+}
+
+// handOver makes another daemon the owner of a request whose attempt has
+// ended. It is called by the goroutine that runs the request, so that no
+// attempt can begin meanwhile.
+func (d *Dispatcher) handOver(flight *Flight) {
+	if err := flight.step(request.StepHandOver); err != nil {
+		d.giveUp(flight, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), copyTimeout)
+	defer cancel()
+	backup, _ := flight.copied()
+	err := d.options.Replicator.TakeOver(ctx, backup, Copy{Spec: flight.spec, Tokens: flight.produced()})
+	if err == nil {
+		flight.close(Event{Moved: true}, time.Now())
+		return
+	}
+	d.log(flight).Error("request was not handed over", "error", err)
+	outcome := request.OutcomeUnknown
+	flight.close(Event{Failure: &request.Failure{
+		Outcome: outcome, Detail: "the daemon left and no other has confirmed the request", Status: http.StatusServiceUnavailable,
+	}}, time.Now())
+}
+
+// handOverAnswer gives an ended request's answer to a daemon that keeps it.
+func (d *Dispatcher) handOverAnswer(ctx context.Context, flight *Flight) {
+	flight.mu.Lock()
+	skip := flight.read || flight.last == nil || flight.last.Moved
+	flight.mu.Unlock()
+	if skip {
+		return
+	}
+	if err := d.options.Replicator.Hold(ctx, flight.spec, flight.produced(), *flight.last); err != nil {
+		d.log(flight).Warn("cannot hand over an unread answer", "error", err)
+	}
+}
+
+// Adopt makes this daemon the owner of a request that another one began.
+// Adopting a request twice is harmless.
+func (d *Dispatcher) Adopt(spec request.Spec, tokens []string) error {
+	flight := newFlight(spec)
+	flight.tokens = tokens
+	d.options.Limiter.Adopt(spec.Workspace)
+	err := d.start(flight)
+	if err != nil {
+		d.options.Limiter.Release(spec.Workspace)
+	}
+	if errors.Is(err, errKnown) {
+		return nil
+	}
+	d.log(flight).Info("request taken over", "tokens", len(tokens), "error", err)
+	return err
+}
+
+// Bury records that a request's owner is dead and that the request may have
+// run.
+func (d *Dispatcher) Bury(spec request.Spec) {
+	d.Hold(spec, nil, Event{Failure: &request.Failure{
+		Outcome: request.OutcomeUnknown, Detail: "the daemon that sent the request is gone", Status: http.StatusGatewayTimeout,
+	}})
+}
+
+// leaving reports whether a request was told to leave this daemon.
+func leaving(cause error) bool { return errors.Is(cause, errLeaving) }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -39,7 +39,7 @@
 	tried := map[string]bool{}
 	for round := 0; ; round++ {
 		if ctx.Err() != nil {
-			d.giveUp(flight, context.Cause(ctx))
+			d.leaveOff(flight, context.Cause(ctx))
 			return
 		}
 		if err := flight.mayDispatch(); err != nil {
@@ -59,6 +59,16 @@
 	}
 }
 
+// leaveOff ends a request whose context has ended: it goes to another daemon
+// when this one is leaving.
+func (d *Dispatcher) leaveOff(flight *Flight, cause error) {
+	if leaving(cause) {
+		d.handOver(flight)
+		return
+	}
+	d.giveUp(flight, cause)
+}
+
 func (f *Flight) mayDispatch() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -102,6 +112,13 @@
 
 // attempt makes one attempt and reports whether the request has ended.
 func (d *Dispatcher) attempt(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) bool {
+	if !flight.spec.Idempotent() {
+		d.permit(ctx, flight)
+	}
+	if ctx.Err() != nil {
+		slot.Release(false, time.Now())
+		return false
+	}
 	if err := flight.step(request.StepDispatch); err != nil {
 		slot.Release(false, time.Now())
 		d.violated(flight, err)
@@ -156,7 +173,7 @@
 
 // giveUp ends a request for which no further attempt is made.
 func (d *Dispatcher) giveUp(flight *Flight, cause error) {
-	if errors.Is(cause, errReadersGone) {
+	if errors.Is(cause, errReadersGone) && flight.spec.Idempotent() {
 		d.fail(flight, request.StepCancel, request.Failure{
 			Outcome: request.OutcomeUnknown, Detail: cause.Error(), Status: http.StatusGone,
 		})
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -117,6 +117,15 @@
 	return max(1, u.limits.InFlight/daemons)
 }
 
+// Adopt counts a request in that another daemon has admitted.
+func (l *Limiter) Adopt(workspace string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if entry := l.workspaces[workspace]; entry != nil {
+		entry.inFlight++
+	}
+}
+
 // Release counts a request out.
 func (l *Limiter) Release(workspace string) {
 	l.mu.Lock()
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -36,6 +36,8 @@
 func toWire(id request.ID, event dispatch.Event) *peerpb.AnswerEvent {
 	wire := &peerpb.AnswerEvent{RequestId: string(id), Offset: int32(event.Offset), Token: event.Token}
 	switch {
+	case event.Moved:
+		wire.Last = &peerpb.AnswerEvent_Moved{Moved: true}
 	case event.Finish != nil:
 		wire.Last = &peerpb.AnswerEvent_Finish{Finish: &peerpb.Finish{
 			Reason:       event.Finish.Reason,
@@ -62,6 +64,8 @@
 func fromWire(wire *peerpb.AnswerEvent) dispatch.Event {
 	event := dispatch.Event{Offset: int(wire.GetOffset()), Token: wire.GetToken()}
 	switch last := wire.GetLast().(type) {
+	case *peerpb.AnswerEvent_Moved:
+		event.Moved = last.Moved
 	case *peerpb.AnswerEvent_Finish:
 		event.Finish = &request.Finish{
 			Reason:       last.Finish.GetReason(),
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -21,6 +21,7 @@
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
+	"github.com/plankridge/plankridge/internal/backup"
 	"github.com/plankridge/plankridge/internal/burn"
 	"github.com/plankridge/plankridge/internal/dispatch"
 	"github.com/plankridge/plankridge/internal/generation"
@@ -34,22 +35,31 @@
 	// heartbeatInterval is the time between two heartbeats to a contact. A new
 	// generation is told at once.
 	heartbeatInterval = 2 * time.Second
+	// tryTimeout bounds one try of a copy or a hand-over, before the next
+	// daemon is asked.
+	tryTimeout = 500 * time.Millisecond
 	// callTimeout bounds a short call to a peer.
 	callTimeout = 2 * time.Second
 	// MaxMessage bounds a message between daemons, in bytes.
 	MaxMessage = 32 << 20
-	// holdTries is the number of daemons asked to keep an answer, and to look
-	// for one whose owner has gone.
-	holdTries = 3
+	// locateWave is the number of daemons that are first asked for a request;
+	// each further wave is that many times larger.
+	locateWave = 4
 )
 
+// errOwnerSilent means that this daemon keeps a copy of a request whose owner
+// does not answer and is not proved dead.
+var errOwnerSilent = errors.New("owner of the request does not answer")
+
 // Options are what a Mesh works with.
 type Options struct {
 	Self        platform.VM
 	Network     network.Network
 	Credentials credentials.TransportCredentials
 	Follower    *generation.Follower
-	Logger      *slog.Logger
+	// Copies are the copies that this daemon keeps for others.
+	Copies *backup.Store
+	Logger *slog.Logger
 }
 
 // Mesh knows the peers of a daemon and speaks to them.
@@ -62,10 +72,18 @@
 	incarnation uint64
 	pulls       chan string
 
+	copies *backup.Store
+	heir   Heir
+
 	mu      sync.Mutex
 	daemons []platform.VM
-	conns   map[string]*connection
-	seen    map[string]uint64
+	// listed is true once the daemons are known.
+	listed bool
+	conns  map[string]*connection
+	// seen is the latest incarnation of each daemon, before holds those that a
+	// later one has replaced.
+	seen   map[string]uint64
+	before map[backup.Owner]bool
 }
 
 // connection is the connection to one daemon at one address.
@@ -88,14 +106,26 @@
 		pulls:       make(chan string, 1),
 		conns:       map[string]*connection{},
 		seen:        map[string]uint64{},
+		before:      map[backup.Owner]bool{},
+		copies:      options.Copies,
 	}
 }
 
+// SetHeir sets what takes over the requests of dead daemons. It is called
+// before Run.
+func (m *Mesh) SetHeir(heir Heir) { m.heir = heir }
+
 // SetDaemons takes over the daemons of the VM list.
 func (m *Mesh) SetDaemons(daemons []platform.VM) {
+	m.replaceDaemons(daemons)
+	m.inherit()
+}
+
+func (m *Mesh) replaceDaemons(daemons []platform.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.daemons = daemons
+	m.listed = true
 	present := map[string]string{}
 	for _, daemon := range daemons {
 		present[daemon.ID] = daemon.Address
@@ -140,7 +170,7 @@
 
 // Close closes the connections to all peers.
 func (m *Mesh) Close() {
-	m.SetDaemons(nil)
+	m.replaceDaemons(nil)
 }
 
 // Run sends heartbeats until the context ends.
@@ -192,11 +222,18 @@
 // heard takes over what a peer has said of itself.
 func (m *Mesh) heard(id string, incarnation uint64, generation int64) {
 	m.mu.Lock()
-	before, known := m.seen[id]
-	m.seen[id] = incarnation
+	previous, known := m.seen[id]
+	restarted := known && previous != incarnation && !m.before[backup.Owner{Daemon: id, Incarnation: incarnation}]
+	if restarted {
+		m.before[backup.Owner{Daemon: id, Incarnation: previous}] = true
+	}
+	if restarted || !known {
+		m.seen[id] = incarnation
+	}
 	m.mu.Unlock()
-	if known && before != incarnation {
+	if restarted {
 		m.logger.Info("peer has restarted", "peer", id)
+		go m.inherit()
 	}
 	if generation <= m.follower.Generation() {
 		return
@@ -262,40 +299,65 @@
 }
 
 // Locate finds a request that another daemon holds: its owner or, when that
-// has gone, one of the daemons that keep its answer. It returns
-// dispatch.ErrNotFound when none of those that answer holds it, and another
-// error when one that might hold it cannot be reached.
+// has gone, a daemon that has taken it over or keeps its answer. It returns
+// dispatch.ErrNotFound when no daemon knows the request, and another error when
+// one that might know it cannot be asked now.
 func (m *Mesh) Locate(ctx context.Context, id request.ID) (*Remote, error) {
-	var unreachable error
-	for _, vm := range m.holders(id) {
-		remote, err := m.ask(ctx, vm, id)
+	holders := m.holders(id)
+	failed := error(dispatch.ErrNotFound)
+	for wave := locateWave; len(holders) > 0; wave *= locateWave {
+		asked := holders[:min(wave, len(holders))]
+		holders = holders[len(asked):]
+		remote, err := m.askAll(ctx, asked, id)
 		if err == nil {
 			return remote, nil
 		}
 		if !errors.Is(err, dispatch.ErrNotFound) {
-			unreachable = err
+			failed = err
 		}
 	}
-	if unreachable != nil {
-		return nil, unreachable
+	if errors.Is(failed, dispatch.ErrNotFound) && m.copies.Has(id) {
+		return nil, errOwnerSilent
+	}
+	return nil, failed
+}
+
+// askAll asks daemons at the same time and returns the first one's answer, in
+// their order, that holds the request.
+func (m *Mesh) askAll(ctx context.Context, daemons []platform.VM, id request.ID) (*Remote, error) {
+	remotes := make([]*Remote, len(daemons))
+	errs := make([]error, len(daemons))
+	var calls sync.WaitGroup
+	for i, vm := range daemons {
+		calls.Go(func() { remotes[i], errs[i] = m.ask(ctx, vm, id) })
+	}
+	calls.Wait()
+	failed := error(dispatch.ErrNotFound)
+	for i := range daemons {
+		if errs[i] == nil {
+			return remotes[i], nil
+		}
+		if !errors.Is(errs[i], dispatch.ErrNotFound) {
+			failed = errs[i]
+		}
 	}
-	return nil, dispatch.ErrNotFound
+	return nil, failed
 }
 
-// holders returns the daemons that may hold a request.
+// holders returns the daemons that may hold a request, the likeliest first:
+// the one that accepted it, then its keepers.
 func (m *Mesh) holders(id request.ID) []platform.VM {
-	var holders, others []platform.VM
-	for _, daemon := range m.Daemons() {
+	var holders []platform.VM
+	for _, daemon := range Keepers(string(id), m.Daemons()) {
 		switch {
 		case daemon.ID == m.self.ID:
 		case request.DaemonTag(daemon.ID) == id.Tag():
-			holders = append(holders, daemon)
+			holders = append([]platform.VM{daemon}, holders...)
 		default:
-			others = append(others, daemon)
+			holders = append(holders, daemon)
 		}
 	}
-	keepers := Keepers(string(id), others)
-	return append(holders, keepers[:min(holdTries, len(keepers))]...)
+	return holders
 }
 
 func (m *Mesh) ask(ctx context.Context, vm platform.VM, id request.ID) (*Remote, error) {
@@ -318,10 +380,7 @@
 	}
 	message := &peerpb.HoldAnswerRequest{Spec: raw, Tokens: tokens, Last: toWire(spec.ID, last)}
 	err = eris.New("no other daemon is known")
-	for _, vm := range m.holders(spec.ID) {
-		if vm.State == platform.VMLeaving {
-			continue
-		}
+	for _, vm := range m.backups(spec.ID) {
 		if err = m.holdAt(ctx, vm, message); err == nil {
 			return nil
 		}
--- /dev/null
+++ b/internal/peer/replicator.go
@@ -0,0 +1,189 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plankridge/plankridge/internal/backup"
+	"github.com/plankridge/plankridge/internal/dispatch"
+	"github.com/plankridge/plankridge/internal/peer/peerpb"
+	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/request"
+)
+
+// backupTries is the number of daemons asked to keep a copy.
+const backupTries = 4
+
+// backups returns the daemons that may keep a copy, the best first: those in
+// another availability zone, in the order of the request's keepers, then those
+// of the own zone. Leaving daemons are left out.
+func (m *Mesh) backups(id request.ID) []platform.VM {
+	var outside, inside []platform.VM
+	for _, daemon := range Keepers(string(id), m.Daemons()) {
+		switch {
+		case daemon.ID == m.self.ID || daemon.State == platform.VMLeaving:
+		case daemon.Zone == m.self.Zone:
+			inside = append(inside, daemon)
+		default:
+			outside = append(outside, daemon)
+		}
+	}
+	return append(outside, inside...)
+}
+
+func (m *Mesh) copyMessage(c dispatch.Copy) (*peerpb.CopyRequestRequest, error) {
+	raw, err := json.Marshal(c.Spec)
+	if err != nil {
+		return nil, eris.Wrap(err, "encode request specification")
+	}
+	return &peerpb.CopyRequestRequest{
+		OwnerId:          m.self.ID,
+		OwnerIncarnation: m.incarnation,
+		RequestId:        string(c.Spec.ID),
+		Spec:             raw,
+		Offset:           int32(c.Offset),
+		Tokens:           c.Tokens,
+		Permitted:        c.Permitted,
+	}, nil
+}
+
+// Copy implements dispatch.Replicator.
+func (m *Mesh) Copy(ctx context.Context, c dispatch.Copy) (string, error) {
+	message, err := m.copyMessage(c)
+	if err != nil {
+		return "", err
+	}
+	err = eris.New("no other daemon is known")
+	for i, vm := range m.backups(c.Spec.ID) {
+		if i == backupTries {
+			break
+		}
+		if err = m.sendCopy(ctx, vm, message); err == nil {
+			return vm.ID, nil
+		}
+	}
+	return "", err
+}
+
+// Extend implements dispatch.Replicator.
+func (m *Mesh) Extend(ctx context.Context, backupID string, c dispatch.Copy) error {
+	return m.sendTo(ctx, backupID, &peerpb.CopyRequestRequest{
+		OwnerId: m.self.ID, OwnerIncarnation: m.incarnation,
+		RequestId: string(c.Spec.ID), Offset: int32(c.Offset), Tokens: c.Tokens,
+	})
+}
+
+// Release implements dispatch.Replicator.
+func (m *Mesh) Release(ctx context.Context, backupID string, id request.ID) error {
+	return m.sendTo(ctx, backupID, &peerpb.CopyRequestRequest{RequestId: string(id), Release: true})
+}
+
+func (m *Mesh) sendTo(ctx context.Context, backupID string, message *peerpb.CopyRequestRequest) error {
+	vm, ok := m.daemon(backupID)
+	if !ok {
+		return eris.Errorf("backup %s is gone", backupID)
+	}
+	return m.sendCopy(ctx, vm, message)
+}
+
+func (m *Mesh) sendCopy(ctx context.Context, vm platform.VM, message *peerpb.CopyRequestRequest) error {
+	client, err := m.client(vm)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	_, err = client.CopyRequest(ctx, message)
+	return eris.Wrap(err, "copy request to peer")
+}
+
+// TakeOver implements dispatch.Replicator. An idempotent request may end up at
+// two daemons when an answer is lost; another is only ever offered to one.
+func (m *Mesh) TakeOver(ctx context.Context, backupID string, c dispatch.Copy) error {
+	raw, err := json.Marshal(c.Spec)
+	if err != nil {
+		return eris.Wrap(err, "encode request specification")
+	}
+	message := &peerpb.TakeOverRequest{Spec: raw, Tokens: c.Tokens}
+	targets := m.backups(c.Spec.ID)
+	if vm, ok := m.daemon(backupID); ok && vm.State != platform.VMLeaving {
+		targets = append([]platform.VM{vm}, targets...)
+	}
+	if !c.Spec.Idempotent() && len(targets) > 1 {
+		targets = []platform.VM{targets[0], targets[0], targets[0]}
+	}
+	err = eris.New("no other daemon is known")
+	for _, vm := range targets {
+		if err = m.takeOverAt(ctx, vm, message); err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (m *Mesh) takeOverAt(ctx context.Context, vm platform.VM, message *peerpb.TakeOverRequest) error {
+	client, err := m.client(vm)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	_, err = client.TakeOver(ctx, message)
+	return eris.Wrap(err, "hand request over")
+}
+
+// Heir runs what dead owners have left.
+type Heir interface {
+	// Adopt makes this daemon the owner of a request.
+	Adopt(spec request.Spec, tokens []string) error
+	// Bury records that a request may have run and that its answer is lost.
+	Bury(spec request.Spec)
+}
+
+// inherit takes over the copies whose owners are proved dead: their VM is not
+// in the VM list any more, or a newer process has answered in its place.
+func (m *Mesh) inherit() {
+	if m.heir == nil {
+		return
+	}
+	for _, c := range m.copies.TakeIf(m.dead) {
+		if c.Permitted {
+			m.heir.Bury(c.Spec)
+			continue
+		}
+		if err := m.heir.Adopt(c.Spec, c.Tokens); err != nil {
+			m.passOn(c)
+		}
+	}
+}
+
+// passOn hands a copy to another daemon, because this one is leaving too.
+func (m *Mesh) passOn(c backup.Copy) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if err := m.TakeOver(ctx, "", dispatch.Copy{Spec: c.Spec, Tokens: c.Tokens}); err != nil {
+		m.logger.Error("copy of a dead daemon's request is lost", "request_id", c.Spec.ID, "error", err)
+	}
+}
+
+func (m *Mesh) dead(owner backup.Owner) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if latest, known := m.seen[owner.Daemon]; known && latest != owner.Incarnation && m.before[owner] {
+		return true
+	}
+	if !m.listed {
+		return false
+	}
+	for _, daemon := range m.daemons {
+		if daemon.ID == owner.Daemon {
+			return false
+		}
+	}
+	return true
+}
+
+// Copies returns the number of copies kept for others and their bytes.
+func (m *Mesh) Copies() (count, bytes int) { return m.copies.Len() }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/plankridge/plankridge/internal/backup"
 	"github.com/plankridge/plankridge/internal/burn"
 	"github.com/plankridge/plankridge/internal/dispatch"
 	"github.com/plankridge/plankridge/internal/generation"
@@ -55,6 +56,9 @@
 
 func (s *Server) find(id string) (*dispatch.Flight, error) {
 	flight, err := s.dispatcher.Find(request.ID(id))
+	if errors.Is(err, dispatch.ErrNotFound) && s.mesh.copies.Has(request.ID(id)) {
+		return nil, status.Error(codes.Unavailable, errOwnerSilent.Error())
+	}
 	if errors.Is(err, dispatch.ErrNotFound) {
 		return nil, status.Error(codes.NotFound, err.Error())
 	}
@@ -90,7 +94,7 @@
 	if err != nil {
 		return err
 	}
-	return flight.Follow(stream.Context(), int(in.GetAfter()), func(event dispatch.Event) error {
+	return flight.FollowToEnd(stream.Context(), int(in.GetAfter()), func(event dispatch.Event) error {
 		return stream.Send(toWire(flight.ID(), event))
 	})
 }
@@ -109,6 +113,55 @@
 	return &peerpb.HoldAnswerResponse{}, nil
 }
 
+// CopyRequest implements peerpb.PeerServer.
+func (s *Server) CopyRequest(_ context.Context, in *peerpb.CopyRequestRequest) (*peerpb.CopyRequestResponse, error) {
+	if in.GetRelease() {
+		s.mesh.copies.Release(request.ID(in.GetRequestId()))
+		return &peerpb.CopyRequestResponse{}, nil
+	}
+	if len(in.GetSpec()) == 0 {
+		err := s.mesh.copies.Extend(request.ID(in.GetRequestId()), int(in.GetOffset()), in.GetTokens())
+		return &peerpb.CopyRequestResponse{}, copyError(err)
+	}
+	if _, draining := s.dispatcher.Load(); draining {
+		return nil, status.Error(codes.Unavailable, dispatch.ErrDraining.Error())
+	}
+	spec, err := decodeSpec(in.GetSpec())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	err = s.mesh.copies.Put(backup.Copy{
+		Owner:     backup.Owner{Daemon: in.GetOwnerId(), Incarnation: in.GetOwnerIncarnation()},
+		Spec:      spec,
+		Tokens:    in.GetTokens(),
+		Permitted: in.GetPermitted(),
+	})
+	return &peerpb.CopyRequestResponse{}, copyError(err)
+}
+
+func copyError(err error) error {
+	switch {
+	case errors.Is(err, backup.ErrFull):
+		return status.Error(codes.ResourceExhausted, err.Error())
+	case errors.Is(err, backup.ErrNoCopy):
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return err
+}
+
+// TakeOver implements peerpb.PeerServer.
+func (s *Server) TakeOver(_ context.Context, in *peerpb.TakeOverRequest) (*peerpb.TakeOverResponse, error) {
+	spec, err := decodeSpec(in.GetSpec())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	if err := s.dispatcher.Adopt(spec, in.GetTokens()); err != nil {
+		return nil, status.Error(codes.Unavailable, err.Error())
+	}
+	s.mesh.copies.Release(spec.ID)
+	return &peerpb.TakeOverResponse{}, nil
+}
+
 // GetStatus implements peerpb.PeerServer.
 func (s *Server) GetStatus(context.Context, *peerpb.GetStatusRequest) (*peerpb.GetStatusResponse, error) {
 	rows, err := json.Marshal(s.burn.Rows(time.Now()))
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -145,15 +145,15 @@
 	}
 }
 
-func (t *tally) add(entry *Entry, r result) {
+func (t *tally) add(entry *Entry, r *result) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sum.Sent++
 	if r.outcome != "" {
 		t.sum.Outcomes[r.outcome]++
 	}
-	t.check(entry, &r)
-	t.measure(entry, &r)
+	t.check(entry, r)
+	t.measure(entry, r)
 }
 
 // check compares a result with the stated outcome.
--- a/internal/replay/send.go
+++ b/internal/replay/send.go
@@ -21,7 +21,14 @@
 type result struct {
 	outcome request.Outcome
 	// cut is true when the answer ended before its end, or never came.
-	cut    bool
+	cut bool
+	// id is the request's ID, once the caller has been told; later says that
+	// the answer can be asked for again.
+	id     string
+	later  bool
+	text   strings.Builder
+	last   time.Time
+	offset string
 	detail string
 	sum    string
 
@@ -79,20 +86,67 @@
 	Detail  string          `json:"detail"`
 }
 
+// A caller that was sent away, or cut off after it has learnt the request's
+// ID, asks for the answer again that many times.
+const (
+	resumeTries = 60
+	resumePause = 500 * time.Millisecond
+)
+
 // send sends an entry and reads its answer. Times count from due.
-func (s *sender) send(ctx context.Context, entry *Entry, due time.Time) result {
+func (s *sender) send(ctx context.Context, entry *Entry, due time.Time) *result {
+	r := &result{}
 	req, err := s.newRequest(ctx, entry)
 	if err != nil {
-		return result{cut: true, detail: err.Error()}
+		r.fail(err)
+		return r
+	}
+	s.exchange(req, entry, r, due)
+	for try := 0; try < resumeTries && r.again(); try++ {
+		if try > 0 {
+			time.Sleep(resumePause)
+		}
+		s.resume(ctx, entry, r, due)
 	}
+	r.took = time.Since(due)
+	return r
+}
+
+// again reports whether the answer is still to be had.
+func (r *result) again() bool { return r.id != "" && (r.later || r.cut) }
+
+func (r *result) fail(err error) {
+	r.cut = true
+	r.detail = err.Error()
+}
+
+// exchange sends a request and reads what comes.
+func (s *sender) exchange(req *http.Request, entry *Entry, r *result, due time.Time) {
+	r.cut, r.later, r.outcome = false, false, ""
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return result{cut: true, detail: err.Error()}
+		r.fail(err)
+		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	r := s.read(ctx, entry, resp, due)
-	r.took = time.Since(due)
-	return r
+	if id := resp.Header.Get("Plankridge-Request-Id"); id != "" {
+		r.id = id
+	}
+	s.read(entry, resp, r, due)
+}
+
+// resume asks for the answer of a request that has been accepted.
+func (s *sender) resume(ctx context.Context, entry *Entry, r *result, due time.Time) {
+	req, err := s.authorized(ctx, entry.Workspace, http.MethodGet, "/v1/requests/"+r.id+"/response", nil)
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	if entry.Stream {
+		req.Header.Set("Accept", "text/event-stream")
+		setHeader(req, "Last-Event-ID", r.offset)
+	}
+	s.exchange(req, entry, r, due)
 }
 
 func (s *sender) newRequest(ctx context.Context, entry *Entry) (*http.Request, error) {
@@ -142,58 +196,49 @@
 	}
 }
 
-func (s *sender) read(ctx context.Context, entry *Entry, resp *http.Response, due time.Time) result {
+func (s *sender) read(entry *Entry, resp *http.Response, r *result, due time.Time) {
 	contentType := resp.Header.Get("Content-Type")
 	switch {
 	case strings.HasPrefix(contentType, "application/problem+json"):
-		return readProblem(resp.Body)
+		r.readProblem(resp.Body)
+		r.later = resp.StatusCode == http.StatusServiceUnavailable && r.outcome == request.OutcomeUnknown
+		return
 	case resp.StatusCode == http.StatusAccepted && entry.Async:
-		return s.readLater(ctx, entry, resp.Header.Get("Location"), due)
+		r.later = true
+		return
 	case strings.HasPrefix(contentType, "text/event-stream"):
-		return readStream(resp.Body, due)
+		r.readStream(resp.Body, due)
+		return
 	}
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return result{cut: true, detail: err.Error()}
+		r.fail(err)
+		return
 	}
 	if entry.Prompt != nil {
-		return readWhole(raw)
+		r.readWhole(raw)
+		return
 	}
-	return result{outcome: request.OutcomeOK, sum: digest(raw)}
+	r.outcome, r.sum = request.OutcomeOK, digest(raw)
 }
 
-func readProblem(body io.Reader) result {
+func (r *result) readProblem(body io.Reader) {
 	var p problem
 	if err := json.NewDecoder(body).Decode(&p); err != nil {
-		return result{cut: true, detail: err.Error()}
-	}
-	return result{outcome: p.Outcome, detail: p.Detail}
-}
-
-// readLater reads the answer of a request that was answered 202.
-func (s *sender) readLater(ctx context.Context, entry *Entry, location string, due time.Time) result {
-	req, err := s.authorized(ctx, entry.Workspace, http.MethodGet, location+"/response", nil)
-	if err != nil {
-		return result{cut: true, detail: err.Error()}
-	}
-	resp, err := s.client.Do(req)
-	if err != nil {
-		return result{cut: true, detail: err.Error()}
+		r.fail(err)
+		return
 	}
-	defer func() { _ = resp.Body.Close() }()
-	waiting := *entry
-	waiting.Async = false
-	return s.read(ctx, &waiting, resp, due)
+	r.outcome, r.detail = p.Outcome, p.Detail
 }
 
-func readWhole(raw []byte) result {
+func (r *result) readWhole(raw []byte) {
 	var answer chatAnswer
 	if err := json.Unmarshal(raw, &answer); err != nil || len(answer.Choices) == 0 || answer.Choices[0].Message == nil {
-		return result{cut: true, detail: "answer is not a chat completion"}
+		r.cut, r.detail = true, "answer is not a chat completion"
+		return
 	}
-	r := result{outcome: request.OutcomeOK, sum: digest([]byte(answer.Choices[0].Message.Content))}
+	r.outcome, r.sum = request.OutcomeOK, digest([]byte(answer.Choices[0].Message.Content))
 	r.count(&answer)
-	return r
 }
 
 func (r *result) count(answer *chatAnswer) {
@@ -204,54 +249,59 @@
 	r.cachedTokens = answer.Usage.Details.CachedTokens
 }
 
-// readStream reads server-sent events up to [DONE].
-func readStream(body io.Reader, due time.Time) result {
-	var r result
-	var text strings.Builder
-	var last time.Time
+// readStream reads server-sent events up to [DONE], or to the event that sends
+// the caller away.
+func (r *result) readStream(body io.Reader, due time.Time) {
 	scanner := bufio.NewScanner(body)
 	scanner.Buffer(nil, maxLine)
-	event := ""
+	event, id := "", ""
 	for scanner.Scan() {
 		line := scanner.Text()
 		if name, ok := strings.CutPrefix(line, "event: "); ok {
 			event = name
 		}
+		if value, ok := strings.CutPrefix(line, "id: "); ok {
+			id = value
+		}
 		data, ok := strings.CutPrefix(line, "data: ")
-		if !ok {
+		switch {
+		case !ok:
 			continue
+		case event == "error":
+			r.readProblem(strings.NewReader(data))
+			r.later = r.outcome == request.OutcomeUnknown
+			return
+		case event == "moved":
+			r.later = true
+			return
+		case data == "[DONE]":
+			r.outcome, r.sum = request.OutcomeOK, digest([]byte(r.text.String()))
+			return
 		}
-		if event == "error" {
-			return readProblem(strings.NewReader(data))
-		}
-		if data == "[DONE]" {
-			r.outcome, r.sum = request.OutcomeOK, digest([]byte(text.String()))
-			return r
-		}
-		last = r.chunk(data, &text, due, last)
+		r.chunk(data, due)
+		r.offset = id
 	}
 	r.cut, r.detail = true, "stream ended before [DONE]"
-	return r
 }
 
-// chunk takes one chunk of a stream and returns the time of the last token.
-func (r *result) chunk(data string, text *strings.Builder, due, last time.Time) time.Time {
+// chunk takes one chunk of a stream.
+func (r *result) chunk(data string, due time.Time) {
 	var answer chatAnswer
 	if json.Unmarshal([]byte(data), &answer) != nil {
-		return last
+		return
 	}
 	r.count(&answer)
 	if len(answer.Choices) == 0 || answer.Choices[0].Delta == nil || answer.Choices[0].Delta.Content == "" {
-		return last
+		return
 	}
 	now := time.Now()
-	text.WriteString(answer.Choices[0].Delta.Content)
-	if last.IsZero() {
+	r.text.WriteString(answer.Choices[0].Delta.Content)
+	if r.last.IsZero() {
 		r.firstToken = now.Sub(due)
 	} else {
-		r.between = append(r.between, now.Sub(last))
+		r.between = append(r.between, now.Sub(r.last))
 	}
-	return now
+	r.last = now
 }
 
 func digest(raw []byte) string {
--- a/internal/request/life.go
+++ b/internal/request/life.go
@@ -8,7 +8,7 @@
 // State is the state of an accepted request.
 type State string
 
-// The states. Answered, Failed, Unknown and Cancelled are final.
+// The states. Answered, Failed, Unknown, Cancelled and HandedOver are final.
 const (
 	// StateAccepted means that admission has said yes and that no attempt is
 	// on its way.
@@ -21,12 +21,14 @@
 	StateFailed    State = "failed"
 	StateUnknown   State = "unknown"
 	StateCancelled State = "cancelled"
+	// StateHandedOver means that another daemon owns the request now.
+	StateHandedOver State = "handed-over"
 )
 
 // Final reports whether a state has no successor.
 func (s State) Final() bool {
 	switch s {
-	case StateAnswered, StateFailed, StateUnknown, StateCancelled:
+	case StateAnswered, StateFailed, StateUnknown, StateCancelled, StateHandedOver:
 		return true
 	}
 	return false
@@ -58,6 +60,8 @@
 	StepAnswer Step = "answer"
 	StepGiveUp Step = "give-up"
 	StepCancel Step = "cancel"
+	// StepHandOver gives the right to dispatch to another daemon.
+	StepHandOver Step = "hand-over"
 )
 
 // Life is the state machine of one accepted request.
@@ -146,6 +150,8 @@
 	case l.state.Final():
 	case step == StepCancel:
 		return StateCancelled, nil
+	case step == StepHandOver && l.state == StateAccepted:
+		return StateHandedOver, l.MayDispatch()
 	case step == StepGiveUp && l.state == StateAccepted:
 		return l.givenUp(), nil
 	case (step == StepNotSent || step == StepDeclined) && l.state == StateDispatched:
--- a/internal/request/life_test.go
+++ b/internal/request/life_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-var allSteps = []Step{StepDispatch, StepNotSent, StepDeclined, StepLost, StepToken, StepAnswer, StepGiveUp, StepCancel}
+var allSteps = []Step{StepDispatch, StepNotSent, StepDeclined, StepLost, StepToken, StepAnswer, StepGiveUp, StepCancel, StepHandOver}
 
 // TestLifeKeepsPromises drives the state machine by random steps and compares
 // it with the plain meaning of the promises.
@@ -38,6 +38,10 @@
 				reached++
 			case StepNotSent, StepDeclined:
 				reached--
+			case StepHandOver:
+				if !idempotent && reached > 0 {
+					t.Fatal("non-idempotent request handed over after an attempt that may have run")
+				}
 			}
 			if life.Outcome() == OutcomeNotRun && reached > 0 {
 				t.Fatalf("told not-run after %v", life.History())
--- /dev/null
+++ b/robustness/entry_test.go
@@ -0,0 +1,200 @@
+package robustness
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/dev"
+	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/standin/faults"
+)
+
+// TestReclaimOfWholeZoneLosesNoRequest reclaims entry VMs and backend servers
+// of a zone at once, in the middle of a day.
+func TestReclaimOfWholeZoneLosesNoRequest(t *testing.T) {
+	for _, notice := range []time.Duration{3 * time.Second, 10 * time.Second} {
+		for example, zone := range map[string]string{"ndiaye": "hall-nord", "amakusa": "kumamoto-hall"} {
+			t.Run(example+notice.String(), func(t *testing.T) {
+				run(t, example, func(b *bed) {
+					b.holds(b.replayDay(example+"-day", func() {
+						time.Sleep(15 * time.Second)
+						b.d.Cloud.Fleet.ReclaimZone(zone, platform.RoleEntry, notice)
+						b.d.Cloud.Fleet.ReclaimZone(zone, platform.RoleBackend, notice)
+					}))
+				})
+			})
+		}
+	}
+}
+
+// owner returns the entry VM that accepted a request.
+func (b *bed) owner(id string) *dev.Node {
+	for _, node := range b.d.Nodes {
+		if node.Daemon.Owns(id) {
+			return node
+		}
+	}
+	b.Fatalf("no daemon owns %s", id)
+	return nil
+}
+
+// backup returns the entry VM that keeps the copy of the only request.
+func (b *bed) backup() *dev.Node {
+	for _, node := range b.d.Nodes {
+		if node.Daemon.Copies() > 0 {
+			return node
+		}
+	}
+	b.Fatal("no daemon has a copy")
+	return nil
+}
+
+// finish reads a stream on at any daemon, as a caller would that was cut off.
+func (b *bed) finish(r *reader) string {
+	for range 60 {
+		if r.done {
+			return r.text
+		}
+		time.Sleep(500 * time.Millisecond)
+		url := balancerURL + "/v1/requests/" + r.id() + "/response"
+		resp, _ := b.call(http.MethodGet, balancerURL+"/v1/requests/"+r.id(), "devis", "")
+		if resp.StatusCode != http.StatusOK {
+			continue
+		}
+		next, cancel := b.stream(http.MethodGet, url, "devis", "", "Last-Event-ID", r.last)
+		next.text, next.last = r.text, r.last
+		next.tokens(-1)
+		cancel()
+		r = next
+	}
+	b.Fatal("the answer did not come")
+	return ""
+}
+
+// pauseEngines holds every engine for a while, so that streams are long.
+func (b *bed) pauseEngines(paused bool) {
+	for _, engine := range b.d.Cloud.Engines() {
+		engine.Faults.Set(faults.State{Paused: paused})
+	}
+}
+
+// TestKilledOwnerLosesNoStream kills the owner of a stream without notice.
+func TestKilledOwnerLosesNoStream(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		want := b.whole(chatBody)
+		r, cancel := b.stream(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", chatBody)
+		defer cancel()
+		r.tokens(20) // half a second: the copy has been made
+		b.d.Cloud.Fleet.Kill(b.owner(r.id()).Daemon.VM().ID)
+		r.tokens(-1)
+		b.Assert(r.done, qt.IsFalse)
+		b.Assert(b.finish(r), qt.Equals, want)
+	})
+}
+
+// TestOwnerAndBackupReclaimed announces the reclaim of both at once.
+func TestOwnerAndBackupReclaimed(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		want := b.whole(chatBody)
+		r, cancel := b.stream(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", chatBody)
+		defer cancel()
+		r.tokens(20)
+		b.pauseEngines(true)
+		for _, node := range []*dev.Node{b.backup(), b.owner(r.id())} {
+			b.d.Cloud.Fleet.Reclaim(node.Daemon.VM().ID, 3*time.Second)
+		}
+		time.Sleep(4 * time.Second)
+		b.pauseEngines(false)
+		r.tokens(-1)
+		b.Assert(b.finish(r), qt.Equals, want)
+	})
+}
+
+// TestBackupDiesBeforeOwner kills the backup, and the owner after that.
+func TestBackupDiesBeforeOwner(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		want := b.whole(chatBody)
+		r, cancel := b.stream(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", chatBody)
+		defer cancel()
+		r.tokens(15)
+		b.pauseEngines(true)
+		b.d.Cloud.Fleet.Kill(b.backup().Daemon.VM().ID)
+		b.pauseEngines(false)
+		r.tokens(25)
+		b.pauseEngines(true)
+		time.Sleep(3 * time.Second)
+		b.d.Cloud.Fleet.Kill(b.owner(r.id()).Daemon.VM().ID)
+		b.pauseEngines(false)
+		r.tokens(-1)
+		b.Assert(b.finish(r), qt.Equals, want)
+	})
+}
+
+// TestAsyncWorkOutlivesItsOwner kills the owner right after its 202.
+func TestAsyncWorkOutlivesItsOwner(t *testing.T) {
+	run(t, "amakusa", func(b *bed) {
+		resp, _ := b.call(http.MethodPost, balancerURL+"/v1/chat/completions", "reviews",
+			`{"model":"plankridge-llm","messages":[{"role":"user","content":"Review chapter 3."}]}`, "Prefer", "respond-async")
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusAccepted)
+		location := resp.Header.Get("Location")
+		b.d.Cloud.Fleet.Kill(b.owner(location[len("/v1/requests/"):]).Daemon.VM().ID)
+		time.Sleep(5 * time.Second)
+		resp, body := b.call(http.MethodGet, balancerURL+location+"/response", "reviews", "")
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		b.Assert(body, qt.Contains, `"finish_reason":"stop"`)
+	})
+}
+
+// slowOrder sends an order that takes eight seconds and returns its ID.
+func (b *bed) slowOrder(reference string) string {
+	for _, server := range b.d.Cloud.PlainServers() {
+		server.Faults.Set(faults.State{Delay: 8 * time.Second})
+	}
+	resp, _ := b.call(http.MethodPost, balancerURL+"/services/app-carriere/orders", "commandes", `{}`,
+		"X-Reference", reference, "Prefer", "respond-async")
+	b.Assert(resp.StatusCode, qt.Equals, http.StatusAccepted)
+	return resp.Header.Get("Plankridge-Request-Id")
+}
+
+// TestOrderOfDeadOwnerIsUnknownAndNotRepeated kills the owner of an order that
+// has been sent. Its backup tells the caller "unknown" and never sends it.
+func TestOrderOfDeadOwnerIsUnknownAndNotRepeated(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		id := b.slowOrder("o-1")
+		time.Sleep(time.Second)
+		b.Assert(b.backup().Daemon.Copies(), qt.Equals, 1)
+		b.d.Cloud.Fleet.Kill(b.owner(id).Daemon.VM().ID)
+		time.Sleep(20 * time.Second)
+		resp, body := b.call(http.MethodGet, balancerURL+"/v1/requests/"+id+"/response", "commandes", "")
+		b.Check(resp.StatusCode, qt.Equals, http.StatusGatewayTimeout, qt.Commentf("%s", body))
+		b.Check(body, qt.Contains, `"outcome":"unknown"`)
+		b.Check(b.d.Cloud.Ledgers["app-carriere"].Runs()["o-1"] <= 1, qt.IsTrue)
+	})
+}
+
+// TestOrderOfReclaimedOwnerIsAnswered reclaims the owner of an order whose
+// answer comes before the deadline.
+func TestOrderOfReclaimedOwnerIsAnswered(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		id := b.slowOrder("o-2")
+		b.d.Cloud.Fleet.Reclaim(b.owner(id).Daemon.VM().ID, 9*time.Second)
+		time.Sleep(20 * time.Second)
+		resp, body := b.call(http.MethodGet, balancerURL+"/v1/requests/"+id+"/response", "commandes", "")
+		b.Check(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		b.Check(b.d.Cloud.Ledgers["app-carriere"].Runs()["o-2"], qt.Equals, 1)
+	})
+}
+
+// TestCopiesAreReleased looks for copies after a day.
+func TestCopiesAreReleased(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		b.holds(b.replayDay("ndiaye-day", func() {}))
+		time.Sleep(10 * time.Second)
+		for _, node := range b.d.Nodes {
+			b.Check(node.Daemon.Copies(), qt.Equals, 0)
+		}
+	})
+}
