--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -351,3 +351,9 @@
 	copies, _ := d.mesh.Copies()
 	return copies
 }
+
+// InFlight returns the number of accepted requests that have not ended here.
+func (d *Daemon) InFlight() int {
+	inFlight, _ := d.dispatcher.Load()
+	return inFlight
+}
--- a/internal/dispatch/replicate.go
+++ b/internal/dispatch/replicate.go
@@ -160,11 +160,9 @@
 		return
 	}
 	flight.leave(errLeaving)
-	if flight.spec.Idempotent() {
-		<-flight.done
-		return
+	if !flight.spec.Idempotent() {
+		flight.sendAway()
 	}
-	flight.sendAway()
 	select {
 	case <-flight.done:
 		d.handOverAnswer(ctx, flight)
--- a/robustness/caller_test.go
+++ b/robustness/caller_test.go
@@ -28,6 +28,8 @@
 	text string
 	last string
 	done bool
+	// moved is true when the daemon has sent the caller away.
+	moved bool
 }
 
 // stream opens a stream; cancel closes it from the caller's side.
@@ -55,6 +57,10 @@
 		if id, ok := strings.CutPrefix(line, "id: "); ok {
 			r.last = id
 		}
+		if line == "event: moved" {
+			r.moved = true
+			return
+		}
 		data, ok := strings.CutPrefix(line, "data: ")
 		if !ok {
 			continue
--- a/robustness/entry_test.go
+++ b/robustness/entry_test.go
@@ -106,9 +106,10 @@
 		for _, node := range []*dev.Node{b.backup(), b.owner(r.id())} {
 			b.d.Cloud.Fleet.Reclaim(node.Daemon.VM().ID, 3*time.Second)
 		}
+		r.tokens(-1)
+		b.Assert(r.moved, qt.IsTrue)
 		time.Sleep(4 * time.Second)
 		b.pauseEngines(false)
-		r.tokens(-1)
 		b.Assert(b.finish(r), qt.Equals, want)
 	})
 }
@@ -175,6 +176,51 @@
 	})
 }
 
+// TestWaitingCallerIsSentToResult reclaims the owner of an order that a caller
+// waits for, and that outlasts the notice.
+func TestWaitingCallerIsSentToResult(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		for _, server := range b.d.Cloud.PlainServers() {
+			server.Faults.Set(faults.State{Delay: 8 * time.Second})
+		}
+		go func() {
+			time.Sleep(time.Second)
+			for _, node := range b.d.Nodes {
+				if node.Daemon.InFlight() > 0 {
+					b.d.Cloud.Fleet.Reclaim(node.Daemon.VM().ID, 4*time.Second)
+				}
+			}
+		}()
+		b.client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+		resp, _ := b.call(http.MethodPost, balancerURL+"/services/app-carriere/orders", "commandes", `{}`, "X-Reference", "o-3")
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusSeeOther)
+		time.Sleep(20 * time.Second)
+		resp, body := b.call(http.MethodGet, balancerURL+resp.Header.Get("Location"), "commandes", "")
+		b.Check(body, qt.Contains, `"outcome":"unknown"`)
+		b.Check(resp.StatusCode, qt.Equals, http.StatusGatewayTimeout)
+		b.Check(b.d.Cloud.Ledgers["app-carriere"].Runs()["o-3"] <= 1, qt.IsTrue)
+	})
+}
+
+// TestCopiesOfLivingOwnersStay lets a daemon die that owns nothing.
+func TestCopiesOfLivingOwnersStay(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		id := b.slowOrder("o-4")
+		time.Sleep(time.Second)
+		keeper := b.backup()
+		for _, node := range b.d.Nodes {
+			if node != keeper && !node.Daemon.Owns(id) {
+				b.d.Cloud.Fleet.Kill(node.Daemon.VM().ID)
+				break
+			}
+		}
+		time.Sleep(3 * time.Second)
+		b.Check(keeper.Daemon.Copies(), qt.Equals, 1)
+		resp, body := b.call(http.MethodGet, balancerURL+"/v1/requests/"+id+"/response", "commandes", "")
+		b.Check(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+	})
+}
+
 // TestOrderOfReclaimedOwnerIsAnswered reclaims the owner of an order whose
 // answer comes before the deadline.
 func TestOrderOfReclaimedOwnerIsAnswered(t *testing.T) {
