--- /dev/null
+++ b/internal/config/seed_test.go
@@ -0,0 +1,6 @@
+package config
+
+import "flag"
+
+// Randomised tests take a fixed seed unless the command line gives another.
+func init() { _ = flag.Set("rapid.seed", "1") }
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -83,6 +83,16 @@
 	<-n.done
 }
 
+// Ended reports whether the daemon has ended.
+func (n *Node) Ended() bool {
+	select {
+	case <-n.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Wait waits until the daemon has ended and returns its error.
 func (n *Node) Wait() error {
 	<-n.done
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -24,6 +24,19 @@
 	FleetPerHour float64
 	// Transport carries the requests; nil means TCP.
 	Transport http.RoundTripper
+	// OnResult, when not nil, is called with what came of each request.
+	OnResult func(*Entry, Result)
+}
+
+// Result is what came of one request.
+type Result struct {
+	Outcome request.Outcome
+	// Cut is true when the answer ended before its end, or never came.
+	Cut bool
+	// Known is true when the caller has learnt the request's ID.
+	Known  bool
+	SHA256 string
+	Detail string
 }
 
 // Summary is the result of a replay.
@@ -90,6 +103,7 @@
 	defer client.CloseIdleConnections()
 	s := &sender{url: options.URL, client: client, trace: trace}
 	tally := newTally(trace)
+	tally.onResult = options.OnResult
 	begin := time.Now()
 	var sending sync.WaitGroup
 	for i := range trace.Entries {
@@ -124,7 +138,8 @@
 
 // tally adds up results.
 type tally struct {
-	trace *Trace
+	trace    *Trace
+	onResult func(*Entry, Result)
 
 	mu         sync.Mutex
 	sum        Summary
@@ -149,6 +164,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sum.Sent++
+	if t.onResult != nil {
+		t.onResult(entry, Result{Outcome: r.outcome, Cut: r.cut, Known: r.id != "", SHA256: r.sum, Detail: r.detail})
+	}
 	if r.outcome != "" {
 		t.sum.Outcomes[r.outcome]++
 	}
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -112,9 +112,23 @@
 	}
 	l.net.mu.Unlock()
 	l.once.Do(func() { close(l.closed) })
+	l.reset()
 	return nil
 }
 
+// reset breaks the connections that a closed listener has not accepted, as an
+// operating system does.
+func (l *listener) reset() {
+	for {
+		select {
+		case c := <-l.waiting:
+			_ = c.Close()
+		default:
+			return
+		}
+	}
+}
+
 // Addr implements net.Listener.
 func (l *listener) Addr() net.Addr { return address(l.address) }
 
@@ -155,6 +169,11 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+	select {
+	case <-target.closed:
+		target.reset()
+	default:
+	}
 	h.net.mu.Lock()
 	defer h.net.mu.Unlock()
 	h.net.conns[link(h.ip, ip)] = append(h.net.conns[link(h.ip, ip)], client)
