Drop answers of another identity and go on with the stream

No stand-in sent a foreign or repeated event. Also: a foreign event used to end the attempt, so a stream among crossed answers started again and again; it is dropped and counted now, does not count against the engine's silence, and a stream that ends without its own last event is broken.

--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -10,7 +10,6 @@
 	ErrDraining = errors.New("daemon is shutting down")
 
 	errTokenGap      = errors.New("engine left out a token")
-	errForeignEvent  = errors.New("engine event has another identity")
 	errEvacuated     = errors.New("backend server is leaving")
 	errSilent        = errors.New("backend server was silent for too long")
 	errKnown         = errors.New("request is known already")
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -286,9 +286,15 @@
 	stream := &modelStream{dispatcher: d, flight: flight, slot: slot, predicted: choice.Wait, number: flight.attempts()}
 	attempt := d.engineAttempt(flight)
 	err := d.options.Engine.Generate(ctx, choice.Server.Address, attempt, func(event engine.Event) error {
+		if !stream.owns(&event) {
+			return nil
+		}
 		silence.Reset(d.options.Limits.TryTimeout.Std())
 		return stream.event(event)
 	})
+	if err == nil && stream.finish == nil {
+		err = engine.ErrBroken
+	}
 	if err == nil {
 		return result{step: request.StepAnswer, last: Event{Finish: stream.finish}}
 	}
@@ -358,13 +364,17 @@
 	finish     *request.Finish
 }
 
-// event checks an event's identity and adds it to the answer. A mismatched
-// event is never delivered.
-func (s *modelStream) event(event engine.Event) error {
-	if event.RequestID != string(s.flight.spec.ID) || event.Number != s.number {
-		s.dispatcher.metrics.mismatched.Inc()
-		return errForeignEvent
+// owns checks an event's identity. A mismatched event is dropped and counted.
+func (s *modelStream) owns(event *engine.Event) bool {
+	if event.RequestID == string(s.flight.spec.ID) && event.Number == s.number {
+		return true
 	}
+	s.dispatcher.metrics.mismatched.Inc()
+	return false
+}
+
+// event adds an event to the answer.
+func (s *modelStream) event(event engine.Event) error {
 	now := time.Now()
 	s.slot.FirstToken(s.predicted, now)
 	if event.FinishReason != "" {
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -25,6 +25,9 @@
 	LoseAnswers int `json:"lose_answers"`
 	// DropEvery drops each n-th event of a feed; zero drops none.
 	DropEvery int `json:"drop_every"`
+	// CrossEvery puts an answer of another request, and one that was given
+	// already, before each n-th part of an answer; zero puts none.
+	CrossEvery int `json:"cross_every"`
 }
 
 // Switches are the fault switches of one stand-in. The zero value has no
--- a/internal/standin/modelengine/modelengine.go
+++ b/internal/standin/modelengine/modelengine.go
@@ -196,6 +196,9 @@
 		if sleep(ctx, s.interval()) != nil || !s.awake(ctx) {
 			return
 		}
+		if every := s.Faults.Get().CrossEvery; every > 0 && i%every == 0 {
+			s.cross(out, event, i)
+		}
 		event.Index, event.Token = i, answer.Token(i)
 		if out.Encode(event) != nil {
 			return
@@ -208,6 +211,18 @@
 	_ = out.Encode(event)
 }
 
+// cross sends an event of another request, and the last one a second time.
+func (s *Server) cross(out *json.Encoder, event engine.Event, index int) {
+	repeated := event
+	event.RequestID, event.Index, event.Token = "another-request", index, "foreign"
+	_ = out.Encode(event)
+	event.RequestID, event.Number = repeated.RequestID, repeated.Number+1
+	_ = out.Encode(event)
+	if repeated.Token != "" {
+		_ = out.Encode(repeated)
+	}
+}
+
 // awake waits while the engine is paused and reports false when the request
 // has ended meanwhile.
 func (s *Server) awake(ctx context.Context) bool {
--- a/robustness/history_test.go
+++ b/robustness/history_test.go
@@ -41,6 +41,7 @@
 	killBackend    faultKind = "kill-backend"
 	pauseEngine    faultKind = "pause-engine"
 	refuseEngine   faultKind = "refuse-engine"
+	crossAnswers   faultKind = "cross-answers"
 	loseAnswer     faultKind = "lose-answer"
 	delayService   faultKind = "delay-service"
 	storeOutage    faultKind = "store-outage"
@@ -50,7 +51,7 @@
 )
 
 var faultKinds = []faultKind{reclaimEntry, drainEntry, killEntry, reclaimBackend, killBackend, pauseEngine,
-	refuseEngine, loseAnswer, delayService, storeOutage, listOutage, cutDaemons, applyAgain}
+	refuseEngine, crossAnswers, loseAnswer, delayService, storeOutage, listOutage, cutDaemons, applyAgain}
 
 // fault is one fault of a history. Which VM it hits is an index into what is
 // there at its time.
@@ -227,6 +228,10 @@
 		b.during(engineSwitches(b, f.On), faults.State{Paused: true}, span)
 	case refuseEngine:
 		b.during(engineSwitches(b, f.On), faults.State{Refuse: true}, span)
+	case crossAnswers:
+		for _, engine := range b.d.Cloud.Engines() {
+			b.during(&engine.Faults, faults.State{CrossEvery: 1 + f.On%5}, span)
+		}
 	case loseAnswer:
 		servers := b.d.Cloud.PlainServers()
 		servers[f.On%len(servers)].Faults.Set(faults.State{LoseAnswers: 1 + f.On%3})
