--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -121,8 +121,8 @@
 	return a.answerWhole(c, source, spec)
 }
 
-// collect reads an answer to its end.
-func collect(ctx context.Context, source dispatch.Source) (string, dispatch.Event, error) {
+// collect reads an answer to its end. The error is the problem to answer with.
+func collect(ctx context.Context, source dispatch.Source, spec *request.Spec) (string, dispatch.Event, error) {
 	var text strings.Builder
 	var last dispatch.Event
 	err := source.Follow(ctx, 0, func(event dispatch.Event) error {
@@ -130,20 +130,23 @@
 		last = event
 		return nil
 	})
+	switch {
+	case err != nil:
+		err = readError(spec, err)
+	case last.Failure != nil:
+		err = fromFailure(spec.ID, last.Failure).Err()
+	}
 	return text.String(), last, err
 }
 
 func (a *API) answerPlain(c echo.Context, source dispatch.Source, spec *request.Spec) error {
-	_, last, err := collect(c.Request().Context(), source)
+	_, last, err := collect(c.Request().Context(), source, spec)
 	if err != nil {
-		return readError(spec, err)
+		return err
 	}
 	if last.Moved {
 		return seeOther(c, spec.ID)
 	}
-	if last.Failure != nil {
-		return fromFailure(spec.ID, last.Failure).Err()
-	}
 	header := c.Response().Header()
 	for name, values := range endToEnd(last.Plain.Header) {
 		header[name] = values
@@ -244,16 +247,13 @@
 }
 
 func (a *API) answerWhole(c echo.Context, source dispatch.Source, spec *request.Spec) error {
-	text, last, err := collect(c.Request().Context(), source)
+	text, last, err := collect(c.Request().Context(), source, spec)
 	if err != nil {
-		return readError(spec, err)
+		return err
 	}
 	if last.Moved {
 		return seeOther(c, spec.ID)
 	}
-	if last.Failure != nil {
-		return fromFailure(spec.ID, last.Failure).Err()
-	}
 	only := choice{FinishReason: &last.Finish.Reason}
 	if spec.Kind == request.KindChat {
 		only.Message = &chatMessage{Role: "assistant", Content: text}
--- /dev/null
+++ b/internal/peer/heartbeat.go
@@ -0,0 +1,140 @@
+package peer
+
+import (
+	"context"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/plankridge/plankridge/internal/backup"
+	"github.com/plankridge/plankridge/internal/generation"
+	"github.com/plankridge/plankridge/internal/peer/peerpb"
+	"github.com/plankridge/plankridge/internal/platform"
+)
+
+// Run sends heartbeats until the context ends.
+func (m *Mesh) Run(ctx context.Context) {
+	var pulling sync.WaitGroup
+	pulling.Go(func() { m.pullLoop(ctx) })
+	defer pulling.Wait()
+	for ctx.Err() == nil {
+		changed := m.follower.Changed()
+		m.beat(ctx)
+		jitter := time.Duration(mathrand.Int64N(int64(heartbeatInterval / 4)))
+		select {
+		case <-time.After(heartbeatInterval - heartbeatInterval/8 + jitter):
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// beat sends one heartbeat to each contact.
+func (m *Mesh) beat(ctx context.Context) {
+	var calls sync.WaitGroup
+	for _, contact := range Contacts(m.self, m.Daemons()) {
+		calls.Go(func() { m.beatOne(ctx, contact) })
+	}
+	calls.Wait()
+}
+
+func (m *Mesh) beatOne(ctx context.Context, contact platform.VM) {
+	client, err := m.client(contact)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := client.Heartbeat(ctx, &peerpb.HeartbeatRequest{
+		DaemonId:    m.self.ID,
+		Zone:        m.self.Zone,
+		Incarnation: m.incarnation,
+		Generation:  m.follower.Generation(),
+	})
+	if err != nil {
+		m.logger.Debug("heartbeat failed", "peer", contact.ID, "error", err)
+		return
+	}
+	m.heard(reply.GetDaemonId(), reply.GetIncarnation(), reply.GetGeneration())
+}
+
+// heard takes over what a peer has said of itself.
+func (m *Mesh) heard(id string, incarnation uint64, generation int64) {
+	m.mu.Lock()
+	previous, known := m.seen[id]
+	restarted := known && previous != incarnation && !m.before[backup.Owner{Daemon: id, Incarnation: incarnation}]
+	if restarted {
+		m.before[backup.Owner{Daemon: id, Incarnation: previous}] = true
+	}
+	if restarted || !known {
+		m.seen[id] = incarnation
+	}
+	m.mu.Unlock()
+	if restarted {
+		m.logger.Info("peer has restarted", "peer", id)
+		go m.inherit()
+	}
+	if generation <= m.follower.Generation() {
+		return
+	}
+	select {
+	case m.pulls <- id:
+	default:
+	}
+}
+
+// pullLoop fetches the deployment from peers that have a higher generation.
+func (m *Mesh) pullLoop(ctx context.Context) {
+	for {
+		select {
+		case id := <-m.pulls:
+			m.pull(ctx, id)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// pull fetches from one peer. The heartbeat that asked for it is a reason to
+// look; what the peer sends decides.
+func (m *Mesh) pull(ctx context.Context, id string) {
+	vm, ok := m.daemon(id)
+	if !ok {
+		return
+	}
+	err := m.follower.FromPeer(ctx, m.follower.Generation()+1, func(ctx context.Context, known []string) (generation.Bundle, error) {
+		return m.fetch(ctx, vm, known)
+	})
+	if err != nil {
+		m.logger.Warn("cannot take over the deployment of a peer", "peer", id, "error", err)
+	}
+}
+
+func (m *Mesh) daemon(id string) (platform.VM, bool) {
+	for _, daemon := range m.Daemons() {
+		if daemon.ID == id {
+			return daemon, true
+		}
+	}
+	return platform.VM{}, false
+}
+
+func (m *Mesh) fetch(ctx context.Context, vm platform.VM, known []string) (generation.Bundle, error) {
+	client, err := m.client(vm)
+	if err != nil {
+		return generation.Bundle{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := client.FetchDeployment(ctx, &peerpb.FetchDeploymentRequest{KnownDigests: known})
+	if err != nil {
+		return generation.Bundle{}, eris.Wrap(err, "fetch deployment")
+	}
+	bundle := generation.Bundle{Manifest: reply.GetManifest(), Contents: map[string][]byte{}}
+	for _, part := range reply.GetParts() {
+		bundle.Contents[part.GetDigest()] = part.GetContent()
+	}
+	return bundle, nil
+}
--- /dev/null
+++ b/internal/peer/locate.go
@@ -0,0 +1,146 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/plankridge/plankridge/internal/dispatch"
+	"github.com/plankridge/plankridge/internal/peer/peerpb"
+	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/request"
+)
+
+// Locate finds a request that another daemon holds: its owner or, when that
+// has gone, a daemon that has taken it over or keeps its answer. It returns
+// dispatch.ErrNotFound when no daemon knows the request, and another error when
+// one that might know it cannot be asked now.
+func (m *Mesh) Locate(ctx context.Context, id request.ID) (*Remote, error) {
+	holders := m.holders(id)
+	failed := error(dispatch.ErrNotFound)
+	for wave := locateWave; len(holders) > 0; wave *= locateWave {
+		asked := holders[:min(wave, len(holders))]
+		holders = holders[len(asked):]
+		remote, err := m.askAll(ctx, asked, id)
+		if err == nil {
+			return remote, nil
+		}
+		if !errors.Is(err, dispatch.ErrNotFound) {
+			failed = err
+		}
+	}
+	if errors.Is(failed, dispatch.ErrNotFound) && m.copies.Has(id) {
+		return nil, errOwnerSilent
+	}
+	return nil, failed
+}
+
+// askAll asks daemons at the same time and returns the first one's answer, in
+// their order, that holds the request.
+func (m *Mesh) askAll(ctx context.Context, daemons []platform.VM, id request.ID) (*Remote, error) {
+	remotes := make([]*Remote, len(daemons))
+	errs := make([]error, len(daemons))
+	var calls sync.WaitGroup
+	for i, vm := range daemons {
+		calls.Go(func() { remotes[i], errs[i] = m.ask(ctx, vm, id) })
+	}
+	calls.Wait()
+	failed := error(dispatch.ErrNotFound)
+	for i := range daemons {
+		if errs[i] == nil {
+			return remotes[i], nil
+		}
+		if !errors.Is(errs[i], dispatch.ErrNotFound) {
+			failed = errs[i]
+		}
+	}
+	return nil, failed
+}
+
+// holders returns the daemons that may hold a request, the likeliest first:
+// the one that accepted it, then its keepers.
+func (m *Mesh) holders(id request.ID) []platform.VM {
+	var holders []platform.VM
+	for _, daemon := range Keepers(string(id), m.Daemons()) {
+		switch {
+		case daemon.ID == m.self.ID:
+		case request.DaemonTag(daemon.ID) == id.Tag():
+			holders = append([]platform.VM{daemon}, holders...)
+		default:
+			holders = append(holders, daemon)
+		}
+	}
+	return holders
+}
+
+func (m *Mesh) ask(ctx context.Context, vm platform.VM, id request.ID) (*Remote, error) {
+	client, err := m.client(vm)
+	if err != nil {
+		return nil, err
+	}
+	remote := &Remote{id: id, client: client}
+	if _, err := remote.Status(ctx); err != nil {
+		return nil, err
+	}
+	return remote, nil
+}
+
+// Remote is a request that another daemon holds. It implements
+// dispatch.Source.
+type Remote struct {
+	id     request.ID
+	client peerpb.PeerClient
+}
+
+// Status implements dispatch.Source.
+func (r *Remote) Status(ctx context.Context) (dispatch.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := r.client.GetRequest(ctx, &peerpb.GetRequestRequest{RequestId: string(r.id)})
+	if err != nil {
+		return dispatch.Status{}, notFound(err)
+	}
+	spec, err := decodeSpec(reply.GetSpec())
+	return dispatch.Status{
+		Spec:     spec,
+		State:    request.State(reply.GetState()),
+		Attempts: int(reply.GetAttempts()),
+		Tokens:   int(reply.GetTokens()),
+		Outcome:  request.Outcome(reply.GetOutcome()),
+	}, err
+}
+
+// Follow implements dispatch.Source.
+func (r *Remote) Follow(ctx context.Context, after int, sink func(dispatch.Event) error) error {
+	stream, err := r.client.FollowRequest(ctx, &peerpb.FollowRequestRequest{RequestId: string(r.id), After: int32(after)})
+	if err != nil {
+		return notFound(err)
+	}
+	for {
+		wire, err := stream.Recv()
+		if err != nil {
+			return notFound(err)
+		}
+		if wire.GetRequestId() != string(r.id) {
+			return eris.New("peer sent an event of another request")
+		}
+		event := fromWire(wire)
+		if err := sink(event); err != nil {
+			return err
+		}
+		if event.Last() {
+			return nil
+		}
+	}
+}
+
+func notFound(err error) error {
+	if status.Code(err) == codes.NotFound {
+		return dispatch.ErrNotFound
+	}
+	return eris.Wrap(err, "ask peer")
+}
--- a/internal/peer/replicator.go
+++ b/internal/peer/replicator.go
@@ -134,6 +134,33 @@
 	return eris.Wrap(err, "hand request over")
 }
 
+// Hold gives a finished answer to a daemon that keeps it.
+func (m *Mesh) Hold(ctx context.Context, spec request.Spec, tokens []string, last dispatch.Event) error {
+	raw, err := encodeSpec(spec)
+	if err != nil {
+		return err
+	}
+	message := &peerpb.HoldAnswerRequest{Spec: raw, Tokens: tokens, Last: toWire(spec.ID, last)}
+	err = eris.New("no other daemon is known")
+	for _, vm := range m.backups(spec.ID) {
+		if err = m.holdAt(ctx, vm, message); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (m *Mesh) holdAt(ctx context.Context, vm platform.VM, message *peerpb.HoldAnswerRequest) error {
+	client, err := m.client(vm)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err = client.HoldAnswer(ctx, message)
+	return eris.Wrap(err, "hold answer at peer")
+}
+
 // Heir runs what dead owners have left.
 type Heir interface {
 	// Adopt makes this daemon the owner of a request.
