Prove death of a restarted owner, never mix runs, offer orders once

A backup that is not a heartbeat contact of its owner never heard that a newer process had replaced it, so copies of a crashed process stayed for ever while its VM was listed. A daemon now also asks, in turn, one owner of the copies it keeps: one heartbeat more in 2 s, however many owners there are. 2. After a death without notice the backup may have fewer tokens than the caller; a sampling engine would go on with others. Event IDs name the run (12.1); a resume from behind the shared tokens gets 409 and reads from the start. 3. The hand-over of a queued order was tried three times at one daemon. Had that taken it, run it and restarted, the next try would have run it again. It is offered once, to a daemon that answers, and again only after a clear refusal.

--- a/internal/backup/backup.go
+++ b/internal/backup/backup.go
@@ -4,6 +4,8 @@
 
 import (
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/plankridge/plankridge/internal/request"
@@ -121,6 +123,17 @@
 	return len(s.copies), s.bytes
 }
 
+// Owners returns the daemons that own copies, in order.
+func (s *Store) Owners() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	owners := map[string]bool{}
+	for _, c := range s.copies {
+		owners[c.Owner.Daemon] = true
+	}
+	return slices.Sorted(maps.Keys(owners))
+}
+
 // TakeIf removes and returns the copies whose owner is proved dead.
 func (s *Store) TakeIf(dead func(Owner) bool) []Copy {
 	s.mu.Lock()
--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -99,15 +98,18 @@
 	if strings.Contains(c.Request().Header.Get("Accept"), "text/event-stream") {
 		spec.Stream = true
 	}
-	after := 0
+	var from request.Position
 	if last := c.Request().Header.Get("Last-Event-ID"); last != "" {
-		after, err = strconv.Atoi(last)
-		if err != nil || after < 0 {
-			return newProblem(http.StatusBadRequest, request.OutcomeUnknown, "Last-Event-ID: want a number of tokens").Err()
+		from, err = request.ParsePosition(last)
+		if err != nil {
+			return newProblem(http.StatusBadRequest, status.Outcome, "Last-Event-ID: "+err.Error()).Err()
+		}
+		if !spec.Continues(from) {
+			return newProblem(http.StatusConflict, status.Outcome, "the answer was begun again: read it without Last-Event-ID").Err()
 		}
 		spec.Stream = spec.Kind != request.KindPlain
 	}
-	return a.answer(c, source, &spec, after)
+	return a.answer(c, source, &spec, from.Offset)
 }
 
 // answer sends the answer of a request in the form that its kind has.
@@ -339,7 +341,7 @@
 	if err != nil {
 		return err
 	}
-	return s.write("event: moved\nid: " + strconv.Itoa(offset) + "\ndata: " + string(raw) + "\n\n")
+	return s.write("event: moved\nid: " + s.position(offset) + "\ndata: " + string(raw) + "\n\n")
 }
 
 // problem ends a stream without its last event.
@@ -355,7 +357,11 @@
 	if err != nil {
 		return err
 	}
-	return s.write("id: " + strconv.Itoa(offset) + "\ndata: " + string(raw) + "\n\n")
+	return s.write("id: " + s.position(offset) + "\ndata: " + string(raw) + "\n\n")
+}
+
+func (s *eventStream) position(offset int) string {
+	return request.Position{Run: s.spec.Run, Offset: offset}.String()
 }
 
 func (s *eventStream) write(text string) error {
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -37,9 +37,24 @@
 	for _, contact := range Contacts(m.self, m.Daemons()) {
 		calls.Go(func() { m.beatOne(ctx, contact) })
 	}
+	if owner, ok := m.nextOwner(); ok {
+		calls.Go(func() { m.beatOne(ctx, owner) })
+	}
 	calls.Wait()
 }
 
+// nextOwner returns, in turn, one of the daemons whose requests this one keeps
+// copies of. It need not be a contact, and only it can tell that it has been
+// replaced by a newer process.
+func (m *Mesh) nextOwner() (platform.VM, bool) {
+	owners := m.copies.Owners()
+	if len(owners) == 0 {
+		return platform.VM{}, false
+	}
+	m.ownerTurn++
+	return m.daemon(owners[m.ownerTurn%len(owners)])
+}
+
 func (m *Mesh) beatOne(ctx context.Context, contact platform.VM) {
 	client, err := m.client(contact)
 	if err != nil {
@@ -62,6 +77,19 @@
 
 // heard takes over what a peer has said of itself.
 func (m *Mesh) heard(id string, incarnation uint64, generation int64) {
+	m.noteIncarnation(id, incarnation)
+	if generation <= m.follower.Generation() {
+		return
+	}
+	select {
+	case m.pulls <- id:
+	default:
+	}
+}
+
+// noteIncarnation remembers the process that runs a daemon. A process that
+// another one has replaced is dead.
+func (m *Mesh) noteIncarnation(id string, incarnation uint64) {
 	m.mu.Lock()
 	previous, known := m.seen[id]
 	restarted := known && previous != incarnation && !m.before[backup.Owner{Daemon: id, Incarnation: incarnation}]
@@ -76,13 +104,6 @@
 		m.logger.Info("peer has restarted", "peer", id)
 		go m.inherit()
 	}
-	if generation <= m.follower.Generation() {
-		return
-	}
-	select {
-	case m.pulls <- id:
-	default:
-	}
 }
 
 // pullLoop fetches the deployment from peers that have a higher generation.
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -67,6 +67,8 @@
 
 	copies *backup.Store
 	heir   Heir
+	// ownerTurn counts the checked owners of copies; only Run uses it.
+	ownerTurn int
 
 	mu      sync.Mutex
 	daemons []platform.VM
--- a/internal/peer/replicator.go
+++ b/internal/peer/replicator.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 
 	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"github.com/plankridge/plankridge/internal/backup"
 	"github.com/plankridge/plankridge/internal/dispatch"
@@ -100,7 +102,9 @@
 }
 
 // TakeOver implements dispatch.Replicator. An idempotent request may end up at
-// two daemons when an answer is lost; another is only ever offered to one.
+// two daemons when an answer is lost. Another one is offered once: were the
+// offer repeated, a daemon that has taken it, run it and restarted would run it
+// again.
 func (m *Mesh) TakeOver(ctx context.Context, backupID string, c dispatch.Copy) error {
 	raw, err := json.Marshal(c.Spec)
 	if err != nil {
@@ -111,18 +115,32 @@
 	if vm, ok := m.daemon(backupID); ok && vm.State != platform.VMLeaving {
 		targets = append([]platform.VM{vm}, targets...)
 	}
-	if !c.Spec.Idempotent() && len(targets) > 1 {
-		targets = []platform.VM{targets[0], targets[0], targets[0]}
-	}
 	err = eris.New("no other daemon is known")
 	for _, vm := range targets {
-		if err = m.takeOverAt(ctx, vm, message); err == nil || ctx.Err() != nil {
+		if !c.Spec.Idempotent() && !m.answers(ctx, vm) {
+			continue
+		}
+		err = m.takeOverAt(ctx, vm, message)
+		settled := !c.Spec.Idempotent() && status.Code(eris.Cause(err)) != codes.FailedPrecondition
+		if err == nil || settled || ctx.Err() != nil {
 			return err
 		}
 	}
 	return err
 }
 
+// answers reports whether a daemon can be reached now.
+func (m *Mesh) answers(ctx context.Context, vm platform.VM) bool {
+	client, err := m.client(vm)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	_, err = client.GetStatus(ctx, &peerpb.GetStatusRequest{})
+	return err == nil
+}
+
 func (m *Mesh) takeOverAt(ctx context.Context, vm platform.VM, message *peerpb.TakeOverRequest) error {
 	client, err := m.client(vm)
 	if err != nil {
@@ -180,6 +198,7 @@
 			m.heir.Bury(c.Spec)
 			continue
 		}
+		c.Spec = c.Spec.NextRun(len(c.Tokens))
 		if err := m.heir.Adopt(c.Spec, c.Tokens); err != nil {
 			m.passOn(c)
 		}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -130,6 +130,7 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
+	s.mesh.noteIncarnation(in.GetOwnerId(), in.GetOwnerIncarnation())
 	err = s.mesh.copies.Put(backup.Copy{
 		Owner:     backup.Owner{Daemon: in.GetOwnerId(), Incarnation: in.GetOwnerIncarnation()},
 		Spec:      spec,
@@ -156,7 +157,7 @@
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	if err := s.dispatcher.Adopt(spec, in.GetTokens()); err != nil {
-		return nil, status.Error(codes.Unavailable, err.Error())
+		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	}
 	s.mesh.copies.Release(spec.ID)
 	return &peerpb.TakeOverResponse{}, nil
--- a/internal/replay/send.go
+++ b/internal/replay/send.go
@@ -201,6 +201,10 @@
 	switch {
 	case strings.HasPrefix(contentType, "application/problem+json"):
 		r.readProblem(resp.Body)
+		if resp.StatusCode == http.StatusConflict {
+			r.restart()
+			return
+		}
 		r.later = resp.StatusCode == http.StatusServiceUnavailable && r.outcome == request.OutcomeUnknown
 		return
 	case resp.StatusCode == http.StatusAccepted && entry.Async:
@@ -222,6 +226,12 @@
 	r.outcome, r.sum = request.OutcomeOK, digest(raw)
 }
 
+// restart forgets the part of an answer that has been begun again.
+func (r *result) restart() {
+	r.text.Reset()
+	r.offset, r.later = "", true
+}
+
 func (r *result) readProblem(body io.Reader) {
 	var p problem
 	if err := json.NewDecoder(body).Decode(&p); err != nil {
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -58,12 +59,68 @@
 	Stream    bool         `json:"stream"`
 	Async     bool         `json:"async"`
 	Accepted  time.Time    `json:"accepted"`
+	// Run and RunBase tell which run of the answer this is, and the number of
+	// tokens that all runs share.
+	Run     int `json:"run,omitempty"`
+	RunBase int `json:"run_base,omitempty"`
 	// ResumeGrace is how long the request runs on without a reader.
 	ResumeGrace time.Duration `json:"resume_grace"`
 	Model       *ModelRequest `json:"model,omitempty"`
 	Plain       *PlainRequest `json:"plain,omitempty"`
 }
 
+// Position is a place in a streamed answer.
+type Position struct {
+	// Run counts the times that the answer was continued from a copy which
+	// may have lacked tokens that the caller had been sent.
+	Run int
+	// Offset is the number of tokens before the place.
+	Offset int
+}
+
+// String writes the position as the ID of a server-sent event: "12" in the
+// first run, "12.1" in the second.
+func (p Position) String() string {
+	if p.Run == 0 {
+		return strconv.Itoa(p.Offset)
+	}
+	return strconv.Itoa(p.Offset) + "." + strconv.Itoa(p.Run)
+}
+
+// ParsePosition reads what String writes.
+func ParsePosition(text string) (Position, error) {
+	offset, run, more := strings.Cut(text, ".")
+	if !more {
+		run = "0"
+	}
+	var p Position
+	var errs [2]error
+	p.Offset, errs[0] = strconv.Atoi(offset)
+	p.Run, errs[1] = strconv.Atoi(run)
+	if errs[0] != nil || errs[1] != nil || p.Offset < 0 || p.Run < 0 {
+		return Position{}, fmt.Errorf("%q is not a position in an answer", text)
+	}
+	return p, nil
+}
+
+// Continues reports whether the answer goes on from a position. It does not
+// when the position lies in an earlier run, behind the tokens that the present
+// run began with: the tokens up to there may have been others.
+func (s *Spec) Continues(p Position) bool {
+	return p.Run == s.Run || (p.Run < s.Run && p.Offset <= s.RunBase)
+}
+
+// NextRun returns the specification for a run that continues a copy with that
+// many tokens.
+func (s Spec) NextRun(tokens int) Spec {
+	if s.Run == 0 {
+		s.RunBase = tokens
+	}
+	s.RunBase = min(s.RunBase, tokens)
+	s.Run++
+	return s
+}
+
 // Idempotent reports whether the request may run more than once.
 func (s *Spec) Idempotent() bool { return s.Kind != KindPlain || s.Route.Idempotent }
 
--- a/robustness/entry_test.go
+++ b/robustness/entry_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/plankridge/plankridge/internal/cloud"
 	"github.com/plankridge/plankridge/internal/dev"
 	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/standin/faults"
@@ -64,6 +65,9 @@
 		if resp.StatusCode != http.StatusOK {
 			continue
 		}
+		if resp, _ := b.call(http.MethodGet, url, "devis", "", "Last-Event-ID", r.last); resp.StatusCode == http.StatusConflict {
+			r.text, r.last = "", "0"
+		}
 		next, cancel := b.stream(http.MethodGet, url, "devis", "", "Last-Event-ID", r.last)
 		next.text, next.last = r.text, r.last
 		next.tokens(-1)
@@ -95,6 +99,45 @@
 	})
 }
 
+// TestCrashedProcessIsReplaced kills the process of a stream's owner, whose VM
+// stays, and starts a new one in its place.
+func TestCrashedProcessIsReplaced(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		want := b.whole(chatBody)
+		r, cancel := b.stream(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", chatBody)
+		defer cancel()
+		r.tokens(20)
+		owner := b.owner(r.id())
+		owner.Kill()
+		time.Sleep(5 * time.Second)
+		resp, body := b.call(http.MethodGet, balancerURL+"/v1/requests/"+r.id(), "devis", "")
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%s", body))
+		vm := owner.Daemon.VM()
+		_, err := b.d.StartNode(vm.ID, vm.Zone, owner.Host)
+		b.Assert(err, qt.IsNil)
+		r.tokens(-1)
+		b.Assert(b.finish(r), qt.Equals, want)
+	})
+}
+
+// TestAnswerBegunAgainIsNotMixed kills the owner of a stream whose caller has
+// more tokens than the backup.
+func TestAnswerBegunAgainIsNotMixed(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		r, cancel := b.stream(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", chatBody)
+		defer cancel()
+		r.tokens(20)
+		b.d.Cloud.Fleet.Kill(b.owner(r.id()).Daemon.VM().ID)
+		time.Sleep(5 * time.Second)
+		url := balancerURL + "/v1/requests/" + r.id() + "/response"
+		resp, body := b.call(http.MethodGet, url, "devis", "", "Last-Event-ID", r.last)
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusConflict, qt.Commentf("%s", body))
+		resp, body = b.call(http.MethodGet, url, "devis", "", "Last-Event-ID", "3")
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		b.Assert(body, qt.Contains, "id: 4.1\n")
+	})
+}
+
 // TestOwnerAndBackupReclaimed announces the reclaim of both at once.
 func TestOwnerAndBackupReclaimed(t *testing.T) {
 	run(t, "ndiaye", func(b *bed) {
@@ -221,6 +264,34 @@
 	})
 }
 
+// TestQueuedOrderMovesWithItsOwner reclaims the owner of an order that no
+// server has taken yet. It runs once, at another daemon.
+func TestQueuedOrderMovesWithItsOwner(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		var backends []string
+		for _, vm := range b.d.Cloud.Fleet.Members() {
+			if vm.Service == "app-carriere" {
+				backends = append(backends, vm.ID)
+			}
+		}
+		// The servers are dead, and the VM list does not tell yet.
+		for _, id := range backends {
+			b.d.Cloud.Fleet.Kill(id)
+		}
+		resp, _ := b.call(http.MethodPost, balancerURL+"/services/app-carriere/orders", "commandes", `{}`,
+			"X-Reference", "o-5", "Prefer", "respond-async")
+		b.Assert(resp.StatusCode, qt.Equals, http.StatusAccepted)
+		id := resp.Header.Get("Plankridge-Request-Id")
+		b.d.Cloud.Fleet.Reclaim(b.owner(id).Daemon.VM().ID, 3*time.Second)
+		time.Sleep(5 * time.Second)
+		_, err := b.d.Cloud.Fleet.Start(cloud.StartOrder{OrderID: "new", Zone: "hall-sud", Class: "app-small", Service: "app-carriere"})
+		b.Assert(err, qt.IsNil)
+		resp, body := b.call(http.MethodGet, balancerURL+"/v1/requests/"+id+"/response", "commandes", "")
+		b.Check(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", body))
+		b.Check(b.d.Cloud.Ledgers["app-carriere"].Runs()["o-5"], qt.Equals, 1)
+	})
+}
+
 // TestOrderOfReclaimedOwnerIsAnswered reclaims the owner of an order whose
 // answer comes before the deadline.
 func TestOrderOfReclaimedOwnerIsAnswered(t *testing.T) {
