Order the records of a key by turn, not by clock

Cause: a randomised test that applies a key's records in any order found that an old request's intent replaced a later request's void, so that a slot's new holder could tell unknown, or run, by the order in which it read the log. Times cannot order them either: two holders' clocks may differ. Each request of a key now has the turn after the one that did not run.

--- a/internal/keys/manager.go
+++ b/internal/keys/manager.go
@@ -301,7 +301,7 @@
 		return
 	}
 	for _, record := range append(records, logged...) {
-		if record.Ref.Zone == zone && slices.Contains(slots, record.Ref.Slot) {
+		if time.Since(record.At) < Retention && record.Ref.Zone == zone && slices.Contains(slots, record.Ref.Slot) {
 			m.ledger.Apply(record)
 		}
 	}
--- a/internal/keys/record.go
+++ b/internal/keys/record.go
@@ -29,6 +29,10 @@
 	RequestID request.ID `json:"request_id"`
 	State     State      `json:"state"`
 	At        time.Time  `json:"at"`
+	// Turn counts the requests of the key, each of which began after the one
+	// before had not run. Clocks of two holders may differ, so that At does not
+	// order them.
+	Turn int `json:"turn,omitempty"`
 	// Answer is set when the state is done, unless it is too large to keep.
 	Answer *request.PlainAnswer `json:"answer,omitempty"`
 }
@@ -57,16 +61,13 @@
 func NewLedger() *Ledger { return &Ledger{records: map[string]Record{}} }
 
 // supersedes reports whether a record replaces the one that is there. The log
-// may be read in any order and twice: a new request takes the key over only
-// from one that did not run, and within a request the end replaces the intent.
+// may be read in any order and twice: a later request replaces an earlier one,
+// and within a request the end replaces the intent.
 func supersedes(next, present Record) bool {
-	if next.RequestID == present.RequestID {
-		return present.State == StateIntent || next.State == StateDone
+	if next.Turn != present.Turn {
+		return next.Turn > present.Turn
 	}
-	if present.State == StateVoid {
-		return next.State != StateVoid || next.At.After(present.At)
-	}
-	return next.State != StateVoid && next.At.After(present.At)
+	return present.State == StateIntent || next.State == StateDone
 }
 
 // Apply takes over a record of the log.
@@ -88,6 +89,7 @@
 	if known && present.State != StateVoid && record.At.Sub(present.At) < Retention {
 		return present, false, nil
 	}
+	record.Turn = present.Turn + 1
 	if !known && len(l.records) >= maxRecords {
 		l.forget(record.At)
 		if len(l.records) >= maxRecords {
@@ -107,17 +109,18 @@
 	}
 }
 
-// Replace puts a record in the place of the one with the same key that was
-// read before. It reports false when another has come between.
-func (l *Ledger) Replace(old, next Record) bool {
+// Again enters an intent in the place of a record that was read before. It
+// reports false when another has come between.
+func (l *Ledger) Again(old, next Record) (Record, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	present := l.records[old.Ref.Hash]
-	if present.RequestID != old.RequestID || present.State != old.State {
-		return false
+	if present.RequestID != old.RequestID || present.Turn != old.Turn || present.State != old.State {
+		return present, false
 	}
+	next.Turn = old.Turn + 1
 	l.records[next.Ref.Hash] = next
-	return true
+	return next, true
 }
 
 // Len returns the number of keys.
--- a/internal/keys/submit.go
+++ b/internal/keys/submit.go
@@ -46,7 +46,7 @@
 		}}
 	}
 	if begun {
-		return m.run(spec, intent)
+		return m.run(spec, present)
 	}
 	return m.repeated(ctx, spec, present, intent)
 }
@@ -54,11 +54,14 @@
 // run accepts a request whose key is free. The intent is recorded before the
 // first attempt begins.
 func (m *Manager) run(spec request.Spec, intent Record) Result {
+	key := *spec.Key
+	key.Turn = intent.Turn
+	spec.Key = &key
 	flight, refusal := m.options.Dispatcher.SubmitPrepared(spec, func(ctx context.Context) error {
 		return m.record(ctx, intent)
 	})
 	if refusal != nil {
-		m.ledger.Replace(intent, ended(intent, StateVoid, nil))
+		m.ledger.Apply(ended(intent, StateVoid, nil))
 		return Result{Verdict: VerdictRefused, Refusal: refusal}
 	}
 	return Result{Verdict: VerdictRun, RequestID: flight.ID()}
@@ -123,12 +126,16 @@
 	if err != nil {
 		return running
 	}
+	key := *spec.Key
+	key.Turn = present.Turn
+	spec.Key = &key
 	m.Ended(spec, present.RequestID, answer, failure)
 	if answer != nil {
 		return Result{Verdict: VerdictReplay, RequestID: present.RequestID, Answer: answer}
 	}
 	if failure.Outcome == request.OutcomeNotRun {
-		return m.again(spec, ended(present, StateVoid, nil), intent)
+		present.State = StateVoid
+		return m.again(spec, present, intent)
 	}
 	return Result{Verdict: VerdictUnknown, RequestID: present.RequestID}
 }
@@ -152,15 +159,16 @@
 	if present.State != StateVoid && !spec.Idempotent() {
 		return Result{Verdict: VerdictUnknown, RequestID: present.RequestID}
 	}
-	if !m.ledger.Replace(present, intent) {
-		return Result{Verdict: VerdictInFlight, RequestID: present.RequestID}
+	intent, begun := m.ledger.Again(present, intent)
+	if !begun {
+		return Result{Verdict: VerdictInFlight, RequestID: intent.RequestID}
 	}
 	return m.run(spec, intent)
 }
 
 // Ended records the end of a request with a key, wherever it has run.
 func (m *Manager) Ended(spec request.Spec, id request.ID, answer *request.PlainAnswer, failure *request.Failure) {
-	intent := Record{Ref: RefOf(&spec), RequestID: id, State: StateIntent, At: time.Now().UTC()}
+	intent := Record{Ref: RefOf(&spec), RequestID: id, State: StateIntent, At: time.Now().UTC(), Turn: spec.Key.Turn}
 	record := ended(intent, StateUnknown, nil)
 	switch {
 	case answer != nil:
@@ -177,7 +185,7 @@
 // Prepare records the intent of a request with a key that this daemon has
 // taken over from its owner.
 func (m *Manager) Prepare(spec request.Spec) func(context.Context) error {
-	intent := Record{Ref: RefOf(&spec), RequestID: spec.ID, State: StateIntent, At: spec.Accepted.UTC()}
+	intent := Record{Ref: RefOf(&spec), RequestID: spec.ID, State: StateIntent, At: spec.Accepted.UTC(), Turn: spec.Key.Turn}
 	return func(ctx context.Context) error { return m.record(ctx, intent) }
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -144,6 +144,8 @@
 	Slot        int    `json:"slot"`
 	Hash        string `json:"hash"`
 	Fingerprint string `json:"fingerprint"`
+	// Turn counts the requests of the key.
+	Turn int `json:"turn,omitempty"`
 }
 
 // PlainRequest is the part of a spec that plain services need.
