Open no connection to a peer after the mesh is closed

Read for it: a heartbeat that had taken its list of contacts before Close could open a connection after it, which nothing closed. That is the likely cause, not a proved one.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -79,12 +79,16 @@
 	revision int64
 	selfAt   int64
 	conns    map[string]*connection
+	closed   bool
 	// seen is the latest incarnation of each daemon, before holds those that a
 	// later one has replaced.
 	seen   map[string]uint64
 	before map[process]bool
 }
 
+// errClosed means that the daemon speaks to its peers no more.
+var errClosed = errors.New("peers are closed")
+
 // neverListed stands for a daemon that the VM list has not shown yet.
 const neverListed = math.MaxInt64
 
@@ -185,6 +189,9 @@
 func (m *Mesh) client(vm platform.VM) (peerpb.PeerClient, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if m.closed {
+		return nil, errClosed
+	}
 	if c, ok := m.conns[vm.ID]; ok {
 		return peerpb.NewPeerClient(c.conn), nil
 	}
@@ -203,7 +210,10 @@
 	return peerpb.NewPeerClient(conn), nil
 }
 
-// Close closes the connections to all peers.
+// Close closes the connections to all peers. No connection is opened after it.
 func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	m.mu.Unlock()
 	m.replaceDaemons(nil)
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -18,6 +18,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/plankridge/plankridge/internal/backup"
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/request"
@@ -206,3 +207,11 @@
 		}
 	}
 }
+
+func TestClosedMeshOpensNoConnection(t *testing.T) {
+	c := qt.New(t)
+	m := NewMesh(Options{Self: platform.VM{ID: "a"}, Network: memnet.New().Host("10.0.0.1"), Copies: backup.NewStore(1)})
+	m.Close()
+	_, err := m.client(platform.VM{ID: "b", Address: "10.0.0.2:9080"})
+	c.Check(err, qt.ErrorIs, errClosed)
+}
