--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,198 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/discovery"
+	"github.com/plankridge/plankridge/internal/engine"
+	"github.com/plankridge/plankridge/internal/plain"
+	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/route"
+)
+
+func (d *Dispatcher) tryPlain(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) result {
+	ctx, stop := context.WithTimeoutCause(ctx, d.options.Limits.PlainTryLimit.Std(), errSilent)
+	defer stop()
+	if flight.spec.Idempotent() {
+		var leave context.CancelCauseFunc
+		ctx, leave = context.WithCancelCause(ctx)
+		defer leave(nil)
+		go cancelOn(ctx, slot.Evacuate, leave)
+	}
+	spec := flight.spec.Plain
+	answer, err := d.options.Plain.Do(ctx, choice.Server.Address, plain.Call{
+		RequestID:  string(flight.spec.ID),
+		Attempt:    flight.attempts(),
+		Workspace:  flight.spec.Workspace,
+		Idempotent: flight.spec.Idempotent(),
+		Method:     spec.Method,
+		Path:       spec.Path,
+		Header:     spec.Header,
+		Body:       spec.Body,
+	})
+	switch {
+	case err == nil:
+		slot.FirstToken(choice.Wait+choice.Server.ServiceTime, time.Now())
+		return result{step: request.StepAnswer, last: Event{Plain: &request.PlainAnswer{
+			Status: answer.Status, Header: answer.Header, Body: answer.Body,
+		}}}
+	case errors.Is(err, plain.ErrNotSent):
+		return result{step: request.StepNotSent}
+	case errors.Is(err, plain.ErrAnswerTooLarge):
+		return result{step: request.StepLost, fatal: &request.Failure{
+			Outcome: request.OutcomeFailed, Detail: err.Error(), Status: http.StatusBadGateway,
+		}}
+	case errors.Is(err, plain.ErrForeignAnswer):
+		d.metrics.mismatched.Inc()
+	}
+	return result{step: request.StepLost}
+}
+
+// cancelOn ends an attempt when its server has to be left.
+func cancelOn(ctx context.Context, evacuate <-chan struct{}, cancel context.CancelCauseFunc) {
+	select {
+	case <-evacuate:
+		cancel(errEvacuated)
+	case <-ctx.Done():
+	}
+}
+
+func (d *Dispatcher) tryModel(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go cancelOn(ctx, slot.Evacuate, cancel)
+	silence := time.AfterFunc(d.options.Limits.TryTimeout.Std(), func() { cancel(errSilent) })
+	defer silence.Stop()
+
+	stream := &modelStream{dispatcher: d, flight: flight, slot: slot, predicted: choice.Wait, number: flight.attempts()}
+	attempt := d.engineAttempt(flight)
+	err := d.options.Engine.Generate(ctx, choice.Server.Address, attempt, func(event engine.Event) error {
+		if !stream.owns(&event) {
+			return nil
+		}
+		silence.Reset(d.options.Limits.TryTimeout.Std())
+		return stream.event(event)
+	})
+	if err == nil && stream.finish == nil {
+		err = engine.ErrBroken
+	}
+	if err == nil {
+		return result{step: request.StepAnswer, last: Event{Finish: stream.finish}}
+	}
+	if ctx.Err() != nil {
+		go d.cancelAtEngine(choice.Server.Address, flight)
+	}
+	return modelFailure(err)
+}
+
+// modelFailure maps an engine error to the step that it means.
+func modelFailure(err error) result {
+	switch {
+	case errors.Is(err, engine.ErrNotSent):
+		return result{step: request.StepNotSent}
+	case errors.Is(err, engine.ErrRefused):
+		return result{step: request.StepDeclined}
+	case errors.Is(err, engine.ErrInvalid):
+		return result{step: request.StepDeclined, fatal: &request.Failure{
+			Outcome: request.OutcomeNotRun, Detail: err.Error(), Status: http.StatusBadRequest,
+		}}
+	}
+	return result{step: request.StepLost}
+}
+
+func (d *Dispatcher) engineAttempt(flight *Flight) engine.Attempt {
+	model := flight.spec.Model
+	attempt := engine.Attempt{
+		RequestID:  string(flight.spec.ID),
+		Number:     flight.attempts(),
+		Model:      flight.spec.Service,
+		Adapter:    model.Adapter,
+		Prompt:     model.Prompt,
+		CacheSalt:  flight.spec.Workspace,
+		Resume:     flight.produced(),
+		MaxTokens:  model.MaxTokens,
+		Priority:   engine.PriorityAwaited,
+		Parameters: map[string]json.RawMessage{},
+	}
+	if flight.spec.Class == config.ClassDeferrable {
+		attempt.Priority = engine.PriorityDeferrable
+	}
+	for name, value := range model.Parameters {
+		attempt.Parameters[name] = value
+	}
+	return attempt
+}
+
+// cancelAtEngine frees the engine from an attempt that nobody follows any
+// more. The closed connection tells it too; the call covers an engine that
+// does not notice.
+func (d *Dispatcher) cancelAtEngine(address string, flight *Flight) {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	if err := d.options.Engine.Cancel(ctx, address, string(flight.spec.ID)); err != nil {
+		d.log(flight).Debug("cancel at engine failed", "error", err)
+	}
+}
+
+// modelStream takes the events of one attempt.
+type modelStream struct {
+	dispatcher *Dispatcher
+	flight     *Flight
+	slot       *discovery.Slot
+	predicted  time.Duration
+	number     int
+	lastToken  time.Time
+	finish     *request.Finish
+}
+
+// owns checks an event's identity. A mismatched event is dropped and counted.
+func (s *modelStream) owns(event *engine.Event) bool {
+	if event.RequestID == string(s.flight.spec.ID) && event.Number == s.number {
+		return true
+	}
+	s.dispatcher.metrics.mismatched.Inc()
+	return false
+}
+
+// event adds an event to the answer.
+func (s *modelStream) event(event engine.Event) error {
+	now := time.Now()
+	s.slot.FirstToken(s.predicted, now)
+	if event.FinishReason != "" {
+		return s.end(event)
+	}
+	first, err := s.flight.addToken(event.Index, event.Token)
+	if err != nil {
+		return err
+	}
+	s.measure(first, now)
+	return nil
+}
+
+func (s *modelStream) measure(first bool, now time.Time) {
+	if first {
+		took := now.Sub(s.flight.spec.Accepted)
+		s.dispatcher.metrics.firstToken.Observe(took.Seconds())
+		s.flight.firstToken = took
+	} else if !s.lastToken.IsZero() {
+		s.dispatcher.metrics.between.Observe(now.Sub(s.lastToken).Seconds())
+	}
+	s.lastToken = now
+}
+
+func (s *modelStream) end(event engine.Event) error {
+	if event.Index != len(s.flight.produced()) {
+		return errTokenGap
+	}
+	s.finish = &request.Finish{Reason: event.FinishReason, OutputTokens: event.Index}
+	if event.Usage != nil {
+		s.finish.PromptTokens = event.Usage.PromptTokens
+		s.finish.CachedTokens = event.Usage.CachedTokens
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/keys/serve.go
@@ -0,0 +1,103 @@
+package keys
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// serve reads the keys of slots that are held from now on: from the log, and
+// from the daemons of the zone that still have to bring some to it. Their
+// former holder is dead or has released them, so no other source remains.
+func (m *Manager) serve(ctx context.Context, zone string, slots []int) {
+	records, err := m.collect(ctx, zone)
+	if err != nil {
+		m.options.Logger.Warn("keys of a slot are not complete yet", "error", err)
+		return
+	}
+	logged, err := m.readLog(ctx, zone)
+	if err != nil {
+		m.options.Logger.Warn("log of keys cannot be read", "error", err)
+		return
+	}
+	for _, record := range append(records, logged...) {
+		if time.Since(record.At) < Retention && record.Ref.Zone == zone && slices.Contains(slots, record.Ref.Slot) {
+			m.ledger.Apply(record)
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, slot := range slots {
+		if m.homes.Holder(zone, slot).is(m.options.Self) && !m.leaving {
+			m.serving[Home{Zone: zone, Slot: slot}] = true
+		}
+	}
+	m.held.Set(float64(len(m.serving)))
+	m.options.Logger.Info("slots of keys are served", "home", zone, "slots", slots, "keys", m.ledger.Len())
+}
+
+// collect returns what the living processes of a zone still have to bring to
+// the log.
+func (m *Manager) collect(ctx context.Context, zone string) ([]Record, error) {
+	m.mu.Lock()
+	homes := m.homes
+	m.mu.Unlock()
+	records := m.committer.Pending()
+	for _, member := range homes.Enrolled {
+		if member.Zone != zone || member.is(m.options.Self) || m.options.Peers.Dead(member.Holder) {
+			continue
+		}
+		pending, err := m.options.Peers.Collect(ctx, member.Holder)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, pending...)
+	}
+	return records, nil
+}
+
+// readLog returns the records of a zone within the retention.
+func (m *Manager) readLog(ctx context.Context, zone string) ([]Record, error) {
+	var records []Record
+	now := time.Now()
+	for at := now.Add(-Retention); !at.After(now.Add(time.Hour)); at = at.Add(time.Hour) {
+		objects, err := m.options.Store.List(ctx, hourPrefix(zone, at))
+		if err != nil {
+			return nil, eris.Wrap(err, "list log of keys")
+		}
+		for _, object := range objects {
+			var batch []Record
+			if err := json.Unmarshal(object.Value, &batch); err != nil {
+				return nil, eris.Wrapf(err, "decode batch %s", object.Key)
+			}
+			records = append(records, batch...)
+		}
+	}
+	return records, nil
+}
+
+// clean removes the batches that are older than the retention. The holder of
+// the zone's first slot does it.
+func (m *Manager) clean(ctx context.Context) {
+	for pause(ctx, cleanInterval) {
+		if !m.serves(m.options.Zone, 0) {
+			continue
+		}
+		objects, err := m.options.Store.List(ctx, hourPrefix(m.options.Zone, time.Now().Add(-Retention-2*time.Hour)))
+		if err != nil {
+			continue
+		}
+		for _, object := range objects {
+			_ = m.options.Store.Delete(ctx, object.Key)
+		}
+	}
+}
+
+func (m *Manager) serves(zone string, slot int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.serving[Home{Zone: zone, Slot: slot}]
+}
