Let six daemons a zone hold key slots, whatever the number of daemons

Cause: the control slopes, measured again with caller keys, had broken the budget: every daemon enrolled in the one object that every daemon watches, so that a start of 330 daemons rewrote and sent it 330 times over.

--- a/internal/keys/homes.go
+++ b/internal/keys/homes.go
@@ -136,13 +136,31 @@
 	return held
 }
 
+// writersPerZone is the number of daemons of a zone that hold slots or keep
+// intents for those that do. Every change of the homes reaches every daemon, so
+// that their number must not grow with the daemons.
+const writersPerZone = 6
+
+// Writers returns the members of a zone that hold its slots.
+func Writers(zone string, members []string) []string {
+	ranked := rank(zone, members)
+	return ranked[:min(writersPerZone, len(ranked))]
+}
+
 // first returns the member that ranks first for a slot.
 func first(zone string, slot int, members []string) string {
 	if len(members) == 0 {
 		return ""
 	}
-	weight := func(member string) uint64 { return xxhash.Sum64String(fmt.Sprint(zone, "/", slot, "/", member)) }
-	return slices.MaxFunc(members, func(a, b string) int { return cmp.Compare(weight(a), weight(b)) })
+	return rank(fmt.Sprint(zone, "/", slot), members)[0]
+}
+
+// rank orders members by the hash of each with a key.
+func rank(key string, members []string) []string {
+	ranked := slices.Clone(members)
+	weight := func(member string) uint64 { return xxhash.Sum64String(key + "/" + member) }
+	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(weight(b), weight(a)) })
+	return ranked
 }
 
 // Owner returns the holder as an owner of requests.
--- a/internal/keys/manager.go
+++ b/internal/keys/manager.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -86,8 +87,8 @@
 	// take, each with the daemons among which the slots are divided: its own
 	// and those that are proved to have no daemon left.
 	Zones() map[string][]string
-	// Keep asks another daemon to bring records to the log.
-	Keep(ctx context.Context, records []Record) error
+	// Keep asks one of the daemons to bring records to the log.
+	Keep(ctx context.Context, daemons []string, records []Record) error
 	// Collect returns the records that a process still has to bring to the log.
 	Collect(ctx context.Context, holder Holder) ([]Record, error)
 	// Forward submits a request at the holder of its key.
@@ -223,24 +224,34 @@
 	}
 	self := m.options.Self
 	self.Listed = listed
-	claims := 0
-	next, enrolling := homes.Enrol(m.options.Zone, self)
-	if enrolling {
-		claims++
+	next, changed := m.wanted(homes, self)
+	if changed && !m.put(ctx, next, version) {
+		return
+	}
+	for zone, slots := range m.unserved() {
+		m.serve(ctx, zone, slots)
 	}
-	for zone, members := range m.options.Peers.Zones() {
+}
+
+// wanted returns the homes with what this daemon should hold, and whether that
+// is a change. A daemon that is not among its zone's writers stays out of them
+// unless slots have been free for long.
+func (m *Manager) wanted(homes *Homes, self Holder) (*Homes, bool) {
+	zones := m.options.Peers.Zones()
+	next, claims := homes, 0
+	for zone, members := range zones {
 		var claimed bool
-		next, claimed = next.Claim(zone, self, members, m.options.Peers.Dead, m.waited(homes, zone))
+		writers := Writers(zone, members)
+		next, claimed = next.Claim(zone, self, writers, m.options.Peers.Dead, m.waited(homes, zone))
 		if claimed {
 			claims++
 		}
 	}
-	if claims > 0 && !m.put(ctx, next, version) {
-		return
-	}
-	for zone, slots := range m.unserved() {
-		m.serve(ctx, zone, slots)
+	if claims == 0 && !slices.Contains(Writers(m.options.Zone, zones[m.options.Zone]), self.Daemon) {
+		return homes, false
 	}
+	next, enrolling := next.Enrol(m.options.Zone, self)
+	return next, enrolling || claims > 0
 }
 
 // eagerAfter is the number of looks after which a daemon takes a free slot that
@@ -311,6 +322,19 @@
 	}
 }
 
+// keepers returns the other enrolled daemons of the own zone.
+func (m *Manager) keepers() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for name, member := range m.homes.Enrolled {
+		if member.Zone == m.options.Zone && name != m.options.Self.Daemon {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // ErrNotEnrolled means that a process must not take records yet, or any more.
 var ErrNotEnrolled = errors.New("process is not enrolled for keys")
 
--- a/internal/keys/submit.go
+++ b/internal/keys/submit.go
@@ -78,7 +78,7 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	if err := m.options.Peers.Keep(ctx, []Record{intent}); err != nil {
+	if err := m.options.Peers.Keep(ctx, m.keepers(), []Record{intent}); err != nil {
 		m.options.Logger.Warn("intent is kept nowhere", "request_id", intent.RequestID, "error", err)
 		return ErrNotKept
 	}
--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -56,16 +56,16 @@
 	return zones
 }
 
-// Keep implements keys.Peers. Only a daemon of the own zone will do, because
-// that is where a later holder collects.
-func (p *KeyPeers) Keep(ctx context.Context, records []keys.Record) error {
+// Keep implements keys.Peers.
+func (p *KeyPeers) Keep(ctx context.Context, daemons []string, records []keys.Record) error {
 	raw, err := json.Marshal(records)
 	if err != nil {
 		return eris.Wrap(err, "encode records")
 	}
-	err = eris.New("no other daemon of the zone is known")
-	for _, vm := range p.zoneMates(p.Mesh.self.Zone) {
-		if vm.State == platform.VMLeaving {
+	err = eris.New("no daemon can be asked")
+	for _, name := range daemons {
+		vm, known := p.Mesh.daemon(name)
+		if !known || vm.State == platform.VMLeaving {
 			continue
 		}
 		if err = p.keepAt(ctx, vm, raw); err == nil {
@@ -86,17 +86,6 @@
 	return eris.Wrap(err, "keep records at peer")
 }
 
-// zoneMates returns the other daemons of a zone, leaving ones included.
-func (p *KeyPeers) zoneMates(zone string) []platform.VM {
-	var mates []platform.VM
-	for _, daemon := range p.Mesh.Daemons() {
-		if daemon.Zone == zone && daemon.ID != p.Mesh.self.ID {
-			mates = append(mates, daemon)
-		}
-	}
-	return mates
-}
-
 // Collect implements keys.Peers.
 func (p *KeyPeers) Collect(ctx context.Context, holder keys.Holder) ([]keys.Record, error) {
 	vm, known := p.Mesh.daemon(holder.Daemon)
