--- a/internal/keys/model_test.go
+++ b/internal/keys/model_test.go
@@ -184,7 +184,7 @@
 }
 
 // serveSteps are the two steps to serving: ask the others, read the log.
-func (m *model) serveSteps(w *world, p *modelProc, try func(bool, func(*world, *modelProc))) {
+func (m *model) serveSteps(_ *world, p *modelProc, try func(bool, func(*world, *modelProc))) {
 	holds := p.view.Holder(modelZone, 0).is(p.self) && !p.serving
 	ask := func(w *world, p *modelProc) []Record {
 		records := slices.Clone(p.pending)
