--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -52,7 +52,10 @@
 	// Duplicated counts references that ran more often than stated.
 	Duplicated int `json:"duplicated"`
 	// Unexpected counts requests whose outcome is not the stated one.
-	Unexpected    int         `json:"unexpected"`
+	Unexpected int `json:"unexpected"`
+	// Resumed counts answers that the caller had to ask for again, because a
+	// daemon sent it away or its connection broke.
+	Resumed       int         `json:"resumed"`
 	FirstToken    Percentiles `json:"first_token_ms"`
 	BetweenTokens Percentiles `json:"between_tokens_ms"`
 	Answer        Percentiles `json:"answer_ms"`
@@ -164,6 +167,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sum.Sent++
+	if r.resumed {
+		t.sum.Resumed++
+	}
 	if t.onResult != nil {
 		t.onResult(entry, Result{Outcome: r.outcome, Cut: r.cut, Known: r.id != "", SHA256: r.sum, Detail: r.detail})
 	}
--- a/internal/replay/send.go
+++ b/internal/replay/send.go
@@ -24,13 +24,15 @@
 	cut bool
 	// id is the request's ID, once the caller has been told; later says that
 	// the answer can be asked for again.
-	id     string
-	later  bool
-	text   strings.Builder
-	last   time.Time
-	offset string
-	detail string
-	sum    string
+	id    string
+	later bool
+	// resumed is true when an answer that had begun was asked for again.
+	resumed bool
+	text    strings.Builder
+	last    time.Time
+	offset  string
+	detail  string
+	sum     string
 
 	firstToken time.Duration
 	between    []time.Duration
@@ -106,6 +108,7 @@
 		if try > 0 {
 			time.Sleep(resumePause)
 		}
+		r.resumed = r.resumed || !entry.Async
 		s.resume(ctx, entry, r, due)
 	}
 	r.took = time.Since(due)
--- a/robustness/entry_test.go
+++ b/robustness/entry_test.go
@@ -20,17 +20,33 @@
 		for example, zone := range map[string]string{"ndiaye": "hall-nord", "amakusa": "kumamoto-hall"} {
 			t.Run(example+notice.String(), func(t *testing.T) {
 				run(t, example, func(b *bed) {
-					b.holds(b.replayDay(example+"-day", func() {
+					inZone := 0
+					summary := b.replayDay(example+"-day", func() {
 						time.Sleep(15 * time.Second)
+						inZone = b.inFlightIn(zone)
 						b.d.Cloud.Fleet.ReclaimZone(zone, platform.RoleEntry, notice)
 						b.d.Cloud.Fleet.ReclaimZone(zone, platform.RoleBackend, notice)
-					}))
+					})
+					b.holds(summary)
+					b.Logf("%d requests at the zone's daemons when the notice came; %d of %d answers were asked for again, %d lost",
+						inZone, summary.Resumed, summary.Sent, summary.Lost)
 				})
 			})
 		}
 	}
 }
 
+// inFlightIn returns the number of requests at the daemons of a zone.
+func (b *bed) inFlightIn(zone string) int {
+	total := 0
+	for _, node := range b.d.Nodes {
+		if node.Daemon.VM().Zone == zone {
+			total += node.Daemon.InFlight()
+		}
+	}
+	return total
+}
+
 // owner returns the entry VM that accepted a request.
 func (b *bed) owner(id string) *dev.Node {
 	for _, node := range b.d.Nodes {
@@ -315,3 +331,42 @@
 		}
 	})
 }
+
+// TestLongStreamsOutliveZone holds streams open at every daemon while a zone
+// goes, and counts those that went on without a break.
+func TestLongStreamsOutliveZone(t *testing.T) {
+	for _, notice := range []time.Duration{3 * time.Second, 10 * time.Second} {
+		t.Run(notice.String(), func(t *testing.T) {
+			run(t, "ndiaye", func(b *bed) {
+				want := b.whole(chatBody)
+				const streams = 24
+				var readers []*reader
+				for range streams {
+					b.client.CloseIdleConnections()
+					r, cancel := b.stream(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", chatBody)
+					defer cancel()
+					r.tokens(3)
+					readers = append(readers, r)
+				}
+				b.pauseEngines(true)
+				b.d.Cloud.Fleet.ReclaimZone("hall-nord", platform.RoleEntry, notice)
+				b.d.Cloud.Fleet.ReclaimZone("hall-nord", platform.RoleBackend, notice)
+				time.Sleep(notice + time.Second)
+				b.pauseEngines(false)
+				unbroken, moved := 0, 0
+				for _, r := range readers {
+					r.tokens(-1)
+					if r.done {
+						unbroken++
+					}
+					if r.moved {
+						moved++
+					}
+					b.Check(b.finish(r), qt.Equals, want)
+				}
+				b.Logf("%d streams: %d unbroken, %d sent on, all whole", streams, unbroken, moved)
+				b.Check(unbroken+moved, qt.Equals, streams)
+			})
+		})
+	}
+}
--- a/robustness/path_test.go
+++ b/robustness/path_test.go
@@ -70,3 +70,18 @@
 		b.Assert(resp.StatusCode, qt.Equals, http.StatusNotFound)
 	})
 }
+
+func TestOpenAIForms(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		_, models := b.call(http.MethodGet, balancerURL+"/v1/models", "devis", "")
+		b.Check(models, qt.Contains, `"id":"modele-devis:bordereaux"`)
+		resp, body := b.call(http.MethodPost, balancerURL+"/v1/completions", "devis", `{"model":"modele-devis","prompt":"Block 12","max_tokens":2,"temperature":0.2}`)
+		b.Check(resp.StatusCode, qt.Equals, http.StatusOK)
+		b.Check(body, qt.Contains, `"object":"text_completion"`)
+		b.Check(body, qt.Contains, `"finish_reason":"length"`)
+		b.Check(body, qt.Contains, `"completion_tokens":2`)
+		_, body = b.call(http.MethodPost, balancerURL+"/v1/completions", "devis", `{"model":"modele-devis","prompt":"Block 12","max_tokens":2,"stream":true,"stream_options":{"include_usage":true}}`)
+		b.Check(body, qt.Contains, `"choices":[],"usage":{"prompt_tokens":2,"completion_tokens":2`)
+		b.Check(body, qt.Contains, "data: [DONE]")
+	})
+}
