Use one type for the reference of a key

Cause: keys.Ref and request.Key held the same four fields, copied from one to the other in two places. After: request.KeyRef, which Key embeds and keys.Ref names; the wire form is the same. Keys, request and robustness tests of keys are green.

--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -96,6 +96,6 @@
 	ref := keys.NewRef(keys.HomeZone(call.index.Deployment, call.workspace), keys.Scope{
 		Workspace: call.workspace.Name, Service: name, Path: keys.Path(path),
 	}, key, spec.Plain.Method, body)
-	spec.Key = &request.Key{Zone: ref.Zone, Slot: ref.Slot, Hash: ref.Hash, Fingerprint: ref.Fingerprint}
+	spec.Key = &request.Key{KeyRef: ref}
 	return a.submitKeyed(c, spec)
 }
--- a/internal/keys/key.go
+++ b/internal/keys/key.go
@@ -15,6 +15,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/request"
 )
 
 // SlotsPerZone is the number of slots of an availability zone. It bounds the
@@ -25,17 +26,8 @@
 // MaxKey is the longest key that is accepted, in bytes.
 const MaxKey = 255
 
-// Ref names a key without showing it.
-type Ref struct {
-	// Zone and Slot are the key's home.
-	Zone string `json:"zone"`
-	Slot int    `json:"slot"`
-	// Hash is the digest of the key with its scope: workspace, service and
-	// path.
-	Hash string `json:"hash"`
-	// Fingerprint is the digest of what the request asks for.
-	Fingerprint string `json:"fingerprint"`
-}
+// Ref names a key.
+type Ref = request.KeyRef
 
 // Scope is what a key is unique in.
 type Scope struct {
--- a/internal/keys/submit.go
+++ b/internal/keys/submit.go
@@ -13,7 +13,7 @@
 // Submit runs a request with a key, or tells what became of the key's request.
 // It forwards to the holder of the key when that is another daemon.
 func (m *Manager) Submit(ctx context.Context, spec request.Spec) (Result, error) {
-	ref := RefOf(&spec)
+	ref := spec.Key.KeyRef
 	if m.serves(ref.Zone, ref.Slot) {
 		return m.SubmitHere(ctx, spec), nil
 	}
@@ -26,14 +26,9 @@
 	return m.options.Peers.Forward(ctx, holder, spec)
 }
 
-// RefOf returns the key of a specification that has one.
-func RefOf(spec *request.Spec) Ref {
-	return Ref{Zone: spec.Key.Zone, Slot: spec.Key.Slot, Hash: spec.Key.Hash, Fingerprint: spec.Key.Fingerprint}
-}
-
 // SubmitHere runs a request whose key this daemon holds.
 func (m *Manager) SubmitHere(ctx context.Context, spec request.Spec) Result {
-	ref := RefOf(&spec)
+	ref := spec.Key.KeyRef
 	if !m.serves(ref.Zone, ref.Slot) {
 		return Away("the home of this key has moved")
 	}
@@ -168,7 +163,7 @@
 
 // Ended records the end of a request with a key, wherever it has run.
 func (m *Manager) Ended(spec request.Spec, id request.ID, answer *request.PlainAnswer, failure *request.Failure) {
-	intent := Record{Ref: RefOf(&spec), RequestID: id, State: StateIntent, At: time.Now().UTC(), Turn: spec.Key.Turn}
+	intent := Record{Ref: spec.Key.KeyRef, RequestID: id, State: StateIntent, At: time.Now().UTC(), Turn: spec.Key.Turn}
 	record := ended(intent, StateUnknown, nil)
 	switch {
 	case answer != nil:
@@ -185,7 +180,7 @@
 // Prepare records the intent of a request with a key that this daemon has
 // taken over from its owner.
 func (m *Manager) Prepare(spec request.Spec) func(context.Context) error {
-	intent := Record{Ref: RefOf(&spec), RequestID: spec.ID, State: StateIntent, At: spec.Accepted.UTC(), Turn: spec.Key.Turn}
+	intent := Record{Ref: spec.Key.KeyRef, RequestID: spec.ID, State: StateIntent, At: spec.Accepted.UTC(), Turn: spec.Key.Turn}
 	return func(ctx context.Context) error { return m.record(ctx, intent) }
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -138,12 +138,21 @@
 	IncludeUsage bool `json:"include_usage,omitempty"`
 }
 
-// Key is the idempotency key of a request, as digests with its home.
-type Key struct {
-	Zone        string `json:"zone"`
-	Slot        int    `json:"slot"`
-	Hash        string `json:"hash"`
+// KeyRef names an idempotency key without showing it.
+type KeyRef struct {
+	// Zone and Slot are the key's home.
+	Zone string `json:"zone"`
+	Slot int    `json:"slot"`
+	// Hash is the digest of the key with its scope: workspace, service and
+	// path.
+	Hash string `json:"hash"`
+	// Fingerprint is the digest of what the request asks for.
 	Fingerprint string `json:"fingerprint"`
+}
+
+// Key is the idempotency key of a request.
+type Key struct {
+	KeyRef
 	// Turn counts the requests of the key.
 	Turn int `json:"turn,omitempty"`
 }
