Take only replies to later calls as proof that a process was replaced

Cause: read again, a backup took any two messages with different incarnations of a daemon for a restart, the later handled one being the newer. A message of the old process that is handled late (a paused receiver) made the living successor the dead one: its copies were run or buried, and its key slots taken, so that a non-idempotent request with a key could run twice. Now a process is dead when another has answered, at its address, a call that began after this daemon had first heard of it; incoming messages only make processes known. A restarted daemon also knows its own predecessor dead, whose key slots it left unserved before until some mate had noticed.

--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -61,6 +61,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := m.now()
 	reply, err := client.Heartbeat(ctx, &peerpb.HeartbeatRequest{
 		DaemonId:    m.self.ID,
 		Zone:        m.self.Zone,
@@ -71,12 +72,13 @@
 		m.logger.Debug("heartbeat failed", "peer", contact.ID, "error", err)
 		return
 	}
+	m.answered(process{reply.GetDaemonId(), reply.GetIncarnation()}, asked)
 	m.heard(reply.GetDaemonId(), reply.GetIncarnation(), reply.GetGeneration())
 }
 
 // heard takes over what a peer has said of itself.
 func (m *Mesh) heard(id string, incarnation uint64, generation int64) {
-	m.noteIncarnation(id, incarnation)
+	m.learn(process{id, incarnation})
 	if generation <= m.follower.Generation() {
 		return
 	}
@@ -86,21 +88,45 @@
 	}
 }
 
-// noteIncarnation remembers the process that runs a daemon. A process that
-// another one has replaced is dead.
-func (m *Mesh) noteIncarnation(id string, incarnation uint64) {
+// learn remembers that a process has existed.
+func (m *Mesh) learn(p process) {
 	m.mu.Lock()
-	previous, known := m.seen[id]
-	restarted := known && previous != incarnation && !m.before[process{id, incarnation}]
-	if restarted {
-		m.before[process{id, previous}] = true
+	defer m.mu.Unlock()
+	m.learnLocked(p)
+}
+
+func (m *Mesh) learnLocked(p process) {
+	if _, known := m.learned[p]; !known {
+		m.moment++
+		m.learned[p] = m.moment
 	}
-	if restarted || !known {
-		m.seen[id] = incarnation
+}
+
+// now returns the present moment, later than all that has been learnt.
+func (m *Mesh) now() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.moment++
+	return m.moment
+}
+
+// answered takes over which process has answered a call that began at asked. A
+// process of the same daemon that was known before the call is dead, since only
+// one listens at the address. What a message tells that comes in by itself
+// proves nothing: it may be handled long after its sender has been replaced.
+func (m *Mesh) answered(p process, asked int64) {
+	m.mu.Lock()
+	replaced := false
+	for other, learned := range m.learned {
+		if other.daemon == p.daemon && other != p && learned < asked && !m.before[other] {
+			m.before[other] = true
+			replaced = true
+		}
 	}
+	m.learnLocked(p)
 	m.mu.Unlock()
-	if restarted {
-		m.logger.Info("peer has restarted", "peer", id)
+	if replaced {
+		m.logger.Info("peer has restarted", "peer", p.daemon)
 		go m.inherit()
 	}
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -80,10 +80,11 @@
 	selfAt   int64
 	conns    map[string]*connection
 	closed   bool
-	// seen is the latest incarnation of each daemon, before holds those that a
-	// later one has replaced.
-	seen   map[string]uint64
-	before map[process]bool
+	// learned is the moment at which this daemon first heard of a process, before
+	// holds the processes that are proved to be replaced.
+	moment  int64
+	learned map[process]int64
+	before  map[process]bool
 }
 
 // errClosed means that the daemon speaks to its peers no more.
@@ -117,7 +118,7 @@
 		incarnation: binary.LittleEndian.Uint64(random[:]),
 		pulls:       make(chan string, 1),
 		conns:       map[string]*connection{},
-		seen:        map[string]uint64{},
+		learned:     map[process]int64{},
 		before:      map[process]bool{},
 		copies:      options.Copies,
 		selfAt:      neverListed,
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,6 +9,7 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"fmt"
+	"log/slog"
 	"math/big"
 	"net"
 	"os"
@@ -215,3 +216,26 @@
 	_, err := m.client(platform.VM{ID: "b", Address: "10.0.0.2:9080"})
 	c.Check(err, qt.ErrorIs, errClosed)
 }
+
+// TestLateMessageProvesNoDeath handles a message of a replaced process after
+// its successor has answered.
+func TestLateMessageProvesNoDeath(t *testing.T) {
+	c := qt.New(t)
+	m := NewMesh(Options{Self: platform.VM{ID: "self"}, Copies: backup.NewStore(1), Logger: slog.New(slog.DiscardHandler)})
+	old, successor := backup.Owner{Daemon: "d", Incarnation: 1}, backup.Owner{Daemon: "d", Incarnation: 2}
+	m.answered(process{"d", 2}, m.now())
+	m.learn(process{"d", 1}) // sent before the restart, handled now
+	c.Check(m.dead(successor), qt.IsFalse)
+	c.Check(m.dead(old), qt.IsFalse)
+
+	begun := m.now()
+	m.learn(process{"d", 3}) // a copy of a newer process, while the call is under way
+	m.answered(process{"d", 2}, begun)
+	c.Check(m.dead(backup.Owner{Daemon: "d", Incarnation: 3}), qt.IsFalse)
+	c.Check(m.dead(old), qt.IsTrue)
+
+	m.answered(process{"d", 3}, m.now())
+	c.Check(m.dead(successor), qt.IsTrue)
+	c.Check(m.dead(backup.Owner{Daemon: "self", Incarnation: m.incarnation + 1}), qt.IsTrue)
+	c.Check(m.dead(backup.Owner{Daemon: "self", Incarnation: m.incarnation}), qt.IsFalse)
+}
--- a/internal/peer/replicator.go
+++ b/internal/peer/replicator.go
@@ -216,8 +216,13 @@
 }
 
 func (m *Mesh) dead(owner backup.Owner) bool {
+	if owner.Daemon == m.self.ID && owner.Incarnation != m.incarnation {
+		// This process listens where the owner did.
+		return true
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.learnLocked(process{owner.Daemon, owner.Incarnation})
 	if m.before[process{owner.Daemon, owner.Incarnation}] {
 		return true
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -132,7 +132,7 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	s.mesh.noteIncarnation(in.GetOwnerId(), in.GetOwnerIncarnation())
+	s.mesh.learn(process{in.GetOwnerId(), in.GetOwnerIncarnation()})
 	err = s.mesh.copies.Put(backup.Copy{
 		Owner:     backup.Owner{Daemon: in.GetOwnerId(), Incarnation: in.GetOwnerIncarnation(), Listed: in.GetOwnerListed()},
 		Spec:      spec,
--- a/robustness/keys_test.go
+++ b/robustness/keys_test.go
@@ -98,8 +98,14 @@
 
 func TestKeyOutlivesItsHolder(t *testing.T) {
 	for name, end := range map[string]func(b *bed, node *dev.Node){
-		"killed":    func(b *bed, node *dev.Node) { b.d.Cloud.Fleet.Kill(node.Daemon.VM().ID) },
-		"drained":   func(b *bed, node *dev.Node) { node.Drain(); b.Check(node.Wait(), qt.IsNil) },
+		"killed":  func(b *bed, node *dev.Node) { b.d.Cloud.Fleet.Kill(node.Daemon.VM().ID) },
+		"drained": func(b *bed, node *dev.Node) { node.Drain(); b.Check(node.Wait(), qt.IsNil) },
+		"crashed and restarted": func(b *bed, node *dev.Node) {
+			node.Kill()
+			vm := node.Daemon.VM()
+			_, err := b.d.StartNode(vm.ID, vm.Zone, node.Host)
+			b.Check(err, qt.IsNil)
+		},
 		"reclaimed": func(b *bed, node *dev.Node) { b.d.Cloud.Fleet.Reclaim(node.Daemon.VM().ID, 3*time.Second) },
 		"zone gone": func(b *bed, node *dev.Node) {
 			b.d.Cloud.Fleet.ReclaimZone(node.Daemon.VM().Zone, platform.RoleEntry, 3*time.Second)
