Find changes that a deaf watch misses

Cause: after the store drops its history a watch may wait on without a sign. Ruled out: lost connections (the watch of servers on the same store went on). Change: one daemon, the first that is heard and that the store answers, asks every second; others wait 15 s. Versions and a digest of the servers travel with the gossip, and what a peer has for longer is fetched. Dropped history on one kind lists every kind anew.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -192,7 +192,7 @@
 	fresh, unknown := n.options.Members.hear(Peer{
 		VM: status.GetVm(), Zone: status.GetZone(), Address: status.GetAddress(), Incarnation: status.GetIncarnation(),
 		ConfigVersion: status.GetConfigVersion(), ServersRevision: status.GetServersRevision(),
-		Fence: status.GetFence(), Draining: status.GetDraining(),
+		Fence: status.GetFence(), Draining: status.GetDraining(), StoreFailing: status.GetStoreFailing(),
 	}, status.GetSequence(), now)
 	if !fresh {
 		return
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -29,6 +29,8 @@
 	// Fence is the fencing number of the lease that the peer holds, or zero.
 	Fence    int64
 	Draining bool
+	// StoreFailing is set while the store does not answer the peer.
+	StoreFailing bool
 	// HeardAt is when the peer's last datagram came; FirstAt is when this daemon
 	// learned of the peer.
 	HeardAt time.Time
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -71,6 +71,9 @@
 	members  *gossip.Members
 	node     *gossip.Node
 	holder   *duty.Holder
+	configs  *store.Follower
+	servers  *store.Follower
+	sentinel atomic.Bool
 	budget   *retrybudget.Budget
 	draining atomic.Bool
 
@@ -191,7 +194,7 @@
 		background.Go(func() { loop(loops) })
 	}
 	failed := make(chan error, 3)
-	for _, server := range r.servers() {
+	for _, server := range r.httpServers() {
 		background.Go(func() { failed <- ignoreClosed(server.http.Serve(server.listener)) })
 	}
 	r.logger.Info("daemon started", "zone", r.settings.VM.Zone, "callers", r.settings.Listen.Callers,
@@ -204,7 +207,7 @@
 	case err = <-failed:
 	}
 	stop()
-	for _, server := range r.servers() {
+	for _, server := range r.httpServers() {
 		_ = server.http.Close()
 	}
 	r.pool.Close()
@@ -215,9 +218,11 @@
 
 // loops are the daemon's background jobs.
 func (r *Router) loops() []func(context.Context) {
+	r.follow()
 	loops := []func(context.Context){
-		store.NewFollower(r.objects, platform.KindConfig, configConsumer{r.state}, r.logger).Run,
-		store.NewFollower(r.objects, platform.KindServers, serverConsumer{r.state}, r.logger).Run,
+		r.configs.Run,
+		r.servers.Run,
+		r.watchRole,
 		func(ctx context.Context) { r.node.Run(ctx, r.peers) },
 		r.register,
 		r.housekeep,
@@ -241,7 +246,7 @@
 	listener net.Listener
 }
 
-func (r *Router) servers() []server {
+func (r *Router) httpServers() []server {
 	servers := []server{{r.callerHTTP, r.callers}}
 	servers = append(servers, server{&http.Server{Handler: platform.NewReadiness(r.Ready), ReadHeaderTimeout: headerTimeout}, r.readiness})
 	if r.exposed != nil {
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
@@ -39,14 +42,17 @@
 	// specs are the entries of the backend servers, as peers exchange them.
 	specs           map[string]json.RawMessage
 	serversRevision int64
+	serversDigest   uint64
 	storeFailing    bool
+	// differs is since when each peer that is ahead shows other servers.
+	differs map[string]time.Time
 }
 
 func newState(r *Router) *state {
 	now := time.Now()
 	return &state{
 		router: r, view: backend.NewView(), limiter: allowance.NewLimiter(now), ledger: newLedger(r.settings),
-		started: now, specs: map[string]json.RawMessage{},
+		started: now, specs: map[string]json.RawMessage{}, differs: map[string]time.Time{},
 	}
 }
 
@@ -56,6 +62,13 @@
 // Demand implements duty.Scaler's question.
 func (s *state) Demand(string) float64 { return 0 }
 
+// failing reports whether the store does not answer this daemon.
+func (s *state) failing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeFailing
+}
+
 // takeConfig puts a configuration in force unless it is older than the present
 // one.
 func (s *state) takeConfig(raw []byte, source string) {
@@ -132,6 +145,7 @@
 	}
 	s.mu.Lock()
 	s.specs, s.serversRevision = specs, revision
+	s.serversDigest = digestOf(specs)
 	s.mu.Unlock()
 	s.view.Replace(entries, now)
 	s.router.logger.Info("servers listed", "servers", len(entries), "revision", revision)
@@ -147,6 +161,7 @@
 	} else {
 		c.specs[id] = event.Object.Spec
 	}
+	c.serversDigest = digestOf(c.specs)
 	c.mu.Unlock()
 	if event.Deleted {
 		c.view.Remove(id, now)
@@ -177,6 +192,7 @@
 	}
 	s.mu.Lock()
 	status.ServersRevision, status.StoreFailing = s.serversRevision, s.storeFailing
+	status.ServersDigest = s.serversDigest
 	s.mu.Unlock()
 	status.Draining = s.router.draining.Load()
 	if s.router.holder != nil {
@@ -214,6 +230,20 @@
 	return reply
 }
 
+// digestOf returns a digest of what servers are listed and how, whatever their
+// order.
+func digestOf(specs map[string]json.RawMessage) uint64 {
+	var sum uint64
+	for id, spec := range specs {
+		entry, err := platform.DecodeServer(id, spec)
+		if err != nil {
+			continue
+		}
+		sum += xxhash.Sum64String(id + "|" + entry.Address + "|" + strconv.FormatBool(entry.Draining))
+	}
+	return sum
+}
+
 // Heard implements gossip.Sink.
 func (s *state) Heard(status *gossippb.Status, unknown bool) {
 	vm, incarnation := status.GetVm(), status.GetIncarnation()
@@ -247,9 +277,30 @@
 	if status.GetConfigVersion() > version {
 		return true
 	}
+	return s.lacksServers(status, time.Now())
+}
+
+// differsFor is how long a peer that is ahead must show other servers before
+// its list is fetched: a change reaches all watches within some milliseconds.
+const differsFor = 600 * time.Millisecond
+
+// lacksServers reports whether the peer has seen more of the list of servers
+// and has kept another one for a while: this daemon's own watch has missed
+// something, or the store does not answer it.
+func (s *state) lacksServers(status *gossippb.Status, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.storeFailing && !status.GetStoreFailing() && status.GetServersRevision() > s.serversRevision
+	ahead := !status.GetStoreFailing() && status.GetServersRevision() > s.serversRevision
+	if !ahead || status.GetServersDigest() == s.serversDigest {
+		delete(s.differs, status.GetVm())
+		return false
+	}
+	since, known := s.differs[status.GetVm()]
+	if !known {
+		since = now
+		s.differs[status.GetVm()] = now
+	}
+	return s.storeFailing || now.Sub(since) >= differsFor
 }
 
 // Pulled implements gossip.Sink.
@@ -258,7 +309,7 @@
 		s.takeConfig(reply.GetConfig(), "peer")
 	}
 	s.mu.Lock()
-	wanted := s.storeFailing && reply.GetServersRevision() > s.serversRevision
+	wanted := reply.GetServersRevision() > s.serversRevision
 	s.mu.Unlock()
 	if !wanted {
 		return
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -4,13 +4,11 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
 	"time"
 )
 
 const (
-	// watchWait is how long one watch waits, in the store's whole milliseconds.
-	// Each call is paid for; a dead connection is found by its own timeouts.
-	watchWait = 15 * time.Second
 	// firstRetry follows a failed call; it doubles up to lastRetry. A change has
 	// to be in force within 2 s of the store's return.
 	firstRetry = 50 * time.Millisecond
@@ -36,14 +34,52 @@
 	consumer Consumer
 	logger   *slog.Logger
 	// next is the revision to watch from; zero asks for a list.
-	next   int64
-	failed bool
-	retry  time.Duration
+	next    int64
+	failed  bool
+	retry   time.Duration
+	options FollowOptions
+
+	mu sync.Mutex
+	// cancel ends the watch that waits; relist asks for a list after it.
+	cancel context.CancelFunc
+	relist bool
+}
+
+// FollowOptions tie the followers of one daemon together.
+type FollowOptions struct {
+	// Wait returns how long the next watch may wait. A watch can go deaf without
+	// a sign, so that the daemon on which others rely asks often.
+	Wait func() time.Duration
+	// OnCompacted is called when the store has dropped history: what other
+	// watches wait for may be gone too.
+	OnCompacted func()
 }
 
 // NewFollower returns a follower of one kind of object.
-func NewFollower(s Store, kind string, consumer Consumer, logger *slog.Logger) *Follower {
-	return &Follower{store: s, kind: kind, consumer: consumer, logger: logger, retry: firstRetry}
+func NewFollower(s Store, kind string, consumer Consumer, logger *slog.Logger, options FollowOptions) *Follower {
+	return &Follower{store: s, kind: kind, consumer: consumer, logger: logger, retry: firstRetry, options: options}
+}
+
+// Refresh ends the watch that waits, so that the next one waits as long as is
+// right now. relist asks for the whole list first.
+func (f *Follower) Refresh(relist bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relist = f.relist || relist
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
+// watching prepares a watch that Refresh can end.
+func (f *Follower) watching(ctx context.Context) (context.Context, context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ctx, f.cancel = context.WithCancel(ctx)
+	if f.relist {
+		f.next, f.relist = 0, false
+	}
+	return ctx, f.cancel
 }
 
 // Run follows until the context ends.
@@ -59,16 +95,21 @@
 
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
+	waiting, cancel := f.watching(ctx)
+	defer cancel()
 	if f.next == 0 {
 		return f.list(ctx)
 	}
-	changes, err := f.store.Watch(ctx, f.kind, f.next, watchWait)
-	if errors.Is(err, ErrCompacted) {
+	changes, err := f.store.Watch(waiting, f.kind, f.next, f.options.Wait())
+	switch {
+	case errors.Is(err, ErrCompacted):
 		f.logger.Info("history of the watch is gone, listing anew", "kind", f.kind, "revision", f.next)
 		f.next = 0
+		f.options.OnCompacted()
 		return nil
-	}
-	if err != nil {
+	case err != nil && waiting.Err() != nil:
+		return nil
+	case err != nil:
 		// The list finds what lapsed meanwhile.
 		f.next = 0
 		return err
