Order servers by demand and refuse early what would come late

A request whose first event is predicted later than 1.2 times its target is refused with Retry-After. Also: the readiness and metrics servers were made anew at each use, so that they were never closed and a stopping process hung until it was killed.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -173,3 +173,8 @@
 type Usage interface {
 	Began(workspace string, at time.Time)
 }
+
+// Demand measures what is asked of a service.
+type Demand interface {
+	Asked(service string, unread, output int, now time.Time)
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -30,6 +30,9 @@
 	// leastTry is the least time left with which another server is tried: a
 	// plain call takes about 15 ms of work and a few of network.
 	leastTry = 30 * time.Millisecond
+	// lateFactor times a route's target is the predicted time to the first event
+	// above which a request is refused. A late answer earns a tenth.
+	lateFactor = 1.2
 )
 
 var (
@@ -46,6 +49,7 @@
 	Limiter Limiter
 	Budget  Budget
 	Usage   Usage
+	Demand  Demand
 	Logger  *slog.Logger
 	Metrics *Metrics
 }
@@ -68,6 +72,7 @@
 	// mayHaveRun is set once an attempt may have run.
 	mayHaveRun bool
 	begun      bool
+	asked      bool
 	// started is set once the head of the answer has gone to the caller.
 	started bool
 	// after is the last event that the caller has.
@@ -130,9 +135,10 @@
 		if !ok {
 			return r.giveUp(ctx, &Refusal{Status: http.StatusServiceUnavailable, Reason: "service has no backend server", RetryAfter: retryNoServer})
 		}
-		if choice.Wait > r.call.Deadline().Sub(now) {
+		r.ask(choice, now)
+		if refusal := r.tooLate(choice, now); refusal != nil {
 			choice.End(backend.OutcomeNeutral, now)
-			return r.giveUp(ctx, &Refusal{Status: http.StatusServiceUnavailable, Reason: "predicted wait is too long", RetryAfter: retryNoServer})
+			return r.giveUp(ctx, refusal)
 		}
 		result := r.try(ctx, choice)
 		choice.End(result.outcome, time.Now())
@@ -147,6 +153,33 @@
 	}
 }
 
+// ask counts the call's demand, once.
+func (r *run) ask(choice *backend.Choice, now time.Time) {
+	if r.asked {
+		return
+	}
+	r.asked = true
+	output := 0
+	if r.call.Prompt != nil {
+		output = r.call.Prompt.MaxOutput
+	}
+	r.options.Demand.Asked(r.call.Service, choice.Unread, output, now)
+}
+
+// tooLate refuses a call whose first answer would come so late that another
+// caller is better served by the same work.
+func (r *run) tooLate(choice *backend.Choice, now time.Time) *Refusal {
+	elapsed := now.Sub(r.call.Arrived)
+	worst := time.Duration(lateFactor * float64(r.call.Route.Target))
+	if r.call.Prompt == nil || r.mayHaveRun || elapsed+choice.Wait <= worst {
+		return nil
+	}
+	return &Refusal{
+		Status: http.StatusServiceUnavailable, Reason: "predicted wait is too long",
+		RetryAfter: max(retrySoon, choice.Wait-r.call.Route.Target/2),
+	}
+}
+
 func (r *run) need() backend.Need {
 	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.Target, Tried: r.tried}
 	if p := r.call.Prompt; p != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -83,6 +83,7 @@
 	peers     net.Listener
 
 	callerHTTP *http.Server
+	http       []httpServer
 	cloud      *platform.Cloud
 }
 
@@ -110,6 +111,7 @@
 		return nil, err
 	}
 	r.build()
+	r.buildServers()
 	return r, nil
 }
 
@@ -156,6 +158,7 @@
 		Limiter: r.state.limiter,
 		Budget:  r.budget,
 		Usage:   r.state.ledger,
+		Demand:  r.state.demand,
 		Logger:  r.logger,
 		Metrics: forward.NewMetrics(r.metrics),
 	})
@@ -194,8 +197,8 @@
 		background.Go(func() { loop(loops) })
 	}
 	failed := make(chan error, 3)
-	for _, server := range r.httpServers() {
-		background.Go(func() { failed <- ignoreClosed(server.http.Serve(server.listener)) })
+	for _, server := range r.http {
+		background.Go(func() { failed <- ignoreClosed(server.Serve(server.listener)) })
 	}
 	r.logger.Info("daemon started", "zone", r.settings.VM.Zone, "callers", r.settings.Listen.Callers,
 		"peers", r.settings.Listen.Peers, "incarnation", r.incarnation)
@@ -207,8 +210,8 @@
 	case err = <-failed:
 	}
 	stop()
-	for _, server := range r.httpServers() {
-		_ = server.http.Close()
+	for _, server := range r.http {
+		_ = server.Close()
 	}
 	r.pool.Close()
 	background.Wait()
@@ -240,19 +243,21 @@
 	return append(loops, r.holder.Run, reporter.Run, scaler.Run)
 }
 
-// server is an HTTP server with its listener.
-type server struct {
-	http     *http.Server
+// httpServer is an HTTP server with its listener.
+type httpServer struct {
+	*http.Server
 	listener net.Listener
 }
 
-func (r *Router) httpServers() []server {
-	servers := []server{{r.callerHTTP, r.callers}}
-	servers = append(servers, server{&http.Server{Handler: platform.NewReadiness(r.Ready), ReadHeaderTimeout: headerTimeout}, r.readiness})
+// buildServers makes the HTTP servers, that of the callers first.
+func (r *Router) buildServers() {
+	r.http = []httpServer{
+		{r.callerHTTP, r.callers},
+		{&http.Server{Handler: platform.NewReadiness(r.Ready), ReadHeaderTimeout: headerTimeout}, r.readiness},
+	}
 	if r.exposed != nil {
-		servers = append(servers, server{&http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout}, r.exposed})
+		r.http = append(r.http, httpServer{&http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout}, r.exposed})
 	}
-	return servers
 }
 
 func ignoreClosed(err error) error {
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -14,6 +14,7 @@
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
+	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
 	"github.com/plankridge/plankridge/internal/store"
 	"github.com/plankridge/plankridge/internal/usage"
@@ -35,6 +36,7 @@
 	view    *backend.View
 	limiter *allowance.Limiter
 	ledger  *usage.Ledger
+	demand  *demand.Meter
 	catalog atomic.Pointer[catalog.Catalog]
 	started time.Time
 
@@ -45,13 +47,15 @@
 	serversDigest   uint64
 	storeFailing    bool
 	// differs is since when each peer that is ahead shows other servers.
-	differs map[string]time.Time
+	differs      map[string]time.Time
+	remoteDemand map[string]remoteDemand
 }
 
 func newState(r *Router) *state {
 	now := time.Now()
 	return &state{
 		router: r, view: backend.NewView(), limiter: allowance.NewLimiter(now), ledger: newLedger(r.settings),
+		demand: demand.NewMeter(), remoteDemand: map[string]remoteDemand{},
 		started: now, specs: map[string]json.RawMessage{}, differs: map[string]time.Time{},
 	}
 }
@@ -59,8 +63,31 @@
 // Catalog returns the configuration in force, or nil.
 func (s *state) Catalog() *catalog.Catalog { return s.catalog.Load() }
 
-// Demand implements duty.Scaler's question.
-func (s *state) Demand(string) float64 { return 0 }
+// Demand returns the number of engines that the present demand of a service
+// keeps busy with reading prompts, as far as daemons are heard.
+func (s *state) Demand(service string) float64 {
+	now := time.Now()
+	unread := s.demand.Rates(now)[service].Unread
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for vm, d := range s.remoteDemand {
+		if now.Sub(d.at) > demandFor {
+			delete(s.remoteDemand, vm)
+			continue
+		}
+		unread += d.unread[service]
+	}
+	return unread / prefillRate
+}
+
+// remoteDemand is what a peer is asked for.
+type remoteDemand struct {
+	at     time.Time
+	unread map[string]float64
+}
+
+// demandFor is how long a peer's last report of demand counts.
+const demandFor = 3 * time.Second
 
 // failing reports whether the store does not answer this daemon.
 func (s *state) failing() bool {
@@ -205,6 +232,9 @@
 	for id, counts := range s.ledger.Own(windowsTold) {
 		status.Windows = append(status.Windows, &gossippb.Window{Id: id, Counts: counts})
 	}
+	for service, rate := range s.demand.Rates(time.Now()) {
+		status.Demands = append(status.Demands, &gossippb.Demand{Service: service, Requests: rate.Requests, Unread: rate.Unread, Output: rate.Output})
+	}
 	for server, load := range s.view.OwnLoads() {
 		status.Loads = append(status.Loads, &gossippb.Load{
 			Server: server, Running: int32(load.Running), PendingTokens: int32(load.PendingTokens),
@@ -262,6 +292,13 @@
 		loads[l.GetServer()] = backend.Load{Running: int(l.GetRunning()), PendingTokens: int(l.GetPendingTokens())}
 	}
 	s.view.SetRemote(vm, loads)
+	unread := map[string]float64{}
+	for _, d := range status.GetDemands() {
+		unread[d.GetService()] = d.GetUnread()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remoteDemand[vm] = remoteDemand{at: time.Now(), unread: unread}
 }
 
 // settling is how long after its start a daemon takes the first report of a
