--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -7,7 +7,6 @@
 	"cmp"
 	"math"
 	"slices"
-	"time"
 
 	"github.com/plankridge/plankridge/internal/catalog"
 )
@@ -27,8 +26,8 @@
 	// OnDemand and Reclaimable are the servers that take new work.
 	OnDemand    int
 	Reclaimable int
-	// DryUntil is when reclaimable servers may be asked for again.
-	DryUntil time.Time
+	// Dry is set while the cloud has no reclaimable servers to give here.
+	Dry bool
 }
 
 // State is what a plan is made from.
@@ -37,7 +36,6 @@
 	Zones   []Zone
 	// Load is the number of servers that the present demand keeps busy.
 	Load float64
-	Now  time.Time
 }
 
 // Target is the number of servers that a zone should have.
@@ -62,7 +60,7 @@
 		targets = append(targets, Target{Zone: z.Name, OnDemand: max(1, s.Scaling.Min)})
 	}
 	short := spreadReclaimable(s, zones, targets, needed-total(targets))
-	addOnDemand(s.Scaling.Max, targets, short)
+	addOnDemand(s.Scaling.Max, zones, targets, short)
 	return targets
 }
 
@@ -76,29 +74,34 @@
 
 // spreadReclaimable asks for reclaimable servers in every zone, at least one
 // each, and returns how many of the wanted servers cannot be counted on: those
-// of zones that have none to give.
+// that dry zones lack.
 func spreadReclaimable(s State, zones []Zone, targets []Target, wanted int) int {
 	if s.Scaling.SpotPrice <= 0 {
 		return max(0, wanted)
 	}
 	each := max(1, int(math.Ceil(float64(wanted)/float64(len(zones)))))
-	missing := 0
+	expected := 0
 	for i := range targets {
-		targets[i].Reclaimable = min(each, s.Scaling.Max-targets[i].OnDemand)
-		if s.Now.Before(zones[i].DryUntil) {
-			missing += max(0, targets[i].Reclaimable-zones[i].Reclaimable)
-		}
+		targets[i].Reclaimable = max(0, min(each, s.Scaling.Max-targets[i].OnDemand))
+		expected += expectable(zones[i], targets[i])
+	}
+	return max(0, wanted-expected)
+}
+
+// expectable is the number of reclaimable servers that a zone will have.
+func expectable(z Zone, t Target) int {
+	if z.Dry {
+		return min(z.Reclaimable, t.Reclaimable)
 	}
-	surplus := each*len(zones) - wanted
-	return max(0, missing-surplus)
+	return t.Reclaimable
 }
 
 // addOnDemand spreads further servers on demand, the cheapest zone first.
-func addOnDemand(most int, targets []Target, count int) {
+func addOnDemand(most int, zones []Zone, targets []Target, count int) {
 	for count > 0 {
 		added := false
 		for i := range targets {
-			if count > 0 && targets[i].OnDemand+targets[i].Reclaimable < most {
+			if count > 0 && targets[i].OnDemand+expectable(zones[i], targets[i]) < most {
 				targets[i].OnDemand++
 				count--
 				added = true
--- a/internal/cli/router.go
+++ b/internal/cli/router.go
@@ -5,6 +5,7 @@
 
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/eventlog"
+	"github.com/plankridge/plankridge/internal/network"
 	"github.com/plankridge/plankridge/internal/router"
 )
 
@@ -17,7 +18,7 @@
 	lines := eventlog.NewWriter(env.Stdout)
 	defer lines.Close()
 	logger := eventlog.New(lines, slog.LevelInfo)
-	one, err := router.New(router.Options{Settings: settings, Logger: logger})
+	one, err := router.New(router.Options{Settings: settings, Network: network.TCP{}, Logger: logger})
 	if err != nil {
 		return err
 	}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -61,6 +61,8 @@
 	// renewEvery is the time between renewals; a lease of 2.5 s allows for one
 	// that fails.
 	renewEvery = time.Second
+	// retryEvery is the time between tries of a renewal that fails.
+	retryEvery = 300 * time.Millisecond
 	// challengeEvery is the time between two looks at a lease without a known
 	// holder, and turn the time by which each daemon in rank waits longer.
 	challengeEvery = 500 * time.Millisecond
@@ -88,7 +90,10 @@
 	keeper *lease.Keeper
 	// writing serialises writes of the record.
 	writing   sync.Mutex
+	// renewed is when the last renewal that succeeded was begun, tried when the
+	// last one was.
 	renewed   time.Time
+	tried     time.Time
 	looked    time.Time
 	holderAt  time.Time
 	held      bool
@@ -128,7 +133,7 @@
 	switch {
 	case h.stopped():
 	case holds:
-		if now.Sub(h.renewed) >= renewEvery {
+		if h.renewalDue(now) {
 			h.renew(ctx, nil)
 		}
 	case h.options.Peers.Holder():
@@ -139,6 +144,18 @@
 	}
 }
 
+func (h *Holder) renewalDue(now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return now.Sub(h.renewed) >= renewEvery && now.Sub(h.tried) >= retryEvery
+}
+
+func (h *Holder) note(change func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	change()
+}
+
 func (h *Holder) stopped() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -180,7 +197,6 @@
 
 // read takes over the record as it is in the store.
 func (h *Holder) read(ctx context.Context) bool {
-	askedAt := time.Now()
 	object, err := h.options.Store.Get(ctx, Kind, Name)
 	var record lease.Record
 	switch {
@@ -196,7 +212,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.keeper.Observe(object.Revision, record, askedAt, time.Now())
+	h.keeper.Observe(object.Revision, record, time.Now())
 	return true
 }
 
@@ -211,8 +227,13 @@
 	if edit != nil {
 		edit(&next)
 	}
-	h.renewed = time.Now()
-	return h.write(ctx, next)
+	begun := time.Now()
+	h.note(func() { h.tried = begun })
+	if !h.write(ctx, next) {
+		return false
+	}
+	h.note(func() { h.renewed = begun })
+	return true
 }
 
 // write writes a record on the revision last seen. After a lost answer or a
@@ -220,8 +241,8 @@
 func (h *Holder) write(ctx context.Context, record lease.Record) bool {
 	h.mu.Lock()
 	revision := h.keeper.Revision()
+	h.keeper.Begin(record, time.Now())
 	h.mu.Unlock()
-	askedAt := time.Now()
 	var object store.Object
 	var err error
 	if revision == 0 {
@@ -239,7 +260,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.keeper.Written(object.Revision, record, askedAt, time.Now())
+	h.keeper.Written(object.Revision, time.Now())
 	return true
 }
 
--- a/internal/duty/reporter.go
+++ b/internal/duty/reporter.go
@@ -26,7 +26,9 @@
 	Cloud  Cloud
 	Ledger *usage.Ledger
 	Peers  Peers
-	Logger *slog.Logger
+	// Exchange brings the counts of daemons that are not heard.
+	Exchange *Exchange
+	Logger   *slog.Logger
 	// Due is how long after a window's end its report must be there.
 	Due time.Duration
 
@@ -76,6 +78,9 @@
 }
 
 func (r *Reporter) send(ctx context.Context, window int64) bool {
+	if _, standing := r.Holder.report(window); !standing && !r.Peers.AllHeard() {
+		r.Exchange.Collect(ctx)
+	}
 	counts, decided := r.Holder.Decide(ctx, window, r.Ledger.Sum(window))
 	if !decided {
 		return false
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -87,7 +87,7 @@
 
 func (s *Scaler) scale(ctx context.Context, service string, scaling catalog.Scaling, now time.Time) {
 	zones := s.zones(service, scaling, now)
-	plan := capacity.Plan(capacity.State{Scaling: scaling, Zones: zones, Load: s.Demand(service), Now: now})
+	plan := capacity.Plan(capacity.State{Scaling: scaling, Zones: zones, Load: s.Demand(service)})
 	for _, target := range plan {
 		present := zones[indexOf(zones, target.Zone)]
 		s.order(ctx, Order{Service: service, Zone: target.Zone, Count: target.OnDemand}, present.OnDemand, scaling.BootTime)
@@ -101,7 +101,8 @@
 func (s *Scaler) zones(service string, scaling catalog.Scaling, now time.Time) []capacity.Zone {
 	var zones []capacity.Zone
 	for name := range scaling.ZonePrices {
-		zones = append(zones, capacity.Zone{Name: name, DryUntil: s.dry[market{service, name, true}]})
+		_, dry := s.dry[market{service, name, true}]
+		zones = append(zones, capacity.Zone{Name: name, Dry: dry})
 	}
 	for _, server := range s.View.Servers(now) {
 		i := indexOf(zones, server.Zone)
@@ -137,13 +138,16 @@
 		wait = unansweredFor
 	}
 	settled := present == order.Count && last.answered
+	if present >= order.Count {
+		delete(s.dry, key)
+	}
 	if known && last.count == order.Count && (settled || now.Sub(last.at) < wait) {
 		return
 	}
 	if !known && present == order.Count {
 		return
 	}
-	if now.Before(s.dry[key]) {
+	if retry, dry := s.dry[key]; dry && now.Before(retry) {
 		return
 	}
 	right, holds := s.Holder.Right()
@@ -152,8 +156,11 @@
 	}
 	err := s.Cloud.Scale(ctx, right, order)
 	s.given[key] = given{count: order.Count, at: now, answered: err == nil}
-	if errors.Is(err, ErrDeclined) {
+	switch {
+	case errors.Is(err, ErrDeclined):
 		s.dry[key] = now.Add(dryFor)
+	case err == nil:
+		delete(s.dry, key)
 	}
 	s.Logger.Info("servers ordered", "service", order.Service, "zone", order.Zone, "reclaimable", order.Reclaimable,
 		"count", order.Count, "present", present, "fence", right.Fence, "error", text(err))
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -240,8 +240,8 @@
 func (r *run) try(ctx context.Context, choice *backend.Choice) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := r.watchSilence(cancel)
-	defer silence.Stop()
+	stopWatch := r.watchSilence(cancel)
+	defer stopWatch()
 	answer, err := r.options.Backend.Send(ctx, r.attempt(choice))
 	if errors.Is(err, upstream.ErrNotSent) {
 		r.unsent++
@@ -255,7 +255,7 @@
 		return result{outcome: r.failure(ctx), what: "no-answer"}
 	}
 	defer answer.Exchange.Drop()
-	return r.take(ctx, choice, answer, silence)
+	return r.take(ctx, choice, answer)
 }
 
 // failure is the outcome of an attempt without an answer: a caller that left
@@ -278,13 +278,13 @@
 }
 
 // watchSilence ends an attempt at an idempotent request whose server stays
-// silent, while another attempt is left.
-func (r *run) watchSilence(cancel context.CancelCauseFunc) *time.Timer {
-	limit := time.Until(r.call.Deadline())
-	if r.call.Route.Repeat == catalog.RunsAgain && r.sends+1 < r.call.Route.MaxAttempts {
-		limit = max(minSilence, silenceFactor*r.call.Route.Target)
+// silent, while another attempt is left. The returned function stops it.
+func (r *run) watchSilence(cancel context.CancelCauseFunc) (stop func() bool) {
+	if r.call.Route.Repeat != catalog.RunsAgain || r.sends+1 >= r.call.Route.MaxAttempts {
+		return func() bool { return false }
 	}
-	return time.AfterFunc(limit, func() { cancel(errSilent) })
+	limit := max(minSilence, silenceFactor*r.call.Route.Target)
+	return time.AfterFunc(limit, func() { cancel(errSilent) }).Stop
 }
 
 // ran notes that an attempt may have run.
@@ -298,7 +298,7 @@
 }
 
 // take handles the head of an answer.
-func (r *run) take(ctx context.Context, choice *backend.Choice, answer *Answer, silence *time.Timer) result {
+func (r *run) take(ctx context.Context, choice *backend.Choice, answer *Answer) result {
 	switch {
 	case answer.WrongServer:
 		return result{outcome: backend.OutcomeWrongServer, what: "wrong-server"}
@@ -311,7 +311,6 @@
 		r.ran(time.Now())
 		return result{outcome: backend.OutcomeFailed, what: "unsigned"}
 	case answer.Events && answer.Status == http.StatusOK:
-		silence.Stop()
 		return r.stream(ctx, choice, answer)
 	}
 	return r.whole(ctx, choice, answer)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+	"github.com/plankridge/plankridge/internal/network"
 )
 
 const (
@@ -56,6 +57,7 @@
 	// Address is the IP:port of the peer listener.
 	Address     string
 	Incarnation uint64
+	Network     network.Network
 	Members     *Members
 	Source      Source
 	Sink        Sink
@@ -77,11 +79,11 @@
 
 // Listen opens the node's UDP and TCP ports.
 func Listen(options Options) (*Node, net.Listener, error) {
-	packets, err := net.ListenPacket("udp", options.Address)
+	packets, err := options.Network.ListenPacket(options.Address)
 	if err != nil {
 		return nil, nil, eris.Wrap(err, "listen for datagrams")
 	}
-	listener, err := net.Listen("tcp", options.Address)
+	listener, err := options.Network.Listen(options.Address)
 	if err != nil {
 		_ = packets.Close()
 		return nil, nil, eris.Wrap(err, "listen for calls of peers")
@@ -135,7 +137,7 @@
 		return
 	}
 	for _, address := range n.options.Members.addresses(now) {
-		to, err := net.ResolveUDPAddr("udp", address)
+		to, err := n.options.Network.ResolvePacket(address)
 		if err != nil || address == n.options.Address {
 			continue
 		}
@@ -238,7 +240,9 @@
 }
 
 func (n *Node) call(ctx context.Context, address string) (*gossippb.PullReply, error) {
-	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(n.options.Network.Dial))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -42,6 +42,9 @@
 	// fence and until are set while this daemon holds the lease.
 	fence int64
 	until time.Time
+	// pending is the last write that was begun. Its answer may be lost.
+	pending Record
+	begunAt time.Time
 }
 
 // holdFor is the part of the lease's duration that the holder uses. The rest
@@ -56,7 +59,7 @@
 
 // Observe takes over what was read from the store. Revision zero means that
 // there is no record yet.
-func (k *Keeper) Observe(revision int64, record Record, askedAt, now time.Time) {
+func (k *Keeper) Observe(revision int64, record Record, now time.Time) {
 	if k.known && revision < k.revision {
 		return
 	}
@@ -67,12 +70,24 @@
 	switch {
 	case !k.mine():
 		k.fence = 0
-	case k.fence == 0 && revision != 0:
-		// An answer was lost: the write that acquired the lease was carried out.
-		k.fence, k.until = revision, askedAt.Add(k.hold())
+	case record.Renewals == k.pending.Renewals && !k.begunAt.IsZero():
+		// The answer of this daemon's own write was lost.
+		k.confirm(revision)
 	}
 }
 
+// confirm takes over that the pending write was carried out. The lease counts
+// from before the write was begun.
+func (k *Keeper) confirm(revision int64) {
+	if k.fence == 0 {
+		k.fence = revision
+	}
+	k.until = k.begunAt.Add(k.hold())
+}
+
+// Begin notes a write that is about to be sent.
+func (k *Keeper) Begin(record Record, now time.Time) { k.pending, k.begunAt = record, now }
+
 func (k *Keeper) mine() bool {
 	return k.record.Holder == k.self && k.record.Incarnation == k.incarnation
 }
@@ -98,7 +113,7 @@
 	if !free && now.Sub(k.seenAt) < k.duration {
 		return Record{}, false
 	}
-	return Record{Holder: k.self, Incarnation: k.incarnation, Reports: k.record.Reports}, true
+	return Record{Holder: k.self, Incarnation: k.incarnation, Renewals: k.record.Renewals + 1, Reports: k.record.Reports}, true
 }
 
 // Renewal returns the record that renews the lease.
@@ -112,20 +127,18 @@
 func (k *Keeper) Release() Record {
 	next := k.record
 	next.Holder, next.Incarnation = "", 0
+	next.Renewals++
 	return next
 }
 
-// Written takes over a write that succeeded. askedAt is when it was begun.
-func (k *Keeper) Written(revision int64, record Record, askedAt, now time.Time) {
-	k.known, k.revision, k.record, k.seenAt = true, revision, record, now
+// Written takes over that the write that was begun has succeeded.
+func (k *Keeper) Written(revision int64, now time.Time) {
+	k.known, k.revision, k.record, k.seenAt = true, revision, k.pending, now
 	if !k.mine() {
 		k.fence = 0
 		return
 	}
-	if k.fence == 0 {
-		k.fence = revision
-	}
-	k.until = askedAt.Add(k.hold())
+	k.confirm(revision)
 }
 
 // Refused takes over that a higher fencing number was seen: the lease has gone
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -18,6 +18,10 @@
 type Network interface {
 	Listen(address string) (net.Listener, error)
 	Dial(ctx context.Context, address string) (net.Conn, error)
+	// ListenPacket opens a port for datagrams. They are sent to addresses as
+	// ResolvePacket returns them.
+	ListenPacket(address string) (net.PacketConn, error)
+	ResolvePacket(address string) (net.Addr, error)
 }
 
 // dialTimeout bounds the opening of a TCP connection.
@@ -31,6 +35,16 @@
 	return net.Listen("tcp", address)
 }
 
+// ListenPacket implements Network.
+func (TCP) ListenPacket(address string) (net.PacketConn, error) {
+	return net.ListenPacket("udp", address)
+}
+
+// ResolvePacket implements Network.
+func (TCP) ResolvePacket(address string) (net.Addr, error) {
+	return net.ResolveUDPAddr("udp", address)
+}
+
 // Dial implements Network.
 func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: probes, Control: limitUnacknowledged}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -55,6 +55,7 @@
 // Options are what a Router is made from.
 type Options struct {
 	Settings config.RouterSettings
+	Network  network.Network
 	Logger   *slog.Logger
 }
 
@@ -95,18 +96,18 @@
 		logger:      options.Logger.With("vm", s.VM.ID),
 		incarnation: rand.Uint64(),
 		metrics:     prometheus.NewRegistry(),
-		pool:        upstream.NewPool(network.TCP{}, dialTimeout),
+		pool:        upstream.NewPool(options.Network, dialTimeout),
 		members:     gossip.NewMembers(s.Peers.Seeds),
 		budget: retrybudget.New(retrybudget.Bounds{
 			Ratio: s.Bounds.RetryRatio, Extra: s.Bounds.RetryExtra, Window: s.Bounds.RetryWindow.Std(),
 		}),
 	}
 	r.metrics.MustRegister(collectors.NewGoCollector())
-	transport := network.Transport(network.TCP{}, false)
+	transport := network.Transport(options.Network, false)
 	r.objects = platform.NewStore(s.Store.Address, transport)
 	r.cloud = platform.NewCloud(s.Cloud.Address, transport)
 	r.state = newState(r)
-	if err := r.listen(); err != nil {
+	if err := r.listen(options.Network); err != nil {
 		r.closeListeners()
 		return nil, err
 	}
@@ -115,7 +116,7 @@
 	return r, nil
 }
 
-func (r *Router) listen() error {
+func (r *Router) listen(n network.Network) error {
 	listeners := []struct {
 		address string
 		into    *net.Listener
@@ -128,7 +129,7 @@
 		if l.address == "" {
 			continue
 		}
-		listener, err := net.Listen("tcp", l.address)
+		listener, err := n.Listen(l.address)
 		if err != nil {
 			return eris.Wrapf(err, "listen on %s", l.address)
 		}
@@ -136,7 +137,7 @@
 	}
 	node, peers, err := gossip.Listen(gossip.Options{
 		VM: r.settings.VM.ID, Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers, Incarnation: r.incarnation,
-		Members: r.members, Source: r.state, Sink: r.state, Logger: r.logger,
+		Network: n, Members: r.members, Source: r.state, Sink: r.state, Logger: r.logger,
 	})
 	r.node, r.peers = node, peers
 	return err
@@ -233,14 +234,17 @@
 	if r.settings.Cloud.Address == "" {
 		return loops
 	}
+	exchange := &duty.Exchange{
+		Self: r.settings.VM.ID, Incarnation: r.incarnation, Store: r.objects, Ledger: r.state.ledger, Peers: peersOf{r}, Logger: r.logger,
+	}
 	reporter := &duty.Reporter{
-		Holder: r.holder, Cloud: r.cloud, Ledger: r.state.ledger, Peers: peersOf{r}, Logger: r.logger,
+		Holder: r.holder, Cloud: r.cloud, Ledger: r.state.ledger, Peers: peersOf{r}, Exchange: exchange, Logger: r.logger,
 		Due: r.settings.Bounds.UsageDue.Std(),
 	}
 	scaler := &duty.Scaler{
 		Holder: r.holder, Cloud: r.cloud, View: r.state.view, Catalog: r.state.Catalog, Demand: r.state.Demand, Logger: r.logger,
 	}
-	return append(loops, r.holder.Run, reporter.Run, scaler.Run)
+	return append(loops, r.holder.Run, exchange.Run, reporter.Run, scaler.Run)
 }
 
 // httpServer is an HTTP server with its listener.
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -15,6 +15,7 @@
 type Net struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	packets   map[string]*packetConn
 	cut       map[[2]string]bool
 	conns     map[[2]string][]net.Conn
 	traffic   map[string]*Traffic
@@ -24,6 +25,7 @@
 func New() *Net {
 	return &Net{
 		listeners: map[string]*listener{},
+		packets:   map[string]*packetConn{},
 		cut:       map[[2]string]bool{},
 		conns:     map[[2]string][]net.Conn{},
 		traffic:   map[string]*Traffic{},
