--- a/capacity/control_test.go
+++ b/capacity/control_test.go
@@ -19,7 +19,7 @@
 	"github.com/plankridge/plankridge/examples"
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/dev"
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/vmlist"
 	"github.com/plankridge/plankridge/internal/standin/memnet"
 )
 
@@ -77,8 +77,8 @@
 	})
 	c.Assert(err, qt.IsNil)
 	for i := range servers {
-		d.Cloud.Fleet.Add(platform.VM{
-			ID: fmt.Sprintf("runner-%04d", i), Zone: fmt.Sprintf("zone-%d", i%7), Role: platform.RoleBackend,
+		d.Cloud.Fleet.Add(vmlist.VM{
+			ID: fmt.Sprintf("runner-%04d", i), Zone: fmt.Sprintf("zone-%d", i%7), Role: vmlist.RoleBackend,
 			Service: "modele-devis", Class: "accel-4", Market: "reclaimable", Address: fmt.Sprintf("10.9.%d.%d:8000", i/250, i%250),
 		}, nil)
 	}
--- a/capacity/cost_test.go
+++ b/capacity/cost_test.go
@@ -24,7 +24,7 @@
 	"github.com/plankridge/plankridge/internal/dispatch"
 	"github.com/plankridge/plankridge/internal/engine"
 	"github.com/plankridge/plankridge/internal/limit"
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/vmlist"
 	"github.com/plankridge/plankridge/internal/request"
 )
 
@@ -55,11 +55,11 @@
 func withRunners(b *testing.B, count int) *discovery.Registry {
 	registry := discovery.NewRegistry("d", slog.New(slog.DiscardHandler))
 	registry.ApplyConfig(sampleIndex(b))
-	changes := platform.VMChanges{Revision: 1, Full: true}
+	changes := vmlist.VMChanges{Revision: 1, Full: true}
 	for i := range count {
-		changes.VMs = append(changes.VMs, platform.VM{
-			ID: fmt.Sprintf("runner-%05d", i), Zone: "hall-nord", Role: platform.RoleBackend, Service: "modele-devis",
-			Class: "accel-4", Market: "reclaimable", State: platform.VMLive, Address: fmt.Sprintf("10.9.%d.%d:8000", i/250, i%250),
+		changes.VMs = append(changes.VMs, vmlist.VM{
+			ID: fmt.Sprintf("runner-%05d", i), Zone: "hall-nord", Role: vmlist.RoleBackend, Service: "modele-devis",
+			Class: "accel-4", Market: "reclaimable", State: vmlist.VMLive, Address: fmt.Sprintf("10.9.%d.%d:8000", i/250, i%250),
 		})
 	}
 	registry.Apply(changes)
--- a/internal/cli/show.go
+++ b/internal/cli/show.go
@@ -13,8 +13,8 @@
 
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/operatorapi"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/replay"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // Get prints the current deployment as a file that can be applied again.
@@ -67,7 +67,7 @@
 	_, _ = fmt.Fprintln(table, "SERVICE\tLIVE\tLEAVING")
 	for _, name := range slices.Sorted(maps.Keys(status.Servers)) {
 		counts := status.Servers[name]
-		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\n", name, counts[platform.VMLive], counts[platform.VMLeaving])
+		_, _ = fmt.Fprintf(table, "%s\t%d\t%d\n", name, counts[vmlist.VMLive], counts[vmlist.VMLeaving])
 	}
 	_ = table.Flush()
 }
--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -11,7 +11,7 @@
 
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/httpjson"
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // ErrRefused means that the cloud has no such VM to give at present.
@@ -36,7 +36,7 @@
 // Provider is the cloud API.
 type Provider interface {
 	// Start orders a VM. It returns ErrRefused when there is none to have.
-	Start(ctx context.Context, order StartOrder) (platform.VM, error)
+	Start(ctx context.Context, order StartOrder) (vmlist.VM, error)
 	// Stop gives a VM back. Stopping a VM that is gone is no error.
 	Stop(ctx context.Context, vm string) error
 	// Notices returns the notices after a sequence number, waiting at most
@@ -55,8 +55,8 @@
 }
 
 // Start implements Provider.
-func (c *Client) Start(ctx context.Context, order StartOrder) (platform.VM, error) {
-	var vm platform.VM
+func (c *Client) Start(ctx context.Context, order StartOrder) (vmlist.VM, error) {
+	var vm vmlist.VM
 	err := c.api.Call(ctx, http.MethodPost, "/vms", order, &vm)
 	if httpjson.IsStatus(err, http.StatusServiceUnavailable) {
 		return vm, fmt.Errorf("%w: %w", ErrRefused, err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,8 +31,10 @@
 	"github.com/plankridge/plankridge/internal/peer"
 	"github.com/plankridge/plankridge/internal/peer/peerpb"
 	"github.com/plankridge/plankridge/internal/plain"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/store"
+	"github.com/plankridge/plankridge/internal/vmlist"
+	"github.com/plankridge/plankridge/platform"
 )
 
 // Options are what a daemon is made from.
@@ -51,7 +53,8 @@
 	logger   *slog.Logger
 	metrics  *prometheus.Registry
 
-	platform   *platform.Client
+	objects    store.Store
+	vms        vmlist.VMLister
 	cloud      *cloud.Client
 	registry   *discovery.Registry
 	limiter    *limit.Limiter
@@ -136,10 +139,11 @@
 	}
 	client := &http.Client{Transport: network.Transport(options.Network, false)}
 	endpoints := d.settings.Platform
-	d.platform = platform.NewClient(endpoints.Objects, endpoints.VMs, platformToken, client)
+	d.objects = platform.NewStore(endpoints.Objects, client)
+	d.vms = vmlist.NewClient(endpoints.VMs, platformToken, client)
 	d.cloud = cloud.NewClient(endpoints.Cloud, platformToken, client)
 	d.registry = discovery.NewRegistry(d.settings.Daemon.ID, d.logger)
-	d.follower = generation.NewFollower(d.platform, d.logger, d.metrics, d.registry, d.limiter)
+	d.follower = generation.NewFollower(generation.Values(d.objects), d.logger, d.metrics, d.registry, d.limiter)
 	d.mesh = peer.NewMesh(peer.Options{
 		Self:        d.VM(),
 		Network:     options.Network,
@@ -172,13 +176,13 @@
 	d.keys = keys.NewManager(keys.Options{
 		Self:       keys.Holder{Daemon: d.settings.Daemon.ID, Incarnation: d.mesh.Incarnation()},
 		Zone:       d.settings.Daemon.Zone,
-		Store:      d.platform,
+		Store:      store.NewValues(d.objects, keys.Kind),
 		Peers:      &peer.KeyPeers{Mesh: d.mesh, Dispatcher: d.dispatcher, KnownZones: d.zones},
 		Dispatcher: d.dispatcher,
 		Logger:     d.logger,
 		Registerer: d.metrics,
 	})
-	d.registry.OnDaemons(func(daemons []platform.VM, revision int64) {
+	d.registry.OnDaemons(func(daemons []vmlist.VM, revision int64) {
 		d.mesh.SetDaemons(daemons, revision)
 		d.limiter.SetDaemons(len(daemons))
 	})
@@ -208,7 +212,7 @@
 	peerpb.RegisterPeerServer(d.peerServer, peer.NewServer(d.mesh, d.dispatcher, d.follower, d.burn, d.keys))
 	operators := operatorapi.New(operatorapi.Options{
 		Token:     operatorToken,
-		Publisher: generation.NewPublisher(d.platform),
+		Publisher: generation.NewPublisher(generation.Values(d.objects)),
 		Follower:  d.follower,
 		Registry:  d.registry,
 		Mesh:      d.mesh,
@@ -229,11 +233,11 @@
 }
 
 // VM returns the daemon's own entry for the VM list.
-func (d *Daemon) VM() platform.VM {
-	return platform.VM{
+func (d *Daemon) VM() vmlist.VM {
+	return vmlist.VM{
 		ID:              d.settings.Daemon.ID,
 		Zone:            d.settings.Daemon.Zone,
-		Role:            platform.RoleEntry,
+		Role:            vmlist.RoleEntry,
 		Address:         d.peers.Addr().String(),
 		OperatorAddress: d.operators.Addr().String(),
 	}
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -16,7 +16,7 @@
 func (d *Daemon) Run(ctx, kill context.Context) error {
 	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
 	var background sync.WaitGroup
-	background.Go(func() { d.registry.Run(loops, d.platform, d.cloud) })
+	background.Go(func() { d.registry.Run(loops, d.vms, d.cloud) })
 	background.Go(func() { d.follower.Run(loops) })
 	background.Go(func() { d.mesh.Run(loops) })
 	background.Go(func() { d.keys.Run(loops) })
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -18,8 +18,8 @@
 	"github.com/plankridge/plankridge/internal/daemon"
 	"github.com/plankridge/plankridge/internal/generation"
 	"github.com/plankridge/plankridge/internal/network"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/standin/balancer"
+	"github.com/plankridge/plankridge/platform"
 )
 
 // daemonsPerZone is the number of entry VMs in each availability zone.
@@ -139,7 +139,7 @@
 // Publisher returns a publisher that applies to the platform directly.
 func (d *Deployment) Publisher() *generation.Publisher {
 	client := &http.Client{Transport: network.Transport(d.operator.Network, true)}
-	return generation.NewPublisher(platform.NewClient(d.Cloud.ObjectsURL, d.Cloud.VMsURL, "", client))
+	return generation.NewPublisher(generation.Values(platform.NewStore(d.Cloud.ObjectsURL, client)))
 }
 
 // StartNode starts a daemon on an entry VM and puts it into the VM list.
--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -12,12 +12,12 @@
 
 	"github.com/plankridge/plankridge/internal/cloud"
 	"github.com/plankridge/plankridge/internal/config"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/standin/fleet"
 	"github.com/plankridge/plankridge/internal/standin/modelengine"
-	"github.com/plankridge/plankridge/internal/standin/objectapi"
 	"github.com/plankridge/plankridge/internal/standin/plainservice"
 	"github.com/plankridge/plankridge/internal/standin/weightstore"
+	"github.com/plankridge/plankridge/internal/vmlist"
+	"github.com/plankridge/plankridge/platform/fake"
 )
 
 // Sizes of the stand-ins. They are round assumptions, not measurements of a
@@ -32,7 +32,7 @@
 
 // StandIns are the stand-ins of every outside system, on loopback addresses.
 type StandIns struct {
-	Store   *objectapi.Server
+	Store   *fake.Store
 	Fleet   *fleet.Fleet
 	Weights *weightstore.Server
 	// Ledgers count the runs of each plain service's references.
@@ -77,7 +77,7 @@
 func StartStandIns(wanted *config.Deployment, options Options) (*StandIns, error) {
 	s := &StandIns{
 		options: options,
-		Store:   objectapi.New(),
+		Store:   fake.NewStore(),
 		Weights: weightstore.New(artifactBytes, weightStoreRate),
 		Ledgers: map[string]*plainservice.Ledger{},
 		engines: map[string]*modelengine.Server{},
@@ -150,7 +150,7 @@
 }
 
 // launch starts the process of a backend server.
-func (s *StandIns) launch(vm platform.VM) (string, func(), error) {
+func (s *StandIns) launch(vm vmlist.VM) (string, func(), error) {
 	handler, err := s.backend(vm)
 	if err != nil {
 		return "", nil, err
@@ -162,7 +162,7 @@
 	return address, func() { _ = server.Close() }, nil
 }
 
-func (s *StandIns) backend(vm platform.VM) (http.Handler, error) {
+func (s *StandIns) backend(vm vmlist.VM) (http.Handler, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, service := range s.wanted.Services {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -13,8 +13,8 @@
 
 	"github.com/plankridge/plankridge/internal/cloud"
 	"github.com/plankridge/plankridge/internal/config"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/route"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 const (
@@ -45,14 +45,14 @@
 	mu       sync.Mutex
 	index    *config.Index
 	servers  map[string]*server
-	daemons  map[string]platform.VM
+	daemons  map[string]vmlist.VM
 	revision int64
 	changed  chan struct{}
-	onChange []func([]platform.VM, int64)
+	onChange []func([]vmlist.VM, int64)
 }
 
 type server struct {
-	vm       platform.VM
+	vm       vmlist.VM
 	evacuate chan struct{}
 	moved    bool
 	timer    *time.Timer
@@ -74,7 +74,7 @@
 		leaves:  make(chan time.Time, 1),
 		logger:  logger,
 		servers: map[string]*server{},
-		daemons: map[string]platform.VM{},
+		daemons: map[string]vmlist.VM{},
 		changed: make(chan struct{}),
 	}
 }
@@ -89,7 +89,7 @@
 
 // OnDaemons registers a function that is called with the daemons of the
 // deployment, and the revision of the VM list, whenever they change.
-func (r *Registry) OnDaemons(f func(daemons []platform.VM, revision int64)) {
+func (r *Registry) OnDaemons(f func(daemons []vmlist.VM, revision int64)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.onChange = append(r.onChange, f)
@@ -108,14 +108,14 @@
 }
 
 // Run follows the VM list and the notices until the context ends.
-func (r *Registry) Run(ctx context.Context, lister platform.VMLister, provider cloud.Provider) {
+func (r *Registry) Run(ctx context.Context, lister vmlist.VMLister, provider cloud.Provider) {
 	var loops sync.WaitGroup
 	loops.Go(func() { r.followList(ctx, lister) })
 	loops.Go(func() { r.followNotices(ctx, provider) })
 	loops.Wait()
 }
 
-func (r *Registry) followList(ctx context.Context, lister platform.VMLister) {
+func (r *Registry) followList(ctx context.Context, lister vmlist.VMLister) {
 	for ctx.Err() == nil {
 		changes, err := lister.ListVMs(ctx, r.revision, pollWait)
 		if err != nil {
@@ -153,14 +153,14 @@
 }
 
 // Apply takes over changes of the VM list.
-func (r *Registry) Apply(changes platform.VMChanges) {
+func (r *Registry) Apply(changes vmlist.VMChanges) {
 	r.mu.Lock()
 	if changes.Full {
 		r.forgetMissing(changes.VMs)
 	}
 	daemonsChanged := false
 	for _, vm := range changes.VMs {
-		if vm.Role == platform.RoleEntry {
+		if vm.Role == vmlist.RoleEntry {
 			daemonsChanged = true
 			r.applyDaemon(vm)
 			continue
@@ -192,7 +192,7 @@
 func (r *Registry) SelfLeaves() <-chan time.Time { return r.leaves }
 
 // forgetMissing drops what a whole list no longer holds.
-func (r *Registry) forgetMissing(vms []platform.VM) {
+func (r *Registry) forgetMissing(vms []vmlist.VM) {
 	present := map[string]bool{}
 	for _, vm := range vms {
 		present[vm.ID] = true
@@ -210,20 +210,20 @@
 	}
 }
 
-func (r *Registry) applyDaemon(vm platform.VM) {
-	if vm.State == platform.VMGone {
+func (r *Registry) applyDaemon(vm vmlist.VM) {
+	if vm.State == vmlist.VMGone {
 		delete(r.daemons, vm.ID)
 		return
 	}
-	if r.daemons[vm.ID].State == platform.VMLeaving && r.daemons[vm.ID].Address == vm.Address {
-		vm.State = platform.VMLeaving
+	if r.daemons[vm.ID].State == vmlist.VMLeaving && r.daemons[vm.ID].Address == vm.Address {
+		vm.State = vmlist.VMLeaving
 	}
 	r.daemons[vm.ID] = vm
 }
 
-func (r *Registry) applyServer(vm platform.VM) {
+func (r *Registry) applyServer(vm vmlist.VM) {
 	s := r.servers[vm.ID]
-	if vm.State == platform.VMGone {
+	if vm.State == vmlist.VMGone {
 		if s != nil {
 			s.leaveNow()
 			delete(r.servers, vm.ID)
@@ -236,8 +236,8 @@
 		return
 	}
 	// A notice can be ahead of the list; leaving is never taken back.
-	if s.vm.State == platform.VMLeaving {
-		vm.State = platform.VMLeaving
+	if s.vm.State == vmlist.VMLeaving {
+		vm.State = vmlist.VMLeaving
 	}
 	s.vm = vm
 }
@@ -272,7 +272,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if daemon, ok := r.daemons[id]; ok {
-		daemon.State = platform.VMLeaving
+		daemon.State = vmlist.VMLeaving
 		r.daemons[id] = daemon
 		return true
 	}
@@ -280,7 +280,7 @@
 	if s == nil || s.timer != nil {
 		return false
 	}
-	s.vm.State = platform.VMLeaving
+	s.vm.State = vmlist.VMLeaving
 	left := time.Until(deadline)
 	margin := min(evacuationMargin, left/2)
 	s.timer = time.AfterFunc(left-margin, func() {
@@ -293,25 +293,25 @@
 }
 
 // Daemons returns the entry VMs ordered by ID.
-func (r *Registry) Daemons() []platform.VM {
+func (r *Registry) Daemons() []vmlist.VM {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	daemons := make([]platform.VM, 0, len(r.daemons))
+	daemons := make([]vmlist.VM, 0, len(r.daemons))
 	for _, vm := range r.daemons {
 		daemons = append(daemons, vm)
 	}
-	slices.SortFunc(daemons, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(daemons, func(a, b vmlist.VM) int { return cmp.Compare(a.ID, b.ID) })
 	return daemons
 }
 
 // ServerCounts returns the number of servers of each service by state.
-func (r *Registry) ServerCounts() map[string]map[platform.VMState]int {
+func (r *Registry) ServerCounts() map[string]map[vmlist.VMState]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	counts := map[string]map[platform.VMState]int{}
+	counts := map[string]map[vmlist.VMState]int{}
 	for _, s := range r.servers {
 		if counts[s.vm.Service] == nil {
-			counts[s.vm.Service] = map[platform.VMState]int{}
+			counts[s.vm.Service] = map[vmlist.VMState]int{}
 		}
 		counts[s.vm.Service][s.vm.State]++
 	}
@@ -344,7 +344,7 @@
 		Zone:          s.vm.Zone,
 		Address:       s.vm.Address,
 		PricePerHour:  r.index.Price(s.vm.Class, s.vm.Zone, config.Market(s.vm.Market)),
-		Leaving:       s.vm.State != platform.VMLive,
+		Leaving:       s.vm.State != vmlist.VMLive,
 		Suspect:       now.Before(s.suspectUntil),
 		PendingTokens: s.pendingTokens,
 		Running:       s.running,
--- a/internal/discovery/slot.go
+++ b/internal/discovery/slot.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // Slot is the place of one attempt on a backend server, from dispatch to end.
@@ -25,7 +25,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.servers[id]
-	if s == nil || s.vm.State != platform.VMLive {
+	if s == nil || s.vm.State != vmlist.VMLive {
 		return nil, false
 	}
 	s.running++
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -89,7 +89,7 @@
 	mu     sync.Mutex
 	keeper *lease.Keeper
 	// writing serialises writes of the record.
-	writing   sync.Mutex
+	writing sync.Mutex
 	// renewed is when the last renewal that succeeded was begun, tried when the
 	// last one was.
 	renewed   time.Time
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
+	"github.com/plankridge/plankridge/internal/request"
 )
 
 // heldAnswer is the size in bytes up to which an answer is read whole before
@@ -19,42 +20,49 @@
 
 // whole handles an answer that is not a stream of events.
 func (r *run) whole(ctx context.Context, choice *backend.Choice, answer *Answer) result {
-	if !r.begun {
-		r.first = time.Since(r.call.Arrived)
-	}
-	r.ran(time.Now())
+	r.first = time.Since(r.call.Arrived)
 	held, err := io.ReadAll(io.LimitReader(answer.Body, heldAnswer+1))
 	if err != nil {
-		return result{outcome: r.failure(ctx), what: "broken-answer"}
+		return r.lost(ctx, "broken-answer")
 	}
+	r.count(time.Now())
 	if r.worthAnother(answer.Status) {
 		answer.Exchange.Close()
-		return result{outcome: backend.OutcomeFailed, what: "status-" + strconv.Itoa(answer.Status)}
-	}
-	outcome := backend.OutcomeServed
-	if answer.Status >= http.StatusInternalServerError {
-		outcome = backend.OutcomeFailed
+		return r.ended(request.StepLost, backend.OutcomeFailed, "status-"+strconv.Itoa(answer.Status))
 	}
 	choice.FirstEvent(nil)
 	r.start(answer)
 	if err := r.reply.Write(held); err != nil {
-		return result{outcome: backend.OutcomeNeutral, what: "caller-left", done: true, err: errCallerLeft}
+		return r.callerLeft()
 	}
 	if len(held) > heldAnswer {
 		if err := r.pass(answer); err != nil {
-			return result{outcome: outcome, what: "cut", done: true, err: err}
+			_ = r.step(request.StepCancel)
+			return result{outcome: backend.OutcomeNeutral, what: "cut", done: true, err: err}
 		}
 	}
 	answer.Exchange.Close()
+	_ = r.step(request.StepAnswer)
+	outcome := backend.OutcomeServed
+	if answer.Status >= http.StatusInternalServerError {
+		outcome = backend.OutcomeFailed
+	}
 	return result{outcome: outcome, what: strconv.Itoa(answer.Status), done: true}
 }
 
+// callerLeft ends a call whose answer nobody takes.
+func (r *run) callerLeft() result {
+	_ = r.step(request.StepCancel)
+	return result{outcome: backend.OutcomeNeutral, what: "caller-left", done: true, err: errCallerLeft}
+}
+
 // worthAnother reports whether a server's failure is better followed by another
 // attempt than passed on.
 func (r *run) worthAnother(status int) bool {
 	return status >= http.StatusInternalServerError &&
 		r.call.Route.Repeat == catalog.RunsAgain &&
-		r.mayTry(time.Now()) == nil
+		r.sends < r.call.Route.MaxAttempts &&
+		r.call.Deadline().Sub(time.Now()) >= leastTry
 }
 
 // start sends the head of the answer.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
+	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/upstream"
 )
 
@@ -52,6 +53,9 @@
 	Demand  Demand
 	Logger  *slog.Logger
 	Metrics *Metrics
+	// OnViolation is called when the program breaks an invariant; tests make it
+	// fatal.
+	OnViolation func(error)
 }
 
 // Forwarder carries the requests of one daemon.
@@ -69,10 +73,11 @@
 	sends  int
 	unsent int
 	tried  map[string]bool
-	// mayHaveRun is set once an attempt may have run.
-	mayHaveRun bool
-	begun      bool
-	asked      bool
+	// life decides what may be sent again and what the caller may be told.
+	life *request.Life
+	// counted is set once the call counts as usage, asked once as demand.
+	counted bool
+	asked   bool
 	// started is set once the head of the answer has gone to the caller.
 	started bool
 	// after is the last event that the caller has.
@@ -86,12 +91,32 @@
 // on whole, a *Refusal when nothing has been sent to the caller, and ErrCut
 // when the answer could not be finished.
 func (f *Forwarder) Forward(ctx context.Context, call *Call, reply Reply) error {
-	r := &run{Forwarder: f, call: call, reply: reply, tried: map[string]bool{}, after: call.After}
+	r := &run{
+		Forwarder: f, call: call, reply: reply, tried: map[string]bool{}, after: call.After,
+		life: request.NewLife(call.Route.MayRepeat()),
+	}
 	err := r.admitted(ctx)
 	r.record(ctx, err)
 	return err
 }
 
+// step takes a step of the call's life. A step that it does not have is a fault
+// of this program.
+func (r *run) step(step request.Step) error {
+	err := r.life.Apply(step)
+	if errors.Is(err, request.ErrInvariant) {
+		r.options.Metrics.violations.Inc()
+		r.options.Logger.Error("invariant violated", "request_id", r.call.ID, "error", err)
+		if r.options.OnViolation != nil {
+			r.options.OnViolation(err)
+		}
+	}
+	return err
+}
+
+// mayHaveRun reports whether an attempt may have run.
+func (r *run) mayHaveRun() bool { return r.life.Outcome() != request.OutcomeNotRun }
+
 // admitted runs the call within its workspace's allowance.
 func (r *run) admitted(ctx context.Context) error {
 	w := r.workspace()
@@ -104,7 +129,7 @@
 		return &Refusal{Status: http.StatusTooManyRequests, Reason: "workspace is above its allowance", RetryAfter: wait}
 	}
 	err := r.attempts(ctx)
-	if !r.mayHaveRun {
+	if !r.mayHaveRun() {
 		r.options.Limiter.Refund(w.Name, cost)
 	}
 	return err
@@ -171,7 +196,7 @@
 func (r *run) tooLate(choice *backend.Choice, now time.Time) *Refusal {
 	elapsed := now.Sub(r.call.Arrived)
 	worst := time.Duration(lateFactor * float64(r.call.Route.Target))
-	if r.call.Prompt == nil || r.mayHaveRun || elapsed+choice.Wait <= worst {
+	if r.call.Prompt == nil || r.mayHaveRun() || elapsed+choice.Wait <= worst {
 		return nil
 	}
 	return &Refusal{
@@ -197,7 +222,7 @@
 		return nil
 	case r.sends == 0:
 		refusal.Reason = "no backend server could be reached"
-	case r.mayHaveRun && !r.call.Route.MayRepeat():
+	case errors.Is(r.life.MayDispatch(), request.ErrMayHaveRun):
 		refusal.Reason = "an earlier attempt may have run"
 	case r.sends >= max(1, r.call.Route.MaxAttempts):
 		refusal.Reason = "route allows no further attempt"
@@ -212,12 +237,15 @@
 // giveUp makes the final answer true: only a request that has not run is
 // refused with 503.
 func (r *run) giveUp(ctx context.Context, refusal *Refusal) error {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		_ = r.step(request.StepCancel)
+		return errCallerLeft
+	}
+	_ = r.step(request.StepGiveUp)
 	switch {
 	case r.started:
 		return ErrCut
-	case errors.Is(context.Cause(ctx), context.Canceled):
-		return errCallerLeft
-	case !r.mayHaveRun:
+	case !r.mayHaveRun():
 		refusal.Status = http.StatusServiceUnavailable
 	case ctx.Err() != nil:
 		refusal.Status, refusal.RetryAfter = http.StatusGatewayTimeout, 0
@@ -242,22 +270,37 @@
 	defer cancel(nil)
 	stopWatch := r.watchSilence(cancel)
 	defer stopWatch()
+	if err := r.step(request.StepDispatch); err != nil {
+		return result{outcome: backend.OutcomeNeutral, what: "not-allowed", done: true, err: r.giveUp(ctx, &Refusal{Reason: err.Error()})}
+	}
 	answer, err := r.options.Backend.Send(ctx, r.attempt(choice))
 	if errors.Is(err, upstream.ErrNotSent) {
 		r.unsent++
-		return result{outcome: r.failure(ctx), what: "not-sent"}
+		return r.ended(request.StepNotSent, r.failure(ctx), "not-sent")
 	}
 	if r.sends++; r.sends == 1 {
 		r.options.Budget.Count(r.call.Service, time.Now())
 	}
 	if err != nil {
-		r.ran(time.Now())
-		return result{outcome: r.failure(ctx), what: "no-answer"}
+		return r.lost(ctx, "no-answer")
 	}
 	defer answer.Exchange.Drop()
 	return r.take(ctx, choice, answer)
 }
 
+// ended takes the step that an attempt without an answer for the caller ended
+// with.
+func (r *run) ended(step request.Step, outcome backend.Outcome, what string) result {
+	_ = r.step(step)
+	return result{outcome: outcome, what: what}
+}
+
+// lost ends an attempt that may have run and whose answer will not come.
+func (r *run) lost(ctx context.Context, what string) result {
+	r.count(time.Now())
+	return r.ended(request.StepLost, r.failure(ctx), what)
+}
+
 // failure is the outcome of an attempt without an answer: a caller that left
 // or a timeout of our own says little about the server.
 func (r *run) failure(ctx context.Context) backend.Outcome {
@@ -287,13 +330,12 @@
 	return time.AfterFunc(limit, func() { cancel(errSilent) }).Stop
 }
 
-// ran notes that an attempt may have run.
-func (r *run) ran(at time.Time) {
-	r.mayHaveRun = true
-	if r.begun || r.call.Workspace == "" {
+// count counts the call as one that a server began to run, once.
+func (r *run) count(at time.Time) {
+	if r.counted || r.call.Workspace == "" {
 		return
 	}
-	r.begun = true
+	r.counted = true
 	r.options.Usage.Began(r.call.Workspace, at)
 }
 
@@ -301,15 +343,14 @@
 func (r *run) take(ctx context.Context, choice *backend.Choice, answer *Answer) result {
 	switch {
 	case answer.WrongServer:
-		return result{outcome: backend.OutcomeWrongServer, what: "wrong-server"}
+		return r.ended(request.StepDeclined, backend.OutcomeWrongServer, "wrong-server")
 	case answer.NotRun:
 		// The connection is kept when the short rest of the answer is read.
 		_, _ = io.CopyN(io.Discard, answer.Body, heldAnswer)
 		answer.Exchange.Close()
-		return result{outcome: backend.OutcomeFull, what: "declined"}
+		return r.ended(request.StepDeclined, backend.OutcomeFull, "declined")
 	case !answer.Signed:
-		r.ran(time.Now())
-		return result{outcome: backend.OutcomeFailed, what: "unsigned"}
+		return r.lost(ctx, "unsigned")
 	case answer.Events && answer.Status == http.StatusOK:
 		return r.stream(ctx, choice, answer)
 	}
@@ -326,7 +367,7 @@
 	switch {
 	case errors.As(err, &refusal):
 		outcome, status = "refused", refusal.Status
-		if r.mayHaveRun {
+		if r.mayHaveRun() {
 			outcome = "failed"
 		}
 	case errors.Is(err, ErrCut):
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -11,6 +11,9 @@
 	calls *prometheus.CounterVec
 	took  *prometheus.HistogramVec
 	first *prometheus.HistogramVec
+	// violations count broken invariants; the program has a fault when there is
+	// one.
+	violations prometheus.Counter
 }
 
 // latencyBuckets are in seconds, around the targets of today's routes (0.1 s
@@ -29,8 +32,11 @@
 		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "plankridge_call_first_answer_seconds", Help: "Time from the arrival of a call to its first answer or event.", Buckets: latencyBuckets,
 		}, []string{"service"}),
+		violations: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "plankridge_call_invariant_violations_total", Help: "Steps that the life of a call does not have.",
+		}),
 	}
-	registerer.MustRegister(m.calls, m.took, m.first)
+	registerer.MustRegister(m.calls, m.took, m.first, m.violations)
 	return m
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/request"
 )
 
 const (
@@ -33,7 +34,7 @@
 			return r.streamEnded(answer)
 		}
 		if err != nil {
-			return r.streamBroke(ctx)
+			return r.lost(ctx, "broken-stream")
 		}
 		if err := r.passEvent(choice, answer, event); err != nil {
 			return r.eventRejected(err)
@@ -44,24 +45,18 @@
 // eventRejected ends an attempt whose event could not be passed on.
 func (r *run) eventRejected(err error) result {
 	if errors.Is(err, errEventGap) {
-		return result{outcome: backend.OutcomeFailed, what: "event-gap"}
+		return r.ended(request.StepLost, backend.OutcomeFailed, "event-gap")
 	}
-	return result{outcome: backend.OutcomeNeutral, what: "caller-left", done: true, err: errCallerLeft}
+	return r.callerLeft()
 }
 
 func (r *run) streamEnded(answer *Answer) result {
 	r.start(answer)
 	answer.Exchange.Close()
+	_ = r.step(request.StepAnswer)
 	return result{outcome: backend.OutcomeServed, what: strconv.Itoa(answer.Status), done: true}
 }
 
-// streamBroke leaves a broken stream to the next attempt. Its request counts as
-// run: a head came back.
-func (r *run) streamBroke(ctx context.Context) result {
-	r.ran(time.Now())
-	return result{outcome: r.failure(ctx), what: "broken-stream"}
-}
-
 // passEvent sends one event to the caller. Events that the caller has already
 // are dropped.
 func (r *run) passEvent(choice *backend.Choice, answer *Answer, event []byte) error {
@@ -69,7 +64,10 @@
 	if !r.started {
 		r.first = now.Sub(r.call.Arrived)
 	}
-	r.ran(now)
+	r.count(now)
+	if err := r.step(request.StepToken); err != nil {
+		return err
+	}
 	choice.FirstEvent(r.parts())
 	id, numbered := eventID(event)
 	if numbered {
--- a/internal/generation/follower.go
+++ b/internal/generation/follower.go
@@ -12,7 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/plankridge/plankridge/internal/config"
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/store"
 )
 
 const (
@@ -42,7 +42,7 @@
 // Follower keeps the generation in force at this daemon.
 type Follower struct {
 	logger      *slog.Logger
-	store       platform.ObjectStore
+	store       store.Values
 	subscribers []Subscriber
 	gauge       prometheus.Gauge
 
@@ -55,7 +55,7 @@
 }
 
 // NewFollower returns a follower without a generation.
-func NewFollower(store platform.ObjectStore, logger *slog.Logger, registerer prometheus.Registerer, subscribers ...Subscriber) *Follower {
+func NewFollower(store store.Values, logger *slog.Logger, registerer prometheus.Registerer, subscribers ...Subscriber) *Follower {
 	gauge := prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "plankridge_config_generation", Help: "Generation of the deployment in force at this daemon.",
 	})
@@ -97,11 +97,11 @@
 	var version int64
 	for ctx.Err() == nil {
 		object, err := f.store.Watch(ctx, manifestKey, version, watchWait)
-		if errors.Is(err, platform.ErrUnchanged) {
+		if errors.Is(err, store.ErrUnchanged) {
 			continue
 		}
 		if err == nil {
-			err = f.fromStore(ctx, object.Value)
+			err = f.fromStore(ctx, object.Data)
 		}
 		if err != nil {
 			f.pause(ctx, err)
--- a/internal/generation/generation_test.go
+++ b/internal/generation/generation_test.go
@@ -14,25 +14,26 @@
 	"github.com/plankridge/plankridge/examples"
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/network"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/standin/faults"
 	"github.com/plankridge/plankridge/internal/standin/memnet"
-	"github.com/plankridge/plankridge/internal/standin/objectapi"
+	"github.com/plankridge/plankridge/internal/store"
+	"github.com/plankridge/plankridge/platform"
+	"github.com/plankridge/plankridge/platform/fake"
 )
 
 // withStore runs a test against the Object API stand-in in synctest time.
-func withStore(t *testing.T, test func(c *qt.C, store *objectapi.Server, client *platform.Client)) {
+func withStore(t *testing.T, test func(c *qt.C, objects *fake.Store, client store.Values)) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		host := memnet.New().Host("10.0.0.1")
 		listener, err := host.Listen("10.0.0.1:80")
 		c.Assert(err, qt.IsNil)
-		store := objectapi.New()
-		server := &http.Server{Handler: store}
+		objects := fake.NewStore()
+		server := &http.Server{Handler: objects}
 		go func() { _ = server.Serve(listener) }()
 		transport := network.Transport(host, true)
-		client := platform.NewClient("http://10.0.0.1:80", "", "", &http.Client{Transport: transport})
-		test(c, store, client)
+		client := Values(platform.NewStore("http://10.0.0.1:80", &http.Client{Transport: transport}))
+		test(c, objects, client)
 		_ = server.Close()
 	})
 }
@@ -46,7 +47,7 @@
 }
 
 func TestTwoOperatorsAtOnce(t *testing.T) {
-	withStore(t, func(c *qt.C, _ *objectapi.Server, client *platform.Client) {
+	withStore(t, func(c *qt.C, _ *fake.Store, client store.Values) {
 		d := sample(c)
 		ctx := context.Background()
 		results := make(chan error, 2)
@@ -68,8 +69,8 @@
 // TestLostAnswerOfApplyIsSettled loses the answer of each write in turn.
 func TestLostAnswerOfApplyIsSettled(t *testing.T) {
 	for lost := range 8 {
-		withStore(t, func(c *qt.C, store *objectapi.Server, client *platform.Client) {
-			store.LoseWrite(lost)
+		withStore(t, func(c *qt.C, objects *fake.Store, client store.Values) {
+			objects.LoseWrite(lost)
 			manifest, err := NewPublisher(client).Apply(context.Background(), sample(c), 0, "one")
 			c.Assert(err, qt.IsNil)
 			c.Check(manifest.Generation, qt.Equals, int64(1))
@@ -83,7 +84,7 @@
 }
 
 func TestFollowerNeverFalls(t *testing.T) {
-	withStore(t, func(c *qt.C, store *objectapi.Server, client *platform.Client) {
+	withStore(t, func(c *qt.C, objects *fake.Store, client store.Values) {
 		ctx, cancel := context.WithCancel(context.Background())
 		publisher := NewPublisher(client)
 		f := NewFollower(client, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
@@ -103,7 +104,7 @@
 		}
 		bundle, err := f.Bundle(nil)
 		c.Assert(err, qt.IsNil)
-		store.Faults.Set(faults.State{Outage: true})
+		objects.Faults.Set(faults.State{Outage: true})
 		late := NewFollower(client, slog.New(slog.DiscardHandler), prometheus.NewRegistry())
 		fetch := func(context.Context, []string) (Bundle, error) { return bundle, nil }
 		c.Assert(late.FromPeer(ctx, 3, fetch), qt.IsNil)
--- a/internal/generation/manifest.go
+++ b/internal/generation/manifest.go
@@ -17,12 +17,19 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/store"
 )
 
-// Keys in the Object API.
+// kind is the kind of object that generations are kept in.
+const kind = "plankridge-generations"
+
+// Values returns the part of the store that generations are kept in.
+func Values(objects store.Store) store.Values { return store.NewValues(objects, kind) }
+
+// Keys in the store.
 const (
-	manifestKey = "plankridge/manifest"
-	partPrefix  = "plankridge/parts/"
+	manifestKey = "manifest"
+	partPrefix  = "parts-"
 )
 
 // Manifest names the parts of one generation.
--- a/internal/generation/publisher.go
+++ b/internal/generation/publisher.go
@@ -9,16 +9,16 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/plankridge/plankridge/internal/config"
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/store"
 )
 
 // Publisher applies deployments to the Object API.
 type Publisher struct {
-	store platform.ObjectStore
+	store store.Values
 }
 
 // NewPublisher returns a publisher over the store.
-func NewPublisher(store platform.ObjectStore) *Publisher {
+func NewPublisher(store store.Values) *Publisher {
 	return &Publisher{store: store}
 }
 
@@ -52,7 +52,7 @@
 func (p *Publisher) try(ctx context.Context, refs []PartRef, contents map[string][]byte, basedOn int64, applyID string) (*Manifest, bool, error) {
 	current, version, err := readManifest(ctx, p.store)
 	if err != nil && !errors.Is(err, ErrNone) {
-		return nil, errors.Is(err, platform.ErrUnknown), err
+		return nil, errors.Is(err, store.ErrUnknown), err
 	}
 	if current.ApplyID == applyID {
 		return current, false, nil
@@ -61,7 +61,7 @@
 		return nil, false, &ConflictError{BasedOn: basedOn, Current: current.Generation}
 	}
 	if err := p.putParts(ctx, current, refs, contents); err != nil {
-		return nil, errors.Is(err, platform.ErrUnknown), err
+		return nil, errors.Is(err, store.ErrUnknown), err
 	}
 	next := &Manifest{Generation: basedOn + 1, ApplyID: applyID, AppliedAt: time.Now().UTC(), Parts: refs}
 	raw, err := json.Marshal(next)
@@ -72,7 +72,7 @@
 	if err == nil {
 		return next, false, nil
 	}
-	lost := errors.Is(err, platform.ErrUnknown) || errors.Is(err, platform.ErrConflict)
+	lost := errors.Is(err, store.ErrUnknown) || errors.Is(err, store.ErrConflict)
 	return nil, lost, err
 }
 
@@ -88,7 +88,7 @@
 			continue
 		}
 		_, err := p.store.Put(ctx, partPrefix+ref.Digest, contents[ref.Digest], 0)
-		if err != nil && !errors.Is(err, platform.ErrConflict) {
+		if err != nil && !errors.Is(err, store.ErrConflict) {
 			return eris.Wrapf(err, "write part %s", ref.Name)
 		}
 		present[ref.Digest] = true
@@ -98,15 +98,15 @@
 
 // readManifest returns the manifest and its version. Without one it returns an
 // empty manifest, version zero and ErrNone.
-func readManifest(ctx context.Context, store platform.ObjectStore) (*Manifest, int64, error) {
-	object, err := store.Get(ctx, manifestKey)
-	if errors.Is(err, platform.ErrNotFound) {
+func readManifest(ctx context.Context, values store.Values) (*Manifest, int64, error) {
+	object, err := values.Get(ctx, manifestKey)
+	if errors.Is(err, store.ErrNotFound) {
 		return &Manifest{}, 0, ErrNone
 	}
 	if err != nil {
 		return nil, 0, err
 	}
-	manifest, err := decodeManifest(object.Value)
+	manifest, err := decodeManifest(object.Data)
 	return manifest, object.Version, err
 }
 
@@ -133,16 +133,16 @@
 }
 
 // fetchParts reads the parts that are not in contents yet.
-func fetchParts(ctx context.Context, store platform.ObjectStore, manifest *Manifest, contents map[string][]byte) error {
+func fetchParts(ctx context.Context, values store.Values, manifest *Manifest, contents map[string][]byte) error {
 	for _, ref := range manifest.Parts {
 		if _, known := contents[ref.Digest]; known {
 			continue
 		}
-		object, err := store.Get(ctx, partPrefix+ref.Digest)
+		object, err := values.Get(ctx, partPrefix+ref.Digest)
 		if err != nil {
 			return eris.Wrapf(err, "read part %s", ref.Name)
 		}
-		contents[ref.Digest] = object.Value
+		contents[ref.Digest] = object.Data
 	}
 	return nil
 }
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -49,18 +49,44 @@
 // when that is not nil. It returns a *StatusError for other statuses than 2xx.
 // An error that wraps ErrNotSent had no effect; any other error may have had.
 func (c *Client) Call(ctx context.Context, method, path string, in, out any) error {
+	return c.CallWith(ctx, method, path, nil, in, out)
+}
+
+// CallWith is Call with headers of the caller's.
+func (c *Client) CallWith(ctx context.Context, method, path string, header http.Header, in, out any) error {
+	ctx, sent := traceSent(ctx)
+	req, err := c.request(ctx, method, path, header, in)
+	if err != nil {
+		return err
+	}
+	resp, err := c.client().Do(req)
+	if err != nil {
+		if !sent.Load() {
+			return fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+		return eris.Wrap(err, "call")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return decode(resp, out)
+}
+
+func (c *Client) request(ctx context.Context, method, path string, header http.Header, in any) (*http.Request, error) {
 	var body io.Reader
+	var size int64
 	if in != nil {
 		raw, err := json.Marshal(in)
 		if err != nil {
-			return eris.Wrap(err, "encode call")
+			return nil, eris.Wrap(err, "encode call")
 		}
-		body = opaqueReader{bytes.NewReader(raw)}
+		body, size = opaqueReader{bytes.NewReader(raw)}, int64(len(raw))
 	}
-	ctx, sent := traceSent(ctx)
 	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, body)
 	if err != nil {
-		return eris.Wrap(err, "make call")
+		return nil, eris.Wrap(err, "make call")
+	}
+	req.ContentLength = size
+	for name, values := range header {
+		req.Header[name] = values
 	}
 	if in != nil {
 		req.Header.Set("Content-Type", "application/json")
@@ -68,15 +94,7 @@
 	if c.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.Token)
 	}
-	resp, err := c.client().Do(req)
-	if err != nil {
-		if !sent.Load() {
-			return fmt.Errorf("%w: %w", ErrNotSent, err)
-		}
-		return eris.Wrap(err, "call")
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return decode(resp, out)
+	return req, nil
 }
 
 func decode(resp *http.Response, out any) error {
--- a/internal/keys/committer.go
+++ b/internal/keys/committer.go
@@ -9,11 +9,11 @@
 	"sync"
 	"time"
 
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/store"
 )
 
 // logPrefix begins the keys of the log's batches in the Object API.
-const logPrefix = "plankridge/keylog/"
+const logPrefix = "log/"
 
 // writesPerSecond is the part of the Object API's writes that the log of keys
 // may use, all daemons together.
@@ -29,7 +29,7 @@
 // Committer writes records to the log in batches: while one write is under
 // way, what comes meanwhile waits for the next.
 type Committer struct {
-	store  platform.ObjectStore
+	store  store.Values
 	logger *slog.Logger
 	// name is unique among all processes that ever write.
 	name string
@@ -50,7 +50,7 @@
 }
 
 // NewCommitter returns a committer whose batches carry the name.
-func NewCommitter(store platform.ObjectStore, name string, logger *slog.Logger) *Committer {
+func NewCommitter(store store.Values, name string, logger *slog.Logger) *Committer {
 	return &Committer{store: store, name: name, logger: logger, wake: make(chan struct{}, 1)}
 }
 
@@ -146,7 +146,7 @@
 	}
 	for {
 		_, err := c.store.Put(ctx, name, raw, 0)
-		if err == nil || errors.Is(err, platform.ErrConflict) {
+		if err == nil || errors.Is(err, store.ErrConflict) {
 			break
 		}
 		c.logger.Warn("log of keys cannot be written", "error", err)
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -15,8 +15,8 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/store"
 )
 
 // Randomised tests take a fixed seed unless the command line gives another.
@@ -104,25 +104,25 @@
 
 // flakyStore loses the answer of each second write and refuses each third.
 type flakyStore struct {
-	platform.ObjectStore
+	store.Values
 	calls   int
 	written map[string][]byte
 }
 
-// Put implements platform.ObjectStore.
-func (s *flakyStore) Put(_ context.Context, key string, value []byte, _ int64) (platform.Object, error) {
+// Put implements store.Values.
+func (s *flakyStore) Put(_ context.Context, key string, value []byte, _ int64) (store.Value, error) {
 	s.calls++
 	if s.calls%3 == 0 {
-		return platform.Object{}, platform.ErrUnavailable
+		return store.Value{}, store.ErrRefused
 	}
 	if _, known := s.written[key]; known {
-		return platform.Object{}, platform.ErrConflict
+		return store.Value{}, store.ErrConflict
 	}
 	s.written[key] = value
 	if s.calls%2 == 0 {
-		return platform.Object{}, platform.ErrUnknown
+		return store.Value{}, store.ErrUnknown
 	}
-	return platform.Object{}, nil
+	return store.Value{}, nil
 }
 
 func TestCommitterBringsEveryRecordOnce(t *testing.T) {
--- a/internal/keys/manager.go
+++ b/internal/keys/manager.go
@@ -14,12 +14,12 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/plankridge/plankridge/internal/dispatch"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/store"
 )
 
 // homesKey is the key of the homes in the Object API.
-const homesKey = "plankridge/keyhomes"
+const homesKey = "homes"
 
 const (
 	// watchWait is how long one watch call waits.
@@ -97,11 +97,14 @@
 	Locate(ctx context.Context, id request.ID) (dispatch.Source, error)
 }
 
+// Kind is the kind of object that keys are kept in.
+const Kind = "plankridge-keys"
+
 // Options are what a Manager works with.
 type Options struct {
 	Self       Holder
 	Zone       string
-	Store      platform.ObjectStore
+	Store      store.Values
 	Peers      Peers
 	Dispatcher *dispatch.Dispatcher
 	Logger     *slog.Logger
@@ -172,7 +175,7 @@
 func (m *Manager) follow(ctx context.Context) {
 	for ctx.Err() == nil {
 		object, err := m.options.Store.Watch(ctx, homesKey, m.seen(), watchWait)
-		if errors.Is(err, platform.ErrUnchanged) {
+		if errors.Is(err, store.ErrUnchanged) {
 			continue
 		}
 		if err == nil {
@@ -191,9 +194,9 @@
 }
 
 // takeOver puts a newer version of the homes in force.
-func (m *Manager) takeOver(object platform.Object) error {
+func (m *Manager) takeOver(object store.Value) error {
 	homes := &Homes{}
-	if err := json.Unmarshal(object.Value, homes); err != nil {
+	if err := json.Unmarshal(object.Data, homes); err != nil {
 		return eris.Wrap(err, "decode homes of keys")
 	}
 	m.mu.Lock()
@@ -292,7 +295,7 @@
 	if err != nil {
 		return false
 	}
-	object.Value = raw
+	object.Data = raw
 	return m.takeOver(object) == nil
 }
 
--- a/internal/keys/serve.go
+++ b/internal/keys/serve.go
@@ -70,7 +70,7 @@
 		}
 		for _, object := range objects {
 			var batch []Record
-			if err := json.Unmarshal(object.Value, &batch); err != nil {
+			if err := json.Unmarshal(object.Data, &batch); err != nil {
 				return nil, eris.Wrapf(err, "decode batch %s", object.Key)
 			}
 			records = append(records, batch...)
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -22,7 +22,8 @@
 	"github.com/plankridge/plankridge/internal/finding"
 	"github.com/plankridge/plankridge/internal/generation"
 	"github.com/plankridge/plankridge/internal/peer"
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/store"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // applyTimeout bounds one apply, including the time to settle a lost answer.
@@ -148,7 +149,7 @@
 		return c.JSON(http.StatusUnprocessableEntity, Failure{Message: "files have mistakes", Findings: findings.Findings})
 	case errors.As(err, &conflict):
 		return c.JSON(http.StatusConflict, Failure{Message: err.Error(), BasedOn: conflict.BasedOn, Current: conflict.Current})
-	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrUnknown), errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, store.ErrRefused), errors.Is(err, store.ErrUnknown), errors.Is(err, context.DeadlineExceeded):
 		return c.JSON(http.StatusServiceUnavailable, Failure{Message: err.Error()})
 	}
 	return c.JSON(http.StatusInternalServerError, Failure{Message: err.Error()})
@@ -209,8 +210,8 @@
 
 // StatusResponse is what operators see of the whole system.
 type StatusResponse struct {
-	Daemons []peer.DaemonStatus                 `json:"daemons"`
-	Servers map[string]map[platform.VMState]int `json:"servers"`
+	Daemons []peer.DaemonStatus               `json:"daemons"`
+	Servers map[string]map[vmlist.VMState]int `json:"servers"`
 }
 
 func (a *API) status(c echo.Context) error {
--- a/internal/peer/contacts.go
+++ b/internal/peer/contacts.go
@@ -6,7 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 const (
@@ -21,14 +21,14 @@
 // the next one on a hash ring, which connects all, and others chosen by hash,
 // which keep the paths short; and a few of each other zone. The number does
 // not grow with the number of daemons.
-func Contacts(self platform.VM, daemons []platform.VM) []platform.VM {
-	zones := map[string][]platform.VM{}
+func Contacts(self vmlist.VM, daemons []vmlist.VM) []vmlist.VM {
+	zones := map[string][]vmlist.VM{}
 	for _, daemon := range daemons {
 		if daemon.ID != self.ID {
 			zones[daemon.Zone] = append(zones[daemon.Zone], daemon)
 		}
 	}
-	var contacts []platform.VM
+	var contacts []vmlist.VM
 	for zone, members := range zones {
 		if zone == self.Zone {
 			contacts = append(contacts, zoneContactsOf(self, members)...)
@@ -36,13 +36,13 @@
 		}
 		contacts = append(contacts, ranked(self.ID, members)[:min(outsideContacts, len(members))]...)
 	}
-	slices.SortFunc(contacts, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(contacts, func(a, b vmlist.VM) int { return cmp.Compare(a.ID, b.ID) })
 	return contacts
 }
 
-func zoneContactsOf(self platform.VM, members []platform.VM) []platform.VM {
+func zoneContactsOf(self vmlist.VM, members []vmlist.VM) []vmlist.VM {
 	next := ringSuccessor(self, members)
-	contacts := []platform.VM{next}
+	contacts := []vmlist.VM{next}
 	for _, member := range ranked(self.ID, members) {
 		if len(contacts) < zoneContacts && member.ID != next.ID {
 			contacts = append(contacts, member)
@@ -52,26 +52,26 @@
 }
 
 // ringSuccessor returns the member that follows self on a hash ring.
-func ringSuccessor(self platform.VM, members []platform.VM) platform.VM {
+func ringSuccessor(self vmlist.VM, members []vmlist.VM) vmlist.VM {
 	origin := xxhash.Sum64String(self.ID)
-	return slices.MinFunc(members, func(a, b platform.VM) int {
+	return slices.MinFunc(members, func(a, b vmlist.VM) int {
 		return cmp.Compare(xxhash.Sum64String(a.ID)-origin, xxhash.Sum64String(b.ID)-origin)
 	})
 }
 
 // ranked orders daemons by the hash of a key with each.
-func ranked(key string, daemons []platform.VM) []platform.VM {
+func ranked(key string, daemons []vmlist.VM) []vmlist.VM {
 	weights := make(map[string]uint64, len(daemons))
 	for _, daemon := range daemons {
 		weights[daemon.ID] = xxhash.Sum64String(key + "/" + daemon.ID)
 	}
 	sorted := slices.Clone(daemons)
-	slices.SortFunc(sorted, func(a, b platform.VM) int { return cmp.Compare(weights[b.ID], weights[a.ID]) })
+	slices.SortFunc(sorted, func(a, b vmlist.VM) int { return cmp.Compare(weights[b.ID], weights[a.ID]) })
 	return sorted
 }
 
 // Keepers returns the daemons that keep the answer of a request whose owner
 // has gone, the likeliest first. Every daemon computes the same order.
-func Keepers(requestID string, daemons []platform.VM) []platform.VM {
+func Keepers(requestID string, daemons []vmlist.VM) []vmlist.VM {
 	return ranked(requestID, daemons)
 }
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -10,7 +10,7 @@
 
 	"github.com/plankridge/plankridge/internal/generation"
 	"github.com/plankridge/plankridge/internal/peer/peerpb"
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // Run sends heartbeats until the context ends.
@@ -45,16 +45,16 @@
 // nextOwner returns, in turn, one of the daemons whose requests this one keeps
 // copies of. It need not be a contact, and only it can tell that it has been
 // replaced by a newer process.
-func (m *Mesh) nextOwner() (platform.VM, bool) {
+func (m *Mesh) nextOwner() (vmlist.VM, bool) {
 	owners := m.copies.Owners()
 	if len(owners) == 0 {
-		return platform.VM{}, false
+		return vmlist.VM{}, false
 	}
 	m.ownerTurn++
 	return m.daemon(owners[m.ownerTurn%len(owners)])
 }
 
-func (m *Mesh) beatOne(ctx context.Context, contact platform.VM) {
+func (m *Mesh) beatOne(ctx context.Context, contact vmlist.VM) {
 	client, err := m.client(contact)
 	if err != nil {
 		return
@@ -158,16 +158,16 @@
 	}
 }
 
-func (m *Mesh) daemon(id string) (platform.VM, bool) {
+func (m *Mesh) daemon(id string) (vmlist.VM, bool) {
 	for _, daemon := range m.Daemons() {
 		if daemon.ID == id {
 			return daemon, true
 		}
 	}
-	return platform.VM{}, false
+	return vmlist.VM{}, false
 }
 
-func (m *Mesh) fetch(ctx context.Context, vm platform.VM, known []string) (generation.Bundle, error) {
+func (m *Mesh) fetch(ctx context.Context, vm vmlist.VM, known []string) (generation.Bundle, error) {
 	client, err := m.client(vm)
 	if err != nil {
 		return generation.Bundle{}, err
--- a/internal/peer/keys.go
+++ b/internal/peer/keys.go
@@ -12,8 +12,8 @@
 	"github.com/plankridge/plankridge/internal/dispatch"
 	"github.com/plankridge/plankridge/internal/keys"
 	"github.com/plankridge/plankridge/internal/peer/peerpb"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // KeyPeers is the mesh as the manager of keys needs it. It implements
@@ -41,7 +41,7 @@
 	var everywhere []string
 	for _, daemon := range p.Mesh.Daemons() {
 		listed[daemon.Zone] = true
-		if daemon.State != platform.VMLeaving {
+		if daemon.State != vmlist.VMLeaving {
 			staying[daemon.Zone] = append(staying[daemon.Zone], daemon.ID)
 			everywhere = append(everywhere, daemon.ID)
 		}
@@ -65,7 +65,7 @@
 	err = eris.New("no daemon can be asked")
 	for _, name := range daemons {
 		vm, known := p.Mesh.daemon(name)
-		if !known || vm.State == platform.VMLeaving {
+		if !known || vm.State == vmlist.VMLeaving {
 			continue
 		}
 		if err = p.keepAt(ctx, vm, raw); err == nil {
@@ -75,7 +75,7 @@
 	return err
 }
 
-func (p *KeyPeers) keepAt(ctx context.Context, vm platform.VM, raw []byte) error {
+func (p *KeyPeers) keepAt(ctx context.Context, vm vmlist.VM, raw []byte) error {
 	client, err := p.Mesh.client(vm)
 	if err != nil {
 		return err
--- a/internal/peer/locate.go
+++ b/internal/peer/locate.go
@@ -11,8 +11,8 @@
 
 	"github.com/plankridge/plankridge/internal/dispatch"
 	"github.com/plankridge/plankridge/internal/peer/peerpb"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // Locate finds a request that another daemon holds: its owner or, when that
@@ -41,7 +41,7 @@
 
 // askAll asks daemons at the same time and returns the first one's answer, in
 // their order, that holds the request.
-func (m *Mesh) askAll(ctx context.Context, daemons []platform.VM, id request.ID) (*Remote, error) {
+func (m *Mesh) askAll(ctx context.Context, daemons []vmlist.VM, id request.ID) (*Remote, error) {
 	remotes := make([]*Remote, len(daemons))
 	errs := make([]error, len(daemons))
 	var calls sync.WaitGroup
@@ -63,13 +63,13 @@
 
 // holders returns the daemons that may hold a request, the likeliest first:
 // the one that accepted it, then its keepers.
-func (m *Mesh) holders(id request.ID) []platform.VM {
-	var holders []platform.VM
+func (m *Mesh) holders(id request.ID) []vmlist.VM {
+	var holders []vmlist.VM
 	for _, daemon := range Keepers(string(id), m.Daemons()) {
 		switch {
 		case daemon.ID == m.self.ID:
 		case request.DaemonTag(daemon.ID) == id.Tag():
-			holders = append([]platform.VM{daemon}, holders...)
+			holders = append([]vmlist.VM{daemon}, holders...)
 		default:
 			holders = append(holders, daemon)
 		}
@@ -77,7 +77,7 @@
 	return holders
 }
 
-func (m *Mesh) ask(ctx context.Context, vm platform.VM, id request.ID) (*Remote, error) {
+func (m *Mesh) ask(ctx context.Context, vm vmlist.VM, id request.ID) (*Remote, error) {
 	client, err := m.client(vm)
 	if err != nil {
 		return nil, err
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -22,7 +22,7 @@
 	"github.com/plankridge/plankridge/internal/generation"
 	"github.com/plankridge/plankridge/internal/network"
 	"github.com/plankridge/plankridge/internal/peer/peerpb"
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 const (
@@ -47,7 +47,7 @@
 
 // Options are what a Mesh works with.
 type Options struct {
-	Self        platform.VM
+	Self        vmlist.VM
 	Network     network.Network
 	Credentials credentials.TransportCredentials
 	Follower    *generation.Follower
@@ -58,7 +58,7 @@
 
 // Mesh knows the peers of a daemon and speaks to them.
 type Mesh struct {
-	self        platform.VM
+	self        vmlist.VM
 	network     network.Network
 	credentials credentials.TransportCredentials
 	follower    *generation.Follower
@@ -72,7 +72,7 @@
 	ownerTurn int
 
 	mu      sync.Mutex
-	daemons []platform.VM
+	daemons []vmlist.VM
 	// listed is true once the daemons are known, as of revision of the VM
 	// list; selfAt is the first revision that showed this daemon.
 	listed   bool
@@ -130,13 +130,13 @@
 func (m *Mesh) SetHeir(heir Heir) { m.heir = heir }
 
 // SetDaemons takes over the daemons of the VM list as of a revision.
-func (m *Mesh) SetDaemons(daemons []platform.VM, revision int64) {
+func (m *Mesh) SetDaemons(daemons []vmlist.VM, revision int64) {
 	m.replaceDaemons(daemons)
 	m.noteRevision(daemons, revision)
 	m.inherit()
 }
 
-func (m *Mesh) noteRevision(daemons []platform.VM, revision int64) {
+func (m *Mesh) noteRevision(daemons []vmlist.VM, revision int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = true
@@ -159,7 +159,7 @@
 // SelfListed reports whether the VM list shows this daemon's VM.
 func (m *Mesh) SelfListed() bool { return m.selfListed() != neverListed }
 
-func (m *Mesh) replaceDaemons(daemons []platform.VM) {
+func (m *Mesh) replaceDaemons(daemons []vmlist.VM) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.daemons = daemons
@@ -179,7 +179,7 @@
 func (m *Mesh) Incarnation() uint64 { return m.incarnation }
 
 // Daemons returns the known daemons, this one included.
-func (m *Mesh) Daemons() []platform.VM {
+func (m *Mesh) Daemons() []vmlist.VM {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.daemons
@@ -187,7 +187,7 @@
 
 // client returns a client of a peer. The connection is opened when it is first
 // used.
-func (m *Mesh) client(vm platform.VM) (peerpb.PeerClient, error) {
+func (m *Mesh) client(vm vmlist.VM) (peerpb.PeerClient, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -21,15 +21,15 @@
 
 	"github.com/plankridge/plankridge/internal/backup"
 	"github.com/plankridge/plankridge/internal/config"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/standin/memnet"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
-func fleetOf(count, zones int) []platform.VM {
-	var daemons []platform.VM
+func fleetOf(count, zones int) []vmlist.VM {
+	var daemons []vmlist.VM
 	for i := range count {
-		daemons = append(daemons, platform.VM{ID: fmt.Sprintf("d%03d", i), Zone: fmt.Sprintf("z%d", i%zones)})
+		daemons = append(daemons, vmlist.VM{ID: fmt.Sprintf("d%03d", i), Zone: fmt.Sprintf("z%d", i%zones)})
 	}
 	return daemons
 }
@@ -39,10 +39,10 @@
 	for _, size := range []int{2, 6, 8, 40, 330} {
 		daemons := fleetOf(size, 7)
 		reached := map[string]bool{daemons[0].ID: true}
-		frontier := []platform.VM{daemons[0]}
+		frontier := []vmlist.VM{daemons[0]}
 		rounds := 0
 		for len(frontier) > 0 {
-			var next []platform.VM
+			var next []vmlist.VM
 			for _, daemon := range frontier {
 				contacts := Contacts(daemon, daemons)
 				c.Assert(len(contacts) <= zoneContacts+6*outsideContacts, qt.IsTrue)
@@ -67,7 +67,7 @@
 	daemons := fleetOf(12, 3)
 	id := string(request.NewID("d000", [16]byte{1}))
 	first := Keepers(id, daemons)
-	reversed := make([]platform.VM, 0, len(daemons))
+	reversed := make([]vmlist.VM, 0, len(daemons))
 	for i := len(daemons) - 1; i >= 0; i-- {
 		reversed = append(reversed, daemons[i])
 	}
@@ -211,9 +211,9 @@
 
 func TestClosedMeshOpensNoConnection(t *testing.T) {
 	c := qt.New(t)
-	m := NewMesh(Options{Self: platform.VM{ID: "a"}, Network: memnet.New().Host("10.0.0.1"), Copies: backup.NewStore(1)})
+	m := NewMesh(Options{Self: vmlist.VM{ID: "a"}, Network: memnet.New().Host("10.0.0.1"), Copies: backup.NewStore(1)})
 	m.Close()
-	_, err := m.client(platform.VM{ID: "b", Address: "10.0.0.2:9080"})
+	_, err := m.client(vmlist.VM{ID: "b", Address: "10.0.0.2:9080"})
 	c.Check(err, qt.ErrorIs, errClosed)
 }
 
@@ -221,7 +221,7 @@
 // its successor has answered.
 func TestLateMessageProvesNoDeath(t *testing.T) {
 	c := qt.New(t)
-	m := NewMesh(Options{Self: platform.VM{ID: "self"}, Copies: backup.NewStore(1), Logger: slog.New(slog.DiscardHandler)})
+	m := NewMesh(Options{Self: vmlist.VM{ID: "self"}, Copies: backup.NewStore(1), Logger: slog.New(slog.DiscardHandler)})
 	old, successor := backup.Owner{Daemon: "d", Incarnation: 1}, backup.Owner{Daemon: "d", Incarnation: 2}
 	m.answered(process{"d", 2}, m.now())
 	m.learn(process{"d", 1}) // sent before the restart, handled now
--- a/internal/peer/replicator.go
+++ b/internal/peer/replicator.go
@@ -11,8 +11,8 @@
 	"github.com/plankridge/plankridge/internal/backup"
 	"github.com/plankridge/plankridge/internal/dispatch"
 	"github.com/plankridge/plankridge/internal/peer/peerpb"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // backupTries is the number of daemons asked to keep a copy.
@@ -21,11 +21,11 @@
 // backups returns the daemons that may keep a copy, the best first: those in
 // another availability zone, in the order of the request's keepers, then those
 // of the own zone. Leaving daemons are left out.
-func (m *Mesh) backups(id request.ID) []platform.VM {
-	var outside, inside []platform.VM
+func (m *Mesh) backups(id request.ID) []vmlist.VM {
+	var outside, inside []vmlist.VM
 	for _, daemon := range Keepers(string(id), m.Daemons()) {
 		switch {
-		case daemon.ID == m.self.ID || daemon.State == platform.VMLeaving:
+		case daemon.ID == m.self.ID || daemon.State == vmlist.VMLeaving:
 		case daemon.Zone == m.self.Zone:
 			inside = append(inside, daemon)
 		default:
@@ -91,7 +91,7 @@
 	return m.sendCopy(ctx, vm, message)
 }
 
-func (m *Mesh) sendCopy(ctx context.Context, vm platform.VM, message *peerpb.CopyRequestRequest) error {
+func (m *Mesh) sendCopy(ctx context.Context, vm vmlist.VM, message *peerpb.CopyRequestRequest) error {
 	client, err := m.client(vm)
 	if err != nil {
 		return err
@@ -113,8 +113,8 @@
 	}
 	message := &peerpb.TakeOverRequest{Spec: raw, Tokens: c.Tokens}
 	targets := m.backups(c.Spec.ID)
-	if vm, ok := m.daemon(backupID); ok && vm.State != platform.VMLeaving {
-		targets = append([]platform.VM{vm}, targets...)
+	if vm, ok := m.daemon(backupID); ok && vm.State != vmlist.VMLeaving {
+		targets = append([]vmlist.VM{vm}, targets...)
 	}
 	err = eris.New("no other daemon is known")
 	for _, vm := range targets {
@@ -131,7 +131,7 @@
 }
 
 // answers reports whether a daemon can be reached now.
-func (m *Mesh) answers(ctx context.Context, vm platform.VM) bool {
+func (m *Mesh) answers(ctx context.Context, vm vmlist.VM) bool {
 	client, err := m.client(vm)
 	if err != nil {
 		return false
@@ -142,7 +142,7 @@
 	return err == nil
 }
 
-func (m *Mesh) takeOverAt(ctx context.Context, vm platform.VM, message *peerpb.TakeOverRequest) error {
+func (m *Mesh) takeOverAt(ctx context.Context, vm vmlist.VM, message *peerpb.TakeOverRequest) error {
 	client, err := m.client(vm)
 	if err != nil {
 		return err
@@ -169,7 +169,7 @@
 	return err
 }
 
-func (m *Mesh) holdAt(ctx context.Context, vm platform.VM, message *peerpb.HoldAnswerRequest) error {
+func (m *Mesh) holdAt(ctx context.Context, vm vmlist.VM, message *peerpb.HoldAnswerRequest) error {
 	client, err := m.client(vm)
 	if err != nil {
 		return err
--- a/internal/peer/status.go
+++ b/internal/peer/status.go
@@ -7,7 +7,7 @@
 
 	"github.com/plankridge/plankridge/internal/burn"
 	"github.com/plankridge/plankridge/internal/peer/peerpb"
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // DaemonStatus is what one daemon says of itself.
@@ -33,7 +33,7 @@
 	return statuses
 }
 
-func (m *Mesh) statusOf(ctx context.Context, vm platform.VM) DaemonStatus {
+func (m *Mesh) statusOf(ctx context.Context, vm vmlist.VM) DaemonStatus {
 	result := DaemonStatus{ID: vm.ID, Zone: vm.Zone}
 	client, err := m.client(vm)
 	if err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -57,6 +57,9 @@
 	Settings config.RouterSettings
 	Network  network.Network
 	Logger   *slog.Logger
+	// OnViolation is called when the program breaks an invariant; tests make it
+	// fatal.
+	OnViolation func(error)
 }
 
 // Router is the daemon of one entry VM on the users' platform.
@@ -103,15 +106,15 @@
 		}),
 	}
 	r.metrics.MustRegister(collectors.NewGoCollector())
-	transport := network.Transport(options.Network, false)
-	r.objects = platform.NewStore(s.Store.Address, transport)
-	r.cloud = platform.NewCloud(s.Cloud.Address, transport)
+	client := &http.Client{Transport: network.Transport(options.Network, false)}
+	r.objects = platform.NewStore("http://"+s.Store.Address, client)
+	r.cloud = platform.NewCloud("http://"+s.Cloud.Address, client)
 	r.state = newState(r)
 	if err := r.listen(options.Network); err != nil {
 		r.closeListeners()
 		return nil, err
 	}
-	r.build()
+	r.build(options.OnViolation)
 	r.buildServers()
 	return r, nil
 }
@@ -151,7 +154,7 @@
 	}
 }
 
-func (r *Router) build() {
+func (r *Router) build(onViolation func(error)) {
 	forwarder := forward.New(forward.Options{
 		Zone:    r.settings.VM.Zone,
 		View:    r.state.view,
@@ -162,6 +165,8 @@
 		Demand:  r.state.demand,
 		Logger:  r.logger,
 		Metrics: forward.NewMetrics(r.metrics),
+
+		OnViolation: onViolation,
 	})
 	ingress := &platform.Ingress{Catalog: r.state.Catalog, Forwarder: forwarder, Logger: r.logger}
 	r.callerHTTP = &http.Server{
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -12,13 +12,13 @@
 	"time"
 
 	"github.com/plankridge/plankridge/internal/cloud"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/standin/faults"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // Launcher starts the process of a new VM. It returns the address of the
 // process and a function that kills it.
-type Launcher func(vm platform.VM) (address string, kill func(), err error)
+type Launcher func(vm vmlist.VM) (address string, kill func(), err error)
 
 // Fleet is the stand-in.
 type Fleet struct {
@@ -39,14 +39,14 @@
 }
 
 type member struct {
-	vm   platform.VM
+	vm   vmlist.VM
 	kill func()
 }
 
 // change is one entry of the VM list's history. It becomes visible after the
 // list's lag.
 type change struct {
-	vm      platform.VM
+	vm      vmlist.VM
 	visible time.Time
 }
 
@@ -68,16 +68,16 @@
 }
 
 // Add puts a VM into the list at once. kill, when not nil, ends its process.
-func (f *Fleet) Add(vm platform.VM, kill func()) {
+func (f *Fleet) Add(vm vmlist.VM, kill func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	vm.State = platform.VMLive
+	vm.State = vmlist.VMLive
 	f.members[vm.ID] = &member{vm: vm, kill: kill}
 	f.record(vm, 0)
 }
 
 // record appends a change; the caller holds the lock.
-func (f *Fleet) record(vm platform.VM, lag time.Duration) {
+func (f *Fleet) record(vm vmlist.VM, lag time.Duration) {
 	f.changes = append(f.changes, change{vm: vm, visible: time.Now().Add(lag)})
 	f.wake()
 }
@@ -89,28 +89,28 @@
 }
 
 // Start launches a VM. The same order ID returns the same VM.
-func (f *Fleet) Start(order cloud.StartOrder) (platform.VM, error) {
+func (f *Fleet) Start(order cloud.StartOrder) (vmlist.VM, error) {
 	f.mu.Lock()
 	if id, done := f.orders[order.OrderID]; done && f.members[id] != nil {
 		defer f.mu.Unlock()
 		return f.members[id].vm, nil
 	}
 	f.nextID++
-	vm := platform.VM{
+	vm := vmlist.VM{
 		ID:      fmt.Sprintf("%s-%s-%d", order.Service, order.Zone, f.nextID),
 		Zone:    order.Zone,
-		Role:    platform.RoleBackend,
+		Role:    vmlist.RoleBackend,
 		Service: order.Service,
 		Class:   order.Class,
 		Market:  string(order.Market),
-		State:   platform.VMLive,
+		State:   vmlist.VMLive,
 	}
 	f.orders[order.OrderID] = vm.ID
 	f.mu.Unlock()
 
 	address, kill, err := f.launch(vm)
 	if err != nil {
-		return platform.VM{}, err
+		return vmlist.VM{}, err
 	}
 	vm.Address = address
 	f.mu.Lock()
@@ -125,10 +125,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	m := f.members[id]
-	if m == nil || m.vm.State != platform.VMLive {
+	if m == nil || m.vm.State != vmlist.VMLive {
 		return
 	}
-	m.vm.State = platform.VMLeaving
+	m.vm.State = vmlist.VMLeaving
 	deadline := time.Now().Add(notice)
 	f.notices = append(f.notices, cloud.Notice{Sequence: int64(len(f.notices) + 1), VM: id, Deadline: deadline})
 	f.record(m.vm, f.lag)
@@ -137,7 +137,7 @@
 
 // ReclaimZone reclaims every VM of an availability zone with a role and
 // returns how many there were.
-func (f *Fleet) ReclaimZone(zone string, role platform.Role, notice time.Duration) int {
+func (f *Fleet) ReclaimZone(zone string, role vmlist.Role, notice time.Duration) int {
 	f.mu.Lock()
 	var ids []string
 	for id, m := range f.members {
@@ -161,7 +161,7 @@
 		return
 	}
 	delete(f.members, id)
-	m.vm.State = platform.VMGone
+	m.vm.State = vmlist.VMGone
 	f.record(m.vm, f.lag)
 	f.mu.Unlock()
 	if m.kill != nil {
@@ -183,10 +183,10 @@
 }
 
 // Members returns the VMs that are not gone.
-func (f *Fleet) Members() []platform.VM {
+func (f *Fleet) Members() []vmlist.VM {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var vms []platform.VM
+	var vms []vmlist.VM
 	for _, m := range f.members {
 		vms = append(vms, m.vm)
 	}
@@ -224,10 +224,10 @@
 
 // ReclaimRequest is the body of POST /reclaim.
 type ReclaimRequest struct {
-	VM     string        `json:"vm,omitempty"`
-	Zone   string        `json:"zone,omitempty"`
-	Role   platform.Role `json:"role,omitempty"`
-	Notice string        `json:"notice"`
+	VM     string      `json:"vm,omitempty"`
+	Zone   string      `json:"zone,omitempty"`
+	Role   vmlist.Role `json:"role,omitempty"`
+	Notice string      `json:"notice"`
 }
 
 func (f *Fleet) serveReclaim(w http.ResponseWriter, r *http.Request) {
@@ -278,16 +278,16 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return nil, f.changed, next
-	}, platform.VMChanges{Revision: after, VMs: []platform.VM{}})
+	}, vmlist.VMChanges{Revision: after, VMs: []vmlist.VM{}})
 }
 
 // visibleChanges returns the changes after a revision that the list's lag lets
 // through, and when the next one is due.
-func (f *Fleet) visibleChanges(after int64) (platform.VMChanges, time.Time) {
+func (f *Fleet) visibleChanges(after int64) (vmlist.VMChanges, time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	latest := map[string]platform.VM{}
+	latest := map[string]vmlist.VM{}
 	revision := int64(0)
 	var next time.Time
 	for i, c := range f.changes {
@@ -300,9 +300,9 @@
 			latest[c.vm.ID] = c.vm
 		}
 	}
-	changes := platform.VMChanges{Revision: revision, Full: after == 0, VMs: []platform.VM{}}
+	changes := vmlist.VMChanges{Revision: revision, Full: after == 0, VMs: []vmlist.VM{}}
 	for _, vm := range latest {
-		if changes.Full && vm.State == platform.VMGone {
+		if changes.Full && vm.State == vmlist.VMGone {
 			continue
 		}
 		changes.VMs = append(changes.VMs, vm)
--- /dev/null
+++ b/internal/store/values.go
@@ -0,0 +1,175 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Errors of values, beside those of the store.
+var (
+	// ErrUnchanged means that a watch ended without a change.
+	ErrUnchanged = errors.New("value unchanged")
+	// ErrTooLarge means that the value is above MaxValue.
+	ErrTooLarge = errors.New("value too large for the store")
+)
+
+// MaxValue is the largest value that the store holds, in bytes.
+const MaxValue = 1 << 20
+
+// Value is a piece of bytes under a key.
+type Value struct {
+	Key  string
+	Data []byte
+	// Version grows with each change of any object; zero stands for "does not
+	// exist".
+	Version int64
+}
+
+// Values holds bytes under keys, in objects of one kind.
+type Values interface {
+	// Get returns the value or ErrNotFound.
+	Get(ctx context.Context, key string) (Value, error)
+	// Put writes the value if it still has the expected version. It returns
+	// ErrConflict if not, and ErrUnknown if the write may or may not have taken
+	// effect.
+	Put(ctx context.Context, key string, data []byte, expected int64) (Value, error)
+	// List returns the values whose keys begin with the prefix.
+	List(ctx context.Context, prefix string) ([]Value, error)
+	// Delete removes a value. Removing one that does not exist is no error.
+	Delete(ctx context.Context, key string) error
+	// Watch waits until the value has a version above after and returns it. It
+	// returns ErrUnchanged when the wait is over.
+	Watch(ctx context.Context, key string, after int64, wait time.Duration) (Value, error)
+}
+
+// KindValues keeps values in the objects of one kind. It implements Values.
+type KindValues struct {
+	store Store
+	kind  string
+}
+
+// NewValues returns the values of a kind.
+func NewValues(s Store, kind string) *KindValues { return &KindValues{store: s, kind: kind} }
+
+func valueOf(object Object) (Value, error) {
+	value := Value{Key: object.Name, Version: object.Revision}
+	if err := json.Unmarshal(object.Spec, &value.Data); err != nil {
+		return value, fmt.Errorf("decode value %s: %w", object.Name, err)
+	}
+	return value, nil
+}
+
+// Get implements Values.
+func (v *KindValues) Get(ctx context.Context, key string) (Value, error) {
+	object, err := v.store.Get(ctx, v.kind, key)
+	if err != nil {
+		return Value{}, err
+	}
+	return valueOf(object)
+}
+
+// Put implements Values.
+func (v *KindValues) Put(ctx context.Context, key string, data []byte, expected int64) (Value, error) {
+	if len(data) > MaxValue {
+		return Value{}, fmt.Errorf("%w: %s has %d bytes", ErrTooLarge, key, len(data))
+	}
+	var object Object
+	var err error
+	if expected == 0 {
+		object, err = v.store.Create(ctx, v.kind, key, data)
+	} else {
+		object, err = v.store.Replace(ctx, v.kind, key, expected, data)
+	}
+	if errors.Is(err, ErrNotFound) {
+		// Another has deleted it.
+		err = fmt.Errorf("%w: %w", ErrConflict, err)
+	}
+	return Value{Key: key, Data: data, Version: object.Revision}, err
+}
+
+// List implements Values.
+func (v *KindValues) List(ctx context.Context, prefix string) ([]Value, error) {
+	page, err := v.store.List(ctx, v.kind)
+	if err != nil {
+		return nil, err
+	}
+	var values []Value
+	for _, object := range page.Objects {
+		if !strings.HasPrefix(object.Name, prefix) {
+			continue
+		}
+		value, err := valueOf(object)
+		if err != nil {
+			return nil, err
+		}
+		values = append(values, value)
+	}
+	return values, nil
+}
+
+// Delete implements Values.
+func (v *KindValues) Delete(ctx context.Context, key string) error {
+	err := v.store.Delete(ctx, v.kind, key, 0)
+	if errors.Is(err, ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+// Watch implements Values. The store watches a kind; changes of other keys are
+// passed over.
+func (v *KindValues) Watch(ctx context.Context, key string, after int64, wait time.Duration) (Value, error) {
+	end := time.Now().Add(wait)
+	value, next, err := v.present(ctx, key, after)
+	if err != nil || value.Version > after {
+		return value, err
+	}
+	for left := time.Until(end); left >= time.Millisecond; left = time.Until(end) {
+		changes, err := v.store.Watch(ctx, v.kind, next, left)
+		if errors.Is(err, ErrCompacted) {
+			return v.Get(ctx, key)
+		}
+		if err != nil {
+			return Value{}, err
+		}
+		if object, found := latest(changes.Events, key); found {
+			return valueOf(object)
+		}
+		next = changes.Revision
+	}
+	return Value{}, ErrUnchanged
+}
+
+// present returns the value as it is, if its version is not known, and the
+// revision to watch from.
+func (v *KindValues) present(ctx context.Context, key string, after int64) (Value, int64, error) {
+	if after > 0 {
+		return Value{}, after, nil
+	}
+	page, err := v.store.List(ctx, v.kind)
+	if err != nil {
+		return Value{}, 0, err
+	}
+	for _, object := range page.Objects {
+		if object.Name == key {
+			value, err := valueOf(object)
+			return value, page.Revision, err
+		}
+	}
+	return Value{}, page.Revision, nil
+}
+
+// latest returns the newest state of an object among events, unless it was
+// deleted.
+func latest(events []Event, name string) (Object, bool) {
+	for i := len(events) - 1; i >= 0; i-- {
+		if events[i].Object.Name == name {
+			return events[i].Object, !events[i].Deleted
+		}
+	}
+	return Object{}, false
+}
--- a/internal/platform/platform.go
+++ b/internal/vmlist/vmlist.go
@@ -1,37 +1,12 @@
-// Package platform is the narrow interface at the platform: its Object API,
-// which holds everything that must last or be agreed on, and its VM list.
-package platform
+// Package vmlist is the narrow interface at the platform's list of VMs, by which
+// daemons with the product's own caller API find backend servers and each other.
+package vmlist
 
 import (
 	"context"
 	"time"
 )
 
-// Object is one value in the Object API. Version grows with each change of any
-// object; zero stands for "does not exist".
-type Object struct {
-	Key     string `json:"key"`
-	Value   []byte `json:"value"`
-	Version int64  `json:"version"`
-}
-
-// ObjectStore is the Object API.
-type ObjectStore interface {
-	// Get returns the object or ErrNotFound.
-	Get(ctx context.Context, key string) (Object, error)
-	// Put writes the value if the object still has the expected version. It
-	// returns ErrConflict if not, and ErrUnknown if the write may or may not
-	// have taken effect.
-	Put(ctx context.Context, key string, value []byte, expected int64) (Object, error)
-	// List returns the objects whose keys begin with the prefix.
-	List(ctx context.Context, prefix string) ([]Object, error)
-	// Delete removes an object. Removing one that does not exist is no error.
-	Delete(ctx context.Context, key string) error
-	// Watch waits until the object has a version above after and returns it.
-	// It returns ErrUnchanged when the wait is over.
-	Watch(ctx context.Context, key string, after int64, wait time.Duration) (Object, error)
-}
-
 // VMState is the state of a VM in the VM list.
 type VMState string
 
--- a/robustness/caller_test.go
+++ b/robustness/caller_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/plankridge/plankridge/examples"
 	"github.com/plankridge/plankridge/internal/config"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/standin/faults"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 const chatBody = `{"model":"modele-devis","stream":true,"messages":[{"role":"user","content":"How heavy is block 12?"}]}`
@@ -143,7 +143,7 @@
 		var before int
 		b.holds(b.replayDay("ndiaye-day", func() {
 			time.Sleep(14 * time.Second)
-			b.d.Cloud.Fleet.ReclaimZone("hall-nord", platform.RoleBackend, 20*time.Second)
+			b.d.Cloud.Fleet.ReclaimZone("hall-nord", vmlist.RoleBackend, 20*time.Second)
 			time.Sleep(100 * time.Millisecond)
 			before = b.startedIn("hall-nord")
 			time.Sleep(15 * time.Second)
@@ -219,7 +219,7 @@
 		b.Check(resp.StatusCode, qt.Equals, http.StatusOK)
 
 		for _, vm := range b.d.Cloud.Fleet.Members() {
-			if vm.Role == platform.RoleBackend && vm.Service == "app-carriere" {
+			if vm.Role == vmlist.RoleBackend && vm.Service == "app-carriere" {
 				b.d.Cloud.Fleet.Kill(vm.ID)
 			}
 		}
--- a/robustness/entry_test.go
+++ b/robustness/entry_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/plankridge/plankridge/internal/cloud"
 	"github.com/plankridge/plankridge/internal/dev"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/standin/faults"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // TestReclaimOfWholeZoneLosesNoRequest reclaims entry VMs and backend servers
@@ -24,8 +24,8 @@
 					summary := b.replayDay(example+"-day", func() {
 						time.Sleep(15 * time.Second)
 						inZone = b.inFlightIn(zone)
-						b.d.Cloud.Fleet.ReclaimZone(zone, platform.RoleEntry, notice)
-						b.d.Cloud.Fleet.ReclaimZone(zone, platform.RoleBackend, notice)
+						b.d.Cloud.Fleet.ReclaimZone(zone, vmlist.RoleEntry, notice)
+						b.d.Cloud.Fleet.ReclaimZone(zone, vmlist.RoleBackend, notice)
 					})
 					b.holds(summary)
 					b.Logf("%d requests at the zone's daemons when the notice came; %d of %d answers were asked for again, %d lost",
@@ -349,8 +349,8 @@
 					readers = append(readers, r)
 				}
 				b.pauseEngines(true)
-				b.d.Cloud.Fleet.ReclaimZone("hall-nord", platform.RoleEntry, notice)
-				b.d.Cloud.Fleet.ReclaimZone("hall-nord", platform.RoleBackend, notice)
+				b.d.Cloud.Fleet.ReclaimZone("hall-nord", vmlist.RoleEntry, notice)
+				b.d.Cloud.Fleet.ReclaimZone("hall-nord", vmlist.RoleBackend, notice)
 				time.Sleep(notice + time.Second)
 				b.pauseEngines(false)
 				unbroken, moved := 0, 0
--- a/robustness/history_test.go
+++ b/robustness/history_test.go
@@ -21,12 +21,12 @@
 
 	"github.com/plankridge/plankridge/examples"
 	"github.com/plankridge/plankridge/internal/dev"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/replay"
 	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/standin/faults"
 	"github.com/plankridge/plankridge/internal/standin/modelengine"
 	"github.com/plankridge/plankridge/internal/standin/plainservice"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // Randomised tests take a fixed seed unless the command line gives another.
@@ -326,9 +326,9 @@
 
 // happenToBackend hits a backend server, unless its service has only one left.
 func (b *bed) happenToBackend(kind faultKind, on int, notice time.Duration) {
-	byService := map[string][]platform.VM{}
+	byService := map[string][]vmlist.VM{}
 	for _, vm := range b.d.Cloud.Fleet.Members() {
-		if vm.Role == platform.RoleBackend && vm.State == platform.VMLive {
+		if vm.Role == vmlist.RoleBackend && vm.State == vmlist.VMLive {
 			byService[vm.Service] = append(byService[vm.Service], vm)
 		}
 	}
--- a/robustness/keys_test.go
+++ b/robustness/keys_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/plankridge/plankridge/internal/dev"
 	"github.com/plankridge/plankridge/internal/keys"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/standin/faults"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 const ordersURL = "/services/app-carriere/orders"
@@ -108,7 +108,7 @@
 		},
 		"reclaimed": func(b *bed, node *dev.Node) { b.d.Cloud.Fleet.Reclaim(node.Daemon.VM().ID, 3*time.Second) },
 		"zone gone": func(b *bed, node *dev.Node) {
-			b.d.Cloud.Fleet.ReclaimZone(node.Daemon.VM().Zone, platform.RoleEntry, 3*time.Second)
+			b.d.Cloud.Fleet.ReclaimZone(node.Daemon.VM().Zone, vmlist.RoleEntry, 3*time.Second)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -117,6 +117,7 @@
 	}
 	r, err := router.New(router.Options{
 		Settings: settings, Network: b.net.Host(ip), Logger: slog.New(slog.NewTextHandler(logOutput(), nil)),
+		OnViolation: func(err error) { b.Errorf("invariant violated: %v", err) },
 	})
 	b.Assert(err, qt.IsNil)
 	ctx, stop := context.WithCancel(context.Background())
@@ -307,4 +308,3 @@
 	}
 	return out.String()
 }
-
--- a/robustness/path_test.go
+++ b/robustness/path_test.go
@@ -7,7 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"github.com/plankridge/plankridge/internal/platform"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 func TestRecordedDaysReplayAsStated(t *testing.T) {
@@ -40,7 +40,7 @@
 			run(t, "ndiaye", func(b *bed) {
 				b.holds(b.replayDay("ndiaye-day", func() {
 					time.Sleep(14 * time.Second)
-					b.d.Cloud.Fleet.ReclaimZone("hall-nord", platform.RoleBackend, notice)
+					b.d.Cloud.Fleet.ReclaimZone("hall-nord", vmlist.RoleBackend, notice)
 				}))
 			})
 		})
--- a/robustness/process_test.go
+++ b/robustness/process_test.go
@@ -18,9 +18,9 @@
 	"github.com/plankridge/plankridge/examples"
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/dev"
-	"github.com/plankridge/plankridge/internal/platform"
 	"github.com/plankridge/plankridge/internal/replay"
 	"github.com/plankridge/plankridge/internal/standin/balancer"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // processes are six daemons as separate processes, each on a loopback address
@@ -71,7 +71,7 @@
 	p.Assert(command.Start(), qt.IsNil)
 	p.commands = append(p.commands, command)
 	p.addresses = append(p.addresses, ip)
-	p.standIns.Fleet.Add(platform.VM{ID: id, Zone: zone, Role: platform.RoleEntry, Address: ip + ":9080", OperatorAddress: ip + ":7080"}, nil)
+	p.standIns.Fleet.Add(vmlist.VM{ID: id, Zone: zone, Role: vmlist.RoleEntry, Address: ip + ":9080", OperatorAddress: ip + ":7080"}, nil)
 	t.Cleanup(func() {
 		_ = command.Process.Kill()
 		_ = command.Wait()
@@ -160,7 +160,7 @@
 	exits := make(chan error, 1)
 	time.AfterFunc(time.Duration(half/speed*float64(time.Second)), func() {
 		_ = p.commands[0].Process.Signal(syscall.SIGTERM)
-		p.standIns.Fleet.ReclaimZone("hall-sud", platform.RoleBackend, 5*time.Second)
+		p.standIns.Fleet.ReclaimZone("hall-sud", vmlist.RoleBackend, 5*time.Second)
 		exits <- p.commands[0].Wait()
 	})
 	summary, err := replay.Run(context.Background(), trace, replay.Options{URL: p.callers, Speed: speed})
