Test the decision packages; number each write of the lease

A random test of the lease (TestOneHolderActs) found two faults that fail it first: a holder that gave the lease back without an answer went on acting, and two writes of one daemon could bear the same number, so that the later one's time was taken for the earlier one's. A short request is written before its answer is read: the race between the two cost some connections their reuse.

--- /dev/null
+++ b/internal/allowance/allowance_test.go
@@ -0,0 +1,126 @@
+package allowance
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/plankridge/plankridge/internal/catalog"
+)
+
+var start = time.Unix(1000, 0)
+
+func limited(rate, burst float64) *catalog.Catalog {
+	return (&catalog.Catalog{Workspaces: []catalog.Workspace{{Name: "w", TokensPerSecond: rate, Burst: burst, ByTokens: true}}}).Build()
+}
+
+func full(rate, burst float64) (*Limiter, time.Time) {
+	l := NewLimiter(start)
+	now := start.Add(time.Hour)
+	l.ApplyCatalog(limited(rate, burst), now)
+	return l, now
+}
+
+func TestBurstThenRate(t *testing.T) {
+	c := qt.New(t)
+	l, now := full(100, 50)
+	ok, _ := l.Admit("w", 50, now)
+	c.Check(ok, qt.IsTrue)
+	ok, wait := l.Admit("w", 10, now)
+	c.Check(ok, qt.IsFalse)
+	c.Check(wait, qt.Equals, 100*time.Millisecond)
+	ok, _ = l.Admit("w", 10, now.Add(wait))
+	c.Check(ok, qt.IsTrue)
+}
+
+func TestNothingIsKnownOfBeforeTheStart(t *testing.T) {
+	c := qt.New(t)
+	l := NewLimiter(start)
+	l.ApplyCatalog(limited(100, 50), start)
+	ok, _ := l.Admit("w", 10, start)
+	c.Check(ok, qt.IsFalse, qt.Commentf("others may have used the burst a moment ago"))
+}
+
+func TestPeersUseIsTaken(t *testing.T) {
+	c := qt.New(t)
+	l, now := full(100, 50)
+	l.Heard("peer", 1, map[string]float64{"w": 1000}, true)
+	ok, _ := l.Admit("w", 10, now)
+	c.Check(ok, qt.IsTrue, qt.Commentf("a first report tells of the past"))
+	l.Heard("peer", 1, map[string]float64{"w": 1040}, false)
+	ok, _ = l.Admit("w", 10, now)
+	c.Check(ok, qt.IsFalse)
+	// A restarted process begins anew.
+	l.Heard("peer", 2, map[string]float64{"w": 5}, false)
+	c.Check(l.buckets["w"].level, qt.Equals, -5.0)
+}
+
+func TestLowerLimitBindsAtOnce(t *testing.T) {
+	c := qt.New(t)
+	l, now := full(1000, 1000)
+	l.ApplyCatalog(limited(10, 10), now)
+	ok, _ := l.Admit("w", 11, now)
+	c.Check(ok, qt.IsTrue, qt.Commentf("more than the burst goes from a full bucket"))
+	ok, _ = l.Admit("w", 1, now)
+	c.Check(ok, qt.IsFalse)
+}
+
+func TestRefundOfWhatHasNotRun(t *testing.T) {
+	c := qt.New(t)
+	l, now := full(100, 50)
+	_, _ = l.Admit("w", 50, now)
+	l.Refund("w", 50)
+	ok, _ := l.Admit("w", 50, now)
+	c.Check(ok, qt.IsTrue)
+	c.Check(l.Spent()["w"], qt.Equals, 50.0)
+}
+
+// TestSidesOfAPartitionStayWithin: whatever is asked of the daemons on both
+// sides, and however the daemons are split, no window gets more than the
+// allowance and what was admitted before the partition was noticed.
+func TestSidesOfAPartitionStayWithin(t *testing.T) {
+	const rate, burst = 1000.0, 1000.0
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := rapid.IntRange(2, 6).Draw(t, "daemons")
+		left := rapid.IntRange(1, daemons-1).Draw(t, "left")
+		limiters := make([]*Limiter, daemons)
+		now := start.Add(time.Hour)
+		for i := range limiters {
+			limiters[i] = NewLimiter(start)
+			limiters[i].ApplyCatalog(limited(rate, burst), now)
+			heard := left
+			if i >= left {
+				heard = daemons - left
+			}
+			limiters[i].SetReach(heard, daemons, now)
+		}
+		const ticks = 80
+		used := 0.0
+		for range ticks {
+			now = now.Add(100 * time.Millisecond)
+			for i, l := range limiters {
+				if ok, _ := l.Admit("w", rapid.Float64Range(1, 300).Draw(t, "tokens"), now); ok {
+					tell(limiters, i, left)
+				}
+			}
+		}
+		for _, l := range limiters {
+			used += l.Spent()["w"]
+		}
+		most := burst + rate*ticks/10
+		if used > most {
+			t.Fatalf("used %v of %v", used, most)
+		}
+	})
+}
+
+// tell passes a daemon's report on to those on its side of the partition.
+func tell(limiters []*Limiter, from, left int) {
+	for i, l := range limiters {
+		if i != from && (i < left) == (from < left) {
+			l.Heard(string(rune('a'+from)), 1, limiters[from].Spent(), false)
+		}
+	}
+}
--- /dev/null
+++ b/internal/backend/view_test.go
@@ -0,0 +1,166 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var start = time.Unix(1000, 0)
+
+func entry(id, zone string) Entry {
+	return Entry{ID: id, Service: "s", Address: id + ":80", Zone: zone, Slots: 6}
+}
+
+func plainView(ids ...string) *View {
+	v := NewView()
+	for _, id := range ids {
+		v.Put(entry(id, "z-"+id), start)
+	}
+	return v
+}
+
+func pick(v *View, now time.Time) string {
+	choice, ok := v.Begin(Need{Service: "s", Zone: "z-a", Target: 100 * time.Millisecond}, now)
+	if !ok {
+		return ""
+	}
+	choice.End(OutcomeNeutral, now)
+	return choice.ID
+}
+
+func TestOwnZoneFirst(t *testing.T) {
+	c := qt.New(t)
+	c.Check(pick(plainView("a", "b"), start), qt.Equals, "a")
+	c.Check(pick(plainView("b"), start), qt.Equals, "b")
+	c.Check(pick(NewView(), start), qt.Equals, "")
+}
+
+func TestFailuresAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	v := plainView("a", "b")
+	fail := func(now time.Time) {
+		choice, _ := v.Begin(Need{Service: "s", Zone: "z-a", Target: 100 * time.Millisecond}, now)
+		choice.End(OutcomeFailed, now)
+	}
+	fail(start)
+	c.Check(pick(v, start), qt.Equals, "b")
+	c.Check(pick(v, start.Add(failureHalfLife+time.Millisecond)), qt.Equals, "a")
+}
+
+func TestWrongServerIsNotUsedAgainUntilListed(t *testing.T) {
+	c := qt.New(t)
+	v := plainView("a")
+	choice, _ := v.Begin(Need{Service: "s"}, start)
+	choice.End(OutcomeWrongServer, start)
+	c.Check(pick(v, start), qt.Equals, "")
+	v.Put(entry("a", "z-a"), start)
+	c.Check(pick(v, start), qt.Equals, "a")
+}
+
+func TestDrainingIsALastResort(t *testing.T) {
+	c := qt.New(t)
+	v := plainView("a", "b")
+	leaving := entry("a", "z-a")
+	leaving.Draining = true
+	v.Put(leaving, start)
+	c.Check(pick(v, start), qt.Equals, "b")
+	v.Remove("b", start)
+	c.Check(pick(v, start), qt.Not(qt.Equals), "", qt.Commentf("both have just left"))
+	c.Check(pick(v, start.Add(lastResort)), qt.Equals, "")
+}
+
+func TestSecondSignOfLeavingDoesNotExtendUse(t *testing.T) {
+	c := qt.New(t)
+	v := plainView("a")
+	leaving := entry("a", "z-a")
+	leaving.Draining = true
+	v.Put(leaving, start)
+	v.Remove("a", start.Add(lastResort/2))
+	c.Check(pick(v, start.Add(lastResort)), qt.Equals, "")
+}
+
+func TestEntriesThatLapsedInAnOutage(t *testing.T) {
+	c := qt.New(t)
+	v := plainView("a")
+	v.StoreReturned(start)
+	v.Replace(nil, start)
+	c.Check(pick(v, start.Add(2*time.Second)), qt.Equals, "a")
+	c.Check(pick(v, start.Add(afterOutage)), qt.Equals, "")
+}
+
+func TestLoadsOfPeersCount(t *testing.T) {
+	c := qt.New(t)
+	v := NewView()
+	v.SetTraits(map[string]Traits{"s": {CacheTokens: 1000, PrefillRate: 1000}})
+	v.Put(entry("a", "z"), start)
+	v.Put(entry("b", "z"), start)
+	v.SetRemote("peer", map[string]Load{"a": {Running: 1, PendingTokens: 5000}})
+	c.Check(pick(v, start), qt.Equals, "b")
+	v.SetRemote("peer", map[string]Load{"b": {Running: 1, PendingTokens: 5000}})
+	c.Check(pick(v, start), qt.Equals, "a")
+}
+
+// TestDaemonsAgreeOnHomes: views that were filled in another order send the same
+// prompt to the same server, and a server that comes moves few prompts.
+func TestDaemonsAgreeOnHomes(t *testing.T) {
+	c := qt.New(t)
+	one, two := modelView("a", "b", "c", "d"), modelView("d", "c", "b", "a")
+	more := modelView("a", "b", "c", "d", "e")
+	moved := 0
+	const prompts = 200
+	used := map[string]int{}
+	for i := range prompts {
+		need := prompt(i)
+		first, _ := one.Begin(need, start)
+		second, _ := two.Begin(need, start)
+		third, _ := more.Begin(need, start)
+		c.Check(first.ID, qt.Equals, second.ID)
+		used[first.ID]++
+		if third.ID != first.ID {
+			moved++
+			c.Check(third.ID, qt.Equals, "e")
+		}
+		for _, choice := range []*Choice{first, second, third} {
+			choice.End(OutcomeServed, start)
+		}
+	}
+	c.Check(used, qt.HasLen, 4)
+	c.Check(moved < prompts/3, qt.IsTrue, qt.Commentf("%d moved", moved))
+}
+
+func modelView(ids ...string) *View {
+	v := NewView()
+	v.SetTraits(map[string]Traits{"s": {CacheTokens: 100000, PrefillRate: 32000}})
+	for _, id := range ids {
+		v.Put(entry(id, "z"), start)
+	}
+	return v
+}
+
+func prompt(i int) Need {
+	return Need{Service: "s", Tokens: 3000, Parts: []Part{{fmt.Sprintf("shared-%d", i), 2500}, {fmt.Sprintf("own-%d", i), 500}}}
+}
+
+func TestCrowdedHomeIsLeft(t *testing.T) {
+	c := qt.New(t)
+	v := modelView("a", "b")
+	home, _ := v.Begin(prompt(1), start)
+	v.SetRemote("peer", map[string]Load{home.ID: {PendingTokens: 60000, Running: 20}})
+	other, _ := v.Begin(prompt(1), start)
+	c.Check(other.ID, qt.Not(qt.Equals), home.ID)
+	c.Check(other.Unread, qt.Equals, 3000)
+}
+
+func TestCacheForgetsTheLeastRecent(t *testing.T) {
+	c := qt.New(t)
+	cache := newPromptCache(1000)
+	cache.add([]Part{{"a", 300}, {"b", 300}})
+	c.Check(cache.prefix([]Part{{"a", 300}, {"b", 300}, {"c", 1}}), qt.Equals, 600)
+	cache.add([]Part{{"d", 300}})
+	c.Check(cache.prefix([]Part{{"a", 300}}), qt.Equals, 0)
+	c.Check(cache.prefix([]Part{{"d", 300}}), qt.Equals, 300)
+	c.Check(cache.tokens <= cache.limit, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,82 @@
+package capacity
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/plankridge/plankridge/internal/catalog"
+)
+
+var scaling = catalog.Scaling{Min: 1, Max: 6, SpotPrice: 0.22, ZonePrices: map[string]float64{"a": 1.2, "b": 0.85, "c": 1}}
+
+func zones(dry ...string) []Zone {
+	all := []Zone{{Name: "a"}, {Name: "b"}, {Name: "c"}}
+	for i := range all {
+		for _, name := range dry {
+			all[i].Dry = all[i].Dry || all[i].Name == name
+		}
+	}
+	return all
+}
+
+func counts(targets []Target) (onDemand, reclaimable int) {
+	for _, t := range targets {
+		onDemand += t.OnDemand
+		reclaimable += t.Reclaimable
+	}
+	return onDemand, reclaimable
+}
+
+func TestCalmDemandNeedsOneEach(t *testing.T) {
+	c := qt.New(t)
+	onDemand, reclaimable := counts(Plan(State{Scaling: scaling, Zones: zones(), Load: 0.5}))
+	c.Check(onDemand, qt.Equals, 3)
+	c.Check(reclaimable, qt.Equals, 3)
+}
+
+func TestDemandIsMetByReclaimableServers(t *testing.T) {
+	c := qt.New(t)
+	onDemand, reclaimable := counts(Plan(State{Scaling: scaling, Zones: zones(), Load: 4}))
+	c.Check(onDemand, qt.Equals, 3)
+	c.Check(float64(onDemand+reclaimable) >= 4/utilisation, qt.IsTrue)
+}
+
+func TestDryZonesAreStoodInForOnDemand(t *testing.T) {
+	c := qt.New(t)
+	calm, _ := counts(Plan(State{Scaling: scaling, Zones: zones(), Load: 2.5}))
+	targets := Plan(State{Scaling: scaling, Zones: zones("a", "b", "c"), Load: 2.5})
+	onDemand, _ := counts(targets)
+	c.Check(calm, qt.Equals, 3)
+	c.Check(float64(onDemand) >= 2.5/utilisation+spare, qt.IsTrue, qt.Commentf("%d", onDemand))
+	c.Check(targets[0].Zone, qt.Equals, "b", qt.Commentf("the cheapest zone comes first"))
+}
+
+// TestPlanStaysWithinBounds: whatever the demand, a zone has at least the
+// minimum and at most the maximum, counting those that will be there.
+func TestPlanStaysWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := State{Scaling: scaling, Load: rapid.Float64Range(0, 100).Draw(t, "load")}
+		s.Scaling.Max = rapid.IntRange(1, 8).Draw(t, "max")
+		s.Scaling.Min = rapid.IntRange(0, s.Scaling.Max).Draw(t, "min")
+		for _, z := range zones() {
+			z.Dry = rapid.Bool().Draw(t, "dry")
+			z.Reclaimable = rapid.IntRange(0, s.Scaling.Max).Draw(t, "present")
+			s.Zones = append(s.Zones, z)
+		}
+		for _, target := range Plan(s) {
+			for _, z := range s.Zones {
+				if z.Name != target.Zone {
+					continue
+				}
+				if there := target.OnDemand + expectable(z, target); there > s.Scaling.Max {
+					t.Fatalf("%d servers in %s", there, z.Name)
+				}
+				if target.OnDemand < max(1, s.Scaling.Min) || target.Reclaimable < 0 {
+					t.Fatalf("too few: %+v", target)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,67 @@
+package eventlog
+
+import (
+	"bytes"
+	"errors"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// blocked is a writer that takes nothing until it is let go.
+type blocked struct {
+	gate chan struct{}
+	mu   sync.Mutex
+	got  bytes.Buffer
+}
+
+func (b *blocked) Write(p []byte) (int, error) {
+	<-b.gate
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.got.Write(p)
+}
+
+// TestBlockedOutputDelaysNobody: lines beyond the queue are dropped and counted,
+// and the count is told when the output takes lines again.
+func TestBlockedOutputDelaysNobody(t *testing.T) {
+	c := qt.New(t)
+	out := &blocked{gate: make(chan struct{})}
+	w := NewWriter(out)
+	logger := New(w, slog.LevelInfo)
+	for i := range 3 * queueLines {
+		logger.Info("line", "n", i)
+	}
+	c.Check(w.Dropped() >= queueLines, qt.IsTrue, qt.Commentf("%d", w.Dropped()))
+	close(out.gate)
+	logger.Info("after")
+	w.Close()
+	<-w.done
+	c.Check(strings.Contains(out.got.String(), `"log lines dropped"`), qt.IsTrue)
+}
+
+type failing struct{}
+
+func (failing) Write([]byte) (int, error) { return 0, errors.New("closed") }
+
+func TestClosedOutputDelaysNobody(t *testing.T) {
+	w := NewWriter(failing{})
+	logger := New(w, slog.LevelInfo)
+	for range 10 * queueLines {
+		logger.Info("line")
+	}
+	w.Close()
+}
+
+func TestLinesArrive(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	New(w, slog.LevelInfo).Info("hello", "k", 1)
+	w.Close()
+	<-w.done
+	c.Check(out.String(), qt.Matches, `(?s).*"msg":"hello","k":1.*`)
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -20,8 +20,8 @@
 	Holder string `json:"holder"`
 	// Incarnation tells the holder's process from earlier ones.
 	Incarnation uint64 `json:"incarnation"`
-	// Renewals counts the writes of the holder: a record that does not change
-	// has a holder that does not act.
+	// Renewals numbers the writes: a record that does not change has a holder
+	// that does not act, and a holder knows its own write by its number.
 	Renewals int64 `json:"renewals"`
 	// Reports are the usage reports that were decided on, by window. They stand
 	// here before they are sent, so that whoever sends one again sends the same.
@@ -45,6 +45,9 @@
 	// pending is the last write that was begun. Its answer may be lost.
 	pending Record
 	begunAt time.Time
+	// number is the highest number that this daemon has given to a write, so
+	// that each write can be told from its earlier ones.
+	number int64
 }
 
 // holdFor is the part of the lease's duration that the holder uses. The rest
@@ -85,8 +88,14 @@
 	k.until = k.begunAt.Add(k.hold())
 }
 
-// Begin notes a write that is about to be sent.
-func (k *Keeper) Begin(record Record, now time.Time) { k.pending, k.begunAt = record, now }
+// Begin notes a write that is about to be sent. The right to act ends before the
+// lease is given back, whatever becomes of that write.
+func (k *Keeper) Begin(record Record, now time.Time) {
+	k.pending, k.begunAt, k.number = record, now, max(k.number, record.Renewals)
+	if record.Holder != k.self {
+		k.fence = 0
+	}
+}
 
 func (k *Keeper) mine() bool {
 	return k.record.Holder == k.self && k.record.Incarnation == k.incarnation
@@ -113,21 +122,23 @@
 	if !free && now.Sub(k.seenAt) < k.duration {
 		return Record{}, false
 	}
-	return Record{Holder: k.self, Incarnation: k.incarnation, Renewals: k.record.Renewals + 1, Reports: k.record.Reports}, true
+	return Record{Holder: k.self, Incarnation: k.incarnation, Renewals: k.nextNumber(), Reports: k.record.Reports}, true
 }
 
 // Renewal returns the record that renews the lease.
 func (k *Keeper) Renewal() Record {
 	next := k.record
-	next.Renewals++
+	next.Renewals = k.nextNumber()
 	return next
 }
 
+func (k *Keeper) nextNumber() int64 { return max(k.record.Renewals, k.number) + 1 }
+
 // Release returns the record that gives the lease back.
 func (k *Keeper) Release() Record {
 	next := k.record
 	next.Holder, next.Incarnation = "", 0
-	next.Renewals++
+	next.Renewals = k.nextNumber()
 	return next
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -43,6 +43,10 @@
 	// buffers; a request head is about 600 bytes, an event about 50.
 	readBuffer  = 4096
 	writeBuffer = 4096
+	// writtenFirst is the size in bytes up to which a body is written before the
+	// answer is read: as much as fits the buffers of a connection, so that a
+	// server that does not read cannot hold the writer.
+	writtenFirst = 8 << 10
 )
 
 // Pool holds connections by address.
@@ -98,9 +102,9 @@
 	reuse   bool
 }
 
-// Do sends a request and reads the head of its answer. The body of the request
-// goes out while the answer is awaited, since a server may answer early. When
-// the context ends, the connection is closed.
+// Do sends a request and reads the head of its answer. A long body goes out while
+// the answer is awaited, since a server may answer early. When the context ends,
+// the connection is closed.
 func (p *Pool) Do(ctx context.Context, address string, req *http.Request, reuse Reuse) (*Response, error) {
 	c, err := p.take(ctx, address, reuse)
 	if err != nil {
@@ -108,7 +112,11 @@
 	}
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
-	go func() { x.written <- writeRequest(c, req) }()
+	if req.ContentLength <= writtenFirst {
+		x.written <- writeRequest(c, req)
+	} else {
+		go func() { x.written <- writeRequest(c, req) }()
+	}
 	resp, err := readHead(c.reader, req, reuse.Mine)
 	if err != nil {
 		x.drop()
@@ -284,6 +292,8 @@
 			x.pool.put(x.conn)
 			return
 		}
+		// An answer that came before the whole request was read ends the
+		// connection, so that nothing else is taken for the rest of the request.
 		_ = x.conn.Close()
 	})
 }
