--- a/internal/cli/files.go
+++ b/internal/cli/files.go
@@ -18,7 +18,7 @@
 		return &UsageError{Message: "nothing to validate: give --file or --settings"}
 	}
 	for _, path := range settings {
-		if _, err := config.LoadSettings(path); err != nil {
+		if err := config.CheckSettingsFile(path); err != nil {
 			return err
 		}
 	}
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"fmt"
+	"net/netip"
 	"os"
 	"reflect"
 
@@ -104,12 +106,43 @@
 			found.Addf(source.Place(path), "%s: must be greater than zero", path)
 		}
 	}
+	settings.checkAddresses(source, &found)
 	if settings.Bounds.RetryRatio < 0 || settings.Bounds.RetryExtra < 0 {
 		found.Addf(source.Place("bounds.retry_ratio"), "bounds.retry_ratio and bounds.retry_extra: must not be negative")
 	}
 	return settings, found.Err()
 }
 
+// checkAddresses reports what is not of the form IP:port.
+func (s *RouterSettings) checkAddresses(source *strictyaml.Source, found *finding.List) {
+	addresses := map[string]string{
+		"listen.callers": s.Listen.Callers, "listen.readiness": s.Listen.Readiness, "listen.peers": s.Listen.Peers,
+		"listen.metrics": s.Listen.Metrics, "store.address": s.Store.Address, "cloud.address": s.Cloud.Address,
+	}
+	for i, seed := range s.Peers.Seeds {
+		addresses[fmt.Sprintf("peers.seeds[%d]", i)] = seed
+	}
+	for path, address := range addresses {
+		if _, err := netip.ParseAddrPort(address); address != "" && err != nil {
+			found.Addf(source.Place(path), "%s: %q is not of the form IP:port", path, address)
+		}
+	}
+}
+
+// CheckSettingsFile reports the mistakes of a settings file of any kind.
+func CheckSettingsFile(path string) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "read settings")
+	}
+	if IsRouterSettings(raw) {
+		_, err = ParseRouterSettings(path, raw)
+		return err
+	}
+	_, err = ParseSettings(path, raw)
+	return err
+}
+
 // IsRouterSettings reports whether a file holds a router's settings. The kind
 // stands on a line of its own.
 func IsRouterSettings(raw []byte) bool {
--- /dev/null
+++ b/internal/config/router_test.go
@@ -0,0 +1,73 @@
+package config
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// rendered is deploy/settings.yaml.tmpl as the platform fills it in.
+const rendered = `kind: router
+vm:
+  id: front-hall-nord-1
+  zone: hall-nord
+  region: thies
+listen:
+  callers: "10.1.0.14:8221"
+  readiness: "10.1.0.14:8224"
+  peers: "10.1.0.14:8229"
+  metrics: "10.1.0.14:9464"
+peers:
+  seeds: ["10.1.0.14:8229","10.2.0.4:8229"]
+store:
+  address: "10.200.1.7:8225"
+cloud:
+  address: "10.200.0.35:8225"
+bounds:
+  drain: 8s
+  lease: 3000ms
+  retry_ratio: 0.2
+  retry_window: 10s
+  retry_extra: 52
+  usage_window: 5s
+  usage_due: 10s
+  quota_window: 8s
+`
+
+func TestRouterSettings(t *testing.T) {
+	c := qt.New(t)
+	c.Assert(IsRouterSettings([]byte(rendered)), qt.IsTrue)
+	got, err := ParseRouterSettings("s.yaml", []byte(rendered))
+	c.Assert(err, qt.IsNil)
+	c.Check(got.VM.ID, qt.Equals, "front-hall-nord-1")
+	c.Check(got.Bounds.Lease.Std(), qt.Equals, 3*time.Second)
+	c.Check(got.Bounds.RetryExtra, qt.Equals, 52.0)
+	c.Check(got.Peers.Seeds, qt.HasLen, 2)
+	other, err := ParseRouterSettings("s.yaml", []byte(rendered))
+	c.Assert(err, qt.IsNil)
+	c.Check(got.Same(other), qt.IsTrue)
+}
+
+func TestRouterSettingsFindings(t *testing.T) {
+	c := qt.New(t)
+	bad := strings.NewReplacer(
+		"  zone: hall-nord\n", "",
+		`"10.1.0.14:8224"`, `"somewhere"`,
+		"drain: 8s", "drain: 0s",
+		"retry_ratio: 0.2", "retry_ratio: -1",
+		"  usage_window: 5s\n", "  usage_windw: 5s\n",
+	).Replace(rendered)
+	_, err := ParseRouterSettings("s.yaml", []byte(bad))
+	c.Assert(err, qt.IsNotNil)
+	for _, want := range []string{"zone", "s.yaml:7:", "bounds.drain", "retry_ratio", "usage_windw", "bounds.usage_window"} {
+		c.Check(err.Error(), qt.Contains, want)
+	}
+}
+
+func TestSettingsOfOtherDaemons(t *testing.T) {
+	c := qt.New(t)
+	c.Check(IsRouterSettings([]byte("daemon:\n  id: x\n")), qt.IsFalse)
+	c.Check(IsRouterSettings([]byte("{")), qt.IsFalse)
+}
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -47,7 +47,7 @@
 
 func (failing) Write([]byte) (int, error) { return 0, errors.New("closed") }
 
-func TestClosedOutputDelaysNobody(t *testing.T) {
+func TestClosedOutputDelaysNobody(*testing.T) {
 	w := NewWriter(failing{})
 	logger := New(w, slog.LevelInfo)
 	for range 10 * queueLines {
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -62,7 +62,7 @@
 	return status >= http.StatusInternalServerError &&
 		r.call.Route.Repeat == catalog.RunsAgain &&
 		r.sends < r.call.Route.MaxAttempts &&
-		r.call.Deadline().Sub(time.Now()) >= leastTry
+		time.Until(r.call.Deadline()) >= leastTry
 }
 
 // start sends the head of the answer.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -126,20 +126,17 @@
 }
 
 // eventReader splits a body into whole events.
-type eventReader struct {
-	scanner *bufio.Scanner
-	rest    bool
-}
+type eventReader struct{ scanner *bufio.Scanner }
 
 func newEventReader(body io.Reader) *eventReader {
 	r := &eventReader{scanner: bufio.NewScanner(body)}
 	r.scanner.Buffer(make([]byte, 0, eventBuffer), maxEvent)
-	r.scanner.Split(r.split)
+	r.scanner.Split(splitEvents)
 	return r
 }
 
-// split is a bufio.SplitFunc for events with their empty line.
-func (r *eventReader) split(data []byte, atEOF bool) (int, []byte, error) {
+// splitEvents is a bufio.SplitFunc for events with their empty line.
+func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
 	end := -1
 	if i := bytes.Index(data, []byte("\n\n")); i >= 0 {
 		end = i + 2
--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -267,18 +267,16 @@
 }
 
 // burst sends many calls at once and waits for all replies.
-func (b *bed) burst(count int, make func(i int) call) []reply {
-	replies := make0(count)
+func (b *bed) burst(count int, newCall func(i int) call) []reply {
+	replies := make([]reply, count)
 	var all sync.WaitGroup
 	for i := range count {
-		all.Go(func() { replies[i] = b.send(make(i)) })
+		all.Go(func() { replies[i] = b.send(newCall(i)) })
 	}
 	all.Wait()
 	return replies
 }
 
-func make0(count int) []reply { return make([]reply, count) }
-
 // count returns the number of replies with a status.
 func count(replies []reply, status int) int {
 	n := 0
--- a/robustness/onplatform/request_test.go
+++ b/robustness/onplatform/request_test.go
@@ -86,7 +86,7 @@
 func TestDeclinedGoesToAnotherServer(t *testing.T) {
 	var one, two *fake.Runner
 	run(t, 1, func(b *bed) {
-		first := func(n int, r *http.Request) fake.Behaviour { return fake.Behaviour{Decline: true} }
+		first := func(int, *http.Request) fake.Behaviour { return fake.Behaviour{Decline: true} }
 		one = b.addServer("i-1", plain, &fake.Runner{Behave: first})
 		two = b.addServer("i-2", plain, &fake.Runner{})
 		b.configure(routes{plainRoute("/a/", "non_idempotent", 2)})
