Do not end a begun stream with another server's failure

Ruled out: the cut itself (streams over it were resumed whole). Change: once events have gone out, any answer that is not a stream counts as a lost attempt; the next server is asked, or the answer looks cut. Test: TestFailureAfterEventsIsNotTheEnd, failed before.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/backend"
@@ -353,6 +354,10 @@
 		return r.lost(ctx, "unsigned")
 	case answer.Events && answer.Status == http.StatusOK:
 		return r.stream(ctx, choice, answer)
+	case r.started:
+		// The caller has events of an earlier attempt: this answer cannot follow
+		// them.
+		return r.lost(ctx, "status-"+strconv.Itoa(answer.Status))
 	}
 	return r.whole(ctx, choice, answer)
 }
--- a/robustness/onplatform/stream_test.go
+++ b/robustness/onplatform/stream_test.go
@@ -99,3 +99,32 @@
 func slowly(int, *http.Request) fake.Behaviour {
 	return fake.Behaviour{Delay: 100 * time.Millisecond}
 }
+
+// TestFailureAfterEventsIsNotTheEnd: a server that fails when it is asked to go
+// on with a stream does not end the answer as if it were whole.
+func TestFailureAfterEventsIsNotTheEnd(t *testing.T) {
+	for name, attempts := range map[string]int{"no attempt left": 2, "one more attempt": 3} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 1, func(b *bed) {
+				n := 0
+				behave := func(int, *http.Request) fake.Behaviour {
+					switch n++; n {
+					case 1:
+						return breaking(7)(1, nil)
+					case 2:
+						return fake.Behaviour{Status: 500}
+					}
+					return fake.Behaviour{}
+				}
+				b.addServer("i-1", model, &fake.Runner{Events: 12, Behave: behave})
+				b.addServer("i-2", model, &fake.Runner{Events: 12, Behave: behave})
+				b.addServer("i-3", model, &fake.Runner{Events: 12, Behave: behave})
+				b.configure(routes{streamRoute("/s/", true, attempts)})
+			}, func(b *bed) {
+				got := b.send(call{method: "POST", path: "/s/x", key: testKey, tokens: "150,60"})
+				b.Check(got.cut, qt.Equals, attempts == 2)
+				b.Check(got.body, qt.Equals, events(1, map[int]int{2: 7, 3: 12}[attempts]))
+			})
+		})
+	}
+}
