Fill the buckets of a starting daemon; use engines less

Change: a starting daemon takes over the levels of one that has been running for longer; where there is none, each bucket gets its part of 0.4 of the tolerance that the platform's settings state, which together with what was used before stays within the tolerance of any window (tested).

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -18,8 +18,12 @@
 
 // Limiter holds the buckets of the workspaces.
 type Limiter struct {
-	mu      sync.Mutex
-	started time.Time
+	mu        sync.Mutex
+	started   time.Time
+	tolerance Tolerance
+	// daemons is the number of daemons that share the tolerance at their start,
+	// or zero while it is not known.
+	daemons int
 	// share is the part of each allowance that this daemon may count on. It is
 	// below one while some peers cannot be heard.
 	share   float64
@@ -39,12 +43,26 @@
 	at          time.Time
 	// spent is all that this daemon has admitted.
 	spent float64
+	// granted is set once the bucket has its part of the tolerance.
+	granted bool
 }
 
+// Tolerance is how far above its allowance a workspace may get in a window.
+type Tolerance struct {
+	Window time.Duration
+	// Over is a share of the window's allowance, Tokens a number besides.
+	Over   float64
+	Tokens float64
+}
+
+// grantShare is the part of the tolerance that processes use when they start.
+// The rest covers what daemons admit before they hear of each other.
+const grantShare = 0.4
+
 // NewLimiter returns a limiter without workspaces. Buckets fill from the start
 // of the process on: what was admitted before it is not known.
-func NewLimiter(now time.Time) *Limiter {
-	return &Limiter{started: now, share: 1, buckets: map[string]*bucket{}, heard: map[reporter]map[string]float64{}}
+func NewLimiter(tolerance Tolerance, now time.Time) *Limiter {
+	return &Limiter{started: now, tolerance: tolerance, share: 1, buckets: map[string]*bucket{}, heard: map[reporter]map[string]float64{}}
 }
 
 // ApplyCatalog takes over the allowances of a configuration.
@@ -59,12 +77,61 @@
 		}
 		b.refill(now, l.share)
 		b.rate, b.burst = w.TokensPerSecond, w.Burst
+		l.grant(b)
 		b.level = min(b.level, b.burst*l.share)
 		next[w.Name] = b
 	}
 	l.buckets = next
 }
 
+// Grant gives each bucket this daemon's part of the tolerance, once. Were all
+// daemons killed at a moment and started with empty buckets, they would refuse
+// for seconds what is allowed.
+func (l *Limiter) Grant(daemons int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.daemons > 0 {
+		return
+	}
+	l.daemons = max(1, daemons)
+	for _, b := range l.buckets {
+		l.grant(b)
+	}
+}
+
+func (l *Limiter) grant(b *bucket) {
+	if l.daemons == 0 || b.granted {
+		return
+	}
+	b.granted = true
+	whole := l.tolerance.Over*(b.rate*l.tolerance.Window.Seconds()+b.burst) + l.tolerance.Tokens
+	b.level = min(b.burst, b.level+grantShare*whole/float64(l.daemons))
+}
+
+// Levels returns what is left in the buckets.
+func (l *Limiter) Levels(now time.Time) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	levels := make(map[string]float64, len(l.buckets))
+	for name, b := range l.buckets {
+		b.refill(now, l.share)
+		levels[name] = b.level
+	}
+	return levels
+}
+
+// Adopt takes over the levels of a daemon that has been running for longer: it
+// has heard of what was admitted before this one's start.
+func (l *Limiter) Adopt(levels map[string]float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, level := range levels {
+		if b := l.buckets[name]; b != nil {
+			b.level = min(b.burst, max(b.level, level))
+		}
+	}
+}
+
 // SetReach takes over how many of the known daemons are heard, this one
 // included. Each side of a partition uses its part, so that the parts never add
 // up to more than the whole.
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -15,9 +15,11 @@
 	// utilisation is the share of the time that engines should spend on reading
 	// prompts. The rest generates tokens, and takes up a burst until more
 	// servers have booted.
-	utilisation = 0.45
+	utilisation = 0.33
 	// spare is the number of servers beyond that.
 	spare = 1.0
+	// baseOnDemand is the number of zones that always have a server on demand.
+	baseOnDemand = 3
 )
 
 // Zone is what is known of a service in one zone.
@@ -45,22 +47,33 @@
 	Reclaimable int
 }
 
-// Plan returns a target for every zone. Each zone has one server on demand, so
-// that it can serve when it is cut off or its reclaimable servers are taken
-// away. The rest is reclaimable, spread over the zones; where there are none to
-// be had, servers on demand in the cheapest zones stand in.
+// Plan returns a target for every zone. A few servers on demand, in the cheapest
+// zones, outlast the loss of all reclaimable ones. The rest is reclaimable,
+// spread over the zones. Where a zone has none to give, servers on demand stand
+// in: one in the zone itself if it would have no server at all, so that it can
+// serve when it is cut off, and the rest in the cheapest zones.
 func Plan(s State) []Target {
 	zones := slices.Clone(s.Zones)
 	slices.SortFunc(zones, func(a, b Zone) int {
 		return cmp.Or(cmp.Compare(s.Scaling.ZonePrices[a.Name], s.Scaling.ZonePrices[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
 	needed := int(math.Ceil(s.Load/utilisation + spare))
-	targets := make([]Target, 0, len(zones))
-	for _, z := range zones {
-		targets = append(targets, Target{Zone: z.Name, OnDemand: max(1, s.Scaling.Min)})
+	targets := make([]Target, len(zones))
+	for i, z := range zones {
+		targets[i].Zone = z.Name
+		if i < baseOnDemand || s.Scaling.SpotPrice <= 0 {
+			targets[i].OnDemand = 1
+		}
 	}
-	short := spreadReclaimable(s, zones, targets, needed-total(targets))
-	addOnDemand(s.Scaling.Max, zones, targets, short)
+	spreadReclaimable(s, targets, needed-total(targets))
+	expected := 0
+	for i, z := range zones {
+		if missing := max(1, s.Scaling.Min) - expectable(z, targets[i]); targets[i].OnDemand < missing {
+			targets[i].OnDemand = missing
+		}
+		expected += targets[i].OnDemand + expectable(z, targets[i])
+	}
+	addOnDemand(s.Scaling.Max, zones, targets, needed-expected)
 	return targets
 }
 
@@ -72,20 +85,16 @@
 	return sum
 }
 
-// spreadReclaimable asks for reclaimable servers in every zone, at least one
-// each, and returns how many of the wanted servers cannot be counted on: those
-// that dry zones lack.
-func spreadReclaimable(s State, zones []Zone, targets []Target, wanted int) int {
+// spreadReclaimable asks for the same number of reclaimable servers in every
+// zone, at least one each.
+func spreadReclaimable(s State, targets []Target, wanted int) {
 	if s.Scaling.SpotPrice <= 0 {
-		return max(0, wanted)
+		return
 	}
-	each := max(1, int(math.Ceil(float64(wanted)/float64(len(zones)))))
-	expected := 0
+	each := max(1, int(math.Ceil(float64(wanted)/float64(len(targets)))))
 	for i := range targets {
 		targets[i].Reclaimable = max(0, min(each, s.Scaling.Max-targets[i].OnDemand))
-		expected += expectable(zones[i], targets[i])
 	}
-	return max(0, wanted-expected)
 }
 
 // expectable is the number of reclaimable servers that a zone will have.
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -75,7 +75,11 @@
 	// UsageDue how long after its end a report is due.
 	UsageWindow Duration `yaml:"usage_window"`
 	UsageDue    Duration `yaml:"usage_due"`
+	// QuotaOver and QuotaSlack are how far a workspace may get above its
+	// allowance in any QuotaWindow: a share of it, and tokens besides.
 	QuotaWindow Duration `yaml:"quota_window"`
+	QuotaOver   float64  `yaml:"quota_over"`
+	QuotaSlack  float64  `yaml:"quota_slack"`
 }
 
 // LoadRouterSettings reads a router's settings from a file.
--- a/internal/config/router_test.go
+++ b/internal/config/router_test.go
@@ -34,6 +34,8 @@
   usage_window: 5s
   usage_due: 10s
   quota_window: 8s
+  quota_over: 0.1
+  quota_slack: 72000
 `
 
 func TestRouterSettings(t *testing.T) {
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -106,7 +106,15 @@
 	}
 	for _, server := range s.View.Servers(now) {
 		i := indexOf(zones, server.Zone)
-		if server.Service != service || !server.Ready || i < 0 {
+		if server.Service != service || i < 0 {
+			continue
+		}
+		if server.Draining && server.Reclaimable && server.LeavesIn > 0 {
+			// A notice takes all reclaimable servers of a zone; no more are to be
+			// had there for a while.
+			zones[i].Dry = true
+		}
+		if !server.Ready {
 			continue
 		}
 		if server.Reclaimable {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -85,7 +85,9 @@
 	// started is set once the head of the answer has gone to the caller.
 	started bool
 	// after is the last event that the caller has.
-	after   string
+	after string
+	// cost is what the call takes of its workspace's allowance.
+	cost    float64
 	first   time.Duration
 	status  int
 	history []attempted
@@ -128,6 +130,7 @@
 		return r.attempts(ctx)
 	}
 	cost := r.call.cost(w)
+	r.cost = cost
 	ok, wait := r.options.Limiter.Admit(w.Name, cost, r.call.Arrived)
 	if !ok {
 		return &Refusal{Status: http.StatusTooManyRequests, Reason: "workspace is above its allowance", RetryAfter: wait}
@@ -412,7 +415,7 @@
 	attrs := []any{
 		"request_id", r.call.ID, "route", r.call.Route.Name, "service", r.call.Service, "workspace", r.call.Workspace,
 		"outcome", outcome, "status", status, "took_ms", took.Milliseconds(), "first_ms", r.first.Milliseconds(),
-		"attempts", r.history, "config_version", r.call.Catalog.Version,
+		"attempts", r.history, "allowance_tokens", r.cost, "config_version", r.call.Catalog.Version,
 		"config_age_ms", time.Since(r.call.Catalog.TakenAt).Milliseconds(), "servers_age_ms", serversAge.Milliseconds(), "store_failing", storeFailing,
 	}
 	if err != nil {
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -14,6 +14,7 @@
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
+	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
 	"github.com/plankridge/plankridge/internal/store"
@@ -56,12 +57,16 @@
 func newState(r *Router) *state {
 	now := time.Now()
 	return &state{
-		router: r, view: backend.NewView(), limiter: allowance.NewLimiter(now), ledger: newLedger(r.settings),
+		router: r, view: backend.NewView(), limiter: allowance.NewLimiter(toleranceOf(r.settings.Bounds), now), ledger: newLedger(r.settings),
 		demand: demand.NewMeter(), remoteDemand: map[string]remoteDemand{},
 		started: now, specs: map[string]json.RawMessage{}, differs: map[string]time.Time{},
 	}
 }
 
+func toleranceOf(b config.RouterBounds) allowance.Tolerance {
+	return allowance.Tolerance{Window: b.QuotaWindow.Std(), Over: b.QuotaOver, Tokens: b.QuotaSlack}
+}
+
 // Catalog returns the configuration in force, or nil.
 func (s *state) Catalog() *catalog.Catalog { return s.catalog.Load() }
 
@@ -239,8 +244,11 @@
 		right, _ := s.router.holder.Right()
 		status.Fence = right.Fence
 	}
-	for workspace, tokens := range s.limiter.Spent() {
-		status.Spent = append(status.Spent, &gossippb.Spent{Workspace: workspace, Tokens: tokens})
+	now := time.Now()
+	status.UptimeMs = now.Sub(s.started).Milliseconds()
+	spent := s.limiter.Spent()
+	for workspace, level := range s.limiter.Levels(now) {
+		status.Spent = append(status.Spent, &gossippb.Spent{Workspace: workspace, Tokens: spent[workspace], Level: level})
 	}
 	for id, counts := range s.ledger.Own(windowsTold) {
 		status.Windows = append(status.Windows, &gossippb.Window{Id: id, Counts: counts})
@@ -290,11 +298,16 @@
 // Heard implements gossip.Sink.
 func (s *state) Heard(status *gossippb.Status, unknown bool) {
 	vm, incarnation := status.GetVm(), status.GetIncarnation()
-	spent := map[string]float64{}
+	spent, levels := map[string]float64{}, map[string]float64{}
 	for _, item := range status.GetSpent() {
-		spent[item.GetWorkspace()] = item.GetTokens()
+		spent[item.GetWorkspace()], levels[item.GetWorkspace()] = item.GetTokens(), item.GetLevel()
+	}
+	uptime := time.Since(s.started)
+	starting := unknown && uptime < settling
+	s.limiter.Heard(vm, incarnation, spent, starting)
+	if peerUptime := time.Duration(status.GetUptimeMs()) * time.Millisecond; starting && peerUptime > uptime+settling {
+		s.limiter.Adopt(levels)
 	}
-	s.limiter.Heard(vm, incarnation, spent, unknown && time.Since(s.started) < settling)
 	windows := map[int64]usage.Counts{}
 	for _, w := range status.GetWindows() {
 		windows[w.GetId()] = w.GetCounts()
@@ -404,6 +417,7 @@
 	if err != nil {
 		return err
 	}
+	r.state.limiter.Grant(len(page.Objects))
 	own := daemonEntry{Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers}
 	revision := int64(0)
 	now := time.Now()
