Let a workspace's burst come back within a window

Change: the bucket fills by the burst over a window faster, as far as 0.35 of the tolerance covers that some window then holds two bursts; the grant at the start of a process goes from 0.4 to 0.25 of it. Ruled out: a sliding window in place of the bucket: after the death of all daemons its history would have to be guessed.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -55,9 +55,18 @@
 	Tokens float64
 }
 
-// grantShare is the part of the tolerance that processes use when they start.
-// The rest covers what daemons admit before they hear of each other.
-const grantShare = 0.4
+// of returns the tolerance of an allowance, in tokens of a window.
+func (t Tolerance) of(rate, burst float64) float64 {
+	return t.Over*(rate*t.Window.Seconds()+burst) + t.Tokens
+}
+
+// Parts of the tolerance that are used: by processes when they start, and by
+// the burst that comes back within a window. The rest covers what daemons admit
+// before they hear of each other.
+const (
+	grantShare  = 0.25
+	refillShare = 0.35
+)
 
 // NewLimiter returns a limiter without workspaces. Buckets fill from the start
 // of the process on: what was admitted before it is not known.
@@ -73,10 +82,10 @@
 	for _, w := range c.Workspaces {
 		b := l.buckets[w.Name]
 		if b == nil {
-			b = &bucket{level: now.Sub(l.started).Seconds() * w.TokensPerSecond, at: now}
+			b = &bucket{level: min(w.Burst, now.Sub(l.started).Seconds()*w.TokensPerSecond), at: now}
 		}
 		b.refill(now, l.share)
-		b.rate, b.burst = w.TokensPerSecond, w.Burst
+		b.rate, b.burst = l.refillRate(w.TokensPerSecond, w.Burst), w.Burst
 		l.grant(b)
 		b.level = min(b.level, b.burst*l.share)
 		next[w.Name] = b
@@ -104,8 +113,7 @@
 		return
 	}
 	b.granted = true
-	whole := l.tolerance.Over*(b.rate*l.tolerance.Window.Seconds()+b.burst) + l.tolerance.Tokens
-	b.level = min(b.burst, b.level+grantShare*whole/float64(l.daemons))
+	b.level = min(b.burst, b.level+grantShare*l.tolerance.of(b.rate, b.burst)/float64(l.daemons))
 }
 
 // Levels returns what is left in the buckets.
@@ -132,6 +140,19 @@
 	}
 }
 
+// refillRate is the rate at which a bucket fills. The allowance is meant for
+// windows: the rate over the window and one burst. A bucket that fills at the
+// bare rate would give a busy workspace its burst once and never again. So the
+// burst comes back within a window, as far as a part of the tolerance covers
+// that a window may then hold two bursts.
+func (l *Limiter) refillRate(rate, burst float64) float64 {
+	if rate <= 0 || l.tolerance.Window <= 0 {
+		return rate
+	}
+	again := min(burst, refillShare*l.tolerance.of(rate, burst))
+	return rate + again/l.tolerance.Window.Seconds()
+}
+
 // SetReach takes over how many of the known daemons are heard, this one
 // included. Each side of a partition uses its part, so that the parts never add
 // up to more than the whole.
