Reset abandoned requests, distrust failing servers for longer, drain late

Connections are reset now (TestAbandonedRequestIsDiscarded). Cause 2: 24 and 40 plain calls met two failing servers in a row: one success halved what was held against a server that fails 45 in 100. A failure now counts for 2 s and an answer takes a fifth off. Fewer are asked for after 2 s (on demand) or 6 s (reclaimable); with that, utilisation 0.4 in place of 0.33.

--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -64,9 +64,12 @@
 	// within about two seconds.
 	afterOutage = 2200 * time.Millisecond
 	// failureHalfLife halves the weight of a failure. A server is suspect while
-	// its weight is above suspectAbove, so one failure counts for a second.
-	failureHalfLife = time.Second
+	// its weight is above suspectAbove, so one failure counts for two seconds. An
+	// answer takes a fifth off, so that a server that fails now and then stays
+	// suspect.
+	failureHalfLife = 2 * time.Second
 	suspectAbove    = 0.5
+	forgiveness     = 0.8
 	// maxFailures bounds the weight: three half-lives until a server that has
 	// failed throughout is tried first again.
 	maxFailures = 4.0
@@ -122,7 +125,7 @@
 func (s *server) note(outcome Outcome, now time.Time) {
 	switch outcome {
 	case OutcomeServed:
-		s.failures, s.failureAt = s.failureWeight(now)/2, now
+		s.failures, s.failureAt = forgiveness*s.failureWeight(now), now
 		s.servedAt = now
 	case OutcomeFailed:
 		s.failures, s.failureAt = min(maxFailures, s.failureWeight(now)+1), now
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -15,7 +15,7 @@
 	// utilisation is the share of the time that engines should spend on reading
 	// prompts. The rest generates tokens, and takes up a burst until more
 	// servers have booted.
-	utilisation = 0.33
+	utilisation = 0.4
 	// spare is the number of servers beyond that.
 	spare = 1.0
 	// baseOnDemand is the number of zones that always have a server on demand.
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -20,6 +20,11 @@
 	// dryFor is how long no reclaimable servers are asked for in a zone after
 	// the cloud had none.
 	dryFor = 4 * time.Second
+	// fallDelay is how long fewer servers must have been wanted before fewer are
+	// asked for: demand is uneven, and a server that leaves takes its cache along.
+	// Those on demand cost several times as much to keep.
+	fallDelay         = 6 * time.Second
+	fallDelayOnDemand = 2 * time.Second
 	// unansweredFor is how soon an order without an answer is given again.
 	unansweredFor = 1500 * time.Millisecond
 )
@@ -36,6 +41,7 @@
 	Logger *slog.Logger
 
 	given map[market]given
+	held  map[market]given
 	dry   map[market]time.Time
 	fence int64
 }
@@ -76,7 +82,7 @@
 	}
 	if right.Fence != s.fence {
 		// What earlier holders ordered is not known.
-		s.fence, s.given, s.dry = right.Fence, map[market]given{}, map[market]time.Time{}
+		s.fence, s.given, s.held, s.dry = right.Fence, map[market]given{}, map[market]given{}, map[market]time.Time{}
 	}
 	for name, service := range c.Services {
 		if service.Scaling != nil {
@@ -135,11 +141,27 @@
 	return -1
 }
 
+// hold returns the number to ask for: a higher one at once, a lower one when it
+// has been wanted for a while.
+func (s *Scaler) hold(key market, count int, now time.Time) int {
+	delay := fallDelayOnDemand
+	if key.reclaimable {
+		delay = fallDelay
+	}
+	held, known := s.held[key]
+	if !known || count >= held.count || now.Sub(held.at) >= delay {
+		s.held[key] = given{count: count, at: now}
+		return count
+	}
+	return held.count
+}
+
 // order gives an order when it differs from the last one, or when that one has
 // not taken effect in time.
 func (s *Scaler) order(ctx context.Context, order Order, present int, boot time.Duration) {
 	now := time.Now()
 	key := market{order.Service, order.Zone, order.Reclaimable}
+	order.Count = s.hold(key, order.Count, now)
 	last, known := s.given[key]
 	wait := boot + confirmMargin
 	if !last.answered {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -91,6 +91,17 @@
 	idleLimit time.Duration
 }
 
+// abort closes the connection and discards what has not left yet. Bytes that a
+// partition holds up would otherwise arrive when it heals, and be run for a
+// caller that has gone.
+func (c *conn) abort() {
+	if lingers, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		// A connection that is closed already has nothing to discard.
+		_ = lingers.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // exchange is one request on one connection.
 type exchange struct {
 	pool    *Pool
@@ -111,7 +122,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
-	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.stop = context.AfterFunc(ctx, c.abort)
 	if req.ContentLength <= writtenFirst {
 		x.written <- writeRequest(c, req)
 	} else {
@@ -281,7 +292,7 @@
 func (x *exchange) drop() {
 	x.once.Do(func() {
 		x.stop()
-		_ = x.conn.Close()
+		x.conn.abort()
 	})
 }
 
@@ -294,7 +305,7 @@
 		}
 		// An answer that came before the whole request was read ends the
 		// connection, so that nothing else is taken for the rest of the request.
-		_ = x.conn.Close()
+		x.conn.abort()
 	})
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -180,3 +181,31 @@
 		c.Check(idleLimit(resp), qt.Equals, want, qt.Commentf("%q", text))
 	}
 }
+
+// TestAbandonedRequestIsDiscarded: the connection of a caller that has gone is
+// reset, so that nothing of its request arrives later.
+func TestAbandonedRequestIsDiscarded(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = listener.Close() }()
+	ended := make(chan error, 1)
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			ended <- err
+			return
+		}
+		reader := bufio.NewReader(conn)
+		_, _ = http.ReadRequest(reader)
+		leave()
+		_, err = reader.ReadByte()
+		ended <- err
+	}()
+	pool := NewPool(network.TCP{}, time.Second)
+	defer pool.Close()
+	_, err = pool.Do(ctx, listener.Addr().String(), get("/x"), Reuse{})
+	c.Check(errors.Is(err, ErrNoAnswer), qt.IsTrue, qt.Commentf("%v", err))
+	c.Check(errors.Is(<-ended, syscall.ECONNRESET), qt.IsTrue)
+}
