Refuse earlier what would come late

Cause: a request was refused when its first event was predicted later than 1.2 times its target; the prediction lacks what other daemons sent in the last 0.4 s, and what comes late earns a tenth and delays the rest. Change: 0.6 times the target.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -33,8 +33,9 @@
 	// plain call takes about 15 ms of work and a few of network.
 	leastTry = 30 * time.Millisecond
 	// lateFactor times a route's target is the predicted time to the first event
-	// above which a request is refused. A late answer earns a tenth.
-	lateFactor = 1.2
+	// above which a request is refused: predictions are behind by what other
+	// daemons have sent lately, and a late answer earns a tenth.
+	lateFactor = 0.6
 )
 
 var (
