--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -18,8 +18,6 @@
 	utilisation = 0.4
 	// spare is the number of servers beyond that.
 	spare = 1.0
-	// baseOnDemand is the number of zones that always have a server on demand.
-	baseOnDemand = 3
 )
 
 // Zone is what is known of a service in one zone.
@@ -47,11 +45,10 @@
 	Reclaimable int
 }
 
-// Plan returns a target for every zone. A few servers on demand, in the cheapest
-// zones, outlast the loss of all reclaimable ones. The rest is reclaimable,
-// spread over the zones. Where a zone has none to give, servers on demand stand
-// in: one in the zone itself if it would have no server at all, so that it can
-// serve when it is cut off, and the rest in the cheapest zones.
+// Plan returns a target for every zone. Each zone has a server on demand, so that
+// it can serve when it is cut off or its reclaimable servers are taken away. The
+// rest is reclaimable, spread over the zones; where a zone has none to give,
+// servers on demand in the cheapest zones stand in.
 func Plan(s State) []Target {
 	zones := slices.Clone(s.Zones)
 	slices.SortFunc(zones, func(a, b Zone) int {
@@ -60,17 +57,11 @@
 	needed := int(math.Ceil(s.Load/utilisation + spare))
 	targets := make([]Target, len(zones))
 	for i, z := range zones {
-		targets[i].Zone = z.Name
-		if i < baseOnDemand || s.Scaling.SpotPrice <= 0 {
-			targets[i].OnDemand = 1
-		}
+		targets[i] = Target{Zone: z.Name, OnDemand: max(1, s.Scaling.Min)}
 	}
 	spreadReclaimable(s, targets, needed-total(targets))
 	expected := 0
 	for i, z := range zones {
-		if missing := max(1, s.Scaling.Min) - expectable(z, targets[i]); targets[i].OnDemand < missing {
-			targets[i].OnDemand = missing
-		}
 		expected += targets[i].OnDemand + expectable(z, targets[i])
 	}
 	addOnDemand(s.Scaling.Max, zones, targets, needed-expected)
