--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -80,7 +80,7 @@
 	case "timeout":
 		return CauseTimeout
 	}
-	if len(l.Attempts) == 0 {
+	if len(l.Attempts) == 0 || l.Attempts[len(l.Attempts)-1].Result == "not-tried" {
 		return CauseUnknown
 	}
 	last := l.Attempts[len(l.Attempts)-1].Result
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -171,6 +171,7 @@
 		r.ask(choice, now)
 		if refusal := r.tooLate(choice, now); refusal != nil {
 			choice.End(backend.OutcomeNeutral, now)
+			r.note(choice, "not-tried", now, now)
 			return r.giveUp(ctx, refusal)
 		}
 		result := r.try(ctx, choice)
