--- a/capacity/control_test.go
+++ b/capacity/control_test.go
@@ -19,8 +19,8 @@
 	"github.com/plankridge/plankridge/examples"
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/dev"
-	"github.com/plankridge/plankridge/internal/vmlist"
 	"github.com/plankridge/plankridge/internal/standin/memnet"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // sizes are numbers of daemons with the servers in their view.
--- a/capacity/cost_test.go
+++ b/capacity/cost_test.go
@@ -24,8 +24,8 @@
 	"github.com/plankridge/plankridge/internal/dispatch"
 	"github.com/plankridge/plankridge/internal/engine"
 	"github.com/plankridge/plankridge/internal/limit"
-	"github.com/plankridge/plankridge/internal/vmlist"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // heap returns the bytes in use after a collection.
--- /dev/null
+++ b/capacity/gossip_test.go
@@ -0,0 +1,69 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+)
+
+// gossipSize is a deployment as far as it decides the size of a report.
+type gossipSize struct {
+	name       string
+	workspaces int
+	// busy is the number of backend servers at which a daemon has something in
+	// flight.
+	busy int
+}
+
+var gossipSizes = []gossipSize{{"today", 5, 8}, {"grown", 16, 20}, {"plan", 60, 40}}
+
+// report is a full report of one daemon, without the names of others.
+func report(size gossipSize) *gossippb.Status {
+	s := &gossippb.Status{
+		Vm: "front-hall-nord-1", Zone: "hall-nord", Address: "10.1.0.14:8229", Incarnation: 1 << 60, Sequence: 1 << 20,
+		ConfigVersion: 4000, ServersRevision: 1 << 20, ServersDigest: 1 << 60, Fence: 1 << 20, UptimeMs: 1 << 30,
+	}
+	counts := map[string]int64{}
+	for i := range size.workspaces {
+		name := fmt.Sprintf("hule%03d", i)
+		counts[name] = 400
+		s.Spent = append(s.Spent, &gossippb.Spent{Workspace: name, Tokens: 1e7, Level: 1e5})
+	}
+	for id := range 3 {
+		s.Windows = append(s.Windows, &gossippb.Window{Id: 353445120 + int64(id), Counts: counts})
+	}
+	for i := range size.busy {
+		s.Loads = append(s.Loads, &gossippb.Load{Server: fmt.Sprintf("i-%010x", i), Running: 9, PendingTokens: 9000})
+	}
+	for i := range 2 {
+		s.Demands = append(s.Demands, &gossippb.Demand{Service: fmt.Sprintf("huvo%02da", i), Requests: 7, Unread: 9e3, Output: 2e3})
+	}
+	return s
+}
+
+// BenchmarkGossipReport measures the size of a report and the time to write and
+// read one.
+func BenchmarkGossipReport(b *testing.B) {
+	for _, size := range gossipSizes {
+		b.Run(size.name, func(b *testing.B) {
+			s := report(size)
+			raw, err := proto.Marshal(s)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				if raw, err = proto.Marshal(s); err != nil {
+					b.Fatal(err)
+				}
+				var back gossippb.Status
+				if err := proto.Unmarshal(raw, &back); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(raw)), "bytes/report")
+		})
+	}
+}
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -100,6 +100,8 @@
 	durations := map[string]Duration{
 		"bounds.drain": settings.Bounds.Drain,
 		"bounds.lease": settings.Bounds.Lease,
+
+		"bounds.retry_window": settings.Bounds.RetryWindow,
 	}
 	if settings.Cloud.Address != "" {
 		durations["bounds.usage_window"] = settings.Bounds.UsageWindow
--- a/internal/config/router_test.go
+++ b/internal/config/router_test.go
@@ -59,11 +59,12 @@
 		`"10.1.0.14:8224"`, `"somewhere"`,
 		"drain: 8s", "drain: 0s",
 		"retry_ratio: 0.2", "retry_ratio: -1",
+		"retry_window: 10s", "retry_window: 0s",
 		"  usage_window: 5s\n", "  usage_windw: 5s\n",
 	).Replace(rendered)
 	_, err := ParseRouterSettings("s.yaml", []byte(bad))
 	c.Assert(err, qt.IsNotNil)
-	for _, want := range []string{"zone", "s.yaml:7:", "bounds.drain", "retry_ratio", "usage_windw", "bounds.usage_window"} {
+	for _, want := range []string{"zone", "s.yaml:7:", "bounds.drain", "retry_ratio", "bounds.retry_window", "usage_windw", "bounds.usage_window"} {
 		c.Check(err.Error(), qt.Contains, want)
 	}
 }
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -35,8 +35,14 @@
 	repeats  counter
 }
 
+// defaultWindow is used where no window is set.
+const defaultWindow = 10 * time.Second
+
 // New returns a budget for a single daemon.
 func New(bounds Bounds) *Budget {
+	if bounds.Window <= 0 {
+		bounds.Window = defaultWindow
+	}
 	return &Budget{bounds: bounds, daemons: 1, services: map[string]*service{}}
 }
 
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -71,3 +71,10 @@
 	}
 	return n
 }
+
+func TestNoWindowSet(t *testing.T) {
+	c := qt.New(t)
+	b := New(Bounds{})
+	b.Count("s", time.Unix(1000, 0))
+	c.Check(b.Take("s", time.Unix(1000, 0)), qt.IsFalse)
+}
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -11,8 +11,8 @@
 const (
 	// firstRetry follows a failed call; it doubles up to lastRetry. A change has
 	// to be in force within 2 s of the store's return.
-	firstRetry = 50 * time.Millisecond
-	lastRetry  = 500 * time.Millisecond
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
 )
 
 // Consumer takes over the objects of a kind.
