Split the large files of the router; count repeats by the steady clock

A step of the time of day forward would have emptied the counters of the retry budget, so that more repeats were sent than the window allows. Slices are counted from the first time seen.

--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,121 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/catalog"
+	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/upstream"
+)
+
+// result is how an attempt ended.
+type result struct {
+	outcome backend.Outcome
+	what    string
+	// done means that the call has its final state, err.
+	done bool
+	err  error
+}
+
+// try makes one attempt.
+func (r *run) try(ctx context.Context, choice *backend.Choice) result {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stopWatch := r.watchSilence(cancel)
+	defer stopWatch()
+	if err := r.step(request.StepDispatch); err != nil {
+		return result{outcome: backend.OutcomeNeutral, what: "not-allowed", done: true, err: r.giveUp(ctx, &Refusal{Reason: err.Error()})}
+	}
+	answer, err := r.options.Backend.Send(ctx, r.attempt(choice))
+	if errors.Is(err, upstream.ErrNotSent) {
+		r.unsent++
+		return r.ended(request.StepNotSent, r.failure(ctx), "not-sent")
+	}
+	if r.sends++; r.sends == 1 {
+		r.options.Budget.Count(r.call.Service, time.Now())
+	}
+	if err != nil {
+		return r.lost(ctx, "no-answer")
+	}
+	defer answer.Exchange.Drop()
+	return r.take(ctx, choice, answer)
+}
+
+// ended takes the step that an attempt without an answer for the caller ended
+// with.
+func (r *run) ended(step request.Step, outcome backend.Outcome, what string) result {
+	_ = r.step(step)
+	return result{outcome: outcome, what: what}
+}
+
+// lost ends an attempt that may have run and whose answer will not come.
+func (r *run) lost(ctx context.Context, what string) result {
+	r.count(time.Now())
+	return r.ended(request.StepLost, r.failure(ctx), what)
+}
+
+// failure is the outcome of an attempt without an answer: a caller that left
+// or a timeout of our own says little about the server.
+func (r *run) failure(ctx context.Context) backend.Outcome {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return backend.OutcomeNeutral
+	}
+	return backend.OutcomeFailed
+}
+
+func (r *run) attempt(choice *backend.Choice) Attempt {
+	return Attempt{
+		Call:     r.call,
+		Server:   choice.Entry,
+		Left:     time.Until(r.call.CallerDeadline()),
+		After:    r.after,
+		Priority: min(9, r.call.Rank),
+	}
+}
+
+// watchSilence ends an attempt at an idempotent request whose server stays
+// silent, while another attempt is left. The returned function stops it.
+func (r *run) watchSilence(cancel context.CancelCauseFunc) (stop func() bool) {
+	if r.call.Route.Repeat != catalog.RunsAgain || r.sends+1 >= r.call.Route.MaxAttempts {
+		return func() bool { return false }
+	}
+	limit := max(minSilence, silenceFactor*r.call.Route.Target)
+	return time.AfterFunc(limit, func() { cancel(errSilent) }).Stop
+}
+
+// count counts the call as one that a server began to run, once.
+func (r *run) count(at time.Time) {
+	if r.counted || r.call.Workspace == "" {
+		return
+	}
+	r.counted = true
+	r.options.Usage.Began(r.call.Workspace, at)
+}
+
+// take handles the head of an answer.
+func (r *run) take(ctx context.Context, choice *backend.Choice, answer *Answer) result {
+	switch {
+	case answer.WrongServer:
+		return r.ended(request.StepDeclined, backend.OutcomeWrongServer, "wrong-server")
+	case answer.NotRun:
+		// The connection is kept when the short rest of the answer is read.
+		_, _ = io.CopyN(io.Discard, answer.Body, heldAnswer)
+		answer.Exchange.Close()
+		return r.ended(request.StepDeclined, backend.OutcomeFull, "declined")
+	case !answer.Signed:
+		return r.lost(ctx, "unsigned")
+	case answer.Events && answer.Status == http.StatusOK:
+		return r.stream(ctx, choice, answer)
+	case r.started:
+		// The caller has events of an earlier attempt: this answer cannot follow
+		// them.
+		return r.lost(ctx, "status-"+strconv.Itoa(answer.Status))
+	}
+	return r.whole(ctx, choice, answer)
+}
--- /dev/null
+++ b/internal/forward/record.go
@@ -0,0 +1,66 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/backend"
+)
+
+// attempted is an attempt as the log shows it, with what it was decided on.
+type attempted struct {
+	Server string `json:"server"`
+	Zone   string `json:"zone"`
+	Result string `json:"result"`
+	// AtMS is when the attempt began, in milliseconds since the call arrived.
+	AtMS   int64 `json:"at_ms"`
+	TookMS int64 `json:"took_ms"`
+	// WaitMS is the predicted time to the first event, Unread the prompt tokens
+	// that the server was expected to read, and Running what it had in hand.
+	WaitMS  int64 `json:"wait_ms"`
+	Unread  int   `json:"unread"`
+	Running int   `json:"running"`
+}
+
+func (r *run) note(choice *backend.Choice, what string, begun, ended time.Time) {
+	r.history = append(r.history, attempted{
+		Server: choice.ID, Zone: choice.Zone, Result: what,
+		AtMS: begun.Sub(r.call.Arrived).Milliseconds(), TookMS: ended.Sub(begun).Milliseconds(),
+		WaitMS: choice.Wait.Milliseconds(), Unread: choice.Unread, Running: choice.Running,
+	})
+}
+
+// record writes the line and the metrics of a call that has ended.
+func (r *run) record(ctx context.Context, err error) {
+	took := time.Since(r.call.Arrived)
+	outcome := "served"
+	status := r.status
+	var refusal *Refusal
+	level := slog.LevelInfo
+	switch {
+	case errors.As(err, &refusal):
+		outcome, status = "refused", refusal.Status
+		if r.mayHaveRun() {
+			outcome = "failed"
+		}
+	case errors.Is(err, ErrCut):
+		outcome = "cut"
+	case errors.Is(err, errCallerLeft), ctx.Err() != nil && err != nil:
+		outcome = "caller-left"
+	}
+	r.options.Metrics.observe(r.call, outcome, took, r.first)
+	serversAge, storeFailing := r.options.Freshness()
+	attrs := []any{
+		"request_id", r.call.ID, "route", r.call.Route.Name, "service", r.call.Service, "workspace", r.call.Workspace,
+		"outcome", outcome, "status", status, "took_ms", took.Milliseconds(), "first_ms", r.first.Milliseconds(),
+		"attempts", r.history, "allowance_tokens", r.cost, "config_version", r.call.Catalog.Version,
+		"config_age_ms", time.Since(r.call.Catalog.TakenAt).Milliseconds(), "servers_age_ms", serversAge.Milliseconds(), "store_failing", storeFailing,
+	}
+	if err != nil {
+		attrs = append(attrs, "reason", err.Error())
+		level = slog.LevelWarn
+	}
+	r.options.Logger.Log(context.WithoutCancel(ctx), level, "request ended", attrs...)
+}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -25,7 +25,10 @@
 type Budget struct {
 	bounds Bounds
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// origin is the first time seen. Slices are counted from it, so that a step
+	// of the time of day moves nothing.
+	origin   time.Time
 	daemons  int
 	services map[string]*service
 }
@@ -66,7 +69,7 @@
 func (b *Budget) Count(name string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.service(name).requests.add(now, b.bounds.Window)
+	b.service(name).requests.add(b.slice(now))
 }
 
 // Take asks for one more sending and counts it when there is room.
@@ -74,16 +77,25 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(name)
-	requests := float64(s.requests.sum(now, b.bounds.Window))
-	repeats := float64(s.repeats.sum(now, b.bounds.Window))
+	slice := b.slice(now)
+	requests := float64(s.requests.sum(slice))
+	repeats := float64(s.repeats.sum(slice))
 	allowed := margin * (b.bounds.Ratio*requests + b.bounds.Extra/float64(b.daemons))
 	if repeats+1 > allowed {
 		return false
 	}
-	s.repeats.add(now, b.bounds.Window)
+	s.repeats.add(slice)
 	return true
 }
 
+// slice numbers the slice of the window that holds a time.
+func (b *Budget) slice(now time.Time) int64 {
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	return int64(now.Sub(b.origin) / (b.bounds.Window / slices))
+}
+
 // slices is the number of parts that a window is counted in.
 const slices = 20
 
@@ -94,8 +106,8 @@
 }
 
 // sum counts what lies in the window, rounded up to a whole slice.
-func (c *counter) sum(now time.Time, window time.Duration) int {
-	c.advance(now, window)
+func (c *counter) sum(slice int64) int {
+	c.advance(slice)
 	total := 0
 	for _, n := range c.counts {
 		total += n
@@ -103,16 +115,15 @@
 	return total
 }
 
-func (c *counter) add(now time.Time, window time.Duration) {
-	c.advance(now, window)
+func (c *counter) add(slice int64) {
+	c.advance(slice)
 	c.counts[c.last%int64(len(c.counts))]++
 }
 
-func (c *counter) advance(now time.Time, window time.Duration) {
-	slot := now.UnixNano() / int64(window/slices)
-	for steps := 0; c.last < slot && steps < len(c.counts); steps++ {
+func (c *counter) advance(slice int64) {
+	for steps := 0; c.last < slice && steps < len(c.counts); steps++ {
 		c.last++
 		c.counts[c.last%int64(len(c.counts))] = 0
 	}
-	c.last = max(c.last, slot)
+	c.last = max(c.last, slice)
 }
