Write what waits when the log is closed

Cause: a writer that was closed while lines waited wrote 64 KB of them at most, and not the count of those that had been dropped; which of the two came first was left to the scheduler. Not load: TestCloseWritesWhatWaits fails each time without the change. 60 runs under the race detector pass.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -64,28 +64,36 @@
 
 func (w *Writer) run() {
 	defer close(w.done)
-	var buffer bytes.Buffer
 	var told int64
 	for {
 		select {
 		case line := <-w.lines:
-			buffer.Write(line)
+			told = w.flush(line, told)
 		case <-w.quit:
-			w.drain(&buffer)
-			_, _ = w.out.Write(buffer.Bytes())
+			for len(w.lines) > 0 {
+				told = w.flush(nil, told)
+			}
+			w.flush(nil, told)
 			return
 		}
-		w.drain(&buffer)
-		if dropped := w.dropped.Load(); dropped > told {
-			buffer.WriteString(`{"level":"WARN","msg":"log lines dropped","total":` + strconv.FormatInt(dropped, 10) + "}\n")
-			told = dropped
-		}
-		// A writer that fails loses these lines; there is nowhere to say so.
-		_, _ = w.out.Write(buffer.Bytes())
-		buffer.Reset()
 	}
 }
 
+// flush writes a line and those that wait, and the number of dropped lines when
+// it is higher than the one told before. It returns the number told.
+func (w *Writer) flush(line []byte, told int64) int64 {
+	var buffer bytes.Buffer
+	buffer.Write(line)
+	w.drain(&buffer)
+	dropped := w.dropped.Load()
+	if dropped > told {
+		buffer.WriteString(`{"level":"WARN","msg":"log lines dropped","total":` + strconv.FormatInt(dropped, 10) + "}\n")
+	}
+	// A writer that fails loses these lines; there is nowhere to say so.
+	_, _ = w.out.Write(buffer.Bytes())
+	return dropped
+}
+
 // drain takes the lines that wait already.
 func (w *Writer) drain(buffer *bytes.Buffer) {
 	for buffer.Len() < flushBytes {
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"log/slog"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -43,6 +44,25 @@
 	c.Check(strings.Contains(out.got.String(), `"log lines dropped"`), qt.IsTrue)
 }
 
+// TestCloseWritesWhatWaits: lines that wait when the writer is closed, and the
+// count of those that were dropped, are written all the same.
+func TestCloseWritesWhatWaits(t *testing.T) {
+	c := qt.New(t)
+	out := &blocked{gate: make(chan struct{})}
+	w := NewWriter(out)
+	logger := New(w, slog.LevelInfo)
+	for range 2 * queueLines {
+		logger.Info("line")
+	}
+	w.closing.Do(func() { close(w.quit) })
+	close(out.gate)
+	<-w.done
+	dropped := w.Dropped()
+	c.Check(dropped > 0, qt.IsTrue)
+	c.Check(strings.Count(out.got.String(), `"msg":"line"`), qt.Equals, 2*queueLines-int(dropped))
+	c.Check(strings.Contains(out.got.String(), `"log lines dropped","total":`+strconv.FormatInt(dropped, 10)+"}"), qt.IsTrue)
+}
+
 type failing struct{}
 
 func (failing) Write([]byte) (int, error) { return 0, errors.New("closed") }
