--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -58,8 +58,8 @@
 const (
 	// tick is how often the lease is looked at.
 	tick = 100 * time.Millisecond
-	// renewEvery is the time between renewals; a lease of 2.5 s allows for one
-	// that fails.
+	// renewEvery is the time between renewals. The holder of a lease of 3 s acts
+	// for 2.4 s after a renewal, which allows for one that fails.
 	renewEvery = time.Second
 	// retryEvery is the time between tries of a renewal that fails.
 	retryEvery = 300 * time.Millisecond
@@ -92,10 +92,13 @@
 	writing sync.Mutex
 	// renewed is when the last renewal that succeeded was begun, tried when the
 	// last one was.
-	renewed   time.Time
-	tried     time.Time
-	looked    time.Time
-	holderAt  time.Time
+	renewed time.Time
+	tried   time.Time
+	// looked is when the lease was last read to take it, holderAt when another
+	// holder was last heard.
+	looked   time.Time
+	holderAt time.Time
+	// held is whether this daemon held the lease at the last look.
 	held      bool
 	releasing bool
 }
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -41,7 +41,7 @@
 	Logger *slog.Logger
 
 	given map[market]given
-	held  map[market]given
+	held  map[market]wanted
 	dry   map[market]time.Time
 	fence int64
 }
@@ -60,6 +60,12 @@
 	answered bool
 }
 
+// wanted is the number of servers that is held on to, and since when.
+type wanted struct {
+	count int
+	at    time.Time
+}
+
 // Run orders until the context ends.
 func (s *Scaler) Run(ctx context.Context) {
 	ticker := time.NewTicker(scaleTick)
@@ -82,7 +88,7 @@
 	}
 	if right.Fence != s.fence {
 		// What earlier holders ordered is not known.
-		s.fence, s.given, s.held, s.dry = right.Fence, map[market]given{}, map[market]given{}, map[market]time.Time{}
+		s.fence, s.given, s.held, s.dry = right.Fence, map[market]given{}, map[market]wanted{}, map[market]time.Time{}
 	}
 	for name, service := range c.Services {
 		if service.Scaling != nil {
@@ -150,7 +156,7 @@
 	}
 	held, known := s.held[key]
 	if !known || count >= held.count || now.Sub(held.at) >= delay {
-		s.held[key] = given{count: count, at: now}
+		s.held[key] = wanted{count: count, at: now}
 		return count
 	}
 	return held.count
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -104,13 +104,18 @@
 
 // exchange is one request on one connection.
 type exchange struct {
-	pool    *Pool
-	conn    *conn
+	pool *Pool
+	conn *conn
+	// written gets the end of writing the request.
 	written chan error
-	stop    func() bool
-	once    sync.Once
-	ended   bool
-	reuse   bool
+	// stop ends the watch on the caller's context; it returns false when that
+	// has closed the connection already.
+	stop func() bool
+	once sync.Once
+	// ended is set once the body was read to its end, reuse when the server
+	// keeps the connection.
+	ended bool
+	reuse bool
 }
 
 // Do sends a request and reads the head of its answer. A long body goes out while
