Tell a repeat that its key's request has not ended while it is being started

Cause: between taking a key and handing its request to the dispatcher, another request with the key finds none, and was told that the first one's fate is unknown (504). Nothing ran twice. Change: requests that are being started are known to the manager, and a repeat is told that it is in flight.

--- a/internal/keys/manager.go
+++ b/internal/keys/manager.go
@@ -127,7 +127,10 @@
 	version int64
 	// serving are the homes whose keys this daemon knows in full.
 	serving map[Home]bool
-	leaving bool
+	// starting are requests whose keys are taken and which the dispatcher is
+	// about to know.
+	starting map[request.ID]bool
+	leaving  bool
 }
 
 // NewManager returns a manager that holds nothing yet.
@@ -138,6 +141,7 @@
 		ledger:    NewLedger(),
 		homes:     &Homes{},
 		serving:   map[Home]bool{},
+		starting:  map[request.ID]bool{},
 		looks:     map[string]int{},
 		held: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "plankridge_key_slots_held", Help: "Slots of idempotency keys that this daemon serves.",
--- a/internal/keys/submit.go
+++ b/internal/keys/submit.go
@@ -33,6 +33,8 @@
 		return Away("the home of this key has moved")
 	}
 	spec.ID = m.options.Dispatcher.NewID()
+	m.markStarting(spec.ID)
+	defer m.markStarted(spec.ID)
 	intent := Record{Ref: ref, RequestID: spec.ID, State: StateIntent, At: time.Now().UTC()}
 	present, begun, err := m.ledger.Begin(intent)
 	if err != nil {
@@ -46,6 +48,24 @@
 	return m.repeated(ctx, spec, present, intent)
 }
 
+func (m *Manager) markStarting(id request.ID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.starting[id] = true
+}
+
+func (m *Manager) markStarted(id request.ID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.starting, id)
+}
+
+func (m *Manager) isStarting(id request.ID) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.starting[id]
+}
+
 // run accepts a request whose key is free. The intent is recorded before the
 // first attempt begins.
 func (m *Manager) run(spec request.Spec, intent Record) Result {
@@ -105,11 +125,14 @@
 // inFlight answers a request whose key's request has begun and whose end is
 // not recorded here: it runs here or, after a takeover, elsewhere.
 func (m *Manager) inFlight(ctx context.Context, spec request.Spec, present, intent Record) Result {
+	running := Result{Verdict: VerdictInFlight, RequestID: present.RequestID}
+	if m.isStarting(present.RequestID) {
+		return running
+	}
 	source, err := m.options.Peers.Locate(ctx, present.RequestID)
 	if errors.Is(err, dispatch.ErrNotFound) {
 		return m.again(spec, present, intent)
 	}
-	running := Result{Verdict: VerdictInFlight, RequestID: present.RequestID}
 	if err != nil {
 		return running
 	}
