Move the last decisions out of platform/

Cause: a second reading found three decisions in platform/: which service of a split a request goes to and who holds its key (ingress), and how long a connection for a request that runs once may have been idle (runners). Ruled out: leaving them as formats; each is a policy that a reader looks for beside the others.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -80,7 +80,7 @@
 // Service is what stands behind routes.
 type Service struct {
 	Name string
-	// HealthPath answers liveness checks.
+	// HealthPath answers health checks.
 	HealthPath string
 	// MaxConns bounds the connections to one backend server, of all daemons.
 	MaxConns int
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -76,9 +76,18 @@
 		Left:     time.Until(r.call.CallerDeadline()),
 		After:    r.after,
 		Priority: min(9, r.call.Rank),
+		MaxIdle:  r.maxIdle(),
 	}
 }
 
+// maxIdle returns how long a connection for the call may have been idle.
+func (r *run) maxIdle() time.Duration {
+	if r.call.Route.Repeat == catalog.RunsAgain {
+		return idleAgain
+	}
+	return idleOnce
+}
+
 // watchSilence ends an attempt at an idempotent request whose server stays
 // silent, while another attempt is left. The returned function stops it.
 func (r *run) watchSilence(cancel context.CancelCauseFunc) (stop func() bool) {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -89,6 +89,8 @@
 	After string
 	// Priority is the engine's order of admission, 0 first, 9 last.
 	Priority int
+	// MaxIdle is how long a connection that is used may have been idle.
+	MaxIdle time.Duration
 }
 
 // Errors of an attempt, beside those of package upstream.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -29,6 +29,12 @@
 	// leastTry is the least time left with which another server is tried: a
 	// plain call takes about 15 ms of work and a few of network.
 	leastTry = 30 * time.Millisecond
+	// idleOnce bounds how long a connection for a request that runs once may
+	// have been idle: a server that closes it as the request arrives leaves
+	// open whether it ran. idleAgain is the same for requests that may be sent
+	// again. Servers keep idle connections for some seconds and say how many.
+	idleOnce  = 500 * time.Millisecond
+	idleAgain = 5 * time.Second
 	// lateFactor times a route's target is the predicted time to the first event
 	// above which a request is refused: predictions are behind by what other
 	// daemons have sent lately, and a late answer earns a tenth.
