--- a/cmd/plankridge/flags.go
+++ b/cmd/plankridge/flags.go
@@ -20,6 +20,7 @@
   plankridge status --url http://10.0.0.4:7080 --output json
   plankridge report burn --url http://10.0.0.4:7080
   plankridge explain 9c41d07be2a35f68 --log vm-1.log --log vm-2.log
+  plankridge experiment examples/experiments/ndiaye.yaml --routing product,random --sizing demand,2+1
   plankridge replay testdata/traces/ndiaye-day.jsonl --url http://127.0.0.1:8080
 
 Exit codes: 0 ok, 1 failed, 2 usage or findings in files, 3 conflict with another apply.`
@@ -85,7 +86,7 @@
 
 func (f *flags) subcommands() []subcommand {
 	return []subcommand{
-		f.serve(), f.dev(), f.validate(), f.apply(), f.diff(), f.get(), f.status(), f.report(), f.replay(), f.explain(), f.version(),
+		f.serve(), f.dev(), f.validate(), f.apply(), f.diff(), f.get(), f.status(), f.report(), f.replay(), f.experiment(), f.explain(), f.version(),
 	}
 }
 
@@ -192,6 +193,18 @@
 	}}
 }
 
+func (f *flags) experiment() subcommand {
+	sub := newSubcommand("experiment", "play a described day over routing policies and fleet sizes, in virtual time")
+	options := cli.ExperimentOptions{Seeds: 1, FirstSeed: 1}
+	sub.AddPositionalValue(&options.Day, "day", 1, false, "YAML file that describes the day")
+	sub.StringSlice(&options.Routing, "r", "routing", "policies to compare (default: all)")
+	sub.StringSlice(&options.Sizing, "z", "sizing", "fleet sizes to compare: demand, or ON-DEMAND+RECLAIMABLE a zone (default: demand)")
+	sub.Int(&options.Seeds, "n", "seeds", "number of seeds that each combination is played with")
+	sub.Int(&options.FirstSeed, "s", "first-seed", "first of the seeds")
+	sub.Bool(&options.Plot, "p", "plot", "plot the share of the worth earned over the day")
+	return subcommand{sub, func(env *cli.Environment) error { return cli.Experiment(env, options) }}
+}
+
 func (f *flags) explain() subcommand {
 	sub := newSubcommand("explain", "tell from the daemons' logs what happened to a request, and why")
 	options := cli.ExplainOptions{}
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -170,6 +170,8 @@
 	Target time.Duration
 	// Tried are servers to avoid.
 	Tried map[string]bool
+	// Only names the one server to use; empty leaves the choice to the view.
+	Only string
 }
 
 // Choice is a picked server. End must be called when the attempt is over.
@@ -201,6 +203,9 @@
 	prompt := newPlacement(need.Parts, servers, traits, now)
 	offers := make([]route.Server, 0, len(servers))
 	for _, s := range servers {
+		if need.Only != "" && s.ID != need.Only {
+			continue
+		}
 		offers = append(offers, s.offer(prompt, traits, now))
 	}
 	picked, ok := route.Pick(offers, route.Need{
--- /dev/null
+++ b/internal/capacity/planner.go
@@ -0,0 +1,160 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/plankridge/plankridge/internal/catalog"
+)
+
+const (
+	// confirmMargin is how much longer than the boot time an order may take to
+	// show in the list before it is given again.
+	confirmMargin = 3 * time.Second
+	// dryFor is how long no reclaimable servers are asked for in a zone after
+	// the cloud had none.
+	dryFor = 4 * time.Second
+	// fallDelay is how long fewer servers must have been wanted before fewer are
+	// asked for: demand is uneven, and a server that leaves takes its cache along.
+	// Those on demand cost several times as much to keep.
+	fallDelay         = 6 * time.Second
+	fallDelayOnDemand = 2 * time.Second
+	// unansweredFor is how soon an order without an answer is given again.
+	unansweredFor = 1500 * time.Millisecond
+)
+
+// Market is one kind of server in one zone.
+type Market struct {
+	Zone        string
+	Reclaimable bool
+}
+
+// Order asks for a number of servers in a market.
+type Order struct {
+	Market
+	Count int
+	// Present is the number of such servers that take new work.
+	Present int
+}
+
+// Reply is how the cloud answered an order.
+type Reply int
+
+// The answers to an order.
+const (
+	// ReplyTaken: the order is being carried out.
+	ReplyTaken Reply = iota
+	// ReplyDeclined: there are no such servers, or another holder acts.
+	ReplyDeclined
+	// ReplyNone: no answer came; the order may have been taken.
+	ReplyNone
+)
+
+// Planner turns the plans for one service into orders over time: not each
+// change of a plan is worth an order, and not each order takes effect.
+type Planner struct {
+	given map[Market]given
+	held  map[Market]wanted
+	// dry is until when the cloud is taken to have no servers of a market.
+	dry map[Market]time.Time
+}
+
+// given is the last order in a market.
+type given struct {
+	count    int
+	at       time.Time
+	answered bool
+}
+
+// wanted is the number of servers that is held on to, and since when.
+type wanted struct {
+	count int
+	at    time.Time
+}
+
+// NewPlanner returns a planner that knows of no earlier order.
+func NewPlanner() *Planner {
+	return &Planner{given: map[Market]given{}, held: map[Market]wanted{}, dry: map[Market]time.Time{}}
+}
+
+// Orders returns the orders to give now. Each must be followed by Answered.
+func (p *Planner) Orders(s State, now time.Time) []Order {
+	for i := range s.Zones {
+		if _, dry := p.dry[Market{s.Zones[i].Name, true}]; dry {
+			s.Zones[i].Dry = true
+		}
+	}
+	return p.OrdersFor(Plan(s), s, now)
+}
+
+// OrdersFor returns the orders that lead to the targets.
+func (p *Planner) OrdersFor(targets []Target, s State, now time.Time) []Order {
+	var orders []Order
+	for _, target := range targets {
+		present := s.zone(target.Zone)
+		orders = p.add(orders, Order{Market{target.Zone, false}, target.OnDemand, present.OnDemand}, s.Scaling, now)
+		if s.Scaling.SpotPrice > 0 {
+			orders = p.add(orders, Order{Market{target.Zone, true}, target.Reclaimable, present.Reclaimable}, s.Scaling, now)
+		}
+	}
+	return orders
+}
+
+func (s *State) zone(name string) Zone {
+	for _, z := range s.Zones {
+		if z.Name == name {
+			return z
+		}
+	}
+	return Zone{Name: name}
+}
+
+// add appends an order when it differs from the last one, or when that one has
+// not taken effect in time.
+func (p *Planner) add(orders []Order, order Order, scaling catalog.Scaling, now time.Time) []Order {
+	order.Count = p.hold(order, now)
+	last, known := p.given[order.Market]
+	wait := scaling.BootTime + confirmMargin
+	if !last.answered {
+		wait = unansweredFor
+	}
+	settled := order.Present == order.Count && last.answered
+	if order.Present >= order.Count {
+		delete(p.dry, order.Market)
+	}
+	repeated := known && last.count == order.Count
+	retry, dry := p.dry[order.Market]
+	switch {
+	case repeated && (settled || now.Sub(last.at) < wait):
+	case !known && order.Present == order.Count:
+	case dry && now.Before(retry):
+	default:
+		orders = append(orders, order)
+	}
+	return orders
+}
+
+// hold returns the number to ask for: a higher one at once, a lower one when it
+// has been wanted for a while.
+func (p *Planner) hold(order Order, now time.Time) int {
+	delay := fallDelayOnDemand
+	if order.Reclaimable {
+		delay = fallDelay
+	}
+	held, known := p.held[order.Market]
+	if !known || order.Count >= held.count || now.Sub(held.at) >= delay {
+		p.held[order.Market] = wanted{count: order.Count, at: now}
+		return order.Count
+	}
+	return held.count
+}
+
+// Answered takes over how the cloud answered an order.
+func (p *Planner) Answered(order Order, reply Reply, now time.Time) {
+	p.given[order.Market] = given{count: order.Count, at: now, answered: reply == ReplyTaken}
+	switch reply {
+	case ReplyDeclined:
+		p.dry[order.Market] = now.Add(dryFor)
+	case ReplyTaken:
+		delete(p.dry, order.Market)
+	}
+}
--- /dev/null
+++ b/internal/capacity/planner_test.go
@@ -0,0 +1,64 @@
+package capacity
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var now = time.Unix(1000, 0)
+
+// answer gives the orders of a moment and lets the cloud take them.
+func answer(p *Planner, s State, at time.Time, reply Reply) []Order {
+	orders := p.Orders(s, at)
+	for _, o := range orders {
+		p.Answered(o, reply, at)
+	}
+	return orders
+}
+
+func present(onDemand, reclaimable int) State {
+	s := State{Scaling: scaling, Zones: zones(), Load: 0.5}
+	s.Scaling.BootTime = 4 * time.Second
+	for i := range s.Zones {
+		s.Zones[i].OnDemand, s.Zones[i].Reclaimable = onDemand, reclaimable
+	}
+	return s
+}
+
+func TestOrderIsGivenOnceWhileItTakesEffect(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	c.Check(answer(p, present(1, 0), now, ReplyTaken), qt.HasLen, 3)
+	c.Check(answer(p, present(1, 0), now.Add(6*time.Second), ReplyTaken), qt.HasLen, 0)
+	c.Check(answer(p, present(1, 0), now.Add(8*time.Second), ReplyTaken), qt.HasLen, 3, qt.Commentf("nothing has come of them"))
+}
+
+func TestOrderWithoutAnswerIsGivenAgainSoon(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	answer(p, present(1, 0), now, ReplyNone)
+	c.Check(answer(p, present(1, 0), now.Add(time.Second), ReplyTaken), qt.HasLen, 0)
+	c.Check(answer(p, present(1, 0), now.Add(unansweredFor), ReplyTaken), qt.HasLen, 3)
+}
+
+func TestDeclinedOrderIsNotRepeatedAtOnce(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	answer(p, present(1, 0), now, ReplyDeclined)
+	for _, o := range answer(p, present(1, 0), now.Add(time.Second), ReplyTaken) {
+		c.Check(o.Reclaimable, qt.IsFalse, qt.Commentf("%+v", o))
+	}
+}
+
+func TestFewerAreAskedForAfterAWhile(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	busy := present(1, 2)
+	busy.Load = 3
+	answer(p, busy, now, ReplyTaken)
+	calm := present(1, 2)
+	c.Check(answer(p, calm, now.Add(time.Second), ReplyTaken), qt.HasLen, 0)
+	c.Check(len(answer(p, calm, now.Add(fallDelay), ReplyTaken)) > 0, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/cli/experiment.go
@@ -0,0 +1,205 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/guptarohit/asciigraph"
+
+	"github.com/plankridge/plankridge/internal/experiment"
+)
+
+// ExperimentOptions are the arguments of experiment.
+type ExperimentOptions struct {
+	// Day is the file that describes the day.
+	Day string
+	// Routing and Sizing name what is compared; empty stands for all policies
+	// and for the product's own sizing.
+	Routing []string
+	Sizing  []string
+	// Seeds is the number of seeds from FirstSeed on.
+	Seeds     int
+	FirstSeed int
+	Plot      bool
+}
+
+// trial is one combination that is played.
+type trial struct {
+	policy experiment.Policy
+	sizing experiment.Sizing
+}
+
+// trialRow is the mean of a combination's plays.
+type trialRow struct {
+	Routing       string  `json:"routing"`
+	Sizing        string  `json:"sizing"`
+	Net           float64 `json:"net"`
+	Share         float64 `json:"share"`
+	WorstSpans    float64 `json:"worst_spans"`
+	OnTime        float64 `json:"on_time"`
+	Late          float64 `json:"late"`
+	Refused       float64 `json:"refused"`
+	Failed        float64 `json:"failed"`
+	FirstMS50     float64 `json:"first_ms_p50"`
+	FirstMS95     float64 `json:"first_ms_p95"`
+	ReadK         float64 `json:"thousand_tokens_read"`
+	ReadAgainK    float64 `json:"thousand_tokens_read_again"`
+	CopiedK       float64 `json:"thousand_tokens_copied"`
+	ServerSeconds float64 `json:"priced_server_seconds"`
+
+	shares []float64
+}
+
+// Experiment plays a day and prints what each combination earned.
+func Experiment(env *Environment, options ExperimentOptions) error {
+	if options.Day == "" {
+		return &UsageError{Message: "experiment: name the file that describes the day"}
+	}
+	if options.Seeds < 1 || options.FirstSeed < 0 {
+		return &UsageError{Message: "experiment: --seeds must be at least 1 and --first-seed at least 0"}
+	}
+	trials, err := trialsOf(options)
+	if err != nil {
+		return &UsageError{Message: "experiment: " + err.Error()}
+	}
+	day, err := experiment.Load(options.Day)
+	if err != nil {
+		return err
+	}
+	rows := play(day, trials, options)
+	return show(env, rows, func(out io.Writer) { printTrials(out, rows, options.Plot) })
+}
+
+func trialsOf(options ExperimentOptions) ([]trial, error) {
+	var policies []experiment.Policy
+	for _, name := range splitCommas(options.Routing) {
+		policy, err := experiment.PolicyNamed(name)
+		if err != nil {
+			return nil, err
+		}
+		policies = append(policies, policy)
+	}
+	if len(policies) == 0 {
+		policies = experiment.Policies()
+	}
+	names := splitCommas(options.Sizing)
+	if len(names) == 0 {
+		names = []string{"demand"}
+	}
+	var trials []trial
+	for _, name := range names {
+		sizing, err := experiment.SizingNamed(name)
+		if err != nil {
+			return nil, err
+		}
+		for _, policy := range policies {
+			trials = append(trials, trial{policy, sizing})
+		}
+	}
+	return trials, nil
+}
+
+// splitCommas splits values that were given together, as in "a,b".
+func splitCommas(values []string) []string {
+	var all []string
+	for _, value := range values {
+		all = append(all, strings.Split(value, ",")...)
+	}
+	return all
+}
+
+// play plays every trial with every seed, a few at a time.
+func play(day *experiment.Day, trials []trial, options ExperimentOptions) []trialRow {
+	results := make([][]*experiment.Result, len(trials))
+	var running sync.WaitGroup
+	places := make(chan struct{}, max(1, runtime.NumCPU()/2))
+	for i, t := range trials {
+		results[i] = make([]*experiment.Result, options.Seeds)
+		for n := range options.Seeds {
+			running.Go(func() {
+				places <- struct{}{}
+				defer func() { <-places }()
+				results[i][n] = experiment.Play(day, t.policy, t.sizing, uint64(options.FirstSeed+n))
+			})
+		}
+	}
+	running.Wait()
+	rows := make([]trialRow, len(trials))
+	for i, t := range trials {
+		rows[i] = meanOf(t, results[i])
+	}
+	return rows
+}
+
+func meanOf(t trial, results []*experiment.Result) trialRow {
+	row := trialRow{Routing: t.policy.Name, Sizing: t.sizing.Name, shares: make([]float64, len(results[0].Shares()))}
+	share := 1 / float64(len(results))
+	const thousand = 1000
+	for _, r := range results {
+		asked := share / float64(max(1, r.Asked))
+		row.Net += share * r.Net()
+		row.Share += share * r.Share()
+		row.WorstSpans += share * r.WorstSpans()
+		row.OnTime += asked * float64(r.OnTime)
+		row.Late += asked * float64(r.Late)
+		row.Refused += asked * float64(r.Refused)
+		row.Failed += asked * float64(r.Failed)
+		row.FirstMS50 += share * float64(r.FirstMS(50))
+		row.FirstMS95 += share * float64(r.FirstMS(95))
+		row.ReadK += share * float64(r.Read) / thousand
+		row.ReadAgainK += share * float64(r.ReadAgain) / thousand
+		row.CopiedK += share * float64(r.Copied) / thousand
+		row.ServerSeconds += share * r.ServerSeconds
+		for i, s := range r.Shares() {
+			row.shares[i] += share * s
+		}
+	}
+	return row
+}
+
+func printTrials(out io.Writer, rows []trialRow, plot bool) {
+	table := newTable(out)
+	_, _ = fmt.Fprintln(table, "ROUTING\tSIZING\tNET\tEARNED\tWORST SPANS\tON TIME\tLATE\tREFUSED\tFAILED\tFIRST P50\tP95 MS\tK READ\tAGAIN\tCOPIED\tPRICED SERVER S")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%.3f\t%.3f\t%.2f\t%.3f\t%.3f\t%.3f\t%.3f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\n",
+			r.Routing, r.Sizing, r.Net, r.Share, r.WorstSpans, r.OnTime, r.Late, r.Refused, r.Failed,
+			r.FirstMS50, r.FirstMS95, r.ReadK, r.ReadAgainK, r.CopiedK, r.ServerSeconds)
+	}
+	_ = table.Flush()
+	if plot {
+		_, _ = fmt.Fprintln(out)
+		_, _ = fmt.Fprintln(out, plotOf(rows))
+	}
+}
+
+const (
+	plotWidth  = 78
+	plotHeight = 14
+	// mostPlotted bounds the lines of a plot to those that can be told apart.
+	mostPlotted = 5
+)
+
+// plotOf draws the share of the worth earned over the day, the best rows.
+func plotOf(rows []trialRow) string {
+	best := slices.SortedFunc(slices.Values(rows), func(a, b trialRow) int {
+		if a.Net > b.Net {
+			return -1
+		}
+		return 1
+	})
+	best = best[:min(len(best), mostPlotted)]
+	colours := []asciigraph.AnsiColor{asciigraph.Default, asciigraph.Red, asciigraph.Green, asciigraph.Blue, asciigraph.Yellow}
+	var lines [][]float64
+	var names []string
+	for _, r := range best {
+		lines = append(lines, r.shares)
+		names = append(names, r.Routing+" "+r.Sizing)
+	}
+	return asciigraph.PlotMany(lines, asciigraph.Width(plotWidth), asciigraph.Height(plotHeight), asciigraph.LowerBound(0),
+		asciigraph.Caption("share of the worth earned, by time of arrival"),
+		asciigraph.SeriesColors(colours[:len(lines)]...), asciigraph.SeriesLegends(names...))
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,7 @@
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/route"
 )
 
 const (
@@ -35,10 +36,6 @@
 	// again. Servers keep idle connections for some seconds and say how many.
 	idleOnce  = 500 * time.Millisecond
 	idleAgain = 5 * time.Second
-	// lateFactor times a route's target is the predicted time to the first event
-	// above which a request is refused: predictions are behind by what other
-	// daemons have sent lately, and a late answer earns a tenth.
-	lateFactor = 0.6
 )
 
 var (
@@ -208,8 +205,7 @@
 // caller is better served by the same work.
 func (r *run) tooLate(choice *backend.Choice, now time.Time) *Refusal {
 	elapsed := now.Sub(r.call.Arrived)
-	worst := time.Duration(lateFactor * float64(r.call.Route.Target))
-	if r.call.Prompt == nil || r.mayHaveRun() || elapsed+choice.Wait <= worst {
+	if r.call.Prompt == nil || r.mayHaveRun() || !route.TooLate(elapsed+choice.Wait, r.call.Route.Target) {
 		return nil
 	}
 	return &Refusal{
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -95,6 +95,17 @@
 	return wait
 }
 
+// lateFactor times a route's target is the predicted time to the first event
+// above which a request is better refused: predictions are behind by what other
+// daemons have sent lately, and a late answer earns a tenth.
+const lateFactor = 0.6
+
+// TooLate reports whether a first event at that time after the request's arrival
+// would come so late that another request is better served by the same work.
+func TooLate(first, target time.Duration) bool {
+	return first > time.Duration(lateFactor*float64(target))
+}
+
 // Pick returns the server with the least predicted wait, in the caller's own
 // availability zone while the wait there is at most half of the target. Equal
 // waits are told apart by price. It returns false when no server may take the
