--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -18,9 +18,6 @@
 	// Those on demand cost several times as much to keep.
 	fallDelay         = 6 * time.Second
 	fallDelayOnDemand = 2 * time.Second
-	// learnFor is how long after the first request the demand is not known yet: two
-	// times the memory of the meters.
-	learnFor = 6 * time.Second
 	// unansweredFor is how soon an order without an answer is given again.
 	unansweredFor = 1500 * time.Millisecond
 )
@@ -59,10 +56,6 @@
 	held  map[Market]wanted
 	// dry is until when the cloud is taken to have no servers of a market.
 	dry map[Market]time.Time
-	// found is the number of servers at the first look; asked is when there was
-	// first any demand.
-	found int
-	asked time.Time
 }
 
 // given is the last order in a market.
@@ -90,42 +83,15 @@
 			s.Zones[i].Dry = true
 		}
 	}
-	s.Least = p.least(s, now)
 	return p.OrdersFor(Plan(s), s, now)
 }
 
-// least returns the number of servers to keep until the demand is known: whoever
-// set up those that were found knew what was to come.
-func (p *Planner) least(s State, now time.Time) int {
-	if p.found == 0 {
-		p.found = s.present()
-	}
-	if p.asked.IsZero() && s.Load > 0 {
-		p.asked = now
-	}
-	if p.asked.IsZero() || now.Sub(p.asked) < learnFor {
-		return p.found
-	}
-	return 0
-}
-
-func (s *State) present() int {
-	sum := 0
-	for _, z := range s.Zones {
-		sum += z.OnDemand + z.Reclaimable
-	}
-	return sum
-}
-
 // OrdersFor returns the orders that lead to the targets.
 func (p *Planner) OrdersFor(targets []Target, s State, now time.Time) []Order {
 	var orders []Order
-	spare := s.present() - total(targets)
 	for _, target := range targets {
 		present := s.zone(target.Zone)
-		onDemand := Order{Market{target.Zone, false}, target.OnDemand, present.OnDemand}
-		spare = onDemand.keepUntilReplaced(spare)
-		orders = p.add(orders, onDemand, s.Scaling, now)
+		orders = p.add(orders, Order{Market{target.Zone, false}, target.OnDemand, present.OnDemand}, s.Scaling, now)
 		if s.Scaling.SpotPrice > 0 {
 			orders = p.add(orders, Order{Market{target.Zone, true}, target.Reclaimable, present.Reclaimable}, s.Scaling, now)
 		}
@@ -133,16 +99,6 @@
 	return orders
 }
 
-// keepUntilReplaced lets an order take away no more servers than there are beyond
-// the plan: those that are to replace them may still be booting. It returns what
-// is left beyond the plan.
-func (o *Order) keepUntilReplaced(spare int) int {
-	dropped := max(0, o.Present-o.Count)
-	allowed := min(dropped, max(0, spare))
-	o.Count += dropped - allowed
-	return spare - allowed
-}
-
 func (s *State) zone(name string) Zone {
 	for _, z := range s.Zones {
 		if z.Name == name {
