Look at a few servers for each request where there are many

Change: above 16 servers a request looks at the two homes of its prompt, by rendezvous hash, and at two servers drawn for it (backend.shortlist). The plan keeps half of the fleet found until demand has been known for 6 s: before traffic and after the death of all daemons it shrank to eight engines.

--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -170,6 +170,9 @@
 	Target time.Duration
 	// Tried are servers to avoid.
 	Tried map[string]bool
+	// Draw is a number that differs between requests. It picks the servers that
+	// are looked at beside the homes of the prompt, where there are many.
+	Draw uint64
 	// Only names the one server to use; empty leaves the choice to the view.
 	Only string
 }
@@ -198,8 +201,9 @@
 func (v *View) Begin(need Need, now time.Time) (*Choice, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	servers := v.candidates(need.Service, now)
 	traits := v.traits[need.Service]
+	servers := v.candidates(need.Service, now)
+	servers = shortlist(servers, need)
 	prompt := newPlacement(need.Parts, servers, traits, now)
 	offers := make([]route.Server, 0, len(servers))
 	for _, s := range servers {
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -36,6 +36,8 @@
 	Zones   []Zone
 	// Load is the number of servers that the present demand keeps busy.
 	Load float64
+	// Least is the number of servers to have whatever the load.
+	Least int
 }
 
 // Target is the number of servers that a zone should have.
@@ -54,7 +56,7 @@
 	slices.SortFunc(zones, func(a, b Zone) int {
 		return cmp.Or(cmp.Compare(s.Scaling.ZonePrices[a.Name], s.Scaling.ZonePrices[b.Name]), cmp.Compare(a.Name, b.Name))
 	})
-	needed := int(math.Ceil(s.Load/utilisation + spare))
+	needed := max(s.Least, int(math.Ceil(s.Load/utilisation+spare)))
 	targets := make([]Target, len(zones))
 	for i, z := range zones {
 		targets[i] = Target{Zone: z.Name, OnDemand: max(1, s.Scaling.Min)}
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"math"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/catalog"
@@ -18,6 +19,12 @@
 	// Those on demand cost several times as much to keep.
 	fallDelay         = 6 * time.Second
 	fallDelayOnDemand = 2 * time.Second
+	// learnFor is how long after the first request the demand is not known yet: two
+	// times the memory of the meters.
+	learnFor = 6 * time.Second
+	// foundShare is the part of the servers found that is kept until then. In the
+	// model's grown day, half of those set up at the start are busy at 0.4.
+	foundShare = 0.5
 	// unansweredFor is how soon an order without an answer is given again.
 	unansweredFor = 1500 * time.Millisecond
 )
@@ -56,6 +63,10 @@
 	held  map[Market]wanted
 	// dry is until when the cloud is taken to have no servers of a market.
 	dry map[Market]time.Time
+	// found is the number of servers at the first look, asked when there was first
+	// any demand.
+	found int
+	asked time.Time
 }
 
 // given is the last order in a market.
@@ -83,9 +94,33 @@
 			s.Zones[i].Dry = true
 		}
 	}
+	s.Least = p.least(s, now)
 	return p.OrdersFor(Plan(s), s, now)
 }
 
+// least returns the number of servers to keep until the demand is known: a part of
+// those that were found, which somebody took for enough.
+func (p *Planner) least(s State, now time.Time) int {
+	if p.found == 0 {
+		p.found = s.present()
+	}
+	if p.asked.IsZero() && s.Load > 0 {
+		p.asked = now
+	}
+	if p.asked.IsZero() || now.Sub(p.asked) < learnFor {
+		return int(math.Ceil(foundShare * float64(p.found)))
+	}
+	return 0
+}
+
+func (s *State) present() int {
+	sum := 0
+	for _, z := range s.Zones {
+		sum += z.OnDemand + z.Reclaimable
+	}
+	return sum
+}
+
 // OrdersFor returns the orders that lead to the targets.
 func (p *Planner) OrdersFor(targets []Target, s State, now time.Time) []Order {
 	var orders []Order
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -62,3 +62,22 @@
 	c.Check(answer(p, calm, now.Add(time.Second), ReplyTaken), qt.HasLen, 0)
 	c.Check(len(answer(p, calm, now.Add(fallDelay), ReplyTaken)) > 0, qt.IsTrue)
 }
+
+func TestFleetThatWasFoundIsKeptUntilTheDemandIsKnown(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	found := present(6, 0)
+	found.Load = 0
+	total := func(at time.Time) int {
+		sum := 0
+		for _, target := range Plan(State{Scaling: found.Scaling, Zones: found.Zones, Load: found.Load, Least: p.least(found, at)}) {
+			sum += target.OnDemand + target.Reclaimable
+		}
+		return sum
+	}
+	c.Check(total(now), qt.Equals, 9)
+	c.Check(total(now.Add(time.Minute)), qt.Equals, 9, qt.Commentf("nobody has asked for anything yet"))
+	found.Load = 0.5
+	c.Check(total(now.Add(time.Minute)), qt.Equals, 9)
+	c.Check(total(now.Add(time.Minute+learnFor)), qt.Equals, 6)
+}
--- a/internal/experiment/day.go
+++ b/internal/experiment/day.go
@@ -17,9 +17,12 @@
 	"github.com/plankridge/plankridge/internal/strictyaml"
 )
 
-// Day describes a deployment and what happens to it.
+// Day describes a deployment and what happens to it. Times count from the moment
+// at which callers come.
 type Day struct {
 	Length config.Duration `yaml:"length,required"`
+	// Lead is how long the deployment runs before callers come.
+	Lead config.Duration `yaml:"lead"`
 	// Daemons is the number of daemons in each zone.
 	Daemons int `yaml:"daemons,required"`
 	// Gossip is the time between two reports of a daemon to the others.
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -56,6 +56,7 @@
 	now := d.world.now
 	need := backend.Need{
 		Service: service, Zone: d.zone, Tokens: r.tokens, Parts: r.parts, Target: r.kind.Target.Std(),
+		Draw: d.world.random.Uint64(),
 	}
 	if p.choose != nil {
 		ready := slices.DeleteFunc(d.view.Servers(now), func(s backend.Status) bool { return !s.Ready })
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -25,7 +25,7 @@
 	comeBack = 150 * time.Millisecond
 )
 
-// origin is the virtual time of a day's start.
+// origin is the virtual time at which callers come.
 var origin = time.Unix(0, 0)
 
 // request is what a caller sends.
@@ -66,11 +66,12 @@
 // Play plays a day with a policy and a sizing.
 func Play(day *Day, policy Policy, sizing Sizing, seed uint64) *Result {
 	w := &world{
-		day: day, policy: policy, sizing: sizing, random: rand.New(rand.NewPCG(seed, seed)), now: origin,
+		day: day, policy: policy, sizing: sizing, random: rand.New(rand.NewPCG(seed, seed)), now: origin.Add(-day.Lead.Std()),
 		planner: capacity.NewPlanner(), dryUntil: map[string]time.Time{}, readAt: map[string]time.Time{},
 		result: newResult(day, policy, sizing),
 	}
 	w.build()
+	w.runUntil(0)
 	for i := range day.Requests {
 		w.arriveNext(&day.Requests[i])
 	}
@@ -111,7 +112,7 @@
 	}
 	w.every(scaleTick, 0, w.scale)
 	for _, r := range w.day.Reclaims {
-		w.after(r.At.Std(), func() { w.reclaim(r) })
+		w.after(origin.Add(r.At.Std()).Sub(w.now), func() { w.reclaim(r) })
 	}
 }
 
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/request"
@@ -215,7 +217,7 @@
 }
 
 func (r *run) need() backend.Need {
-	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.Target, Tried: r.tried}
+	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.Target, Tried: r.tried, Draw: xxhash.Sum64String(r.call.ID)}
 	if p := r.call.Prompt; p != nil {
 		need.Tokens, need.Parts = p.Tokens, p.Parts
 	}
