Soak real processes under faults from outside

Callers keep using open connections. Checked from what callers and servers saw: run at most once, refused means not run, the answer is the caller's own and whole, events in order and none missing, no key passed on, nothing run that nobody sent, the cloud's rules on fencing and reports.

--- /dev/null
+++ b/robustness/soak/callers_test.go
@@ -0,0 +1,180 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// outcome is what a caller saw of one request.
+type outcome struct {
+	id, path string
+	status   int
+	stamp    string
+	body     string
+	// whole is set for an answer that looked complete.
+	whole bool
+}
+
+// callers send requests and keep what they saw.
+type callers struct {
+	d    *deployment
+	http *http.Client
+	stop chan struct{}
+	wait sync.WaitGroup
+
+	mu       sync.Mutex
+	outcomes []outcome
+}
+
+const (
+	callerCount = 12
+	// callerLimit is how long a caller waits, pause the longest time between two
+	// requests of one.
+	callerLimit = 3 * time.Second
+	pause       = 60 * time.Millisecond
+)
+
+// call starts callers that use open connections until their daemon is gone.
+func (d *deployment) call(seed uint64) *callers {
+	c := &callers{d: d, stop: make(chan struct{}), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: callerCount}}}
+	for i := range callerCount {
+		c.wait.Go(func() { c.run(rand.New(rand.NewPCG(seed, uint64(1000+i))), i) })
+	}
+	return c
+}
+
+// end stops the callers and waits for their last answers.
+func (c *callers) end() {
+	close(c.stop)
+	c.wait.Wait()
+	c.http.CloseIdleConnections()
+}
+
+func (c *callers) run(r *rand.Rand, caller int) {
+	for n := 0; ; n++ {
+		select {
+		case <-c.stop:
+			return
+		case <-time.After(time.Duration(r.Int64N(int64(pause)))):
+		}
+		seen := c.send(fmt.Sprintf("%04x%012x", caller, n), one(r, []string{"/a/x", "/b/x", "/c/x"}), one(r, c.d.daemons))
+		c.mu.Lock()
+		c.outcomes = append(c.outcomes, seen)
+		c.mu.Unlock()
+	}
+}
+
+func (c *callers) send(id, path string, to *process) outcome {
+	ctx, cancel := context.WithTimeout(context.Background(), callerLimit)
+	defer cancel()
+	seen := outcome{id: id, path: path}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.ip+":8080"+path, strings.NewReader("body of "+id))
+	if err != nil {
+		return seen
+	}
+	req.Host = host
+	// The library would send a request a second time by itself if it could.
+	req.GetBody = nil
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Authorization", "Token "+lastingKey)
+	req.Header.Set("Deadline-Ms", fmt.Sprint(callerLimit.Milliseconds()))
+	if path == "/c/x" {
+		req.Header.Set("Token-Counts", "100,36")
+		req.Header.Set("Prefix-Hash", "aa:60,"+id+":40")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return seen
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	seen.status, seen.stamp, seen.body, seen.whole = resp.StatusCode, resp.Header.Get("Response-Stamp"), string(body), err == nil
+	if echoed := resp.Header.Get("Request-Id"); echoed != "" && echoed != id {
+		seen.body = "answer bears the ID " + echoed
+	}
+	return seen
+}
+
+// broken returns the promises that do not hold, from what callers and servers saw.
+func (c *callers) broken() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	runs := map[string]int{}
+	var found []string
+	sent := map[string]outcome{}
+	for _, o := range c.outcomes {
+		sent[o.id] = o
+	}
+	for _, s := range c.d.servers {
+		for _, a := range s.runner.Arrivals() {
+			o, known := sent[a.ID]
+			switch {
+			case !known:
+				found = append(found, fmt.Sprintf("request %s was run and not sent", a.ID))
+			case a.Target != o.path || a.Body != "body of "+a.ID:
+				found = append(found, fmt.Sprintf("request %s reached a server as %s %q", a.ID, a.Target, a.Body))
+			}
+			if a.Header.Get("Authorization") != "" || a.Header.Get("Tenant") != workspace {
+				found = append(found, fmt.Sprintf("request %s came with the key or without its workspace", a.ID))
+			}
+			if a.Ran {
+				runs[a.ID]++
+			}
+		}
+	}
+	for _, o := range c.outcomes {
+		found = append(found, o.broken(runs[o.id])...)
+	}
+	return append(found, c.d.cloud.Violations()...)
+}
+
+// broken checks one request that servers ran so often.
+func (o *outcome) broken(runs int) []string {
+	var found []string
+	note := func(format string, args ...any) {
+		found = append(found, fmt.Sprintf("request %s on %s: ", o.id, o.path)+fmt.Sprintf(format, args...))
+	}
+	if o.path == "/b/x" && runs > 1 {
+		note("ran %d times", runs)
+	}
+	switch {
+	case o.status == 429 || o.status == 503 || o.status == 408 || o.status == 421:
+		if runs > 0 && o.path == "/b/x" {
+			note("was refused with %d and ran", o.status)
+		}
+	case o.status == 401 || o.status == 404 || o.status == 403 || o.status == 400:
+		note("was denied with %d", o.status)
+	case o.status == 200 && o.stamp == "":
+		note("succeeded without a server's signature")
+	case o.status == 200 && runs == 0:
+		note("succeeded and did not run")
+	case o.status == 200 && o.path == "/c/x":
+		if wrong := wrongStream(o.body, o.whole); wrong != "" {
+			note("%s", wrong)
+		}
+	case o.status == 200 && o.whole && o.body != "answer to "+o.id:
+		note("got the answer %q", o.body)
+	}
+	return found
+}
+
+// wrongStream returns what is wrong with the events of a stream, or nothing.
+func wrongStream(body string, whole bool) string {
+	var want strings.Builder
+	for id := 1; id <= eventsOfStream; id++ {
+		_, _ = fmt.Fprintf(&want, "id: %d\ndata: token %d\n\n", id, id)
+	}
+	switch {
+	case !strings.HasPrefix(want.String(), body):
+		return fmt.Sprintf("its events are not in order: %q", body)
+	case whole && body != want.String():
+		return "its stream looks complete and is not"
+	}
+	return ""
+}
--- /dev/null
+++ b/robustness/soak/deployment_test.go
@@ -0,0 +1,245 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/platform/fake"
+)
+
+const (
+	plainService = "desk"
+	modelService = "llm"
+	workspace    = "quarry"
+	// lastingKey is valid throughout; the other key comes and goes.
+	lastingKey = "key-one"
+	movingKey  = "key-two"
+	host       = "calls.example"
+	// drainTime is what a stopping daemon has until it would be killed.
+	drainTime = 8 * time.Second
+	// eventsOfStream is the number of events of every stream.
+	eventsOfStream = 12
+)
+
+// deployment is a set of real daemons before stand-ins in the test's process.
+type deployment struct {
+	*qt.C
+	binary string
+	folder string
+	store  *fake.Store
+	cloud  *fake.Cloud
+
+	storeAddress, cloudAddress string
+
+	daemons []*process
+	servers []*server
+
+	mu      sync.Mutex
+	version int
+}
+
+// process is one daemon.
+type process struct {
+	id, zone, ip string
+	settings     string
+	log          *os.File
+	storeLink    *link
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// server is a backend server behind a link of its own.
+type server struct {
+	id, service string
+	runner      *fake.Runner
+	http        *httptest.Server
+	link        *link
+}
+
+const settingsText = `kind: router
+vm: {id: %s, zone: %s}
+listen: {callers: "%s:8080", readiness: "%s:8081", peers: "%s:8082", metrics: "%s:8083"}
+peers: {seeds: [%s]}
+store: {address: "%s"}
+cloud: {address: "%s"}
+bounds: {drain: 8s, lease: 3s, retry_ratio: 0.2, retry_window: 10s, retry_extra: 50, usage_window: 5s, usage_due: 10s}
+`
+
+// start starts a deployment with daemons in three zones, on loopback addresses of
+// its own subnet.
+func start(t *testing.T, subnet, daemons int) *deployment {
+	c := qt.New(t)
+	d := &deployment{C: c, folder: t.TempDir(), store: fake.NewStore(), cloud: fake.NewCloud()}
+	d.binary = filepath.Join(d.folder, "plankridge")
+	out, err := exec.Command("go", "build", "-o", d.binary, "../../cmd/plankridge").CombinedOutput()
+	c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	d.storeAddress, d.cloudAddress = d.serve(d.store), d.serve(d.cloud)
+	for i := range 3 {
+		d.addServer(fmt.Sprintf("desk-%d", i), plainService)
+		d.addServer(fmt.Sprintf("llm-%d", i), modelService)
+	}
+	d.configure(true)
+	for i := range daemons {
+		d.addDaemon(t, i, subnet)
+	}
+	return d
+}
+
+// serve serves a handler until the test ends and returns its address.
+func (d *deployment) serve(handler http.Handler) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	d.Assert(err, qt.IsNil)
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.Serve(listener) }()
+	d.Cleanup(func() { _ = s.Close() })
+	return listener.Addr().String()
+}
+
+func (d *deployment) addServer(id, service string) *server {
+	s := &server{id: id, service: service, runner: &fake.Runner{ID: id}}
+	s.runner.Behave = func(n int, _ *http.Request) fake.Behaviour {
+		b := fake.Behaviour{Delay: 5 * time.Millisecond}
+		// Some answers are lost and some streams break, whatever else happens.
+		switch {
+		case service == plainService && n%23 == 0:
+			b.LoseAnswer = true
+		case service == plainService && n%17 == 0:
+			b.Decline = true
+		case service == modelService && n%11 == 0:
+			b.BreakAfter = 3
+		}
+		return b
+	}
+	if service == modelService {
+		s.runner.Events = eventsOfStream
+	}
+	s.http = httptest.NewServer(s.runner)
+	link, err := newLink(s.http.Listener.Addr().String())
+	d.Assert(err, qt.IsNil)
+	s.link = link
+	d.Cleanup(func() {
+		link.close()
+		s.http.CloseClientConnections()
+		s.http.Close()
+	})
+	d.servers = append(d.servers, s)
+	d.list(s, "ready")
+	return s
+}
+
+func (d *deployment) list(s *server, state string) {
+	d.store.Put("servers", s.id, map[string]any{
+		"service": s.service, "address": s.link.address(), "zone": "zone-1", "slots": 16, "state": state, "seq": 1,
+	})
+}
+
+// configure writes a new version of the configuration, with the moving key or
+// without.
+func (d *deployment) configure(withKey bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version += 2
+	keys := []string{lastingKey}
+	if withKey {
+		keys = append(keys, movingKey)
+	}
+	route := func(prefix, kind, service string, attempts int) map[string]any {
+		return map[string]any{
+			"name": "r" + prefix[1:2], "host": host, "pathPrefix": prefix, "kind": kind, "timeoutMs": 3000, "targetLatencyMs": 1000,
+			"service": service, "maxAttempts": attempts, "streamResume": kind == "streaming", "sticky": kind == "streaming", "gapAimMs": 500,
+		}
+	}
+	d.store.Put("config", "main", map[string]any{
+		"version": d.version,
+		"routes": []map[string]any{
+			route("/a/", "idempotent", plainService, 3), route("/b/", "non_idempotent", plainService, 2), route("/c/", "streaming", modelService, 3),
+		},
+		"tenants": []map[string]any{{"name": workspace, "apiKeys": keys, "unit": "token_stream", "plainTokens": 200, "ratePerS": 0, "burst": 0}},
+		"services": []map[string]any{
+			{"name": plainService, "healthPath": "/healthz", "maxConns": 96},
+			{"name": modelService, "healthPath": "/healthz", "maxConns": 600, "engine": map[string]any{"slots": 16, "kvCapacityTokens": 100000, "stride": 3}},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+func (d *deployment) addDaemon(t *testing.T, n, subnet int) {
+	ip := fmt.Sprintf("127.88.%d.%d", subnet, n+1)
+	p := &process{id: fmt.Sprintf("vm-%d", n+1), zone: fmt.Sprintf("zone-%d", n%3), ip: ip}
+	link, err := newLink(d.storeAddress)
+	d.Assert(err, qt.IsNil)
+	p.storeLink = link
+	p.settings = filepath.Join(d.folder, p.id+".yaml")
+	seeds := fmt.Sprintf(`"127.88.%d.1:8082", "127.88.%d.2:8082"`, subnet, subnet)
+	text := fmt.Sprintf(settingsText, p.id, p.zone, ip, ip, ip, ip, seeds, link.address(), d.cloudAddress)
+	d.Assert(os.WriteFile(p.settings, []byte(text), 0o600), qt.IsNil)
+	p.log, err = os.Create(filepath.Join(d.folder, p.id+".log"))
+	d.Assert(err, qt.IsNil)
+	d.daemons = append(d.daemons, p)
+	d.Assert(p.start(d.binary), qt.IsNil)
+	t.Cleanup(func() {
+		p.end(syscall.SIGCONT)
+		p.end(syscall.SIGKILL)
+		<-p.exited
+		link.close()
+		_ = p.log.Close()
+	})
+}
+
+// start starts the process.
+func (p *process) start(binary string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command = exec.Command(binary, "serve", "--settings", p.settings)
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	if err := p.command.Start(); err != nil {
+		return err
+	}
+	exited, command := make(chan struct{}), p.command
+	p.exited = exited
+	go func() {
+		_ = command.Wait()
+		close(exited)
+	}()
+	return nil
+}
+
+// end sends a signal to the process, which this deployment has started.
+func (p *process) end(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.command.Process.Signal(signal)
+}
+
+// ready waits until every daemon is ready, or a minute has passed.
+func (d *deployment) ready() bool {
+	client := &http.Client{Timeout: time.Second}
+	for try := 0; try < 600; try++ {
+		all := true
+		for _, p := range d.daemons {
+			resp, err := client.Get("http://" + p.ip + ":8081/readyz")
+			all = all && err == nil && resp.StatusCode == http.StatusOK
+			if err == nil {
+				_ = resp.Body.Close()
+			}
+		}
+		if all {
+			return true
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return false
+}
