--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -2,8 +2,10 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
@@ -13,3 +15,84 @@
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(r.metrics, promhttp.HandlerOpts{})))
 	return e
 }
+
+// beliefs tells what the daemon believes, and how old that is, whenever its metrics
+// are asked for. It implements prometheus.Collector.
+type beliefs struct{ *Router }
+
+// The metrics of beliefs.
+var (
+	configVersion = describe("config_version", "Version of the configuration in force; 0 before the first.")
+	configAge     = describe("config_age_seconds", "Time since the configuration came into force.")
+	serversListed = describe("servers", "Backend servers as this daemon believes.", "service", "state")
+	serversAge    = describe("servers_age_seconds", "Time since the store or the lead of the zone last told of the servers.")
+	storeFailing  = describe("store_failing", "1 while the store does not answer this daemon.")
+	leaseFence    = describe("lease_fence", "Fencing number of the lease that this daemon holds; 0 for none.")
+	daemonsSeen   = describe("daemons", "Daemons of the deployment, this one included.", "state")
+	roles         = describe("role", "1 while the daemon has the role.", "role")
+)
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("plankridge_"+name, help, labels, nil)
+}
+
+// Describe implements prometheus.Collector.
+func (b beliefs) Describe(descs chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversAge, storeFailing, leaseFence, daemonsSeen, roles} {
+		descs <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (b beliefs) Collect(metrics chan<- prometheus.Metric) {
+	now := time.Now()
+	gauge := func(d *prometheus.Desc, value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+	}
+	if c := b.state.Catalog(); c != nil {
+		gauge(configVersion, float64(c.Version))
+		gauge(configAge, now.Sub(c.TakenAt).Seconds())
+	} else {
+		gauge(configVersion, 0)
+	}
+	b.collectServers(gauge, now)
+	age, failing := b.state.Freshness()
+	gauge(serversAge, age.Seconds())
+	gauge(storeFailing, flag(failing))
+	gauge(leaseFence, float64(b.state.ownFence()))
+	reach, _ := b.state.reach(now)
+	gauge(daemonsSeen, float64(reach.Heard), "heard")
+	gauge(daemonsSeen, float64(reach.Known), "known")
+	plan := b.plan(now)
+	gauge(roles, flag(plan.Relay), "relay")
+	gauge(roles, flag(plan.Lead), "lead")
+	gauge(roles, flag(b.following.Load()), "follows_store")
+	gauge(roles, flag(b.sentinel.Load()), "sentinel")
+}
+
+// collectServers counts the servers by service and state. Services come from the
+// configuration, so that their number is bounded.
+func (b beliefs) collectServers(gauge func(d *prometheus.Desc, value float64, labels ...string), now time.Time) {
+	type group struct{ service, state string }
+	counts := map[group]int{}
+	for _, s := range b.state.view.Servers(now) {
+		state := "ready"
+		switch {
+		case !s.Ready:
+			state = "draining"
+		case s.Suspect:
+			state = "suspect"
+		}
+		counts[group{s.Service, state}]++
+	}
+	for g, n := range counts {
+		gauge(serversListed, float64(n), g.service, g.state)
+	}
+}
+
+func flag(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -108,7 +108,7 @@
 			Ratio: s.Bounds.RetryRatio, Extra: s.Bounds.RetryExtra, Window: s.Bounds.RetryWindow.Std(),
 		}),
 	}
-	r.metrics.MustRegister(collectors.NewGoCollector())
+	r.metrics.MustRegister(collectors.NewGoCollector(), beliefs{r})
 	client := &http.Client{Transport: network.Transport(options.Network, false)}
 	r.objects = platform.NewStore("http://"+s.Store.Address, client)
 	r.cloud = platform.NewCloud("http://"+s.Cloud.Address, client)
--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -105,7 +105,7 @@
 	settings := config.RouterSettings{
 		Kind:   config.KindRouter,
 		VM:     config.RouterVM{ID: fmt.Sprintf("vm-%d", n), Zone: fmt.Sprintf("zone-%d", n%3)},
-		Listen: config.RouterListen{Callers: ip + ":80", Readiness: ip + ":81", Peers: ip + ":82"},
+		Listen: config.RouterListen{Callers: ip + ":80", Readiness: ip + ":81", Peers: ip + ":82", Metrics: ip + ":83"},
 		Peers:  config.RouterPeers{Seeds: []string{"10.1.0.1:82", "10.1.0.2:82"}},
 		Store:  config.RouterAddress{Address: storeIP + ":1"},
 		Cloud:  config.RouterAddress{Address: cloudIP + ":1"},
