Keep what the only daemon of a zone knows, and let successors plan at once

Change: where all daemons of a zone drain they relay all the same, and tell once more at their end; leads tell levels to other zones; a holder that sees demand at its first look plans at once; reckoning ends with the reach.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -190,6 +190,12 @@
 	for _, b := range l.buckets {
 		b.refill(now, l.share)
 		b.held = min(mostHeld, float64(known)*heldEach)
+		if heard <= 1 {
+			// Others may go on, but with their own part.
+			b.others = 0
+		} else if share < l.share {
+			b.others *= share / l.share
+		}
 		b.level = min(b.level, b.most(share))
 	}
 	l.share = share
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -239,3 +239,18 @@
 		c.Check(second >= 0.8*one.rate, qt.IsTrue, qt.Commentf("%d daemons: %.0f of %.0f a second", one.daemons, second, one.rate))
 	}
 }
+
+func TestDaemonThatIsCutOffUsesItsOwnPart(t *testing.T) {
+	c := qt.New(t)
+	l, now := full(1000, 1000)
+	l.SetReach(4, 4, now)
+	for i := range 20 {
+		now = now.Add(100 * time.Millisecond)
+		l.Heard("sums", 1, map[string]float64{"w": float64(i) * 100}, i == 0, now)
+	}
+	l.SetReach(1, 4, now)
+	before := l.Levels(now)["w"]
+	now = now.Add(time.Second)
+	gained := l.Levels(now)["w"] - before
+	c.Check(gained > 200 || l.Levels(now)["w"] > 200, qt.IsTrue, qt.Commentf("gained %v to %v", gained, l.Levels(now)["w"]))
+}
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -56,6 +56,8 @@
 	c := qt.New(t)
 	p := NewPlanner()
 	busy := present(1, 2)
+	busy.Load = 0
+	answer(p, busy, now.Add(-lookFor), ReplyTaken)
 	busy.Load = 3
 	answer(p, busy, now, ReplyTaken)
 	calm := present(1, 2)
@@ -70,6 +72,7 @@
 	p := NewPlanner()
 	found := present(3, 0)
 	found.Load = 0
+	p.Orders(found, now.Add(-time.Second))
 	total := func(at time.Time) int {
 		sum := 0
 		for _, target := range Plan(State{Scaling: found.Scaling, Zones: found.Zones, Load: found.Load, Least: p.least(found, at)}) {
@@ -99,3 +102,13 @@
 	}
 	c.Check(sum, qt.Equals, 9, qt.Commentf("one on demand and two reclaimable in each zone"))
 }
+
+func TestSuccessorOfAHolderKnowsTheDemand(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	sum := 0
+	for _, o := range answer(p, present(3, 3), now, ReplyTaken) {
+		sum += o.Count
+	}
+	c.Check(sum, qt.Equals, 6, qt.Commentf("what is there beyond the demand is given up at once"))
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -167,6 +167,8 @@
 				timer.Reset(n.interval(time.Now()) - ahead)
 			}
 		case <-ctx.Done():
+			// What was counted last.
+			n.sendOnce()
 			return
 		}
 	}
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -131,6 +131,15 @@
 	c.Check(m.Plan(Condition{Draining: true}, start).Relay, qt.IsFalse)
 }
 
+func TestLastDaemonOfAZoneLeadsWhileItDrains(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(Self{VM: "a", Zone: "z"}, nil)
+	m.Learn("p", "y", "p:1", start)
+	plan := m.Plan(Condition{Draining: true}, start)
+	c.Check(plan.Lead, qt.IsTrue, qt.Commentf("what it has counted must reach the others"))
+	c.Check(names(plan.Far), qt.DeepEquals, []string{"p"})
+}
+
 // TestPartsDoNotGrowWithTheZone: all daemons of a zone agree on two relays, and
 // the messages of a round grow with the number of daemons, not with its square.
 func TestPartsDoNotGrowWithTheZone(t *testing.T) {
--- a/internal/gossip/plan.go
+++ b/internal/gossip/plan.go
@@ -42,15 +42,7 @@
 func (m *Members) Plan(self Condition, now time.Time) Plan {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	zones := map[string][]Peer{}
-	for _, p := range m.peers {
-		if now.Sub(p.lastSign()) < forgetAfter && !p.suspected(now) && !p.Draining {
-			zones[p.Zone] = append(zones[p.Zone], p.Peer)
-		}
-	}
-	if !self.Draining {
-		zones[m.self.Zone] = append(zones[m.self.Zone], Peer{VM: m.self.VM, Zone: m.self.Zone, StoreFailing: self.StoreFailing})
-	}
+	zones := m.candidates(self, now)
 	relays := map[string][]Peer{}
 	for name, daemons := range zones {
 		slices.SortFunc(daemons, byVM)
@@ -81,6 +73,31 @@
 	return plan
 }
 
+// candidates returns the daemons of each zone that may relay: those that do not
+// drain, or where all do, all. The caller holds the lock.
+func (m *Members) candidates(self Condition, now time.Time) map[string][]Peer {
+	staying, draining := map[string][]Peer{}, map[string][]Peer{}
+	add := func(p Peer) {
+		if p.Draining {
+			draining[p.Zone] = append(draining[p.Zone], p)
+			return
+		}
+		staying[p.Zone] = append(staying[p.Zone], p)
+	}
+	for _, p := range m.peers {
+		if now.Sub(p.lastSign()) < forgetAfter && !p.suspected(now) {
+			add(p.Peer)
+		}
+	}
+	add(Peer{VM: m.self.VM, Zone: m.self.Zone, StoreFailing: self.StoreFailing, Draining: self.Draining})
+	for name, daemons := range draining {
+		if len(staying[name]) == 0 {
+			staying[name] = daemons
+		}
+	}
+	return staying
+}
+
 // pickRelays returns the first daemons, one more for each that the store does not
 // answer.
 func pickRelays(daemons []Peer) []Peer {
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -79,6 +79,12 @@
 func (s *state) All(now time.Time) (*gossippb.Reach, *gossippb.Counts) {
 	reach, _ := s.reach(now)
 	counts := encodeCounts(s.sums.All(now))
+	s.addLevels(counts, now)
+	return encodeReach(reach), counts
+}
+
+// addLevels adds what is left of the allowances, for daemons that have just started.
+func (s *state) addLevels(counts *gossippb.Counts, now time.Time) {
 	levels := s.limiter.Levels(now)
 	for _, item := range counts.Spent {
 		item.Level = levels[item.GetWorkspace()]
@@ -87,7 +93,6 @@
 	for workspace, level := range levels {
 		counts.Spent = append(counts.Spent, &gossippb.Spent{Workspace: workspace, Level: level})
 	}
-	return encodeReach(reach), counts
 }
 
 // Windows implements gossip.Source.
@@ -99,6 +104,7 @@
 // Zone implements gossip.Source.
 func (s *state) Zone(now time.Time) (*gossippb.Reach, *gossippb.Counts) {
 	counts := encodeCounts(s.sums.Zone(now))
+	s.addLevels(counts, now)
 	counts.Windows = encodeWindows(s.ledger.Zone(windowsTold))
 	return encodeReach(s.zoneReach(now)), counts
 }
@@ -139,6 +145,7 @@
 		Started: time.Duration(status.GetUptimeMs())*time.Millisecond < settling,
 		Counts:  decodeCounts(sum), Reach: decodeReach(status.GetZoneReach()),
 	}, now)
+	s.adoptLevels(status, sum)
 }
 
 // heardLead takes over the sums over everything, unless this daemon makes its own
--- a/robustness/onplatform/relay_test.go
+++ b/robustness/onplatform/relay_test.go
@@ -141,3 +141,42 @@
 		b.Check(float64(admitted) >= 0.8*allowed, qt.IsTrue, qt.Commentf("%d admitted, %v allowed", admitted, allowed))
 	})
 }
+
+// TestStartingLeadAdoptsLevels: the only daemon of a zone is replaced and goes on
+// with what is left of the allowances, as other zones know it.
+func TestStartingLeadAdoptsLevels(t *testing.T) {
+	const rate = 2000.0
+	run(t, 3, func(b *bed) {
+		b.addServer("i-1", plain, &fake.Runner{})
+		b.configure(routes{plainRoute("/a/", "idempotent", 1)}, limited(rate, rate))
+	}, func(b *bed) {
+		time.Sleep(8 * time.Second)
+		old := b.daemons[0]
+		old.kill()
+		<-old.done
+		fresh := b.startDaemon(1)
+		time.Sleep(600 * time.Millisecond)
+		b.Assert(b.ready(fresh), qt.IsTrue)
+		// Nobody has used any of the burst, which is 10 requests.
+		replies := b.burst(8, func(int) call { return call{method: "GET", path: "/a/x", key: testKey, to: len(b.daemons) - 1} })
+		b.Check(count(replies, 200), qt.Equals, 8)
+	})
+}
+
+// TestUsageOfTheLastDaemonOfAZone: what the only daemon of a zone has counted is
+// reported, though it stops.
+func TestUsageOfTheLastDaemonOfAZone(t *testing.T) {
+	run(t, 3, func(b *bed) {
+		b.addServer("i-1", plain, &fake.Runner{})
+		b.configure(routes{plainRoute("/a/", "idempotent", 1)})
+	}, func(b *bed) {
+		stopping := b.daemons[2]
+		stopping.stop()
+		time.Sleep(time.Second)
+		replies := b.burst(20, func(int) call { return call{method: "GET", path: "/a/x", key: testKey, to: 2, deadline: 3 * time.Second} })
+		<-stopping.done
+		time.Sleep(17 * time.Second)
+		b.Check(count(replies, 200), qt.Equals, 20)
+		b.Check(b.reported(), qt.Equals, int64(20))
+	})
+}
