Split what has grown large; fuzz datagrams and pulls

talk.go, gossip.go and the model's world.go each held three jobs: encoding, sums, pulls, reach; the loop, what is told, pulls; the fleet, the callers. No behaviour changes. FuzzDatagram and FuzzPulled decode what other daemons send.

--- /dev/null
+++ b/internal/gossip/tell.go
@@ -0,0 +1,134 @@
+package gossip
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+)
+
+// sendOnce tells each peer what this daemon's part asks for.
+func (n *Node) sendOnce() {
+	now := time.Now()
+	for _, gone := range n.options.Members.Sweep(now) {
+		n.options.Logger.Info("peer forgotten", "peer", gone.VM, "silent_s", now.Sub(gone.lastSign()).Seconds())
+	}
+	plan := n.options.Members.Plan(n.options.Source.Condition(), now)
+	n.mu.Lock()
+	n.sequence++
+	sequence := n.sequence
+	n.mu.Unlock()
+	own := n.options.Source.Own(sequence)
+	n.tellZone(plan, own, sequence, now)
+	n.tellFar(plan, sequence, now)
+	if len(plan.ReportTo) > 0 && !plan.Relay {
+		report := n.status(sequence)
+		report.Own = own
+		n.tell(report, plan.ReportTo, now)
+	}
+	if len(n.options.Members.Heard(now)) == 0 {
+		report := n.status(sequence)
+		report.Own = own
+		for _, address := range n.options.Members.hintAddresses() {
+			n.write(report, address)
+		}
+	}
+}
+
+// tellZone tells the daemons of the zone, from a relay. What differs between the
+// receivers is added to the common part: parts of a message add up.
+func (n *Node) tellZone(plan Plan, own *gossippb.Counts, sequence uint64, now time.Time) {
+	if !plan.Relay {
+		return
+	}
+	common := n.status(sequence)
+	if plan.Lead {
+		common.Reach, common.All = n.options.Source.All(now)
+	}
+	if sequence%namesEvery == 1 {
+		common.Known = named(plan.Zone, len(plan.Zone), now)
+	}
+	raw, err := proto.Marshal(common)
+	if err != nil {
+		n.options.Logger.Error("report could not be encoded", "error", err)
+		return
+	}
+	for _, peer := range plan.Zone {
+		extra := &gossippb.Status{}
+		if plan.Lead {
+			extra.Taken = n.options.Source.Taken(peer.VM)
+			if peer.Fence != 0 {
+				extra.All = &gossippb.Counts{Windows: n.options.Source.Windows()}
+			}
+		}
+		if slices.ContainsFunc(plan.ReportTo, func(p Peer) bool { return p.VM == peer.VM }) {
+			extra.Own = own
+			n.options.Members.asked(peer.VM, now)
+		}
+		n.writeWith(raw, extra, peer.Address)
+	}
+}
+
+// tellFar tells the relays of other zones, from the lead.
+func (n *Node) tellFar(plan Plan, sequence uint64, now time.Time) {
+	if len(plan.Far) == 0 {
+		return
+	}
+	summary := n.status(sequence)
+	summary.ZoneReach, summary.ZoneSum = n.options.Source.Zone(now)
+	if sequence%namesEvery == 1 {
+		summary.Known = named(n.options.Members.Known(now), namedFar, now)
+	}
+	n.tell(summary, plan.Far, now)
+}
+
+// named lists the first peers of each zone that have been heard lately.
+func named(peers []Peer, most int, now time.Time) []*gossippb.Peer {
+	var names []*gossippb.Peer
+	count := map[string]int{}
+	for _, p := range peers {
+		if count[p.Zone] < most && !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < forgetAfter {
+			count[p.Zone]++
+			names = append(names, &gossippb.Peer{Vm: p.VM, Zone: p.Zone, Address: p.Address})
+		}
+	}
+	return names
+}
+
+func (n *Node) status(sequence uint64) *gossippb.Status {
+	status := &gossippb.Status{
+		Vm: n.options.VM, Zone: n.options.Zone, Address: n.options.Address,
+		Incarnation: n.options.Incarnation, Sequence: sequence,
+	}
+	n.options.Source.Report(status)
+	return status
+}
+
+// tell sends the same status to several peers.
+func (n *Node) tell(status *gossippb.Status, peers []Peer, now time.Time) {
+	for _, peer := range peers {
+		n.options.Members.asked(peer.VM, now)
+		n.write(status, peer.Address)
+	}
+}
+
+func (n *Node) write(status *gossippb.Status, address string) { n.writeWith(nil, status, address) }
+
+// writeWith sends an encoded status with what is added for one receiver.
+func (n *Node) writeWith(raw []byte, extra *gossippb.Status, address string) {
+	datagram, err := proto.MarshalOptions{}.MarshalAppend(slices.Clip(raw), extra)
+	if err != nil {
+		n.options.Logger.Error("report could not be encoded", "error", err)
+		return
+	}
+	to, err := n.options.Network.ResolvePacket(address)
+	if err != nil {
+		n.options.Logger.Warn("address of a peer cannot be used", "peer_address", address, "error", err)
+		return
+	}
+	if _, err := n.packets.WriteTo(datagram, to); err != nil {
+		n.options.Logger.Debug("report not sent", "peer_address", address, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/router/fuzz_test.go
@@ -0,0 +1,98 @@
+package router
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+	"github.com/plankridge/plankridge/internal/standin/memnet"
+)
+
+// testRouter returns a router that is not running.
+func testRouter(t testing.TB) *Router {
+	const ip = "10.1.0.1"
+	r, err := New(Options{
+		Settings: config.RouterSettings{
+			Kind:   config.KindRouter,
+			VM:     config.RouterVM{ID: "vm-1", Zone: "zone-1"},
+			Listen: config.RouterListen{Callers: ip + ":80", Readiness: ip + ":81", Peers: ip + ":82"},
+			Bounds: config.RouterBounds{UsageWindow: config.Duration(5 * time.Second)},
+		},
+		Network: memnet.New().Host(ip), Logger: slog.New(slog.DiscardHandler),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.closeListeners)
+	return r
+}
+
+// FuzzDatagram: whatever a datagram from another daemon says, it is taken over or
+// dropped, and what this daemon tells next can be encoded.
+func FuzzDatagram(f *testing.F) {
+	counts := &gossippb.Counts{
+		Spent:   []*gossippb.Spent{{Workspace: "w", Tokens: 10, Level: 5}},
+		Windows: []*gossippb.Window{{Id: 353445120, Counts: map[string]int64{"w": 3}}},
+		Loads:   []*gossippb.Load{{Key: 7, Running: 1, PendingTokens: 100}},
+		Demands: []*gossippb.Demand{{Service: "s", Unread: 9}},
+	}
+	for _, status := range []*gossippb.Status{
+		{Vm: "vm-0", Zone: "zone-1", Incarnation: 1, Sequence: 1, All: counts, Reach: &gossippb.Reach{Heard: 2, Known: 3}, Taken: 1},
+		{Vm: "vm-2", Zone: "zone-1", Incarnation: 1, Sequence: 1, Own: counts},
+		{Vm: "vm-3", Zone: "zone-2", Incarnation: 1, Sequence: 1, ZoneSum: counts, ZoneReach: &gossippb.Reach{Heard: 1, Known: 1}},
+	} {
+		raw, err := proto.Marshal(status)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var status gossippb.Status
+		if proto.Unmarshal(raw, &status) != nil {
+			return
+		}
+		r := testRouter(t)
+		r.state.Own(1)
+		for range 2 {
+			r.state.Heard(&status, true)
+			r.state.Lacks(&status)
+		}
+		now := time.Now()
+		reach, all := r.state.All(now)
+		answer := &gossippb.Status{Reach: reach, All: all, Own: r.state.Own(2)}
+		answer.ZoneReach, answer.ZoneSum = r.state.Zone(now)
+		if _, err := proto.Marshal(answer); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// FuzzPulled: whatever a peer answers to a pull.
+func FuzzPulled(f *testing.F) {
+	for _, reply := range []*gossippb.PullReply{
+		{ConfigVersion: 3, Config: []byte(`{"version":3,"routes":[]}`)},
+		{ServersRevision: 9, Servers: []*gossippb.Server{{Id: "i-1", Spec: []byte(`{"service":"s","address":"10.0.0.1:80"}`), Revision: 8}}},
+		{ServersRevision: 12, Partial: true, Gone: []string{"i-1"}, StoreBackMs: 10},
+	} {
+		raw, err := proto.Marshal(reply)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var reply gossippb.PullReply
+		if proto.Unmarshal(raw, &reply) != nil {
+			return
+		}
+		r := testRouter(t)
+		r.state.Pulled(&reply)
+		r.state.Pulled(&reply)
+		r.state.Pull(&gossippb.PullRequest{})
+	})
+}
--- /dev/null
+++ b/internal/router/pull.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"time"
+
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+	"github.com/plankridge/plankridge/internal/store"
+)
+
+const (
+	// differsFor is how long a peer that is ahead must show other servers before
+	// its list is fetched by a daemon that follows the store itself: a change
+	// reaches all watches within some milliseconds.
+	differsFor = 600 * time.Millisecond
+	// storeBackFor is how long the return of the store is told.
+	storeBackFor = 5 * time.Second
+)
+
+// Lacks implements gossip.Sink.
+func (s *state) Lacks(status *gossippb.Status) bool {
+	version := int64(0)
+	if c := s.Catalog(); c != nil {
+		version = c.Version
+	}
+	if status.GetConfigVersion() > version {
+		return true
+	}
+	return s.lacksServers(status, time.Now())
+}
+
+// lacksServers reports whether the peer has seen more of the list of servers and
+// shows another one. A daemon that follows the store itself gives its own watch
+// time to bring the change; one that does not asks for the whole list when the
+// changes alone do not make the lists alike.
+func (s *state) lacksServers(status *gossippb.Status, now time.Time) bool {
+	following := s.router.following.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ahead := status.GetServersRevision() > s.listing.revision || (!following && status.GetServersRevision() == s.listing.revision)
+	if !ahead || status.GetStoreFailing() || status.GetServersDigest() == s.listing.digest {
+		delete(s.differs, status.GetVm())
+		s.wantAll = false
+		return false
+	}
+	since, known := s.differs[status.GetVm()]
+	if !known {
+		since = now
+		s.differs[status.GetVm()] = now
+	}
+	if now.Sub(since) >= differsFor {
+		s.wantAll = true
+		return true
+	}
+	return !following || s.storeFailing()
+}
+
+// Request implements gossip.Source.
+func (s *state) Request() *gossippb.PullRequest {
+	request := &gossippb.PullRequest{}
+	if c := s.Catalog(); c != nil {
+		request.ConfigVersion = c.Version
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.wantAll {
+		request.ServersRevision = s.listing.revision
+	}
+	return request
+}
+
+// Pull implements gossip.Source.
+func (s *state) Pull(request *gossippb.PullRequest) *gossippb.PullReply {
+	reply := &gossippb.PullReply{}
+	if c := s.Catalog(); c != nil && c.Version > request.GetConfigVersion() {
+		reply.ConfigVersion, reply.Config = c.Version, c.Raw
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listing.revision <= request.GetServersRevision() || s.storeFailing() {
+		return reply
+	}
+	reply.ServersRevision = s.listing.revision
+	if back := time.Since(s.storeBackAt); back < storeBackFor {
+		reply.StoreBackMs = max(1, back.Milliseconds())
+	}
+	changed, gone, partial := s.listing.since(request.GetServersRevision())
+	reply.Partial, reply.Gone = partial, gone
+	for _, object := range changed {
+		reply.Servers = append(reply.Servers, &gossippb.Server{Id: object.Name, Spec: object.Spec, Revision: object.Revision})
+	}
+	return reply
+}
+
+// Pulled implements gossip.Sink.
+func (s *state) Pulled(reply *gossippb.PullReply) {
+	if len(reply.GetConfig()) > 0 {
+		s.takeConfig(reply.GetConfig(), "peer")
+	}
+	s.mu.Lock()
+	wanted := reply.GetServersRevision() > s.listing.revision ||
+		(reply.GetServersRevision() == s.listing.revision && len(reply.GetServers()) > 0)
+	s.mu.Unlock()
+	if !wanted {
+		return
+	}
+	now := time.Now()
+	if ago := reply.GetStoreBackMs(); ago > 0 {
+		s.storeReturned(now.Add(-time.Duration(ago) * time.Millisecond))
+	}
+	objects := make([]store.Object, 0, len(reply.GetServers()))
+	for _, server := range reply.GetServers() {
+		objects = append(objects, store.Object{Name: server.GetId(), Spec: server.GetSpec(), Revision: server.GetRevision()})
+	}
+	if !reply.GetPartial() {
+		s.takeServers(objects, reply.GetServersRevision(), now)
+		return
+	}
+	for _, object := range objects {
+		s.putServer(object, now)
+	}
+	for _, id := range reply.GetGone() {
+		s.removeServer(id, reply.GetServersRevision(), now)
+	}
+	s.mu.Lock()
+	s.listing.revision = max(s.listing.revision, reply.GetServersRevision())
+	s.mu.Unlock()
+}
--- /dev/null
+++ b/internal/router/reach.go
@@ -0,0 +1,68 @@
+package router
+
+import (
+	"time"
+
+	"github.com/plankridge/plankridge/internal/rollup"
+)
+
+// zoneReach returns which daemons of this zone are heard, this one included.
+func (s *state) zoneReach(now time.Time) rollup.Reach {
+	reach := rollup.Reach{Heard: 1, Known: 1, Fence: s.ownFence()}
+	zone := s.router.settings.VM.Zone
+	for _, p := range s.router.members.Known(now) {
+		if p.Zone == zone {
+			reach.Known++
+		}
+	}
+	for _, p := range s.router.members.Heard(now) {
+		if p.Zone == zone {
+			reach.Heard++
+			reach.Fence = max(reach.Fence, p.Fence)
+		}
+	}
+	return reach
+}
+
+// reach returns which daemons are heard, directly or through leads, and whether
+// all that are known are.
+func (s *state) reach(now time.Time) (rollup.Reach, bool) {
+	if s.listens(now) != "" {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.lead.reach, s.lead.reach.Heard >= s.lead.reach.Known
+	}
+	sum := s.zoneReach(now)
+	far, complete := s.sums.Reach(now)
+	sum.Heard += far.Heard
+	sum.Known = max(sum.Known+s.knownFar(now, far.Known), s.toldKnown(now))
+	sum.Fence = max(sum.Fence, far.Fence)
+	return sum, complete && sum.Heard >= sum.Known
+}
+
+// toldFor is how long the number of daemons that a lead told is remembered: as long
+// as a silent daemon counts as one of the deployment.
+const toldFor = 30 * time.Second
+
+// toldKnown returns the number of daemons that the last lead told of. A daemon that
+// is cut off from its zone knows few of the others by name.
+func (s *state) toldKnown(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.toldAt) >= toldFor {
+		return 0
+	}
+	return s.told
+}
+
+// knownFar returns the number of daemons of other zones: as their leads tell, or
+// as this daemon has learned, whichever is more.
+func (s *state) knownFar(now time.Time, told int) int {
+	known := 0
+	for _, p := range s.router.members.Known(now) {
+		if p.Zone != s.router.settings.VM.Zone {
+			known++
+		}
+	}
+	return max(known, told)
+}
--- a/robustness/onplatform/relay_test.go
+++ b/robustness/onplatform/relay_test.go
@@ -173,7 +173,9 @@
 		stopping := b.daemons[2]
 		stopping.stop()
 		time.Sleep(time.Second)
-		replies := b.burst(20, func(int) call { return call{method: "GET", path: "/a/x", key: testKey, to: 2, deadline: 3 * time.Second} })
+		replies := b.burst(20, func(int) call {
+			return call{method: "GET", path: "/a/x", key: testKey, to: 2, deadline: 3 * time.Second}
+		})
 		<-stopping.done
 		time.Sleep(17 * time.Second)
 		b.Check(count(replies, 200), qt.Equals, 20)
