Ask few peers at once for what is newer, and send configurations packed

The configuration had grown to 1,886 routes. That daemon was the standby relay: it heard from twenty daemons of its zone that they had it, asked all twenty at once, and their answers choked its 10 Mbit/s link, so that every call ended after its 1 s, again and again.

Ruled out: the store (the lead had the version 13 s before), a cut, a deaf watch.

Change: two pulls at once at most, 2 s each; the configuration goes in gzip's format, packed once for all that ask.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -43,8 +43,13 @@
 	namedFar = 4
 	// maxDatagram bounds a report, in bytes.
 	maxDatagram = 60 << 10
-	// pullTimeout bounds a call to a peer.
-	pullTimeout = time.Second
+	// pullTimeout bounds a call to a peer: a configuration of 1,900 routes takes
+	// some 100 ms on a link of 10 Mbit/s that carries other answers too.
+	pullTimeout = 2 * time.Second
+	// mostPulls bounds the calls at once. A relay hears from all daemons of its zone
+	// that they have something newer; were it to ask all, their answers would choke
+	// its link. A second call goes on when the first peer does not answer.
+	mostPulls = 2
 )
 
 // Source fills in what the daemon tells.
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -12,7 +12,7 @@
 func (n *Node) beginPull(address string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.pulling[address] {
+	if n.pulling[address] || len(n.pulling) >= mostPulls {
 		return false
 	}
 	n.pulling[address] = true
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -75,7 +75,7 @@
 // FuzzPulled: whatever a peer answers to a pull.
 func FuzzPulled(f *testing.F) {
 	for _, reply := range []*gossippb.PullReply{
-		{ConfigVersion: 3, Config: []byte(`{"version":3,"routes":[]}`)},
+		{ConfigVersion: 3, Config: pack([]byte(`{"version":3,"routes":[]}`))},
 		{ServersRevision: 9, Servers: []*gossippb.Server{{Id: "i-1", Spec: []byte(`{"service":"s","address":"10.0.0.1:80"}`), Revision: 8}}},
 		{ServersRevision: 12, Partial: true, Gone: []string{"i-1"}, StoreBackMs: 10},
 	} {
--- a/internal/router/pull.go
+++ b/internal/router/pull.go
@@ -1,8 +1,12 @@
 package router
 
 import (
+	"bytes"
+	"compress/gzip"
+	"io"
 	"time"
 
+	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
 	"github.com/plankridge/plankridge/internal/store"
 )
@@ -72,7 +76,7 @@
 func (s *state) Pull(request *gossippb.PullRequest) *gossippb.PullReply {
 	reply := &gossippb.PullReply{}
 	if c := s.Catalog(); c != nil && c.Version > request.GetConfigVersion() {
-		reply.ConfigVersion, reply.Config = c.Version, c.Raw
+		reply.ConfigVersion, reply.Config = c.Version, s.packedConfig(c)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,10 +95,54 @@
 	return reply
 }
 
+// packedConfig returns a configuration as peers exchange it, packed once for all that
+// ask.
+func (s *state) packedConfig(c *catalog.Catalog) []byte {
+	s.packing.Lock()
+	defer s.packing.Unlock()
+	if s.packedVersion != c.Version || s.packed == nil {
+		s.packed, s.packedVersion = pack(c.Raw), c.Version
+	}
+	return s.packed
+}
+
+// takePackedConfig takes over what packedConfig returned at a peer.
+func (s *state) takePackedConfig(packed []byte) {
+	raw, err := unpack(packed)
+	if err != nil {
+		s.router.logger.Error("configuration of a peer cannot be unpacked", "error", err, "bytes", len(packed))
+		return
+	}
+	s.takeConfig(raw, "peer")
+}
+
+// mostUnpacked bounds what is unpacked, in bytes: eight times the largest value that
+// the store holds.
+const mostUnpacked = 8 << 20
+
+// pack compresses with gzip. A configuration repeats its field names in each route and
+// shrinks to a tenth or less.
+func pack(raw []byte) []byte {
+	var packed bytes.Buffer
+	w := gzip.NewWriter(&packed)
+	// Writing to a buffer does not fail.
+	_, _ = w.Write(raw)
+	_ = w.Close()
+	return packed.Bytes()
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(r, mostUnpacked))
+}
+
 // Pulled implements gossip.Sink.
 func (s *state) Pulled(reply *gossippb.PullReply) {
 	if len(reply.GetConfig()) > 0 {
-		s.takeConfig(reply.GetConfig(), "peer")
+		s.takePackedConfig(reply.GetConfig())
 	}
 	s.mu.Lock()
 	wanted := reply.GetServersRevision() > s.listing.revision ||
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -50,6 +50,12 @@
 	// sent holds what this daemon itself had used, by the sequence of the report.
 	sent map[uint64]rollup.Counts
 	lead leadAccount
+
+	// packing guards the packed form of the configuration in force.
+	packing       sync.Mutex
+	packed        []byte
+	packedVersion int64
+
 	// told is the number of daemons that a lead told of, at toldAt.
 	told   int
 	toldAt time.Time
