Give the benchmark's daemon an address of its own process

One of four processes that ran BenchmarkRouterCall at once failed with 'address already in use': the port found free on 127.0.0.1 was taken before the daemon listened there.

--- a/capacity/router_test.go
+++ b/capacity/router_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -17,9 +18,12 @@
 	"github.com/plankridge/plankridge/platform/fake"
 )
 
-// freeAddress returns a loopback address that nothing listens on.
+// freeAddress returns a loopback address that nothing listens on. Its IP is that of
+// this process alone, so that no other one takes the port meanwhile.
 func freeAddress(b *testing.B) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	const span = 250
+	pid := os.Getpid()
+	l, err := net.Listen("tcp", fmt.Sprintf("127.99.%d.%d:0", pid/span%span, pid%span+1))
 	if err != nil {
 		b.Fatal(err)
 	}
