Start with what the lease's record remembers, each daemon with its part

Change: a daemon is one of 330 until it knows how many there are; then it uses its part until it hears the others. What others used of their parts of the opening is not taken off its bucket. The holder of the lease writes the number of daemons, what is left of each allowance and what was learned of the engines beside its renewals, at no further call; each daemon reads that once when it starts. Large requests wait for the first sums; from one's part each daemon would admit one.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -38,9 +38,10 @@
 	mu        sync.Mutex
 	started   time.Time
 	tolerance Tolerance
-	// daemons is the number of daemons that share the tolerance at their start,
-	// or zero while it is not known.
-	daemons int
+	// opening is what was known at the start, once it is known. settled is set once
+	// all daemons were heard.
+	opening *Opening
+	settled bool
 	// share is the part of each allowance that this daemon may count on. It is
 	// below one while some peers cannot be heard.
 	share   float64
@@ -60,8 +61,10 @@
 	at          time.Time
 	// spent is all that this daemon has admitted.
 	spent float64
-	// granted is set once the bucket has its part of the tolerance.
-	granted bool
+	// theirs is the part of the opening that other daemons have not used yet, as far as
+	// they have told, and opened is set once the opening is known.
+	theirs float64
+	opened bool
 	// others is how fast the other daemons spend, in tokens per second, as of
 	// heardAt. drawn is what was taken off for it since.
 	others  float64
@@ -84,18 +87,16 @@
 	return t.Over*(rate*t.Window.Seconds()+burst) + t.Tokens
 }
 
-// Parts of the tolerance that are used: by processes when they start, and by
-// the burst that comes back within a window. The rest covers what daemons admit
-// before they hear of each other.
-const (
-	grantShare  = 0.25
-	refillShare = 0.35
-)
+// refillShare is the part of the tolerance that is used by the burst that comes back
+// within a window. Other parts are used at the start (see Opening). The rest covers
+// what daemons admit before they hear of each other.
+const refillShare = 0.35
 
 // NewLimiter returns a limiter without workspaces. Buckets fill from the start
-// of the process on: what was admitted before it is not known.
+// of the process on: what was admitted before it is not known. Until it is told of
+// others, it takes itself for one of many.
 func NewLimiter(tolerance Tolerance, now time.Time) *Limiter {
-	return &Limiter{started: now, tolerance: tolerance, share: 1, buckets: map[string]*bucket{}, heard: map[reporter]map[string]float64{}}
+	return &Limiter{started: now, tolerance: tolerance, share: 1.0 / mostDaemons, buckets: map[string]*bucket{}, heard: map[reporter]map[string]float64{}}
 }
 
 // ApplyCatalog takes over the allowances of a configuration.
@@ -106,40 +107,17 @@
 	for _, w := range c.Workspaces {
 		b := l.buckets[w.Name]
 		if b == nil {
-			b = &bucket{level: min(w.Burst, now.Sub(l.started).Seconds()*w.TokensPerSecond), at: now}
+			b = &bucket{level: min(w.Burst, now.Sub(l.started).Seconds()*w.TokensPerSecond*l.share), at: now}
 		}
 		b.refill(now, l.share)
 		b.rate, b.burst = l.refillRate(w.TokensPerSecond, w.Burst), w.Burst
-		l.grant(b)
+		l.open(w.Name, b, now)
 		b.level = min(b.level, b.most(l.share))
 		next[w.Name] = b
 	}
 	l.buckets = next
 }
 
-// Grant gives each bucket this daemon's part of the tolerance, once. Were all
-// daemons killed at a moment and started with empty buckets, they would refuse
-// for seconds what is allowed.
-func (l *Limiter) Grant(daemons int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.daemons > 0 {
-		return
-	}
-	l.daemons = max(1, daemons)
-	for _, b := range l.buckets {
-		l.grant(b)
-	}
-}
-
-func (l *Limiter) grant(b *bucket) {
-	if l.daemons == 0 || b.granted {
-		return
-	}
-	b.granted = true
-	b.level = min(b.burst, b.level+grantShare*l.tolerance.of(b.rate, b.burst)/float64(l.daemons))
-}
-
 // Levels returns what is left in the buckets.
 func (l *Limiter) Levels(now time.Time) map[string]float64 {
 	l.mu.Lock()
@@ -152,18 +130,6 @@
 	return levels
 }
 
-// Adopt takes over the levels of a daemon that has been running for longer: it
-// has heard of what was admitted before this one's start.
-func (l *Limiter) Adopt(levels map[string]float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name, level := range levels {
-		if b := l.buckets[name]; b != nil {
-			b.level = min(b.burst, max(b.level, level))
-		}
-	}
-}
-
 // refillRate is the rate at which a bucket fills. The allowance is meant for
 // windows: the rate over the window and one burst. A bucket that fills at the
 // bare rate would give a busy workspace its burst once and never again. So the
@@ -183,6 +149,10 @@
 func (l *Limiter) SetReach(heard, known int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.setReach(heard, known, now)
+}
+
+func (l *Limiter) setReach(heard, known int, now time.Time) {
 	share := 1.0
 	if known > 0 {
 		share = min(1, float64(heard)/float64(known))
@@ -199,6 +169,7 @@
 		b.level = min(b.level, b.most(share))
 	}
 	l.share = share
+	l.settle(now)
 }
 
 func (b *bucket) refill(now time.Time, share float64) {
@@ -223,7 +194,9 @@
 // hear takes over what the others have spent since they were last heard.
 func (b *bucket) hear(tokens float64, now time.Time, share float64) {
 	b.refill(now, share)
-	b.level = min(b.most(share), max(b.level+b.drawn-tokens, -maxDebt*b.burst))
+	fromOpening := max(0, min(tokens, b.theirs))
+	b.theirs -= fromOpening
+	b.level = min(b.most(share), max(b.level+b.drawn-tokens+fromOpening, -maxDebt*b.burst))
 	b.drawn = 0
 	if elapsed := now.Sub(b.heardAt).Seconds(); elapsed > 0 && !b.heardAt.IsZero() {
 		seen := max(0, tokens) / elapsed
@@ -248,6 +221,14 @@
 	b.refill(now, l.share)
 	// A request above the whole burst is admitted from a full bucket.
 	need := min(tokens, b.most(l.share))
+	if !l.settled {
+		// The share is small for a moment only, at all daemons. Were each to admit a
+		// large request from its full share, all would.
+		need = min(tokens, b.most(1))
+	}
+	if b.level < need && !l.settled {
+		return false, untilSettled
+	}
 	if b.level < need {
 		wait := (need - b.level) / (b.rate * l.share)
 		return false, time.Duration(wait * float64(time.Second))
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -17,8 +17,10 @@
 	return (&catalog.Catalog{Workspaces: []catalog.Workspace{{Name: "w", TokensPerSecond: rate, Burst: burst, ByTokens: true}}}).Build()
 }
 
+// full returns the limiter of a sole daemon that knows so and has long been running.
 func full(rate, burst float64) (*Limiter, time.Time) {
 	l := NewLimiter(Tolerance{}, start)
+	l.SetReach(1, 1, start)
 	now := start.Add(time.Hour)
 	l.ApplyCatalog(limited(rate, burst), now)
 	return l, now
@@ -90,6 +92,7 @@
 		now := start.Add(time.Hour)
 		for i := range limiters {
 			limiters[i] = NewLimiter(Tolerance{}, start)
+			limiters[i].SetReach(daemons, daemons, start)
 			limiters[i].ApplyCatalog(limited(rate, burst), now)
 			heard := left
 			if i >= left {
@@ -141,10 +144,10 @@
 		l := NewLimiter(tolerance, start)
 		// Which comes first depends on the store.
 		if i%2 == 0 {
-			l.Grant(daemons)
+			l.Open(Opening{Daemons: daemons}, start)
 		}
 		l.ApplyCatalog(limited(rate, burst), start)
-		l.Grant(daemons)
+		l.Open(Opening{Daemons: daemons}, start)
 		l.ApplyCatalog(limited(rate, burst), start)
 		level := l.Levels(start)["w"]
 		c.Check(level > 3000, qt.IsTrue, qt.Commentf("%v", level))
@@ -176,6 +179,7 @@
 	known := make([]float64, daemons)
 	for i := range limiters {
 		limiters[i] = NewLimiter(tolerance, start)
+		limiters[i].SetReach(daemons, daemons, start)
 		limiters[i].ApplyCatalog(limited(rate, rate), now)
 		limiters[i].SetReach(daemons, daemons, now)
 		limiters[i].Heard("sums", 1, map[string]float64{"w": 0}, true, now)
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -29,7 +29,9 @@
 	servers map[string]*server
 	traits  map[string]Traits
 	// paces are what was learned of the engines, by service.
-	paces     map[string]*pace.Engine
+	paces map[string]*pace.Engine
+	// early are figures that others told before the configuration of the service came.
+	early     map[string]pace.EngineFigures
 	outageEnd time.Time
 	// listed is set once a whole list was taken over.
 	listed  bool
@@ -38,7 +40,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, paces: map[string]*pace.Engine{}, changed: make(chan struct{})}
+	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, paces: map[string]*pace.Engine{}, early: map[string]pace.EngineFigures{}, changed: make(chan struct{})}
 }
 
 // SetTraits takes over what a configuration says of the services.
@@ -267,7 +269,10 @@
 		return nil
 	}
 	if v.paces[service] == nil {
-		v.paces[service] = pace.NewEngine(traits.FetchRate)
+		engines := pace.NewEngine(traits.FetchRate)
+		engines.Learn(v.early[service])
+		delete(v.early, service)
+		v.paces[service] = engines
 	}
 	return v.paces[service]
 }
@@ -288,9 +293,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for service, learned := range figures {
-		if engines := v.pace(service); engines != nil {
-			engines.Learn(learned)
+		engines := v.pace(service)
+		if engines == nil {
+			v.early[service] = learned
+			continue
 		}
+		engines.Learn(learned)
 	}
 }
 
--- a/internal/backend/view_test.go
+++ b/internal/backend/view_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/pace"
 )
 
 var start = time.Unix(1000, 0)
@@ -164,3 +166,47 @@
 	c.Check(cache.prefix([]Part{{"d", 300}}), qt.Equals, 300)
 	c.Check(cache.tokens <= cache.limit, qt.IsTrue)
 }
+
+// TestFiguresToldBeforeTheConfigurationAreKept: a daemon that starts reads what others
+// had learned before it knows what the services are.
+func TestFiguresToldBeforeTheConfigurationAreKept(t *testing.T) {
+	c := qt.New(t)
+	told := pace.EngineFigures{First: pace.Figures{Coefficients: []float64{0.5, 1e-5, 1e-4, 0.01, 1e-6}, Seen: 500}}
+	v := NewView()
+	v.Learn(map[string]pace.EngineFigures{"s": told})
+	v.Put(entry("a", "z"), start)
+	v.SetTraits(map[string]Traits{"s": {CacheTokens: 100_000}})
+	choice, ok := v.Begin(prompt(1), start)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(choice.Learned, qt.IsTrue)
+	c.Check(choice.Own > 450*time.Millisecond, qt.IsTrue, qt.Commentf("%v", choice.Own))
+}
+
+// TestSlowServerIsLeft: a server whose first events take several times as long as those
+// of its service gets less, and is tried again after a while.
+func TestSlowServerIsLeft(t *testing.T) {
+	c := qt.New(t)
+	v := modelView("a", "b", "c")
+	now := start
+	serve := func(i int, took time.Duration) string {
+		choice, _ := v.Begin(prompt(i), now)
+		if choice.ID == "a" {
+			took *= 8
+		}
+		choice.Event(now.Add(took))
+		choice.End(OutcomeServed, now.Add(took))
+		return choice.ID
+	}
+	for i := range 300 {
+		now = now.Add(10 * time.Millisecond)
+		serve(i, 100*time.Millisecond)
+	}
+	used := 0
+	for i := range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if serve(1000+i, 100*time.Millisecond) == "a" {
+			used++
+		}
+	}
+	c.Check(used <= 10, qt.IsTrue, qt.Commentf("%d of 100", used))
+}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -84,6 +84,8 @@
 	Logger   *slog.Logger
 	// Soon spreads a change of the holder.
 	Soon func()
+	// Remember returns what is written beside each renewal.
+	Remember func() lease.Memory
 }
 
 // Holder keeps the lease for one daemon.
@@ -249,6 +251,9 @@
 	h.mu.Lock()
 	next := h.keeper.Renewal()
 	h.mu.Unlock()
+	if h.options.Remember != nil {
+		next.Memory = h.options.Remember()
+	}
 	if edit != nil {
 		edit(&next)
 	}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"github.com/plankridge/plankridge/internal/pace"
 	"github.com/plankridge/plankridge/internal/usage"
 )
 
@@ -26,6 +27,18 @@
 	// Reports are the usage reports that were decided on, by window. They stand
 	// here before they are sent, so that whoever sends one again sends the same.
 	Reports map[int64]usage.Counts `json:"reports,omitempty"`
+	// Memory is what daemons that start should know when no other is left to ask.
+	Memory Memory `json:"memory"`
+}
+
+// Memory is what the holder knows of the deployment at a renewal.
+type Memory struct {
+	// Daemons is the number of daemons.
+	Daemons int `json:"daemons"`
+	// Levels are what was left of the workspaces' allowances.
+	Levels map[string]float64 `json:"levels,omitempty"`
+	// Paces are what was learned of the engines, by service.
+	Paces map[string]pace.EngineFigures `json:"paces,omitempty"`
 }
 
 // Keeper is one daemon's view of the lease.
@@ -122,7 +135,7 @@
 	if !free && now.Sub(k.seenAt) < k.duration {
 		return Record{}, false
 	}
-	return Record{Holder: k.self, Incarnation: k.incarnation, Renewals: k.nextNumber(), Reports: k.record.Reports}, true
+	return Record{Holder: k.self, Incarnation: k.incarnation, Renewals: k.nextNumber(), Reports: k.record.Reports, Memory: k.record.Memory}, true
 }
 
 // Renewal returns the record that renews the lease.
--- /dev/null
+++ b/internal/router/memory.go
@@ -0,0 +1,53 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/allowance"
+	"github.com/plankridge/plankridge/internal/duty"
+	"github.com/plankridge/plankridge/internal/lease"
+	"github.com/plankridge/plankridge/internal/store"
+)
+
+// remember returns what daemons that start after the death of all should know. The
+// holder of the lease writes it beside each renewal, at no further call.
+func (s *state) remember() lease.Memory {
+	now := time.Now()
+	reach, _ := s.reach(now)
+	return lease.Memory{Daemons: reach.Known, Levels: s.limiter.Levels(now), Paces: s.view.Paces()}
+}
+
+// lastMemory reads what the last holder of the lease knew. Without it a daemon starts
+// with less.
+func (r *Router) lastMemory(ctx context.Context) lease.Memory {
+	object, err := r.objects.Get(ctx, duty.Kind, duty.Name)
+	if errors.Is(err, store.ErrNotFound) {
+		return lease.Memory{}
+	}
+	var record lease.Record
+	if err == nil {
+		err = json.Unmarshal(object.Spec, &record)
+	}
+	if err != nil {
+		r.logger.Warn("what was known before cannot be read", "error", err)
+		return lease.Memory{}
+	}
+	return record.Memory
+}
+
+// recall takes over what was known before this process started. listed is the number of
+// daemons in the store's list, which may be short.
+func (s *state) recall(memory lease.Memory, listed int, now time.Time) {
+	daemons := max(listed, memory.Daemons)
+	s.view.Learn(memory.Paces)
+	s.limiter.Open(allowance.Opening{Daemons: daemons, Levels: memory.Levels}, now)
+	s.mu.Lock()
+	if daemons > s.told {
+		s.told, s.toldAt = daemons, now
+	}
+	s.mu.Unlock()
+	s.router.logger.Info("known before the start", "daemons", daemons, "listed", listed, "workspaces", len(memory.Levels), "services", len(memory.Paces))
+}
--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -40,6 +40,18 @@
 	return sum, complete && sum.Heard >= sum.Known
 }
 
+// useReach takes over which daemons are heard where limits are shared by all. A daemon
+// that has just started and knows of no other says nothing: others may have started
+// with it.
+func (s *state) useReach(now time.Time) {
+	reach, _ := s.reach(now)
+	if reach.Known <= 1 && !s.router.registered.Load() {
+		return
+	}
+	s.limiter.SetReach(reach.Heard, reach.Known, now)
+	s.router.budget.SetDaemons(reach.Known)
+}
+
 // toldFor is how long the number of daemons that a lead told is remembered: as long
 // as a silent daemon counts as one of the deployment.
 const toldFor = 30 * time.Second
--- a/internal/router/register.go
+++ b/internal/router/register.go
@@ -42,11 +42,15 @@
 	if err != nil {
 		return err
 	}
-	r.state.limiter.Grant(len(page.Objects))
+	r.state.recall(r.lastMemory(ctx), len(page.Objects), time.Now())
 	own := daemonEntry{Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers}
 	revision := int64(0)
 	now := time.Now()
-	defer r.registered.Store(true)
+	defer func() {
+		r.registered.Store(true)
+		r.state.useReach(time.Now())
+		r.node.Soon()
+	}()
 	for _, object := range page.Objects {
 		var entry daemonEntry
 		if err := json.Unmarshal(object.Spec, &entry); err != nil {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -182,7 +182,7 @@
 	}
 	r.holder = duty.NewHolder(duty.Options{
 		Self: r.settings.VM.ID, Incarnation: r.incarnation, Duration: r.settings.Bounds.Lease.Std(),
-		Store: r.objects, Peers: peersOf{r}, Logger: r.logger, Soon: r.node.Soon,
+		Store: r.objects, Peers: peersOf{r}, Logger: r.logger, Soon: r.node.Soon, Remember: r.state.remember,
 	})
 }
 
@@ -321,9 +321,7 @@
 	if s.listens(now) == "" {
 		s.useOwnSums(now)
 	}
-	reach, _ := s.reach(now)
-	s.limiter.SetReach(reach.Heard, reach.Known, now)
-	s.router.budget.SetDaemons(reach.Known)
+	s.useReach(now)
 }
 
 // peersOf tells the duties of the other daemons. It implements duty.Peers.
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -164,16 +164,27 @@
 		// The lead has an older report than is remembered: the next one will do.
 		return
 	}
+	s.useReach(now)
 	s.view.SetRemote(without(counts.Loads, own.Loads), now)
 	for workspace, tokens := range own.Spent {
 		counts.Spent[workspace] -= tokens
 	}
 	// Only sums of the same process that hold this daemon's counts can be compared.
 	first := before.vm != status.GetVm() || before.incarnation != status.GetIncarnation() || before.taken == 0 || status.GetTaken() == 0
+	if first && s.startedWith(status) {
+		// Whatever the lead has heard of was used since all started.
+		first = false
+	}
 	s.limiter.Heard(status.GetVm(), status.GetIncarnation(), counts.Spent, first, now)
 	s.adoptLevels(status, all)
 }
 
+// startedWith reports whether this daemon and the one that tells have both just
+// started.
+func (s *state) startedWith(status *gossippb.Status) bool {
+	return time.Since(s.started) < settling && time.Duration(status.GetUptimeMs())*time.Millisecond < settling
+}
+
 // adoptLevels takes over what is left of the allowances from a lead that has been
 // running for longer than this daemon, which has just started.
 func (s *state) adoptLevels(status *gossippb.Status, all *gossippb.Counts) {
@@ -195,6 +206,7 @@
 	before := s.lead.vm
 	s.lead = leadAccount{vm: s.router.settings.VM.ID}
 	s.mu.Unlock()
+	s.useReach(now)
 	others := s.sums.Others(now)
 	s.view.SetRemote(others.Loads, now)
 	s.view.Learn(others.Paces)
