Keep servers on demand in every zone during waves of reclaims only

Change: while it is calm one server on demand stands in the cheapest zone. When a zone has no reclaimable servers to give, each zone gets one until 15 s after the last sign: the users say that reclaims come in waves, and a server boots before the next zone's turn.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -74,6 +74,9 @@
 	Load demand.Load
 	// Least is the number of servers to have whatever the load.
 	Least int
+	// Wave is set while reclaimable servers are being taken away in some zone, or were
+	// lately: reclaims come in waves, one zone after the other.
+	Wave bool
 }
 
 // Target is the number of servers that a zone should have.
@@ -83,8 +86,7 @@
 	Reclaimable int
 }
 
-// Plan returns a target for every zone. Each zone has a server on demand, so that
-// it can serve when it is cut off or its reclaimable servers are taken away. The
+// Plan returns a target for every zone. Few servers are on demand (see base). The
 // rest is reclaimable, spread over the zones; where a zone has none to give,
 // servers on demand in the cheapest zones stand in.
 func Plan(s State) []Target {
@@ -95,7 +97,7 @@
 	needed := max(s.Least, engines(s.Load, len(s.Zones)))
 	targets := make([]Target, len(zones))
 	for i, z := range zones {
-		targets[i] = Target{Zone: z.Name, OnDemand: max(1, s.Scaling.Min)}
+		targets[i] = Target{Zone: z.Name, OnDemand: base(s, i)}
 	}
 	spreadReclaimable(s, targets, needed-total(targets))
 	expected := 0
@@ -106,6 +108,21 @@
 	return targets
 }
 
+// calmBase is the number of zones with a server on demand while nothing is reclaimed:
+// what is left if all reclaimable servers go at once.
+const calmBase = 1
+
+// base returns the number of servers on demand of the zone in a place by price. During
+// a wave of reclaims each zone has one, so that it can serve when its reclaimable
+// servers go too; before, they would cost several times as much and do nothing that
+// the reclaimable ones of other zones do not.
+func base(s State, place int) int {
+	if s.Wave || s.Scaling.SpotPrice <= 0 || place < calmBase {
+		return max(1, s.Scaling.Min)
+	}
+	return 0
+}
+
 func total(targets []Target) int {
 	sum := 0
 	for _, t := range targets {
@@ -122,7 +139,8 @@
 	}
 	each := max(1, int(math.Ceil(float64(wanted)/float64(len(targets)))))
 	for i := range targets {
-		targets[i].Reclaimable = max(0, min(each, s.Scaling.Max-targets[i].OnDemand))
+		most, least := s.Scaling.Max-targets[i].OnDemand, s.Scaling.Min-targets[i].OnDemand
+		targets[i].Reclaimable = max(0, min(max(each, least), most))
 	}
 }
 
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -74,6 +74,8 @@
 	asked time.Time
 	// since is when the planner began to look.
 	since time.Time
+	// reclaimed is when a zone last had no reclaimable servers to give.
+	reclaimed time.Time
 }
 
 // given is the last order in a market.
@@ -101,6 +103,7 @@
 			s.Zones[i].Dry = true
 		}
 	}
+	s.Wave = p.wave(s, now)
 	s.Least = p.least(s, now)
 	if p.since.IsZero() {
 		p.since = now
@@ -130,6 +133,21 @@
 	return 0
 }
 
+// waveFor is how long after a zone last had none to give a wave of reclaims is taken to
+// go on: the next zone's turn comes some seconds later, and a server takes as long to
+// boot.
+const waveFor = 15 * time.Second
+
+// wave reports whether reclaimable servers are being taken away, or were lately.
+func (p *Planner) wave(s State, now time.Time) bool {
+	for _, z := range s.Zones {
+		if z.Dry {
+			p.reclaimed = now
+		}
+	}
+	return !p.reclaimed.IsZero() && now.Sub(p.reclaimed) < waveFor
+}
+
 func (s *State) present() int {
 	sum := 0
 	for _, z := range s.Zones {
