Revert "Try: servers on demand stay until their replacements are there"

Cause of the try: when a zone has reclaimable servers to give again, those on demand go at once and their replacements boot for 4 s.

--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -167,10 +167,6 @@
 	var orders []Order
 	for _, target := range targets {
 		present := s.zone(target.Zone)
-		if s.Load != (demand.Load{}) && present.Reclaimable < target.Reclaimable && !present.Dry {
-			// Servers on demand stay until those that replace them are there.
-			target.OnDemand = max(target.OnDemand, min(present.OnDemand, target.OnDemand+target.Reclaimable-present.Reclaimable))
-		}
 		orders = p.add(orders, Order{Market{target.Zone, false}, target.OnDemand, present.OnDemand}, s.Scaling, now)
 		if s.Scaling.SpotPrice > 0 {
 			orders = p.add(orders, Order{Market{target.Zone, true}, target.Reclaimable, present.Reclaimable}, s.Scaling, now)
