Tell other daemons at once of a prompt that keeps an engine reading for long

Change: one datagram to at most 16 daemons, twice a second, for a prompt whose reading takes over 0.3 of its target. Test: seven daemons with sums every 0.3 s, long prompts among short ones, no network.

--- /dev/null
+++ b/internal/backend/notice_test.go
@@ -0,0 +1,112 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestShortPromptsKeepOffWhatWasNoticed: a short prompt goes elsewhere at once when
+// another daemon has told of a long one, and comes back when sums without it come.
+func TestShortPromptsKeepOffWhatWasNoticed(t *testing.T) {
+	c := qt.New(t)
+	v := modelView("a", "b", "c", "d")
+	home, _ := v.Begin(prompt(1), start)
+	home.End(OutcomeNeutral, start)
+	v.Noticed(KeyOf(home.ID), 50_000, start)
+	other, _ := v.Begin(prompt(1), start)
+	c.Check(other.ID, qt.Not(qt.Equals), home.ID)
+	other.End(OutcomeNeutral, start)
+	later := start.Add(noticeFor)
+	v.SetRemote(nil, later)
+	again, _ := v.Begin(prompt(1), later)
+	c.Check(again.ID, qt.Equals, home.ID)
+}
+
+// TestNoticeAndSumsAreNotAddedUp: sums that hold what was told at once count it once.
+func TestNoticeAndSumsAreNotAddedUp(t *testing.T) {
+	c := qt.New(t)
+	v := modelView("a")
+	v.Noticed(KeyOf("a"), 30_000, start)
+	v.SetRemote(map[uint32]Load{KeyOf("a"): {Running: 1, PendingTokens: 30_000}}, start.Add(100*time.Millisecond))
+	c.Check(v.Servers(start.Add(100 * time.Millisecond))[0].PendingTokens, qt.Equals, 30_000)
+	v.Noticed(KeyOf("a"), 5_000, start.Add(100*time.Millisecond))
+	c.Check(v.Servers(start.Add(100 * time.Millisecond))[0].PendingTokens, qt.Equals, 35_000)
+}
+
+// TestLongPromptsDoNotHoldUpShortOnes plays 7 daemons that hear sums every 0.3 s and are
+// sent a long prompt now and then among many short ones. With notices fewer short ones
+// land behind a long one.
+func TestLongPromptsDoNotHoldUpShortOnes(t *testing.T) {
+	c := qt.New(t)
+	without, with := behindLong(false), behindLong(true)
+	c.Check(with*4 <= without, qt.IsTrue, qt.Commentf("%d with notices, %d without", with, without))
+}
+
+// behindLong returns how many short prompts were sent to a server on which another
+// daemon's long one was being read.
+func behindLong(notices bool) int {
+	const daemons, servers, reading = 7, 12, 400 * time.Millisecond
+	views := make([]*View, daemons)
+	var ids []string
+	for i := range servers {
+		ids = append(ids, fmt.Sprintf("s%02d", i))
+	}
+	for i := range views {
+		views[i] = modelView(ids...)
+	}
+	busyUntil := map[string]time.Time{}
+	var longs []*Choice
+	behind := 0
+	for tick := range 2000 {
+		now := start.Add(time.Duration(tick) * 6 * time.Millisecond)
+		if tick%50 == 0 {
+			for i, v := range views {
+				v.SetRemote(loadsBut(views, i), now)
+			}
+		}
+		for len(longs) > 0 && !now.Before(busyUntil[longs[0].ID]) {
+			longs[0].End(OutcomeNeutral, now)
+			longs = longs[1:]
+		}
+		v := views[tick%daemons]
+		if tick%40 == 0 {
+			long, _ := v.Begin(Need{Service: "s", Tokens: 40_000, Parts: []Part{{fmt.Sprint("long", tick), 40_000}}, Target: 500 * time.Millisecond}, now)
+			busyUntil[long.ID] = now.Add(reading)
+			if notices && long.Large {
+				for _, other := range views {
+					if other != v {
+						other.Noticed(KeyOf(long.ID), long.Unread, now)
+					}
+				}
+			}
+			longs = append(longs, long)
+			continue
+		}
+		short, _ := v.Begin(Need{Service: "s", Tokens: 300, Parts: []Part{{fmt.Sprint("short", tick), 300}}, Target: 250 * time.Millisecond}, now)
+		if now.Before(busyUntil[short.ID]) {
+			behind++
+		}
+		short.End(OutcomeNeutral, now)
+	}
+	return behind
+}
+
+// loadsBut adds up what all daemons but one have in flight.
+func loadsBut(views []*View, but int) map[uint32]Load {
+	sum := map[uint32]Load{}
+	for i, v := range views {
+		if i == but {
+			continue
+		}
+		for key, load := range v.OwnLoads() {
+			total := sum[key]
+			total.Running += load.Running
+			total.PendingTokens += load.PendingTokens
+			sum[key] = total
+		}
+	}
+	return sum
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -92,6 +92,8 @@
 	remote   Load
 	remoteAt time.Time
 	cache    *promptCache
+	// notices are what others have sent there since.
+	notices notices
 
 	failures  float64
 	failureAt time.Time
@@ -192,9 +194,9 @@
 
 func (s *server) load(now time.Time) Load {
 	sum := s.own
+	sum.PendingTokens += s.othersPending(now)
 	if now.Sub(s.remoteAt) < remoteFor {
 		sum.Running += max(0, s.remote.Running)
-		sum.PendingTokens += max(0, s.remote.PendingTokens)
 	}
 	return sum
 }
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -205,6 +205,8 @@
 	Learned bool
 	// Load is what the attempt asks of the engines.
 	Load demand.Load
+	// Large is set where the prompt keeps an engine reading for long.
+	Large bool
 	// Unread is the number of prompt tokens that the engine is predicted to
 	// read.
 	Unread int
@@ -254,6 +256,7 @@
 	}
 	if engines != nil {
 		choice.Learned = engines.Known()
+		choice.Large = isLarge(engines.Read(work), need.Target)
 		choice.Load = loadOf(work, need.Answer, traits, s.Slots, engines)
 	}
 	s.own.Running++
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -56,6 +56,8 @@
 	Budget  Budget
 	Usage   Usage
 	Demand  Demand
+	// Notice tells other daemons of a prompt that keeps a server reading for long.
+	Notice func(serverID string, tokens int)
 	// Freshness returns how long ago the store told of the servers, and whether
 	// it fails to answer. It is for the log only.
 	Freshness func() (serversAge time.Duration, storeFailing bool)
@@ -177,6 +179,9 @@
 			r.note(choice, "not-tried", now, now)
 			return r.giveUp(ctx, refusal)
 		}
+		if choice.Large && r.options.Notice != nil {
+			r.options.Notice(choice.ID, choice.Unread)
+		}
 		result := r.try(ctx, choice)
 		ended := time.Now()
 		choice.End(result.outcome, ended)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
@@ -84,6 +85,8 @@
 	Lacks(status *gossippb.Status) bool
 	// Pulled takes over what a pull has brought.
 	Pulled(reply *gossippb.PullReply)
+	// Noticed takes over what a peer has just sent to a server.
+	Noticed(load *gossippb.Load)
 }
 
 // Options are what a Node works with.
@@ -109,6 +112,9 @@
 	soon  chan struct{}
 	align chan struct{}
 
+	// notices bounds how often others are told at once.
+	notices *rate.Limiter
+
 	mu       sync.Mutex
 	sequence uint64
 	pulling  map[string]bool
@@ -125,7 +131,7 @@
 		_ = packets.Close()
 		return nil, nil, eris.Wrap(err, "listen for calls of peers")
 	}
-	n := &Node{options: options, packets: packets, server: grpc.NewServer(), soon: make(chan struct{}, 1), align: make(chan struct{}, 1), pulling: map[string]bool{}}
+	n := &Node{options: options, packets: packets, server: grpc.NewServer(), soon: make(chan struct{}, 1), align: make(chan struct{}, 1), notices: newNoticeRate(), pulling: map[string]bool{}}
 	gossippb.RegisterPeersServer(n.server, n)
 	return n, listener, nil
 }
@@ -208,6 +214,10 @@
 	if status.GetVm() == n.options.VM || status.GetVm() == "" {
 		return
 	}
+	if load := status.GetNotice(); load != nil {
+		n.options.Sink.Noticed(load)
+		return
+	}
 	now := time.Now()
 	fresh, unknown := n.options.Members.hear(Peer{
 		VM: status.GetVm(), Zone: status.GetZone(), Address: status.GetAddress(), Incarnation: status.GetIncarnation(),
--- /dev/null
+++ b/internal/gossip/notice.go
@@ -0,0 +1,44 @@
+package gossip
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+)
+
+const (
+	// mostNoticed is the number of daemons that are told at once of what this one has
+	// sent, mostNotices how often a second. A notice has some 70 bytes with its headers,
+	// so that both together bound the cost to 2.2 KB a second; the users' busiest daemon
+	// of today sends one a second to six others.
+	mostNoticed = 16
+	mostNotices = 2
+	// noticesAtOnce may be sent in a row.
+	noticesAtOnce = 4
+)
+
+func newNoticeRate() *rate.Limiter { return rate.NewLimiter(mostNotices, noticesAtOnce) }
+
+// Notice tells some daemons what this one has just sent to a server, before the sums
+// that hold it come round. Which ones are told is drawn by chance where there are many.
+func (n *Node) Notice(load *gossippb.Load) {
+	now := time.Now()
+	if !n.notices.AllowN(now, 1) {
+		return
+	}
+	for _, p := range drawn(n.options.Members.Known(now), mostNoticed) {
+		n.write(&gossippb.Status{Vm: n.options.VM, Notice: load}, p.Address)
+	}
+}
+
+// drawn returns at most so many of the peers, by chance.
+func drawn(peers []Peer, most int) []Peer {
+	if len(peers) <= most {
+		return peers
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:most]
+}
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -117,6 +117,16 @@
 	}
 }
 
+// Noticed implements gossip.Sink.
+func (s *state) Noticed(load *gossippb.Load) {
+	s.view.Noticed(load.GetKey(), int(load.GetPendingTokens()), time.Now())
+}
+
+// notice tells others of a large prompt that this daemon sends.
+func (s *state) notice(serverID string, tokens int) {
+	s.router.node.Notice(&gossippb.Load{Key: backend.KeyOf(serverID), PendingTokens: int32(tokens)})
+}
+
 // heardMember takes over the report of a daemon of the zone.
 func (s *state) heardMember(status *gossippb.Status, own *gossippb.Counts, now time.Time) {
 	uptime := time.Duration(status.GetUptimeMs()) * time.Millisecond
