--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plankridge/plankridge/internal/allowance"
+	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/duty"
 	"github.com/plankridge/plankridge/internal/lease"
 	"github.com/plankridge/plankridge/internal/store"
@@ -63,3 +64,34 @@
 			"reading", load.Reading, "places", load.Places, "memory", load.Memory)
 	}
 }
+
+// startWait is how long a caller waits at a daemon that has just started for the
+// configuration and the servers to be known: a store that answers takes some 20 ms, a
+// peer as long, and a fifth of the shortest target of today's users is 50 ms.
+const startWait = 100 * time.Millisecond
+
+// awaitCatalog returns the configuration in force. A daemon that has just started waits
+// a moment for it and for the list of servers.
+func (s *state) awaitCatalog(ctx context.Context) *catalog.Catalog {
+	if c := s.Catalog(); c != nil && s.view.Listed() {
+		return c
+	}
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	select {
+	case <-s.configured:
+	case <-ctx.Done():
+		return s.Catalog()
+	}
+	for {
+		changed := s.view.Changed()
+		if s.view.Listed() {
+			return s.Catalog()
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return s.Catalog()
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -176,7 +176,7 @@
 
 		OnViolation: onViolation,
 	})
-	ingress := &platform.Ingress{Catalog: r.state.Catalog, Forwarder: forwarder, Logger: r.logger}
+	ingress := &platform.Ingress{Catalog: r.state.awaitCatalog, Forwarder: forwarder, Logger: r.logger}
 	r.callerHTTP = &http.Server{
 		Handler:           closingWhile(&r.draining, ingress),
 		ReadHeaderTimeout: headerTimeout,
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -24,6 +24,8 @@
 	demand  *demand.Meter
 	catalog atomic.Pointer[catalog.Catalog]
 	started time.Time
+	// configured is closed with the first configuration.
+	configured chan struct{}
 
 	// sums are over what daemons report here.
 	sums *rollup.Sums
@@ -72,7 +74,7 @@
 	return &state{
 		router: r, view: backend.NewView(), limiter: allowance.NewLimiter(toleranceOf(r.settings.Bounds), now), ledger: newLedger(r.settings),
 		demand: demand.NewMeter(), sums: rollup.New(), sent: map[uint64]rollup.Counts{},
-		started: now, listing: newListing(), differs: map[string]time.Time{},
+		started: now, configured: make(chan struct{}), listing: newListing(), differs: map[string]time.Time{},
 	}
 }
 
@@ -127,6 +129,9 @@
 	s.limiter.ApplyCatalog(c, time.Now())
 	c.TakenAt = time.Now()
 	s.catalog.Store(c)
+	if before == nil {
+		close(s.configured)
+	}
 	s.router.logger.Info("configuration in force", "config_version", c.Version, "source", source, "routes", len(c.Routes), "workspaces", len(c.Workspaces))
 	s.router.node.Soon()
 }
