--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -21,6 +21,7 @@
 	CauseAllowance   Cause = "the workspace was above its allowance"
 	CauseNoServer    Cause = "the service had no backend server"
 	CauseOverload    Cause = "the servers were too busy to answer in time"
+	CauseOwnSize     Cause = "the request was predicted to be late by its own size"
 	CauseUnreachable Cause = "no backend server could be reached"
 	CauseDeclined    Cause = "the servers declined for lack of room or had gone"
 	CauseServerError Cause = "a server answered with a failure of its own"
@@ -74,7 +75,7 @@
 	case "service has no backend server":
 		return CauseNoServer
 	case "predicted wait is too long":
-		return CauseOverload
+		return overloadOrSize(l.Attempts)
 	case "no backend server could be reached":
 		return CauseUnreachable
 	case "timeout":
@@ -99,6 +100,19 @@
 	return CauseUnknown
 }
 
+// overloadOrSize tells a refusal for a queue from one for the request's own size: most
+// of what was predicted is the one or the other. Lines of earlier versions do not say.
+func overloadOrSize(attempts []Attempt) Cause {
+	if len(attempts) == 0 {
+		return CauseOverload
+	}
+	last := attempts[len(attempts)-1]
+	if last.OwnMS > 0 && 2*last.OwnMS > last.WaitMS {
+		return CauseOwnSize
+	}
+	return CauseOverload
+}
+
 // Count is the number of requests with a cause.
 type Count struct {
 	Cause    Cause
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -40,6 +40,10 @@
 	TookMS int64 `json:"took_ms"`
 	// WaitMS is the predicted time to the first event.
 	WaitMS int64 `json:"wait_ms"`
+	// OwnMS is the part of it that the request would take on an idle server, Learned
+	// whether that comes from what was seen of the engines.
+	OwnMS   int64 `json:"own_ms"`
+	Learned bool  `json:"learned"`
 }
 
 // Line is one log line.
@@ -166,8 +170,8 @@
 	for _, l := range s.Lines {
 		_, _ = fmt.Fprintf(&out, "%9.3fs  %-24s %s\n", l.Time.Sub(end).Seconds(), l.VM, describe(l))
 		for _, a := range l.Attempts {
-			_, _ = fmt.Fprintf(&out, "%36s at %d ms to %s in %s, first event predicted after %d ms: %s after %d ms\n",
-				"", a.AtMS, a.Server, a.Zone, a.WaitMS, a.Result, a.TookMS)
+			_, _ = fmt.Fprintf(&out, "%36s at %d ms to %s in %s, first event predicted after %d ms (%d ms on an idle server): %s after %d ms\n",
+				"", a.AtMS, a.Server, a.Zone, a.WaitMS, a.OwnMS, a.Result, a.TookMS)
 		}
 	}
 	_, err := io.WriteString(w, out.String())
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -50,8 +50,11 @@
 func TestCauses(t *testing.T) {
 	c := qt.New(t)
 	for want, l := range map[Cause]Line{
-		CauseAllowance:   {Outcome: "refused", Status: 429, Reason: "workspace is above its allowance"},
-		CauseOverload:    {Outcome: "refused", Status: 503, Reason: "predicted wait is too long"},
+		CauseAllowance: {Outcome: "refused", Status: 429, Reason: "workspace is above its allowance"},
+		CauseOverload:  {Outcome: "refused", Status: 503, Reason: "predicted wait is too long"},
+		CauseOwnSize: {
+			Outcome: "refused", Status: 503, Reason: "predicted wait is too long", Attempts: []Attempt{{Result: "not-tried", WaitMS: 900, OwnMS: 700}},
+		},
 		CauseTimeout:     {Outcome: "failed", Status: 504, Reason: "timeout"},
 		CauseDeclined:    {Outcome: "refused", Status: 503, Reason: "route allows no further attempt", Attempts: []Attempt{{Result: "declined"}}},
 		CauseServerError: {Outcome: "failed", Status: 502, Reason: "retry budget is spent", Attempts: []Attempt{{Result: "status-500"}}},
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -17,9 +17,13 @@
 	// AtMS is when the attempt began, in milliseconds since the call arrived.
 	AtMS   int64 `json:"at_ms"`
 	TookMS int64 `json:"took_ms"`
-	// WaitMS is the predicted time to the first event, Unread the prompt tokens
-	// that the server was expected to read, and Running what it had in hand.
+	// WaitMS is the predicted time to the first event, OwnMS the part of it that the
+	// request would take on an idle server, and Learned whether that comes from what was
+	// seen of the engines. Unread is the prompt tokens that the server was expected to
+	// read, and Running what it had in hand.
 	WaitMS  int64 `json:"wait_ms"`
+	OwnMS   int64 `json:"own_ms"`
+	Learned bool  `json:"learned"`
 	Unread  int   `json:"unread"`
 	Running int   `json:"running"`
 }
@@ -28,7 +32,7 @@
 	r.history = append(r.history, attempted{
 		Server: choice.ID, Zone: choice.Zone, Result: what,
 		AtMS: begun.Sub(r.call.Arrived).Milliseconds(), TookMS: ended.Sub(begun).Milliseconds(),
-		WaitMS: choice.Wait.Milliseconds(), Unread: choice.Unread, Running: choice.Running,
+		WaitMS: choice.Wait.Milliseconds(), OwnMS: choice.Own.Milliseconds(), Learned: choice.Learned, Unread: choice.Unread, Running: choice.Running,
 	})
 }
 
--- a/internal/gossip/notice.go
+++ b/internal/gossip/notice.go
@@ -12,9 +12,10 @@
 const (
 	// mostNoticed is the number of daemons that are told at once of what this one has
 	// sent, mostNotices how often a second. A notice has some 70 bytes with its headers,
-	// so that both together bound the cost to 2.2 KB a second; the users' busiest daemon
-	// of today sends one a second to six others.
-	mostNoticed = 16
+	// so that both together bound the cost to 1.1 KB a second, inside what control may
+	// cost at the size to design for; the users' busiest daemon of today sends one a
+	// second to six others.
+	mostNoticed = 8
 	mostNotices = 2
 	// noticesAtOnce may be sent in a row.
 	noticesAtOnce = 4
