Remember the counts of usage windows beside the lease

Change: the lease's record holds the counts of the latest three windows, as of its last renewal; a daemon that starts takes them over where nobody knows more. They are not added to what is counted later, since daemons that survived may hold them: the window of the death itself stays short.

--- a/internal/router/memory_test.go
+++ b/internal/router/memory_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
+	"github.com/plankridge/plankridge/internal/lease"
+	"github.com/plankridge/plankridge/internal/pace"
+	"github.com/plankridge/plankridge/internal/usage"
 )
 
 // firstConfig is a configuration with nothing in it.
@@ -45,3 +50,31 @@
 		c.Check(time.Since(begun), qt.Equals, 2*startWait)
 	})
 }
+
+// TestStarterKnowsWhatTheLastHolderKnew: a daemon that starts after the death of all has
+// the counts of windows that nobody else knows any more, and what was learned.
+func TestStarterKnowsWhatTheLastHolderKnew(t *testing.T) {
+	c := qt.New(t)
+	before, after := testRouter(t).state, testRouter(t).state
+	now := time.Now()
+	window := before.ledger.WindowAt(now)
+	for range 3 {
+		before.ledger.Began("w", now)
+	}
+	before.view.SetTraits(map[string]backend.Traits{"s": {CacheTokens: 1000}})
+	before.view.Learn(map[string]pace.EngineFigures{"s": {First: pace.Figures{Coefficients: []float64{0.5}, Seen: 100}}})
+	raw, err := json.Marshal(lease.Record{Memory: before.remember()})
+	c.Assert(err, qt.IsNil)
+	var record lease.Record
+	c.Assert(json.Unmarshal(raw, &record), qt.IsNil)
+	after.recall(record.Memory, 1, now)
+	c.Check(after.ledger.Sum(window), qt.DeepEquals, usage.Counts{"w": 3})
+	after.view.SetTraits(map[string]backend.Traits{"s": {CacheTokens: 1000}})
+	after.view.Put(backend.Entry{ID: "a", Service: "s", Slots: 1}, now)
+	choice, ok := after.view.Begin(backend.Need{Service: "s", Tokens: 1}, now)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(choice.Learned, qt.IsTrue)
+	// What is counted by others meanwhile is not added to it.
+	after.ledger.Began("w", now)
+	c.Check(after.ledger.Sum(window), qt.DeepEquals, usage.Counts{"w": 3})
+}
