Let a successor keep what it finds until it knows why it is there

Change: a planner that takes over holds on to what is present for the delays that hold for any fall (2 s on demand, three boot times reclaimable); by then the cloud has declined what zones do not have.

--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -80,6 +80,8 @@
 	asked time.Time
 	// since is when the planner began to look.
 	since time.Time
+	// succeeds is set for a planner that takes over from an earlier holder's.
+	succeeds bool
 	// reclaimed is when a zone last had no reclaimable servers to give.
 	reclaimed time.Time
 }
@@ -126,6 +128,7 @@
 	if p.since.IsZero() && s.Load != (demand.Load{}) {
 		// An earlier holder has given up its orders; the demand is known.
 		p.asked = now.Add(-learnFor)
+		p.succeeds = true
 	}
 	if p.asked.IsZero() {
 		p.found = max(p.found, s.present())
@@ -218,6 +221,12 @@
 		delay = fallDelay(boot)
 	}
 	held, known := p.held[order.Market]
+	if !known && p.succeeds && order.Present > order.Count {
+		// Why an earlier holder wanted them is not known: a zone that has none to give
+		// shows when it is asked.
+		held, known = wanted{count: order.Present, at: now}, true
+		p.held[order.Market] = held
+	}
 	if !known || order.Count >= held.count || now.Sub(held.at) >= delay {
 		p.held[order.Market] = wanted{count: order.Count, at: now}
 		return order.Count
