Let callers whose answer is late already go behind those that can be in time

Cause: after the death of all daemons, and wherever requests are refused, callers come back together with new ones. Change: package firsttry learns the time limit that first tries of a route state, and so how long ago a caller with less first tried; the lease's record keeps it. An overdue request goes to the engine with a lower priority, is not counted in the queue of others and is refused only when its caller would not wait for the rest. The decision is one type, route.Timing, for the daemon and the model. Test: the model's death of all with few servers, in order and in any order.

--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -88,6 +88,8 @@
 	// key is how daemons name the server to each other.
 	key uint32
 	own Load
+	// deferred are prompt tokens of this daemon that go behind all others there.
+	deferred int
 	// remote is what others have in flight on the server, as of remoteAt.
 	remote   Load
 	remoteAt time.Time
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -187,6 +187,8 @@
 	Target  time.Duration
 	// Tried are servers to avoid.
 	Tried map[string]bool
+	// Deferred attempts go behind all others at the engine.
+	Deferred bool
 	// Draw is a number that differs between requests. It picks the servers that
 	// are looked at beside the homes of the prompt, where there are many.
 	Draw uint64
@@ -242,7 +244,11 @@
 		if need.Only != "" && s.ID != need.Only {
 			continue
 		}
-		offers = append(offers, s.offer(s.work(prompt, traits, need), engines, now))
+		offer := s.offer(s.work(prompt, traits, need), engines, now)
+		if need.Deferred && engines != nil {
+			offer.Queue += engines.Queue(s.deferred)
+		}
+		offers = append(offers, offer)
 	}
 	picked, ok := route.Pick(offers, route.Need{Zone: need.Zone, Target: need.Target, Tried: need.Tried, AnyZone: traits.CacheTokens > 0})
 	if !ok {
@@ -260,7 +266,11 @@
 		choice.Load = loadOf(work, need.Answer, traits, s.Slots, engines)
 	}
 	s.own.Running++
-	s.own.PendingTokens += work.Unread
+	if need.Deferred {
+		s.deferred += work.Unread
+	} else {
+		s.own.PendingTokens += work.Unread
+	}
 	return choice, true
 }
 
@@ -388,7 +398,7 @@
 // The caller holds the lock.
 func (c *Choice) learnFirst() {
 	engines := c.view.pace(c.need.Service)
-	if engines == nil || c.Running >= c.Slots || c.queued > c.Unread {
+	if engines == nil || c.need.Deferred || c.Running >= c.Slots || c.queued > c.Unread {
 		return
 	}
 	took := c.firstAt.Sub(c.begun)
@@ -411,10 +421,15 @@
 }
 
 func (c *Choice) read() {
-	if c.pending {
-		c.pending = false
-		c.server.own.PendingTokens -= c.Unread
+	if !c.pending {
+		return
+	}
+	c.pending = false
+	if c.need.Deferred {
+		c.server.deferred -= c.Unread
+		return
 	}
+	c.server.own.PendingTokens -= c.Unread
 }
 
 // End counts the attempt out.
--- a/internal/experiment/callers.go
+++ b/internal/experiment/callers.go
@@ -73,7 +73,7 @@
 		w.result.ask(r)
 	}
 	if w.now.Before(w.downUntil) {
-		w.again(r, &w.result.Failed)
+		w.againAfter(connectWait, r, &w.result.Failed)
 		return
 	}
 	choice, from, ok := w.policy.pick(r.daemon, r)
@@ -113,12 +113,14 @@
 }
 
 // again sends a request once more, or counts how it ended.
-func (w *world) again(r *request, end *int) {
+func (w *world) again(r *request, end *int) { w.againAfter(comeBack, r, end) }
+
+func (w *world) againAfter(wait time.Duration, r *request, end *int) {
 	if r.tries > 1 {
 		*end++
 		return
 	}
-	w.after(comeBack, func() { w.send(r) })
+	w.after(wait, func() { w.send(r) })
 }
 
 func (w *world) engine(id string) *engine {
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -53,6 +53,17 @@
 	return time.Duration((to*to - from*from) / 1e6 * float64(million))
 }
 
+// lastRank is behind those of all kinds.
+const lastRank = 100
+
+// rank is the engine's order of admission.
+func (j *job) rank() int {
+	if j.deferred {
+		return lastRank + j.kind.Rank
+	}
+	return j.kind.Rank
+}
+
 // maxCachedParts bounds the cached parts by number; their memory binds before.
 const maxCachedParts = 1 << 14
 
@@ -98,7 +109,7 @@
 	j.unread = max(1, j.tokens-kept)
 	e.world.noteRead(j.parts, kept)
 	e.waiting = append(e.waiting, j)
-	slices.SortStableFunc(e.waiting, func(a, b *job) int { return cmp.Compare(a.kind.Rank, b.kind.Rank) })
+	slices.SortStableFunc(e.waiting, func(a, b *job) int { return cmp.Compare(a.rank(), b.rank()) })
 	e.kick()
 }
 
--- a/internal/experiment/faults_test.go
+++ b/internal/experiment/faults_test.go
@@ -30,6 +30,28 @@
 	c.Check(dead[8] > 0.8, qt.IsTrue, qt.Commentf("%v", dead))
 }
 
+// TestCallersInTimeGoFirstAfterTheDeathOfAll: callers that could not reach any daemon come
+// back together with new ones, and few servers are there. More is earned of those two
+// seconds than where all go in any order.
+func TestCallersInTimeGoFirstAfterTheDeathOfAll(t *testing.T) {
+	c := qt.New(t)
+	day := sample(c, "suite/01-fast-readers.yaml")
+	day.Reclaims, day.Bursts, day.Cuts = nil, nil, nil
+	day.Deaths = []Death{{At: config.Duration(20 * time.Second), Down: config.Duration(1500 * time.Millisecond)}}
+	day.Length = config.Duration(30 * time.Second)
+	const span, seeds = 10, 6
+	earned := func(p Policy) (sum float64) {
+		for seed := range uint64(seeds) {
+			sum += Play(day, p, sizing(c, "1+1"), seed).Shares()[span]
+		}
+		return sum / seeds
+	}
+	anyOrder := policy(c, "product")
+	anyOrder.anyOrder = true
+	inOrder, without := earned(policy(c, "product")), earned(anyOrder)
+	c.Check(inOrder > without+0.02, qt.IsTrue, qt.Commentf("%.3f, %.3f in any order", inOrder, without))
+}
+
 // TestCutZoneServesItself: a zone that is cut off goes on with its own servers.
 func TestCutZoneServesItself(t *testing.T) {
 	c := qt.New(t)
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -25,6 +25,9 @@
 	// choose returns the ID of one of the ready servers; nil stands for the
 	// product's own decision.
 	choose func(d *daemon, r *request, ready []backend.Status) string
+	// anyOrder lets callers that are late already go with the others, to see what the
+	// product's order is worth.
+	anyOrder bool
 }
 
 // Policies are all policies, the product's first.
@@ -55,10 +58,13 @@
 // when the request is refused.
 func (p Policy) pick(d *daemon, r *request) (choice *backend.Choice, from string, ok bool) {
 	now := d.world.now
+	age := now.Sub(r.arrived)
 	need := backend.Need{
 		Service: service, Zone: d.zone, Tokens: r.tokens, Parts: r.parts, Target: r.kind.Target.Std(),
 		Draw: d.world.random.Uint64(), Answer: pace.Answer{Allowed: r.output},
 	}
+	need.Deferred = p.choose == nil && !p.anyOrder && route.Overdue(age, need.Target)
+	r.deferred = need.Deferred
 	if p.choose != nil {
 		ready := slices.DeleteFunc(d.view.Servers(now), func(s backend.Status) bool { return !s.Ready })
 		if len(ready) == 0 {
@@ -76,7 +82,11 @@
 	if p.choose != nil {
 		return choice, "", true
 	}
-	if choice.Learned && route.TooLate(now.Sub(r.arrived)+choice.Wait, choice.Own, need.Target) {
+	if p.anyOrder {
+		age = 0
+	}
+	timing := route.Timing{Age: age, Wait: choice.Wait, Own: choice.Own, Target: need.Target, Left: r.kind.Limit.Std() - age}
+	if choice.Learned && timing.Refuse() {
 		choice.End(backend.OutcomeNeutral, now)
 		return nil, "", false
 	}
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -22,6 +22,8 @@
 	// comeBack is when a caller whose request was refused or broken off sends it
 	// again; it does so once.
 	comeBack = 150 * time.Millisecond
+	// connectWait is how long a caller tries to connect before it tries again.
+	connectWait = time.Second
 )
 
 // origin is the virtual time at which callers come.
@@ -38,6 +40,8 @@
 	// arrived is the caller's first sending; tries counts them.
 	arrived time.Time
 	tries   int
+	// deferred is set for a request that goes behind those that are not overdue.
+	deferred bool
 	// late is set when the first event or a pause was over its target.
 	late bool
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -75,13 +75,29 @@
 		Server:   choice.Entry,
 		Left:     time.Until(r.call.CallerDeadline()),
 		After:    r.after,
-		Priority: min(9, r.call.Rank),
+		Priority: r.priority(),
 
 		FetchFrom: choice.FetchFrom,
 		MaxIdle:   r.maxIdle(),
 	}
 }
 
+// overdueRank is added to the rank of a call that is late whatever happens: it goes behind
+// all that are not, whose ranks are 0 to 2 at today's users.
+const overdueRank = 5
+
+// lastPriority is the least urgent that engines know.
+const lastPriority = 9
+
+// priority returns the engine's order of admission.
+func (r *run) priority() int {
+	rank := r.call.Rank
+	if r.overdue() {
+		rank += overdueRank
+	}
+	return min(lastPriority, rank)
+}
+
 // maxIdle returns how long a connection for the call may have been idle.
 func (r *run) maxIdle() time.Duration {
 	if r.call.Route.Repeat == catalog.RunsAgain {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
+	"github.com/plankridge/plankridge/internal/firsttry"
 	"github.com/plankridge/plankridge/internal/pace"
 	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/route"
@@ -56,6 +57,8 @@
 	Budget  Budget
 	Usage   Usage
 	Demand  Demand
+	// Limits tell how long ago a caller first tried.
+	Limits *firsttry.Limits
 	// Notice tells other daemons of a prompt that keeps a server reading for long.
 	Notice func(serverID string, tokens int)
 	// Freshness returns how long ago the store told of the servers, and whether
@@ -93,7 +96,9 @@
 	// after is the last event that the caller has.
 	after string
 	// cost is what the call takes of its workspace's allowance.
-	cost    float64
+	cost float64
+	// age is how long before this attempt the caller first tried.
+	age     time.Duration
 	first   time.Duration
 	status  int
 	history []attempted
@@ -107,6 +112,9 @@
 		Forwarder: f, call: call, reply: reply, tried: map[string]bool{}, after: call.After,
 		life: request.NewLife(call.Route.MayRepeat()),
 	}
+	if f.options.Limits != nil {
+		r.age = f.options.Limits.Age(call.Route.Name, call.Limit)
+	}
 	err := r.admitted(ctx)
 	r.record(ctx, err)
 	return err
@@ -208,8 +216,14 @@
 // tooLate refuses a call whose first answer would come so late that another
 // caller is better served by the same work.
 func (r *run) tooLate(choice *backend.Choice, now time.Time) *Refusal {
-	elapsed := now.Sub(r.call.Arrived)
-	if r.call.Prompt == nil || r.mayHaveRun() || !choice.Learned || !route.TooLate(elapsed+choice.Wait, choice.Own, r.call.Route.Target) {
+	if r.call.Prompt == nil || r.mayHaveRun() || !choice.Learned {
+		return nil
+	}
+	timing := route.Timing{
+		Age: r.age + now.Sub(r.call.Arrived), Wait: choice.Wait, Own: choice.Own,
+		Target: r.call.Route.Target, Left: r.call.CallerDeadline().Sub(now),
+	}
+	if !timing.Refuse() {
 		return nil
 	}
 	return &Refusal{
@@ -218,9 +232,14 @@
 	}
 }
 
+// overdue reports whether the caller first tried so long ago that its answer is late
+// whatever happens.
+func (r *run) overdue() bool { return route.Overdue(r.age, r.call.Route.Target) }
+
 func (r *run) need() backend.Need {
 	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.Target, Tried: r.tried, Draw: xxhash.Sum64String(r.call.ID)}
 	if p := r.call.Prompt; p != nil {
+		need.Deferred = r.overdue()
 		need.Tokens, need.Parts, need.Answer, need.Resumed = p.Tokens, p.Parts, pace.Answer{Allowed: p.MaxOutput, Hinted: p.LikelyOutput}, r.after != ""
 	}
 	return need
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -39,6 +39,8 @@
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Paces are what was learned of the engines, by service.
 	Paces map[string]pace.EngineFigures `json:"paces,omitempty"`
+	// Limits are the time limits that first tries of each route state.
+	Limits map[string]time.Duration `json:"limits,omitempty"`
 	// Windows are the requests that began in the latest windows, over all daemons.
 	Windows map[int64]usage.Counts `json:"windows,omitempty"`
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -90,6 +90,36 @@
 	return first > time.Duration(lateFactor*float64(target)) && wait > time.Duration(waitFactor*float64(target))
 }
 
+// leftFactor times the time that a caller has left is the predicted time to the first
+// event up to which a request that is late already waits: the rest of the answer needs
+// time too.
+const leftFactor = 0.5
+
+// Timing is what is known of a request's time when a server has been picked for it.
+type Timing struct {
+	// Age is how long ago the caller first tried; zero where that is not known.
+	Age time.Duration
+	// Wait is the predicted time to the first event from now, Own the part of it that the
+	// request would take on an idle server.
+	Wait, Own time.Duration
+	// Target is the time to the first event that the route asks for, Left how much longer
+	// the caller waits.
+	Target, Left time.Duration
+}
+
+// Overdue reports whether a caller first tried so long ago that its answer is late
+// whatever happens. It goes behind those whose answers may be in time.
+func Overdue(age, target time.Duration) bool { return age > target }
+
+// Refuse reports whether a request is better refused at once. One that is overdue is
+// served as long as its caller waits for the rest of the answer.
+func (t Timing) Refuse() bool {
+	if Overdue(t.Age, t.Target) {
+		return t.Wait > time.Duration(leftFactor*float64(t.Left))
+	}
+	return TooLate(t.Age+t.Wait, t.Age+t.Own, t.Target)
+}
+
 // Pick returns the server with the least predicted wait, in the caller's own
 // availability zone while the wait there is at most half of the target. Equal
 // waits are told apart by price. It returns false when no server may take the
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -92,3 +92,20 @@
 	c.Check(TooLate(usual+240*time.Millisecond, usual, target), qt.IsFalse)
 	c.Check(TooLate(usual+300*time.Millisecond, usual, target), qt.IsTrue)
 }
+
+// TestOverdueRequestsWaitAndOthersAreRefused: behind a queue a caller whose answer is late
+// already is served while it waits for the rest, and one that came for the first time is
+// told at once that it would be late.
+func TestOverdueRequestsWaitAndOthersAreRefused(t *testing.T) {
+	c := qt.New(t)
+	fresh := Timing{Wait: 400 * time.Millisecond, Own: 50 * time.Millisecond, Target: 500 * time.Millisecond, Left: 10 * time.Second}
+	c.Check(fresh.Refuse(), qt.IsTrue)
+	again := fresh
+	again.Age = time.Second
+	c.Check(again.Refuse(), qt.IsFalse)
+	again.Left = 700 * time.Millisecond
+	c.Check(again.Refuse(), qt.IsTrue)
+	young := fresh
+	young.Wait, young.Age = 100*time.Millisecond, 300*time.Millisecond
+	c.Check(young.Refuse(), qt.IsFalse, qt.Commentf("its own time since the first try is no queue"))
+}
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -18,7 +18,7 @@
 func (s *state) remember() lease.Memory {
 	now := time.Now()
 	reach, _ := s.reach(now)
-	return lease.Memory{Daemons: reach.Known, Levels: s.limiter.Levels(now), Paces: s.view.Paces(), Windows: s.ledger.All(windowsTold)}
+	return lease.Memory{Daemons: reach.Known, Levels: s.limiter.Levels(now), Paces: s.view.Paces(), Limits: s.limits.Usual(), Windows: s.ledger.All(windowsTold)}
 }
 
 // lastMemory reads what the last holder of the lease knew. Without it a daemon starts
@@ -44,6 +44,7 @@
 func (s *state) recall(memory lease.Memory, listed int, now time.Time) {
 	daemons := max(listed, memory.Daemons)
 	s.view.Learn(memory.Paces)
+	s.limits.Recall(memory.Limits)
 	// Counts only grow: where daemons that are still there know more, theirs stand.
 	s.ledger.HeardAll(memory.Windows)
 	s.limiter.Open(allowance.Opening{Daemons: daemons, Levels: memory.Levels}, now)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -168,6 +168,7 @@
 		Budget:  r.budget,
 		Usage:   r.state.ledger,
 		Demand:  r.state.demand,
+		Limits:  r.state.limits,
 		Notice:  r.state.notice,
 
 		Freshness: r.state.Freshness,
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -10,6 +10,7 @@
 	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/demand"
+	"github.com/plankridge/plankridge/internal/firsttry"
 	"github.com/plankridge/plankridge/internal/rollup"
 	"github.com/plankridge/plankridge/internal/usage"
 	"github.com/plankridge/plankridge/platform"
@@ -22,6 +23,7 @@
 	limiter *allowance.Limiter
 	ledger  *usage.Ledger
 	demand  *demand.Meter
+	limits  *firsttry.Limits
 	catalog atomic.Pointer[catalog.Catalog]
 	started time.Time
 	// configured is closed with the first configuration.
@@ -73,7 +75,7 @@
 	now := time.Now()
 	return &state{
 		router: r, view: backend.NewView(), limiter: allowance.NewLimiter(toleranceOf(r.settings.Bounds), now), ledger: newLedger(r.settings),
-		demand: demand.NewMeter(), sums: rollup.New(), sent: map[uint64]rollup.Counts{},
+		demand: demand.NewMeter(), limits: firsttry.NewLimits(), sums: rollup.New(), sent: map[uint64]rollup.Counts{},
 		started: now, configured: make(chan struct{}), listing: newListing(), differs: map[string]time.Time{},
 	}
 }
