Count as found only what was there before the first orders

Change: the fleet found is fixed with the first order; servers on demand stand in for what the load needs, not for what was found.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -104,7 +104,8 @@
 	for i, z := range zones {
 		expected += targets[i].OnDemand + expectable(z, targets[i])
 	}
-	addOnDemand(s.Scaling.Max, zones, targets, needed-expected)
+	// What was found is not worth the price of servers on demand.
+	addOnDemand(s.Scaling.Max, zones, targets, engines(s.Load, len(s.Zones))-expected)
 	return targets
 }
 
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -131,7 +131,10 @@
 		p.succeeds = true
 	}
 	if p.asked.IsZero() {
-		p.found = max(p.found, s.present())
+		if len(p.given) == 0 {
+			// Later, servers that are to be replaced and those that replace them are there.
+			p.found = max(p.found, s.present())
+		}
 		if s.Load != (demand.Load{}) {
 			p.asked = now
 		}
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/demand"
 )
 
 var now = time.Unix(1000, 0)
@@ -210,3 +212,20 @@
 	c.Check(onDemand(20*time.Second, 2), qt.Equals, 3)
 	c.Check(onDemand(4*time.Second, 0), qt.Equals, 3)
 }
+
+// TestReplacementsAreNotFound: servers found at the start and those that replace them are
+// there together for a while; the fleet found is no larger for that.
+func TestReplacementsAreNotFound(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	s := present(3, 0)
+	s.Load = demand.Load{}
+	answer(p, s, now, ReplyTaken)
+	answer(p, s, now.Add(lookFor), ReplyTaken)
+	both := present(3, 3)
+	both.Load = demand.Load{}
+	for _, o := range answer(p, both, now.Add(lookFor+4*time.Second), ReplyTaken) {
+		c.Check(o.Count <= 3, qt.IsTrue, qt.Commentf("%+v", o))
+	}
+	c.Check(p.found, qt.Equals, 9)
+}
