Split the view of servers: picked servers and learned paces on their own

Pure moves, and Begin in shorter steps; no change of behaviour (tests of backend, experiment and onplatform as before).

--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/pace"
 	"github.com/plankridge/plankridge/internal/route"
 )
@@ -196,61 +195,16 @@
 	Only string
 }
 
-// Choice is a picked server. End must be called when the attempt is over.
-type Choice struct {
-	Entry
-	// Wait is the predicted time to the first event, Own the part of it that the
-	// attempt would take on an idle server.
-	Wait time.Duration
-	Own  time.Duration
-	// Learned is set once the predictions come from what was seen of the engines.
-	Learned bool
-	// Load is what the attempt asks of the engines.
-	Load demand.Load
-	// Large is set where the prompt keeps an engine reading for long.
-	Large bool
-	// Unread is the number of prompt tokens that the engine is predicted to
-	// read.
-	Unread int
-	// FetchFrom is the address of a server to copy prompt parts from, or empty.
-	FetchFrom string
-	// Running is what the server had in hand, as far as it is known.
-	Running int
-
-	view    *View
-	server  *server
-	need    Need
-	work    pace.Work
-	queued  int
-	pending bool
-	begun   time.Time
-	// firstAt and lastAt are when the first and the last event came, of so many.
-	firstAt, lastAt time.Time
-	events          int
-}
-
 // Begin picks a server for an attempt and counts the attempt in. It returns
 // false when the service has none to offer.
 func (v *View) Begin(need Need, now time.Time) (*Choice, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	traits := v.traits[need.Service]
-	servers := v.candidates(need.Service, now)
-	servers = shortlist(servers, need)
+	servers := shortlist(v.candidates(need.Service, now), need)
 	prompt := newPlacement(need.Parts, servers, traits, now)
 	engines := v.pace(need.Service)
-	offers := make([]route.Server, 0, len(servers))
-	for _, s := range servers {
-		if need.Only != "" && s.ID != need.Only {
-			continue
-		}
-		offer := s.offer(s.work(prompt, traits, need), engines, now)
-		if need.Deferred && engines != nil {
-			offer.Queue += engines.Queue(s.deferred)
-		}
-		offers = append(offers, offer)
-	}
-	picked, ok := route.Pick(offers, route.Need{Zone: need.Zone, Target: need.Target, Tried: need.Tried, AnyZone: traits.CacheTokens > 0})
+	picked, ok := route.Pick(offersOf(servers, need, prompt, traits, engines, now), route.Need{Zone: need.Zone, Target: need.Target, Tried: need.Tried, AnyZone: traits.CacheTokens > 0})
 	if !ok {
 		return nil, false
 	}
@@ -265,68 +219,24 @@
 		choice.Large = isLarge(engines.Read(work), need.Target)
 		choice.Load = loadOf(work, need.Answer, traits, s.Slots, engines)
 	}
-	s.own.Running++
-	if need.Deferred {
-		s.deferred += work.Unread
-	} else {
-		s.own.PendingTokens += work.Unread
-	}
+	choice.countIn()
 	return choice, true
 }
 
-// pace returns what was learned of a service's engines, nil for a plain service. The
-// caller holds the lock.
-func (v *View) pace(service string) *pace.Engine {
-	traits := v.traits[service]
-	if traits.CacheTokens == 0 {
-		return nil
-	}
-	if v.paces[service] == nil {
-		engines := pace.NewEngine(traits.FetchRate)
-		engines.Learn(v.early[service])
-		delete(v.early, service)
-		v.paces[service] = engines
-	}
-	return v.paces[service]
-}
-
-// Paces returns what this daemon has learned of the engines, by service.
-func (v *View) Paces() map[string]pace.EngineFigures {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	figures := make(map[string]pace.EngineFigures, len(v.paces))
-	for service, engines := range v.paces {
-		figures[service] = engines.Figures()
-	}
-	return figures
-}
-
-// Learn takes over what other daemons have learned of the engines.
-func (v *View) Learn(figures map[string]pace.EngineFigures) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for service, learned := range figures {
-		engines := v.pace(service)
-		if engines == nil {
-			v.early[service] = learned
+// offersOf returns what the servers that may be used offer an attempt.
+func offersOf(servers []*server, need Need, prompt placement, traits Traits, engines *pace.Engine, now time.Time) []route.Server {
+	offers := make([]route.Server, 0, len(servers))
+	for _, s := range servers {
+		if need.Only != "" && s.ID != need.Only {
 			continue
 		}
-		engines.Learn(learned)
-	}
-}
-
-// loadOf returns what an attempt asks of the engines. A batch that is half full is
-// taken for the speed of its stream.
-func loadOf(work pace.Work, answer pace.Answer, traits Traits, slots int, engines *pace.Engine) demand.Load {
-	held := (engines.FirstEvent(work) + engines.Stream(answer, slots/2)).Seconds()
-	load := demand.Load{
-		Reading: engines.Read(work).Seconds(),
-		Memory:  held * (float64(work.Prompt) + engines.Tokens(answer)) / float64(traits.CacheTokens),
-	}
-	if slots > 0 {
-		load.Places = held / float64(slots)
+		offer := s.offer(s.work(prompt, traits, need), engines, now)
+		if need.Deferred && engines != nil {
+			offer.Queue += engines.Queue(s.deferred)
+		}
+		offers = append(offers, offer)
 	}
-	return load
+	return offers
 }
 
 // candidates returns the servers in service, or those that leave when there is
@@ -377,75 +287,6 @@
 	return offer
 }
 
-// Event notes that an event of the answer has come. With the first one the prompt is
-// read.
-func (c *Choice) Event(now time.Time) {
-	if c.events++; c.events > 1 {
-		c.lastAt = now
-		return
-	}
-	c.firstAt, c.lastAt = now, now
-	c.view.mu.Lock()
-	defer c.view.mu.Unlock()
-	c.read()
-	if c.server.cache != nil {
-		c.server.cache.add(c.need.Parts)
-	}
-	c.learnFirst()
-}
-
-// learnFirst takes over how long the first event took, unless a queue made most of it.
-// The caller holds the lock.
-func (c *Choice) learnFirst() {
-	engines := c.view.pace(c.need.Service)
-	if engines == nil || c.need.Deferred || c.Running >= c.Slots || c.queued > c.Unread {
-		return
-	}
-	took := c.firstAt.Sub(c.begun)
-	work := c.work
-	work.Unread += c.queued
-	work.Prompt += c.queued
-	c.server.sawFirst(engines.FirstEvent(work), took, c.firstAt)
-	engines.SawFirst(work, took)
-}
-
-// learnStream takes over how long the stream lasted; the caller holds the lock.
-func (c *Choice) learnStream() {
-	engines := c.view.pace(c.need.Service)
-	if engines == nil || c.events == 0 || c.need.Resumed {
-		return
-	}
-	tokens := c.events * max(1, c.view.traits[c.need.Service].EventTokens)
-	batch := min(c.Slots, (c.Running+c.server.load(c.lastAt).Running+1)/2)
-	engines.SawStream(tokens, c.need.Answer, batch, c.lastAt.Sub(c.firstAt))
-}
-
-func (c *Choice) read() {
-	if !c.pending {
-		return
-	}
-	c.pending = false
-	if c.need.Deferred {
-		c.server.deferred -= c.Unread
-		return
-	}
-	c.server.own.PendingTokens -= c.Unread
-}
-
-// End counts the attempt out.
-func (c *Choice) End(outcome Outcome, now time.Time) {
-	c.view.mu.Lock()
-	defer c.view.mu.Unlock()
-	c.read()
-	c.server.own.Running--
-	c.server.note(outcome, now)
-	if outcome == OutcomeServed {
-		c.learnStream()
-		took := now.Sub(c.begun)
-		c.server.serviceTime += time.Duration(serviceTimeWeight * float64(took-c.server.serviceTime))
-	}
-}
-
 // Status is one server's state for operators and for capacity decisions.
 type Status struct {
 	Entry
