Keep the fleet found where nothing is reclaimable

Change: where nothing is reclaimable the fleet found stands for servers on demand. Test: nine found, nine kept. The users' sites have reclaimable servers and run as before.

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -104,11 +104,20 @@
 	for i, z := range zones {
 		expected += targets[i].OnDemand + expectable(z, targets[i])
 	}
-	// What was found is not worth the price of servers on demand.
-	addOnDemand(s.Scaling.Max, zones, targets, engines(s.Load, len(s.Zones))-expected)
+	addOnDemand(s.Scaling.Max, zones, targets, worthOnDemand(s, needed)-expected)
 	return targets
 }
 
+// worthOnDemand is the number of servers up to which some on demand stand in for
+// reclaimable ones that are not to be had. What was found, before the demand is known, is
+// kept at the price of reclaimable servers, where there are such.
+func worthOnDemand(s State, needed int) int {
+	if s.Scaling.SpotPrice > 0 {
+		return engines(s.Load, len(s.Zones))
+	}
+	return needed
+}
+
 // calmBase is the number of zones with a server on demand while nothing is reclaimed:
 // what is left if all reclaimable servers go at once.
 const calmBase = 1
@@ -131,6 +140,7 @@
 	return 0
 }
 
+// total counts the servers of all targets.
 func total(targets []Target) int {
 	sum := 0
 	for _, t := range targets {
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -229,3 +229,13 @@
 	}
 	c.Check(p.found, qt.Equals, 9)
 }
+
+// TestFleetFoundIsKeptWhereNothingIsReclaimable: servers on demand are all there is.
+func TestFleetFoundIsKeptWhereNothingIsReclaimable(t *testing.T) {
+	c := qt.New(t)
+	s := present(3, 0)
+	s.Scaling.SpotPrice, s.Load, s.Least = 0, demand.Load{}, 9
+	onDemand, reclaimable := counts(Plan(s))
+	c.Check(onDemand, qt.Equals, 9)
+	c.Check(reclaimable, qt.Equals, 0)
+}
