Let zones hear each other again after a cut

The logs show 'peer forgotten' at 34.8 s in a zone that had been cut off from 4.7 to 10.2 s: a lead does not tell daemons that were silent when told before, so after the cut neither side told the other anything; after 30 s each forgot the other and took the whole allowance. Ruled out: the limiter under late sums (a simulation of 7 daemons with sums up to 0.6 s late and prompts of up to 56,000 tokens stays within), refunds, the opening. Change: a lead goes on telling two daemons of each zone of which it hears none, in turns of a second, and each fourth report goes to one address of a daemon that was forgotten.

--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -161,7 +161,12 @@
 
 func byVM(a, b Peer) int { return cmp.Compare(a.VM, b.VM) }
 
-// Sweep forgets peers that have been silent for long, and returns them.
+// mostHints bounds the addresses that are remembered: those of a zone at the size to
+// design for.
+const mostHints = 64
+
+// Sweep forgets peers that have been silent for long, and returns them. Their addresses
+// stay as hints: a long cut may end.
 func (m *Members) Sweep(now time.Time) []Peer {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -170,6 +175,9 @@
 		if now.Sub(p.lastSign()) >= forgetAfter {
 			gone = append(gone, p.Peer)
 			delete(m.peers, vm)
+			if len(m.hints) < mostHints {
+				m.hints[p.Address] = true
+			}
 		}
 	}
 	return gone
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -166,3 +166,39 @@
 }
 
 func vmName(i int) string { return string(rune('a'+i/26)) + string(rune('a'+i%26)) }
+
+// TestSilentZoneIsStillTold: a lead tells daemons of a zone of which it hears none, in
+// turns, and of a zone that is heard its relays alone.
+func TestSilentZoneIsStillTold(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(Self{VM: "a", Zone: "z", Address: "a:1"}, nil)
+	for _, vm := range []string{"p", "q", "r", "s"} {
+		m.hear(Peer{VM: vm, Zone: "far", Address: vm + ":1"}, 1, start)
+	}
+	c.Check(m.Plan(Condition{}, start).Far, qt.HasLen, relaysPerZone)
+	later := start
+	for _, vm := range []string{"p", "q", "r", "s"} {
+		m.asked(vm, later)
+	}
+	told := map[string]bool{}
+	for range 8 {
+		later = later.Add(2 * silentAfter)
+		far := m.Plan(Condition{}, later).Far
+		c.Check(len(far) > 0, qt.IsTrue, qt.Commentf("at %v", later.Sub(start)))
+		for _, p := range far {
+			told[p.VM] = true
+		}
+	}
+	c.Check(len(told) >= 3, qt.IsTrue, qt.Commentf("%v", told))
+}
+
+// TestForgottenPeersStayAsHints: a cut that lasts longer than peers are remembered may end.
+func TestForgottenPeersStayAsHints(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(self, nil)
+	m.hear(report("b", 1), 1, start)
+	m.Sweep(start.Add(forgetAfter))
+	c.Check(m.hintAddresses(), qt.DeepEquals, []string{"b:1"})
+	m.hear(report("b", 1), 2, start.Add(time.Hour))
+	c.Check(m.hintAddresses(), qt.HasLen, 0)
+}
--- a/internal/gossip/plan.go
+++ b/internal/gossip/plan.go
@@ -67,7 +67,7 @@
 		plan.Zone = m.zonePeers(now)
 	}
 	if plan.Lead {
-		plan.Far = others(relays, m.self.Zone)
+		plan.Far = append(others(relays, m.self.Zone), m.silentRelays(zones, now)...)
 	}
 	plan.Place = m.place(zones[m.self.Zone], relays, plan.Relay)
 	return plan
@@ -98,6 +98,31 @@
 	return staying
 }
 
+// probeTurn is how long a lead tells the same daemons of a zone of which it hears none.
+const probeTurn = time.Second
+
+// silentRelays returns daemons to tell in other zones of which none is heard: such a zone
+// may be cut off, and while nobody tells it anything neither side learns that the cut is
+// over. They take turns, since some may have gone for good. The caller holds the lock.
+func (m *Members) silentRelays(heard map[string][]Peer, now time.Time) []Peer {
+	silent := map[string][]Peer{}
+	for _, p := range m.peers {
+		if len(heard[p.Zone]) == 0 && now.Sub(p.lastSign()) < forgetAfter {
+			silent[p.Zone] = append(silent[p.Zone], p.Peer)
+		}
+	}
+	var told []Peer
+	for _, zone := range slices.Sorted(maps.Keys(silent)) {
+		peers := silent[zone]
+		slices.SortFunc(peers, byVM)
+		first := int(now.UnixNano() / int64(probeTurn) % int64(len(peers)))
+		for i := range min(relaysPerZone, len(peers)) {
+			told = append(told, peers[(first+i)%len(peers)])
+		}
+	}
+	return told
+}
+
 // pickRelays returns the first daemons, one more for each that the store does not
 // answer.
 func pickRelays(daemons []Peer) []Peer {
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -71,9 +71,15 @@
 	}
 }
 
-// tellFar tells the relays of other zones, from the lead.
+// hintEvery is how often, in reports, a lead tells one address at which a daemon may be
+// that it does not know any more.
+const hintEvery = 4
+
+// tellFar tells the relays of other zones, from the lead, and now and then an address of a
+// daemon that was forgotten.
 func (n *Node) tellFar(plan Plan, sequence uint64, now time.Time) {
-	if len(plan.Far) == 0 {
+	hint := n.hint(plan, sequence)
+	if len(plan.Far) == 0 && hint == "" {
 		return
 	}
 	summary := n.status(sequence)
@@ -82,6 +88,18 @@
 		summary.Known = named(n.options.Members.Known(now), namedFar, now)
 	}
 	n.tell(summary, plan.Far, now)
+	if hint != "" {
+		n.write(summary, hint)
+	}
+}
+
+// hint returns the address that a lead tells beside the daemons that it knows, or nothing.
+func (n *Node) hint(plan Plan, sequence uint64) string {
+	hints := n.options.Members.hintAddresses()
+	if !plan.Lead || len(hints) == 0 || sequence%hintEvery != 0 {
+		return ""
+	}
+	return hints[sequence/hintEvery%uint64(len(hints))]
 }
 
 // named lists the first peers of each zone that have been heard lately.
--- a/robustness/onplatform/duty_test.go
+++ b/robustness/onplatform/duty_test.go
@@ -199,7 +199,13 @@
 }
 
 // part cuts some daemons off from the others.
-func (b *bed) part(side ...int) {
+func (b *bed) part(side ...int) { b.across(b.net.Cut, side) }
+
+// heal undoes part.
+func (b *bed) heal(side ...int) { b.across(b.net.Heal, side) }
+
+// across does something to each pair of a daemon on a side and one that is not.
+func (b *bed) across(do func(one, other string), side []int) {
 	in := map[int]bool{}
 	for _, i := range side {
 		in[i] = true
@@ -207,7 +213,7 @@
 	for i := range b.daemons {
 		for j := range b.daemons {
 			if in[i] && !in[j] {
-				b.net.Cut(b.daemons[i].ip, b.daemons[j].ip)
+				do(b.daemons[i].ip, b.daemons[j].ip)
 			}
 		}
 	}
--- a/robustness/onplatform/relay_test.go
+++ b/robustness/onplatform/relay_test.go
@@ -1,6 +1,7 @@
 package onplatform
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -182,3 +183,27 @@
 		b.Check(b.reported(), qt.Equals, int64(20))
 	})
 }
+
+// TestZonesHearEachOtherAgainAfterACut: however long a zone was cut off, its daemons and
+// the others hear each other soon after, so that each counts on its own part of the
+// allowances alone.
+func TestZonesHearEachOtherAgainAfterACut(t *testing.T) {
+	for _, cut := range []time.Duration{6 * time.Second, 45 * time.Second, 2 * time.Minute} {
+		t.Run(cut.String(), func(t *testing.T) {
+			run(t, zonesOfFive, twoKeys, func(b *bed) {
+				// Every third daemon is of the first one's zone.
+				zone := []int{0, 3, 6, 9, 12}
+				b.part(zone...)
+				time.Sleep(cut)
+				b.heal(zone...)
+				time.Sleep(12 * time.Second)
+				for _, d := range b.daemons {
+					told := b.metrics(d)
+					for _, line := range []string{`plankridge_daemons{state="heard"} 15`, `plankridge_daemons{state="known"} 15`} {
+						b.Check(strings.Contains(told, line+"\n"), qt.IsTrue, qt.Commentf("%s: %s", d.ip, line))
+					}
+				}
+			})
+		})
+	}
+}
