--- a/internal/allowance/opening_test.go
+++ b/internal/allowance/opening_test.go
@@ -146,6 +146,6 @@
 		}
 		// Before the first death the burst and a second's refill are used.
 		used := 2*rate + 2*way.play(tolerance, life)
-			c.Check(used <= allowed, qt.IsTrue, qt.Commentf("%d daemons: %.0f of %.0f", daemons, used, allowed))
+		c.Check(used <= allowed, qt.IsTrue, qt.Commentf("%d daemons: %.0f of %.0f", daemons, used, allowed))
 	}
 }
