Let a daemon that starts learn of all others, not of those before it in the list

Cause: a restarted daemon stopped reading the list of daemons at its own entry.

Test: TestRestartLearnsOfAllOthers fails before (1 of 6 known).

--- a/internal/router/register.go
+++ b/internal/router/register.go
@@ -73,27 +73,14 @@
 // enter learns of the listed daemons and writes this one's entry if it is missing.
 func (r *Router) enter(ctx context.Context, page store.Page) error {
 	own := daemonEntry{Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers}
-	revision := int64(0)
-	now := time.Now()
+	standing, revision := r.learn(page, time.Now())
 	defer func() {
 		r.registered.Store(true)
 		r.state.useReach(time.Now())
 		r.node.Soon()
 	}()
-	for _, object := range page.Objects {
-		var entry daemonEntry
-		if err := json.Unmarshal(object.Spec, &entry); err != nil {
-			r.logger.Error("entry of a daemon cannot be decoded", "daemon", object.Name, "error", err)
-			continue
-		}
-		if object.Name != r.settings.VM.ID {
-			r.members.Learn(object.Name, entry.Zone, entry.Address, now)
-			continue
-		}
-		if entry == own {
-			return nil
-		}
-		revision = object.Revision
+	if standing == own {
+		return nil
 	}
 	var err error
 	if revision == 0 {
@@ -106,3 +93,22 @@
 	}
 	return err
 }
+
+// learn takes over who the other daemons are, all of them: a lead that knows a part of its
+// zone is heard by that part alone. It returns this daemon's own entry with its revision,
+// or zero.
+func (r *Router) learn(page store.Page, now time.Time) (own daemonEntry, revision int64) {
+	for _, object := range page.Objects {
+		var entry daemonEntry
+		if err := json.Unmarshal(object.Spec, &entry); err != nil {
+			r.logger.Error("entry of a daemon cannot be decoded", "daemon", object.Name, "error", err)
+			continue
+		}
+		if object.Name == r.settings.VM.ID {
+			own, revision = entry, object.Revision
+			continue
+		}
+		r.members.Learn(object.Name, entry.Zone, entry.Address, now)
+	}
+	return own, revision
+}
--- /dev/null
+++ b/internal/router/register_test.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/store"
+)
+
+// TestRestartLearnsOfAllOthers: those too that stand after this daemon's own entry. A lead
+// that started again learned of those before it alone, and the usage of the others of its
+// zone was missing for 20 s.
+func TestRestartLearnsOfAllOthers(t *testing.T) {
+	c := qt.New(t)
+	r := testRouter(t)
+	own := daemonEntry{Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers}
+	var page store.Page
+	add := func(name string, entry daemonEntry) {
+		spec, err := json.Marshal(entry)
+		c.Assert(err, qt.IsNil)
+		page.Objects = append(page.Objects, store.Object{Name: name, Spec: spec, Revision: int64(len(page.Objects) + 1)})
+	}
+	add("a-first", daemonEntry{Zone: "z", Address: "10.2.0.1:1"})
+	add(r.settings.VM.ID, own)
+	for i := range 5 {
+		add(fmt.Sprintf("z-%d", i), daemonEntry{Zone: "z", Address: fmt.Sprintf("10.2.1.%d:1", i)})
+	}
+	c.Assert(r.enter(t.Context(), page), qt.IsNil)
+	c.Check(r.members.Known(time.Now()), qt.HasLen, 6)
+}
