--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -78,13 +78,20 @@
 }
 
 const (
-	mostUsed   = 0.3
+	// mostUsed is the part of the tolerance that is used on purpose: small workspaces, for
+	// which it is large, are not refused the last request of a window.
+	mostUsed = 0.3
+	// coverShare is the part of the tolerance that is left to a sudden jump of a workspace.
+	// The rest covers lost reports, cuts and starts. Were nothing held back for jumps, deaths
+	// of all and cuts beside a jump would break the rule (TestDeathOfAllWhileAWorkspaceIsHot,
+	// TestZoneCutWhileAWorkspaceIsHot).
 	coverShare = 0.5
+	// handOut is the time over which what is free goes to those that want more than that.
+	// Over 0.35 s, the time until 8 daemons hear of each other, the same tests break: the
+	// room that a jump leaves is used up at once 8 s later, and more in each turn.
+	handOut = 1500 * time.Millisecond
 )
 
-// handOut is the time over which what is free goes to those that want more than that.
-const handOut = 1500 * time.Millisecond
-
 // NewLimiter returns a limiter without workspaces. Until it is told of others, it takes
 // itself for one of many, and the allowances for used up.
 func NewLimiter(tolerance Tolerance, now time.Time, draw func() float64) *Limiter {
@@ -262,6 +269,7 @@
 	}
 	wait := a.used.untilGone(missing/l.share, now)
 	if l.asked(a) > 0 && l.draw != nil {
+		// Were all that were refused to come back as it leaves, it would go to few of them.
 		wait += time.Duration(l.draw() * float64(wait))
 	}
 	return wait
