--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -66,6 +66,12 @@
 // before they start.
 func run(t *testing.T, daemons int, prepare func(b *bed), test func(b *bed)) {
 	t.Parallel()
+	runAlone(t, daemons, prepare, test)
+}
+
+// runAlone is run for so many daemons that no other test may run beside it: the race
+// detector bears 8,128 goroutines, and a daemon has some 25.
+func runAlone(t *testing.T, daemons int, prepare func(b *bed), test func(b *bed)) {
 	synctest.Test(t, func(t *testing.T) {
 		b := &bed{C: qt.New(t), net: memnet.New(), store: fake.NewStore(), cloud: fake.NewCloud(), version: 1}
 		b.serve(storeIP+":1", b.store)
