--- a/robustness/onplatform/start_test.go
+++ b/robustness/onplatform/start_test.go
@@ -62,7 +62,7 @@
 }
 
 // TestOutagesCostFewCalls: while the store answers nobody, and when it is back, calls do
-// not grow with the daemons: 3,555 when all of 240 tried at once.
+// not grow with the daemons: 2,381 when all of 160 tried at once.
 func TestOutagesCostFewCalls(t *testing.T) {
 	runAlone(t, 160, func(b *bed) {
 		b.store.SetPageSize(500)
