--- a/internal/allowance/history_test.go
+++ b/internal/allowance/history_test.go
@@ -54,8 +54,10 @@
 	// cut is set for a zone that neither hears others nor is heard.
 	cut  bool
 	zone int
-	// unread is set when daemons that start cannot read what was recorded.
+	// unread is set when daemons that start cannot read what was recorded, and late when
+	// they read it so much later.
 	unread bool
+	late   time.Duration
 }
 
 // outcome is what callers got.
@@ -188,7 +190,9 @@
 		case p.now == e.at && d.alive:
 			p.bury(d)
 		case p.now == e.until && !d.alive:
-			p.begin(d, !e.unread)
+			p.begin(d, !e.unread && e.late == 0)
+		case e.late > 0 && p.now == e.until+e.late && d.alive:
+			d.limiter.Open(Opening{Uses: p.record, Age: d.started - p.recordedAt}, p.time())
 		}
 	}
 }
--- a/internal/allowance/play_test.go
+++ b/internal/allowance/play_test.go
@@ -163,6 +163,16 @@
 	}, kept)
 }
 
+// TestRecordThatIsReadLate: what daemons use until then is little.
+func TestRecordThatIsReadLate(t *testing.T) {
+	play(t, 4, func(r *rand.Rand) script {
+		hot := ms(r, 9000, 14_000)
+		death := deathOfAll(hot+ms(r, 0, 4000), time.Second)
+		death.late = ms(r, 200, 2500)
+		return script{hot: hot, x: 3 + 1.5*r.Float64(), events: []event{death}}
+	}, kept)
+}
+
 // TestMistakesShow: histories break the rule when daemons do not count what others have
 // used, when they forget at their start what was used before, and when those on both sides
 // of a cut take themselves for all.
