Tell changes of the servers before more are gathered, and walk all servers less often

Found on reading the change again: - The follower gathered changes before it advanced its revision, so that the daemons of the zone fetched a server that leaves up to 200 ms later, and asked in vain meanwhile (TestChangesAreToldBeforeMoreAreGathered; gathering had no test). - Each changed entry walked all servers for those to forget (33 µs at 3,000) and dropped the list of servers in service, also where nobody came or left. Now once a second, and when one comes or leaves (TestListOfServersInServiceIsKeptUpToDate). - Concise looked servers up in each comparison and collected their keys also where there were few: BenchmarkConcise 2.9 ms, 1.4 ms. - A silent peer counted as just started for 30 s, and was told the uses.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -174,7 +174,7 @@
 	need := min(tokens, a.limit)
 	free := l.free(a, now) + l.margin(a)
 	unheard := l.unheard(a, now)
-	if need+unheard <= free || l.lucky(a, need, free, now) {
+	if need+unheard <= free || l.drawn(a, need, free, now) {
 		a.used.add(tokens, now)
 		a.spent += tokens
 		return Verdict{Admitted: true}
@@ -250,8 +250,8 @@
 	return min(reckonFor, l.behind+now.Sub(heardAt))
 }
 
-// lucky draws whether a request is among those to which the rest goes.
-func (l *Limiter) lucky(a *account, need, free float64, now time.Time) bool {
+// drawn draws whether a request is among those to which the rest goes.
+func (l *Limiter) drawn(a *account, need, free float64, now time.Time) bool {
 	if free <= 0 || l.draw == nil {
 		return false
 	}
--- a/internal/allowance/opening.go
+++ b/internal/allowance/opening.go
@@ -11,9 +11,10 @@
 }
 
 const (
-	// assumedRise is how much all are taken to be asked for until they have told it, as a
-	// multiple of the allowance's rate: a workspace that asks for seven times its usual
-	// asks for four times its allowance where that is nearly twice its usual.
+	// assumedRise is how much all may suddenly be asked for, as a multiple of the
+	// allowance's rate, before they have told it: a start value that nothing replaces.
+	// Histories with jumps to seven times the rate keep the rule with it
+	// (TestJumpsStayWithin); more would hold more back from workspaces that never jump.
 	assumedRise = 4
 	// unknownShare is the part of the tolerance that all daemons together use after a
 	// start while nothing is known of before.
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -37,8 +37,10 @@
 	early     map[string]pace.EngineFigures
 	outageEnd time.Time
 	// inService are the servers in service, by service, as far as they were asked for
-	// since the list last changed.
+	// since one last came or left.
 	inService map[string][]*server
+	// prunedAt is when servers to forget were last looked for.
+	prunedAt time.Time
 	// listed is set once a whole list was taken over.
 	listed  bool
 	changed chan struct{}
@@ -65,7 +67,6 @@
 
 // announce lets all know that the list has changed.
 func (v *View) announce() {
-	clear(v.inService)
 	close(v.changed)
 	v.changed = make(chan struct{})
 }
@@ -129,7 +130,11 @@
 		s = &server{key: KeyOf(e.ID), idHash: xxhash.Sum64String(e.ID), joinedAt: now}
 		v.servers[e.ID] = s
 	}
+	before, service := s.ready(), s.Service
 	s.Entry, s.listed = e, true
+	if s.ready() != before || e.Service != service {
+		clear(v.inService)
+	}
 	if e.Draining {
 		s.leave(now, now.Add(lastResort))
 		return
@@ -139,6 +144,7 @@
 
 // lapse marks a server whose entry is gone.
 func (v *View) lapse(s *server, now time.Time) {
+	clear(v.inService)
 	s.listed = false
 	until := now.Add(lastResort)
 	if grace := v.outageEnd.Add(afterOutage); !s.Draining && grace.After(until) {
@@ -151,7 +157,15 @@
 // that are still on their way.
 const forgetAfter = time.Minute
 
+// pruneEvery is the time between two walks over all servers for those to forget. With a
+// walk for each changed entry, one of 3,000 servers took 33 µs.
+const pruneEvery = time.Second
+
 func (v *View) prune(now time.Time) {
+	if now.Sub(v.prunedAt) < pruneEvery {
+		return
+	}
+	v.prunedAt = now
 	for id, s := range v.servers {
 		if !s.listed && now.Sub(s.leftAt) > forgetAfter && s.own.Running == 0 {
 			delete(v.servers, id)
@@ -261,7 +275,7 @@
 }
 
 // candidates returns the servers in service, or those that leave when there is
-// no other, in the order of their IDs. Those in service are kept until the list changes: to
+// no other, in the order of their IDs. Those in service are kept until one comes or leaves: to
 // collect and rank 2,600 for each request took 3.2 ms of a core (BenchmarkChoice).
 func (v *View) candidates(service string, now time.Time) []*server {
 	if ready, kept := v.inService[service]; kept {
--- a/internal/backend/view_test.go
+++ b/internal/backend/view_test.go
@@ -40,6 +40,33 @@
 	c.Check(pick(NewView(), start), qt.Equals, "")
 }
 
+// TestListOfServersInServiceIsKeptUpToDate: whatever ends or begins a server's service
+// after a request has asked for the list.
+func TestListOfServersInServiceIsKeptUpToDate(t *testing.T) {
+	c := qt.New(t)
+	v := plainView("a", "b")
+	c.Check(pick(v, start), qt.Equals, "a")
+	draining := entry("a", "z-a")
+	draining.Draining = true
+	v.Put(draining, start)
+	c.Check(pick(v, start), qt.Equals, "b")
+	v.Put(entry("a", "z-a"), start)
+	c.Check(pick(v, start), qt.Equals, "a")
+	v.Remove("a", start)
+	c.Check(pick(v, start), qt.Equals, "b")
+	v.Put(entry("a", "z-a"), start)
+	choice, _ := v.Begin(Need{Service: "s", Zone: "z-a"}, start)
+	choice.End(OutcomeWrongServer, start)
+	c.Check(pick(v, start), qt.Equals, "b")
+	moved := entry("b", "z-b")
+	moved.Service = "other"
+	v.Put(moved, start)
+	v.Put(entry("c", "z-c"), start)
+	c.Check(pick(v, start), qt.Equals, "c")
+	v.Replace([]Entry{entry("d", "z-d")}, start)
+	c.Check(pick(v, start), qt.Equals, "d")
+}
+
 func TestFailuresAreForgotten(t *testing.T) {
 	c := qt.New(t)
 	v := plainView("a", "b")
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -146,7 +146,9 @@
 
 // JustStarted reports whether the peer's process may not know yet what was used before
 // its start.
-func (p *Peer) JustStarted() bool { return !p.HeardAt.IsZero() && p.Uptime < justStarted }
+func (p *Peer) JustStarted(now time.Time) bool {
+	return !p.HeardAt.IsZero() && p.Uptime+now.Sub(p.HeardAt) < justStarted
+}
 
 func (p *Peer) lastSign() time.Time {
 	if p.HeardAt.After(p.NamedAt) {
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -59,7 +59,7 @@
 	for _, peer := range plan.Zone {
 		extra := &gossippb.Status{}
 		if plan.Lead {
-			if peer.JustStarted() {
+			if peer.JustStarted(now) {
 				extra.Uses = uses
 			}
 			extra.Taken = n.options.Source.Taken(peer.VM)
@@ -79,7 +79,7 @@
 // started, or nothing.
 func (n *Node) usesFor(peers []Peer, now time.Time) *gossippb.Uses {
 	for i := range peers {
-		if peers[i].JustStarted() {
+		if peers[i].JustStarted(now) {
 			return n.options.Source.Uses(now)
 		}
 	}
--- a/internal/rollup/concise.go
+++ b/internal/rollup/concise.go
@@ -14,33 +14,52 @@
 
 // Concise returns loads that say nearly as much as those of all servers in fewer words: of
 // the servers whose loads differ most from the mean, and the mean of the others. It returns
-// the loads themselves where there are few. servers are the keys of all servers.
-func Concise(loads map[uint32]backend.Load, servers []uint32) (told map[uint32]backend.Load, rest backend.Load) {
+// the loads themselves where there are few. servers returns the keys of all servers.
+func Concise(loads map[uint32]backend.Load, servers func() []uint32) (told map[uint32]backend.Load, rest backend.Load) {
 	if len(loads) <= MostLoads {
 		return loads, backend.Load{}
 	}
-	mean := meanOf(loads, servers)
-	keys := slices.Clone(servers)
+	all := make([]keyed, 0, len(loads))
+	for _, key := range servers() {
+		all = append(all, keyed{key, loads[key]})
+	}
+	mean := meanOf(all)
 	told = make(map[uint32]backend.Load, MostLoads)
-	for _, measure := range []func(backend.Load) int{running, pending} {
-		usual := measure(mean)
-		byDifference := func(a, b uint32) int {
-			return cmp.Or(cmp.Compare(apart(measure(loads[b]), usual), apart(measure(loads[a]), usual)), cmp.Compare(a, b))
-		}
-		slices.SortFunc(keys, byDifference)
-		for _, key := range keys[:min(len(keys), MostLoads/2)] {
-			told[key] = loads[key]
+	for _, apart := range []func(keyed) int{
+		func(k keyed) int { return distance(k.load.Running, mean.Running) },
+		func(k keyed) int { return distance(k.load.PendingTokens, mean.PendingTokens) },
+	} {
+		slices.SortFunc(all, func(a, b keyed) int { return cmp.Or(cmp.Compare(apart(b), apart(a)), cmp.Compare(a.key, b.key)) })
+		for _, k := range all[:min(len(all), MostLoads/2)] {
+			told[k.key] = k.load
 		}
 	}
-	others := make([]uint32, 0, len(servers))
-	for _, key := range servers {
-		if _, listed := told[key]; !listed {
-			others = append(others, key)
-		}
+	return told, meanOf(slices.DeleteFunc(all, func(k keyed) bool {
+		_, listed := told[k.key]
+		return listed
+	}))
+}
+
+// keyed is the load of a server.
+type keyed struct {
+	key  uint32
+	load backend.Load
+}
+
+func meanOf(all []keyed) backend.Load {
+	if len(all) == 0 {
+		return backend.Load{}
+	}
+	var sum backend.Load
+	for _, k := range all {
+		sum.Running += k.load.Running
+		sum.PendingTokens += k.load.PendingTokens
 	}
-	return told, meanOf(loads, others)
+	return backend.Load{Running: sum.Running / len(all), PendingTokens: sum.PendingTokens / len(all)}
 }
 
+func distance(a, b int) int { return max(a-b, b-a) }
+
 // Complete adds the servers to loads that were told in few words.
 func Complete(told map[uint32]backend.Load, rest backend.Load, servers []uint32) {
 	if rest == (backend.Load{}) {
@@ -52,21 +71,3 @@
 		}
 	}
 }
-
-func meanOf(loads map[uint32]backend.Load, servers []uint32) backend.Load {
-	if len(servers) == 0 {
-		return backend.Load{}
-	}
-	var sum backend.Load
-	for _, key := range servers {
-		sum.Running += loads[key].Running
-		sum.PendingTokens += loads[key].PendingTokens
-	}
-	return backend.Load{Running: sum.Running / len(servers), PendingTokens: sum.PendingTokens / len(servers)}
-}
-
-func running(l backend.Load) int { return l.Running }
-
-func pending(l backend.Load) int { return l.PendingTokens }
-
-func apart(a, b int) int { return max(a-b, b-a) }
--- a/internal/rollup/concise_test.go
+++ b/internal/rollup/concise_test.go
@@ -27,7 +27,7 @@
 func TestFewLoadsAreToldAsTheyAre(t *testing.T) {
 	c := qt.New(t)
 	loads, keys := busy(MostLoads)
-	told, rest := Concise(loads, keys)
+	told, rest := Concise(loads, func() []uint32 { return keys })
 	c.Check(told, qt.DeepEquals, loads)
 	c.Check(rest, qt.Equals, backend.Load{})
 }
@@ -37,7 +37,7 @@
 func TestConciseLoadsMisleadLittle(t *testing.T) {
 	c := qt.New(t)
 	loads, keys := busy(3000)
-	told, rest := Concise(loads, keys)
+	told, rest := Concise(loads, func() []uint32 { return keys })
 	c.Check(len(told) <= MostLoads, qt.IsTrue)
 	total, after := 0, 0
 	Complete(told, rest, keys)
@@ -57,3 +57,12 @@
 	Complete(told, backend.Load{}, []uint32{1, 2})
 	c.Check(told, qt.HasLen, 1)
 }
+
+// BenchmarkConcise states what a lead pays twice a round: 1.4 ms of a core for 3,000
+// servers, 2.9 ms when each comparison looked its servers up.
+func BenchmarkConcise(b *testing.B) {
+	loads, keys := busy(3000)
+	for b.Loop() {
+		Concise(loads, func() []uint32 { return keys })
+	}
+}
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -75,7 +75,7 @@
 
 // encodeSums encodes sums over many daemons, with the loads in few words.
 func (s *state) encodeSums(sums rollup.Counts) *gossippb.Counts {
-	told, rest := rollup.Concise(sums.Loads, s.view.Keys())
+	told, rest := rollup.Concise(sums.Loads, s.view.Keys)
 	sums.Loads = told
 	counts := encodeCounts(sums)
 	if rest != (backend.Load{}) {
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -34,8 +34,10 @@
 	consumer Consumer
 	logger   *slog.Logger
 	// next is the revision to watch from; zero asks for a list.
-	next    int64
-	failed  bool
+	next   int64
+	failed bool
+	// changed is set when the last call brought changes.
+	changed bool
 	retry   time.Duration
 	options FollowOptions
 
@@ -99,6 +101,7 @@
 			continue
 		}
 		f.recovered()
+		f.gather(ctx)
 	}
 }
 
@@ -138,18 +141,16 @@
 	for _, event := range changes.Events {
 		f.consumer.Apply(event)
 	}
-	f.next = changes.Revision
-	if len(changes.Events) > 0 {
-		f.gather(waiting)
-	}
+	f.next, f.changed = changes.Revision, len(changes.Events) > 0
 	return nil
 }
 
-// gather lets further changes come together, unless the watch is to end.
+// gather lets further changes come together after some. What has come is told by then.
 func (f *Follower) gather(ctx context.Context) {
-	if f.options.Gather <= 0 {
+	if !f.changed || f.options.Gather <= 0 {
 		return
 	}
+	f.changed = false
 	timer := time.NewTimer(f.options.Gather)
 	defer timer.Stop()
 	select {
--- /dev/null
+++ b/internal/store/follow_test.go
@@ -0,0 +1,57 @@
+package store
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// busyStore has a change for each watch.
+type busyStore struct {
+	Store
+	watched []time.Time
+}
+
+func (s *busyStore) List(context.Context, string) (Page, error) { return Page{Revision: 1}, nil }
+
+func (s *busyStore) Watch(_ context.Context, _ string, after int64, _ time.Duration) (Changes, error) {
+	s.watched = append(s.watched, time.Now())
+	return Changes{Events: []Event{{Object: Object{Name: "a", Revision: after + 1}}}, Revision: after + 1}, nil
+}
+
+// told records when changes were applied and when the revision was advanced.
+type told struct{ applied, advanced []time.Time }
+
+func (c *told) Replace(Page, bool) {}
+
+func (c *told) Apply(Event) { c.applied = append(c.applied, time.Now()) }
+
+func (c *told) Advance(revision int64, _ bool) {
+	if revision > 1 {
+		c.advanced = append(c.advanced, time.Now())
+	}
+}
+
+// TestChangesAreToldBeforeMoreAreGathered: other daemons fetch a change once the revision
+// is advanced, which must not wait for the next call.
+func TestChangesAreToldBeforeMoreAreGathered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		store, consumer := &busyStore{}, &told{}
+		f := NewFollower(store, "kind", consumer, slog.New(slog.DiscardHandler), FollowOptions{
+			Wait: func() time.Duration { return time.Second }, Gather: 200 * time.Millisecond, OnCompacted: func() {},
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+		defer cancel()
+		f.Run(ctx)
+		c.Assert(consumer.applied, qt.HasLen, 5, qt.Commentf("a call each 200 ms"))
+		c.Check(consumer.advanced, qt.DeepEquals, consumer.applied)
+		for i := 1; i < len(store.watched); i++ {
+			c.Check(store.watched[i].Sub(store.watched[i-1]), qt.Equals, 200*time.Millisecond)
+		}
+	})
+}
