Tell from whom and between which revisions servers change, and how old the list is

The logs of the incident could not tell a removal that was never told from an older word that brought a server back: a line said the revision after a change alone. Each now names the store or the peer that told it and both revisions. No decision is changed.

--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -46,7 +46,7 @@
 	if outage || c.failing() {
 		c.storeReturned(now)
 	}
-	c.takeServers(page.Objects, page.Revision, now)
+	c.takeServers(page.Objects, page.Revision, fromStore, now)
 }
 
 // storeReturned notes when the store has come back from an outage.
@@ -57,9 +57,20 @@
 	s.view.StoreReturned(at)
 }
 
-// takeServers takes over a whole list.
-func (s *state) takeServers(objects []store.Object, revision int64, now time.Time) {
+// fromStore stands in the log for the store where a peer may have told a change.
+const fromStore = "store"
+
+// serversRevision returns the store's revision up to which the servers are known.
+func (s *state) serversRevision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listing.revision
+}
+
+// takeServers takes over a whole list, from the store or a peer.
+func (s *state) takeServers(objects []store.Object, revision int64, from string, now time.Time) {
 	s.mu.Lock()
+	before := s.listing.revision
 	entries, broken := s.listing.replace(objects, revision, now)
 	s.mu.Unlock()
 	for _, err := range broken {
@@ -67,7 +78,7 @@
 	}
 	s.restarted(s.view.Replace(entries, now))
 	s.router.useVersions(now)
-	s.router.logger.Info("servers listed", "servers", len(entries), "revision", revision)
+	s.router.logger.Info("servers listed", "servers", len(entries), "from", from, "revision_before", before, "revision", revision)
 	s.router.node.Soon()
 }
 
@@ -76,6 +87,8 @@
 	// put are the objects that are new or different, gone the IDs of those removed.
 	put  []store.Object
 	gone []string
+	// from is the peer that told them, or the store.
+	from string
 }
 
 // changeServers takes over changes as of a revision, or of an unknown one where it is zero:
@@ -84,6 +97,7 @@
 	var entries []backend.Entry
 	gone := c.gone
 	s.mu.Lock()
+	before := s.listing.revision
 	for _, object := range c.put {
 		if s.listing.has(object) {
 			// Peers tell it too.
@@ -112,30 +126,36 @@
 	for _, entry := range entries {
 		s.checkService(entry, now)
 	}
-	s.logServers(entries, gone, revision)
+	s.logServers(entries, gone, step{from: c.from, before: before, to: revision})
+}
+
+// step is between which revisions of the list something has changed, and who told it.
+type step struct {
+	from       string
+	before, to int64
 }
 
 // mostServerLines is the number of servers up to which a change of each gets a line of its
 // own. When 900 of 1,000 left at once, each of 100 daemons wrote two lines for each.
 const mostServerLines = 8
 
-// logServers writes down what has changed of the servers, as of a revision of the list.
-func (s *state) logServers(entries []backend.Entry, gone []string, revision int64) {
+// logServers writes down what has changed of the servers.
+func (s *state) logServers(entries []backend.Entry, gone []string, at step) {
 	if len(entries)+len(gone) > mostServerLines {
-		s.logManyServers(entries, gone, revision)
+		s.logManyServers(entries, gone, at)
 		return
 	}
 	for _, e := range entries {
 		s.router.logger.Info("server listed", "server", e.ID, "service", e.Service, "zone", e.Zone,
-			"draining", e.Draining, "reclaimable", e.Reclaimable, "version", e.Version, "born_ms", e.BornMs, "revision", revision)
+			"draining", e.Draining, "reclaimable", e.Reclaimable, "version", e.Version, "born_ms", e.BornMs, "from", at.from, "revision_before", at.before, "revision", at.to)
 	}
 	for _, id := range gone {
-		s.router.logger.Info("server gone from the list", "server", id, "revision", revision)
+		s.router.logger.Info("server gone from the list", "server", id, "from", at.from, "revision_before", at.before, "revision", at.to)
 	}
 }
 
 // logManyServers writes down in one line which servers came, drain and are gone.
-func (s *state) logManyServers(entries []backend.Entry, gone []string, revision int64) {
+func (s *state) logManyServers(entries []backend.Entry, gone []string, at step) {
 	var ready, draining []string
 	for _, e := range entries {
 		if e.Draining {
@@ -144,7 +164,7 @@
 		}
 		ready = append(ready, e.ID)
 	}
-	s.router.logger.Info("servers changed", "revision", revision,
+	s.router.logger.Info("servers changed", "from", at.from, "revision_before", at.before, "revision", at.to,
 		"ids_ready", strings.Join(ready, " "), "ids_draining", strings.Join(draining, " "), "ids_gone", strings.Join(gone, " "))
 }
 
@@ -171,13 +191,13 @@
 // Apply implements store.Consumer.
 func (c serverConsumer) Apply(events []store.Event) { c.changeServers(lastOf(events), 0, time.Now()) }
 
-// lastOf returns what the events leave of each object.
+// lastOf returns what the events of the store leave of each object.
 func lastOf(events []store.Event) changes {
 	last := map[string]int{}
 	for i := range events {
 		last[events[i].Object.Name] = i
 	}
-	var c changes
+	c := changes{from: fromStore}
 	for i, event := range events {
 		switch name := event.Object.Name; {
 		case last[name] != i:
@@ -198,7 +218,7 @@
 	if failing {
 		c.failingAt = time.Now()
 	} else {
-		c.failingAt, c.seenAt = time.Time{}, time.Now()
+		c.failingAt, c.provenAt = time.Time{}, time.Now()
 	}
 	c.mu.Unlock()
 	if ahead {
@@ -211,5 +231,34 @@
 func (s *state) Freshness() (serversAge time.Duration, storeFailing bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return time.Since(s.seenAt), s.storeFailing()
+	return s.serversAge(time.Now()), s.storeFailing()
+}
+
+// serversAge returns how long ago the store was last known to list just the servers that this
+// daemon believes in, or since its start. The caller holds the lock.
+func (s *state) serversAge(now time.Time) time.Duration {
+	if s.provenAt.IsZero() {
+		return now.Sub(s.started)
+	}
+	return now.Sub(s.provenAt)
+}
+
+// agree takes over that a peer has the same list of servers, which the store was known to have
+// so long ago, in milliseconds; zero is not known. The caller holds the lock.
+func (s *state) agree(digest uint64, ageMs int64, now time.Time) {
+	if ageMs <= 0 || digest != s.listing.digest {
+		return
+	}
+	if at := now.Add(-time.Duration(ageMs) * time.Millisecond); at.After(s.provenAt) {
+		s.provenAt = at
+	}
+}
+
+// tellAge returns the age of the list for a peer, in milliseconds; zero is not known. The caller
+// holds the lock.
+func (s *state) tellAge(now time.Time) int64 {
+	if s.provenAt.IsZero() {
+		return 0
+	}
+	return max(1, now.Sub(s.provenAt).Milliseconds())
 }
--- a/internal/router/listing_test.go
+++ b/internal/router/listing_test.go
@@ -40,7 +40,7 @@
 	c := qt.New(t)
 	lead, member := testRouter(t).state, testRouter(t).state
 	now := time.Now()
-	lead.takeServers([]store.Object{listedServer(1, 1)}, 1, now)
+	lead.takeServers([]store.Object{listedServer(1, 1)}, 1, fromStore, now)
 	member.Pulled(lead.Pull(member.Request()))
 	for i := 2; i < 40; i++ {
 		lead.changeServers(changes{put: []store.Object{listedServer(i, int64(i))}}, 0, now)
--- a/internal/router/memory_test.go
+++ b/internal/router/memory_test.go
@@ -32,7 +32,7 @@
 		time.Sleep(20 * time.Millisecond)
 		s.takeConfig([]byte(firstConfig), "test")
 		time.Sleep(20 * time.Millisecond)
-		s.takeServers(nil, 1, time.Now())
+		s.takeServers(nil, 1, fromStore, time.Now())
 		c.Check((<-got).Version, qt.Equals, int64(1))
 		c.Check(time.Since(begun), qt.Equals, 40*time.Millisecond)
 		c.Check(s.awaitCatalog(context.Background()).Version, qt.Equals, int64(1))
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -25,7 +25,8 @@
 	configVersion = describe("config_version", "Version of the configuration in force; 0 before the first.")
 	configAge     = describe("config_age_seconds", "Time since the configuration came into force.")
 	serversListed = describe("servers", "Backend servers as this daemon believes.", "service", "state")
-	serversAge    = describe("servers_age_seconds", "Time since the store or the lead of the zone last told of the servers.")
+	serversAge    = describe("servers_age_seconds", "Time since the store was last known to list just the servers that this daemon believes in.")
+	serversAt     = describe("servers_revision", "Revision of the store up to which the servers are known.")
 	storeFailing  = describe("store_failing", "1 while the store does not answer this daemon.")
 	leaseFence    = describe("lease_fence", "Fencing number of the lease that this daemon holds; 0 for none.")
 	daemonsSeen   = describe("daemons", "Daemons of the deployment, this one included.", "state")
@@ -43,7 +44,7 @@
 
 // Describe implements prometheus.Collector.
 func (b beliefs) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversAge, storeFailing, leaseFence, daemonsSeen, heldBack, roles, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
+	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversAge, serversAt, storeFailing, leaseFence, daemonsSeen, heldBack, roles, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
 		descs <- d
 	}
 }
@@ -63,6 +64,7 @@
 	b.collectServers(gauge, now)
 	age, failing := b.state.Freshness()
 	gauge(serversAge, age.Seconds())
+	gauge(serversAt, float64(b.state.serversRevision()))
 	gauge(storeFailing, flag(failing))
 	gauge(leaseFence, float64(b.state.ownFence()))
 	reach, _ := b.state.reach(now)
--- a/internal/router/pull.go
+++ b/internal/router/pull.go
@@ -83,7 +83,7 @@
 
 // Pull implements gossip.Source.
 func (s *state) Pull(request *gossippb.PullRequest) *gossippb.PullReply {
-	reply := &gossippb.PullReply{}
+	reply := &gossippb.PullReply{Vm: s.router.settings.VM.ID}
 	if c := s.Catalog(); c != nil && c.Version > request.GetConfigVersion() {
 		reply.ConfigVersion, reply.Config = c.Version, s.packedConfig(c)
 	}
@@ -92,7 +92,8 @@
 	if s.listing.revision <= request.GetServersRevision() || s.storeFailing() {
 		return reply
 	}
-	reply.ServersRevision = s.listing.revision
+	reply.ServersRevision, reply.ServersDigest = s.listing.revision, s.listing.digest
+	reply.ServersAgeMs = s.tellAge(time.Now())
 	if back := time.Since(s.storeBackAt); back < storeBackFor {
 		reply.StoreBackMs = max(1, back.Milliseconds())
 	}
@@ -231,11 +232,25 @@
 		return
 	}
 	if !reply.GetPartial() {
-		s.takeServers(objects, reply.GetServersRevision(), now)
-		return
+		s.takeServers(objects, reply.GetServersRevision(), reply.GetVm(), now)
+	} else {
+		s.changeServers(changes{put: objects, gone: gone, from: reply.GetVm()}, reply.GetServersRevision(), now)
+		s.mu.Lock()
+		s.listing.revision = max(s.listing.revision, reply.GetServersRevision())
+		s.mu.Unlock()
 	}
-	s.changeServers(changes{put: objects, gone: gone}, reply.GetServersRevision(), now)
+	s.compare(reply, now)
+}
+
+// compare notes whether the list is now that of the peer that told it.
+func (s *state) compare(reply *gossippb.PullReply, now time.Time) {
 	s.mu.Lock()
-	s.listing.revision = max(s.listing.revision, reply.GetServersRevision())
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	s.agree(reply.GetServersDigest(), reply.GetServersAgeMs(), now)
+	if reply.GetServersDigest() == 0 || reply.GetServersRevision() != s.listing.revision || reply.GetServersDigest() == s.listing.digest {
+		return
+	}
+	s.router.listsDiffer.Inc()
+	s.router.logger.Warn("list of servers differs from the one it was told from", "from", reply.GetVm(),
+		"revision", s.listing.revision, "partial", reply.GetPartial(), "servers", len(s.listing.entries))
 }
--- a/internal/router/pull_test.go
+++ b/internal/router/pull_test.go
@@ -45,7 +45,7 @@
 		plain += len(name) + len(spec)
 	}
 	from, to := testRouter(t), testRouter(t)
-	from.state.takeServers(objects, 9000, time.Now())
+	from.state.takeServers(objects, 9000, fromStore, time.Now())
 	reply := from.state.Pull(&gossippb.PullRequest{})
 	size := proto.Size(reply)
 	t.Logf("%d bytes, %d packed", plain, size)
@@ -71,7 +71,7 @@
 	}
 	from, to := testRouter(t).state, testRouter(t).state
 	now := time.Now()
-	from.takeServers(objects, 2000, now)
+	from.takeServers(objects, 2000, fromStore, now)
 	to.Pulled(from.Pull(&gossippb.PullRequest{}))
 	plain := 0
 	for i := range 900 {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -93,6 +93,8 @@
 	unledAt time.Time
 	budget  *retrybudget.Budget
 	bad     *badObjects
+	// listsDiffer counts lists of servers that differ from the peer's that told them.
+	listsDiffer prometheus.Counter
 	// board is what this daemon knows of versions, orders their follower.
 	board    *rollout.Board
 	orders   *store.Follower
@@ -128,6 +130,10 @@
 	r.objects = platform.NewStore("http://"+s.Store.Address, client)
 	r.cloud = platform.NewCloud("http://"+s.Cloud.Address, client)
 	r.bad = newBadObjects(r.metrics, r.logger)
+	r.listsDiffer = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "plankridge_server_lists_differ_total", Help: "Lists of servers that differed from the peer's that told them, at one revision of the store.",
+	})
+	r.metrics.MustRegister(r.listsDiffer)
 	r.board = rollout.New(rollout.Bounds{Share: s.Bounds.RollOutShare, Slack: s.Bounds.RollOutSlack, Stop: s.Bounds.RollOutStop.Std()})
 	r.state = newState(r)
 	if r.board.Enabled() {
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -38,9 +38,9 @@
 	mu sync.Mutex
 	// listing are the backend servers, as peers exchange them.
 	listing *listing
-	// seenAt is when the store, or the lead, last told of the servers, failingAt
-	// when the store last gave no answer, and storeBackAt when it came back.
-	seenAt      time.Time
+	// provenAt is when the store was last known to list just the servers that this daemon
+	// believes in, failingAt when it last gave no answer, and storeBackAt when it came back.
+	provenAt    time.Time
 	failingAt   time.Time
 	storeBackAt time.Time
 	// differs is since when each peer that is ahead shows other servers.
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -33,7 +33,7 @@
 	}
 	s.mu.Lock()
 	status.ServersRevision, status.StoreFailing = s.listing.revision, s.storeFailing()
-	status.ServersDigest = s.listing.digest
+	status.ServersDigest, status.ServersAgeMs = s.listing.digest, s.tellAge(time.Now())
 	s.mu.Unlock()
 	if s.router.board.Enabled() {
 		status.RollOuts, status.RollOutsRead = encodeRollOuts(s.router.board.Tell(time.Now())), s.router.board.ReadUpTo()
@@ -133,6 +133,9 @@
 // Heard implements gossip.Sink.
 func (s *state) Heard(status *gossippb.Status, _ bool) {
 	now := time.Now()
+	s.mu.Lock()
+	s.agree(status.GetServersDigest(), status.GetServersAgeMs(), now)
+	s.mu.Unlock()
 	s.router.hearRollOuts(status, now)
 	s.quarantine.Hear(decodeHeld(status.GetHeld()), 0, now)
 	if own := status.GetOwn(); own != nil && status.GetZone() == s.router.settings.VM.Zone {
@@ -199,7 +202,6 @@
 		vm: status.GetVm(), incarnation: status.GetIncarnation(), at: now, taken: status.GetTaken(),
 		reach: decodeReach(status.GetReach()), demand: counts.Demand, without: own.Demand,
 	}
-	s.seenAt = now
 	s.lead.versions = counts.Versions
 	s.view.Learn(counts.Paces)
 	s.told, s.toldAt = s.lead.reach.Known, now
