--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -17,7 +17,9 @@
 	listeners map[string]*listener
 	packets   map[string]*packetConn
 	cut       map[[2]string]bool
-	conns     map[[2]string][]net.Conn
+	silent    map[[2]string]bool
+	dark      map[string]bool
+	conns     map[[2]string][]*conn
 	traffic   map[string]*Traffic
 }
 
@@ -27,7 +29,9 @@
 		listeners: map[string]*listener{},
 		packets:   map[string]*packetConn{},
 		cut:       map[[2]string]bool{},
-		conns:     map[[2]string][]net.Conn{},
+		silent:    map[[2]string]bool{},
+		dark:      map[string]bool{},
+		conns:     map[[2]string][]*conn{},
 		traffic:   map[string]*Traffic{},
 	}
 }
@@ -163,6 +167,10 @@
 	if target == nil || cut {
 		return nil, syscall.ECONNREFUSED
 	}
+	if h.net.quiet(h.ip, ip) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	client, server := newPair(address(h.ip), address(addr), h.net.Traffic(h.ip), h.net.Traffic(ip))
 	select {
 	case target.waiting <- server:
--- a/internal/standin/memnet/packet.go
+++ b/internal/standin/memnet/packet.go
@@ -57,7 +57,7 @@
 func (p *packetConn) WriteTo(data []byte, to net.Addr) (int, error) {
 	ip, _, _ := strings.Cut(to.String(), ":")
 	p.net.mu.Lock()
-	target, cut := p.net.packets[to.String()], p.net.cut[link(p.ip, ip)]
+	target, cut := p.net.packets[to.String()], p.net.cut[link(p.ip, ip)] || p.net.isQuiet(p.ip, ip)
 	p.net.mu.Unlock()
 	if target == nil || cut {
 		return len(data), nil
--- a/internal/standin/memnet/pipe.go
+++ b/internal/standin/memnet/pipe.go
@@ -20,6 +20,8 @@
 	// closed is set by the writer's end, broken by the reader's.
 	closed bool
 	broken bool
+	// held keeps from the reader what has arrived, as a link that carries nothing does.
+	held   bool
 	reads  deadline
 	writes deadline
 }
@@ -72,6 +74,7 @@
 			return 0, net.ErrClosed
 		case s.reads.passed:
 			return 0, os.ErrDeadlineExceeded
+		case s.held:
 		case len(s.data) > 0:
 			n := copy(p, s.data)
 			s.data = s.data[n:]
@@ -110,6 +113,14 @@
 	return written, nil
 }
 
+// hold holds the stream or lets it go on.
+func (s *stream) hold(held bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.held = held
+	s.change.Broadcast()
+}
+
 // end closes the stream from one side.
 func (s *stream) end(mark *bool) {
 	s.mu.Lock()
@@ -157,6 +168,12 @@
 	return nil
 }
 
+// hold holds both directions of the connection or lets them go on.
+func (c *conn) hold(held bool) {
+	c.in.hold(held)
+	c.out.hold(held)
+}
+
 // LocalAddr implements net.Conn.
 func (c *conn) LocalAddr() net.Addr { return c.local }
 
--- /dev/null
+++ b/internal/standin/memnet/silence.go
@@ -0,0 +1,88 @@
+package memnet
+
+import "time"
+
+// probesFail is how long a connection may be held before its ends give it up, as the probes of
+// a daemon's connections find out.
+const probesFail = 3 * time.Second
+
+// Silence lets nothing pass between two hosts and says nothing of it: connections and attempts
+// to open one hang.
+func (n *Net) Silence(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent[link(a, b)] = true
+	n.hold(link(a, b))
+}
+
+// Speak undoes Silence. What was held arrives.
+func (n *Net) Speak(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.silent, link(a, b))
+	n.release(link(a, b))
+}
+
+// Darken lets nothing pass between a host and all others, as the loss of its power does.
+func (n *Net) Darken(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dark[ip] = true
+	for pair := range n.conns {
+		if pair[0] == ip || pair[1] == ip {
+			n.hold(pair)
+		}
+	}
+}
+
+// Lighten undoes Darken.
+func (n *Net) Lighten(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.dark, ip)
+	for pair := range n.conns {
+		if pair[0] == ip || pair[1] == ip {
+			n.release(pair)
+		}
+	}
+}
+
+// quiet reports whether nothing passes between two hosts.
+func (n *Net) quiet(a, b string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.isQuiet(a, b)
+}
+
+// isQuiet is quiet for a caller that holds the lock.
+func (n *Net) isQuiet(a, b string) bool { return n.silent[link(a, b)] || n.dark[a] || n.dark[b] }
+
+// hold holds the connections of a pair of hosts; the caller holds the lock.
+func (n *Net) hold(pair [2]string) {
+	held := n.conns[pair]
+	for _, c := range held {
+		c.hold(true)
+	}
+	if len(held) == 0 {
+		return
+	}
+	time.AfterFunc(probesFail, func() {
+		if !n.quiet(pair[0], pair[1]) {
+			return
+		}
+		for _, c := range held {
+			_ = c.Close()
+		}
+	})
+}
+
+// release lets the connections of a pair of hosts go on, unless another cause holds them; the
+// caller holds the lock.
+func (n *Net) release(pair [2]string) {
+	if n.isQuiet(pair[0], pair[1]) {
+		return
+	}
+	for _, c := range n.conns[pair] {
+		c.hold(false)
+	}
+}
--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -50,6 +50,8 @@
 	http    *http.Client
 	next    atomic.Int64
 	version int64
+	// places are addresses of servers, by ID, in place of those that follow from their IDs.
+	places map[string]string
 	// bootstrap is set while daemons start for the first time.
 	bootstrap bool
 }
@@ -206,6 +208,9 @@
 }
 
 func (b *bed) serverAddress(id string) string {
+	if place := b.places[id]; place != "" {
+		return place
+	}
 	sum := 0
 	for _, c := range id {
 		sum += int(c)
--- /dev/null
+++ b/robustness/onplatform/leaving_test.go
@@ -0,0 +1,283 @@
+package onplatform
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/platform/fake"
+)
+
+// Callers' requests reached backend servers seconds after the store had acknowledged that they
+// leave, at one or two daemons of some eighty, all others of which had heard of it.
+
+const (
+	// leavingBound is how long a server that leaves may be sent requests, from the store's
+	// acknowledgement. A daemon has to know of it by half of that.
+	leavingBound = 2 * time.Second
+	// inTouchAfter is how long nothing may have happened to a daemon, or to the store, for the
+	// bound to hold.
+	inTouchAfter = 3 * time.Second
+	// leavingServices is the number of services, each with one server that stays and one that
+	// leaves.
+	leavingServices = 20
+)
+
+// leavingPlay is a play of servers that come and leave, beside some trouble.
+type leavingPlay struct {
+	daemons int
+	length  time.Duration
+	// trouble happens meanwhile.
+	trouble func(p *leavingBed)
+}
+
+var (
+	leavingSeeds   = flag.Int("leaving.seeds", 1, "number of seeds for plays of servers that leave")
+	leavingFirst   = flag.Uint64("leaving.first", 1, "first of these seeds")
+	leavingDaemons = flag.Int("leaving.daemons", 0, "number of daemons in these plays, in place of that of each")
+)
+
+// leavingBed is a deployment whose servers come and leave.
+type leavingBed struct {
+	*bed
+	random *rand.Rand
+
+	mu sync.Mutex
+	// leaving are the servers that leave, by service; starts counts them.
+	leaving []*leavingServer
+	all     []*leavingServer
+	starts  int
+	// touched are the times at which something happened to a daemon, by its number, and
+	// shaken those at which something happened to the store.
+	touched map[int][]time.Time
+	shaken  []time.Time
+}
+
+// leavingServer is a server of one service.
+type leavingServer struct {
+	*fake.Runner
+	service string
+	// left is when the store took over that it leaves.
+	left time.Time
+}
+
+func (p leavingPlay) play(t *testing.T) {
+	if *leavingDaemons > 0 {
+		p.daemons = *leavingDaemons
+	}
+	for seed := range uint64(*leavingSeeds) {
+		p.playSeed(t, *leavingFirst+seed)
+	}
+}
+
+func (p leavingPlay) playSeed(t *testing.T, seed uint64) {
+	l := &leavingBed{random: rand.New(rand.NewPCG(seed, 34)), touched: map[int][]time.Time{}}
+	runAlone(t, p.daemons, func(b *bed) {
+		l.bed = b
+		b.places = map[string]string{}
+		b.store.SetPageSize(500)
+		l.configureServices()
+		for i := range leavingServices {
+			l.addStaying(i)
+			l.leaving = append(l.leaving, nil)
+			l.addLeaving(i)
+		}
+	}, func(*bed) {
+		ctx, stop := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		running.Go(func() { l.change(ctx) })
+		running.Go(func() { l.ask(ctx) })
+		begun := time.Now()
+		if p.trouble != nil {
+			p.trouble(l)
+		}
+		time.Sleep(max(0, p.length-time.Since(begun)))
+		stop()
+		running.Wait()
+		time.Sleep(leavingBound)
+		l.check(t, seed)
+	})
+}
+
+// configureServices writes a configuration with a route for each service.
+func (l *leavingBed) configureServices() {
+	var rs, services []map[string]any
+	for i := range leavingServices {
+		route := plainRoute(fmt.Sprintf("/%d/", i), "idempotent", 2)
+		route["service"] = serviceName(i)
+		rs = append(rs, route)
+		services = append(services, map[string]any{"name": serviceName(i), "healthPath": "/healthz", "maxConns": 500})
+	}
+	l.store.Put("config", "main", map[string]any{
+		"version": 1, "routes": rs, "services": services, "tenants": []map[string]any{tenant(testKey)},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+}
+
+func serviceName(i int) string { return fmt.Sprintf("s%d", i) }
+
+// addStaying adds a server that stays. It is slow, so that the other one is preferred.
+func (l *leavingBed) addStaying(i int) {
+	id := fmt.Sprintf("i-stays-%02d", i)
+	l.places[id] = fmt.Sprintf("10.4.0.%d:80", i+1)
+	l.addServer(id, serviceName(i), &fake.Runner{Behave: func(int, *http.Request) fake.Behaviour {
+		return fake.Behaviour{Delay: 120 * time.Millisecond}
+	}})
+}
+
+// addLeaving adds a server that will leave.
+func (l *leavingBed) addLeaving(i int) {
+	l.mu.Lock()
+	l.starts++
+	s := &leavingServer{Runner: &fake.Runner{}, service: serviceName(i)}
+	id := fmt.Sprintf("i-%06d", l.starts)
+	l.places[id] = fmt.Sprintf("10.3.%d.%d:80", l.starts/250, l.starts%250+1)
+	l.leaving[i] = s
+	l.all = append(l.all, s)
+	l.mu.Unlock()
+	l.addServer(id, s.service, s.Runner)
+}
+
+// change lets servers leave, by draining first or without a word, and others come, a few in a
+// second and now and then many at once. Other objects are written all the while.
+func (l *leavingBed) change(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		l.store.Put("other", "object", n)
+		many := 1
+		if l.random.IntN(8) == 0 {
+			many = leavingServices / 2
+		}
+		for range many {
+			l.changeOne(l.random.IntN(leavingServices))
+			pause(ctx, time.Duration(l.random.IntN(30))*time.Millisecond)
+		}
+		pause(ctx, time.Duration(l.random.IntN(400))*time.Millisecond)
+	}
+}
+
+func (l *leavingBed) changeOne(i int) {
+	s := l.leaving[i]
+	switch {
+	case s == nil:
+		l.addLeaving(i)
+		return
+	case l.random.IntN(2) == 0:
+		l.listServer(s.ID, s.service, "draining")
+	default:
+		l.store.Remove("servers", s.ID)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.left = time.Now()
+	l.leaving[i] = nil
+}
+
+// pause waits unless the context ends.
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+	}
+}
+
+// ask sends a request to each daemon a few times in a second.
+func (l *leavingBed) ask(ctx context.Context) {
+	var asking sync.WaitGroup
+	for ctx.Err() == nil {
+		for i := range l.daemons {
+			asking.Go(func() {
+				l.send(call{method: "GET", path: fmt.Sprintf("/%d/%d", rand.IntN(leavingServices), i), key: testKey, to: i, deadline: time.Second})
+			})
+		}
+		pause(ctx, 150*time.Millisecond)
+	}
+	asking.Wait()
+}
+
+// touch notes that something happens to a daemon.
+func (l *leavingBed) touch(i int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.touched[i] = append(l.touched[i], time.Now())
+}
+
+// shake notes that something happens to the store.
+func (l *leavingBed) shake() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shaken = append(l.shaken, time.Now())
+}
+
+// within reports whether one of the times lies in the span in which a daemon has to be calm.
+func within(times []time.Time, from, to time.Time) bool {
+	for _, at := range times {
+		if at.After(from.Add(-inTouchAfter)) && at.Before(to) {
+			return true
+		}
+	}
+	return false
+}
+
+// check compares when requests arrived with when their servers had left.
+func (l *leavingBed) check(t *testing.T, seed uint64) {
+	c := qt.New(t)
+	arrived, late := 0, 0
+	var latest time.Duration
+	for _, s := range l.all {
+		for _, a := range s.Arrivals() {
+			arrived++
+			var service, from int
+			_, err := fmt.Sscanf(a.Target, "/%d/%d", &service, &from)
+			c.Assert(err, qt.IsNil)
+			after := a.At.Sub(s.left)
+			if s.left.IsZero() || after <= 0 || within(l.touched[from], a.At, a.At) || within(l.shaken, s.left, s.left) {
+				continue
+			}
+			latest = max(latest, after)
+			if after > leavingBound/2 {
+				late++
+				if late <= 5 {
+					t.Logf("seed %d: %s from %s %v after it had left", seed, s.ID, l.daemons[from].id, after)
+				}
+			}
+		}
+	}
+	t.Logf("seed %d: %d daemons, %d servers, %d requests at them, the latest %v after its server had left, %d late", seed, len(l.daemons), len(l.all), arrived, latest, late)
+	c.Check(arrived > 0, qt.IsTrue)
+	c.Check(late, qt.Equals, 0, qt.Commentf("seed %d: %d requests reached servers later than %v after they had left", seed, late, leavingBound/2))
+	l.checkUsed(c)
+}
+
+// checkUsed checks that each daemon takes just the servers for ready that are.
+func (l *leavingBed) checkUsed(c *qt.C) {
+	for _, d := range l.daemons {
+		if l.ended(d) {
+			continue
+		}
+		told := l.metrics(d)
+		for i, s := range l.leaving {
+			ready := 1
+			if s != nil {
+				ready = 2
+			}
+			line := fmt.Sprintf(`plankridge_servers{service=%q,state="ready"} %d`, serviceName(i), ready)
+			c.Check(strings.Contains(told, line+"\n"), qt.IsTrue, qt.Commentf("%s: %s", d.id, line))
+		}
+	}
+}
+
+// TestServersThatLeaveGetNothingMore: half of the bound after the store has taken over that a
+// server leaves, no daemon prefers it, and each uses all that are there.
+func TestServersThatLeaveGetNothingMore(t *testing.T) {
+	for _, daemons := range []int{8, 100} {
+		t.Run(fmt.Sprintf("%d daemons", daemons), leavingPlay{daemons: daemons, length: 10 * time.Second}.play)
+	}
+}
