Note a removal as of the revision that the watch's answer reaches, and let the later word stand

Callers' requests were run by servers that had left the list up to 9 s before, at single daemons. A follower noted a removal as of its revision before the answer, plus one; a daemon that another relay had brought past that revision asked for what came after its own and was never told. A removal now bears the revision up to which the answer is complete, on the wire too, so that whoever is behind it is told. Each entry keeps its latest word, by revision, whichever way and in whichever order words come: an older entry brings no server back, an older removal takes none away that is there again, and a list that is behind changes nothing. The view gets changes under the lock of the list, in its order.

--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -20,7 +20,7 @@
 }
 
 // Apply implements store.Consumer.
-func (c configConsumer) Apply(events []store.Event) {
+func (c configConsumer) Apply(events []store.Event, _ int64) {
 	for _, event := range events {
 		if !event.Deleted {
 			c.take(event.Object)
@@ -71,12 +71,19 @@
 func (s *state) takeServers(objects []store.Object, revision int64, from string, now time.Time) {
 	s.mu.Lock()
 	before := s.listing.revision
-	entries, broken := s.listing.replace(objects, revision, now)
+	entries, broken, taken := s.listing.replace(objects, revision, now)
+	if !taken {
+		s.mu.Unlock()
+		s.router.logger.Info("list of servers is behind what is known", "from", from, "revision_before", before, "revision", revision)
+		return
+	}
+	// Under the lock, so that the view gets changes in the order of the list.
+	ended := s.view.Replace(entries, now)
 	s.mu.Unlock()
 	for _, err := range broken {
 		s.router.bad.note(err, now)
 	}
-	s.restarted(s.view.Replace(entries, now))
+	s.restarted(ended)
 	s.router.useVersions(now)
 	s.router.logger.Info("servers listed", "servers", len(entries), "from", from, "revision_before", before, "revision", revision)
 	s.router.node.Soon()
@@ -84,49 +91,34 @@
 
 // changes are what has come of the servers since the last time.
 type changes struct {
-	// put are the objects that are new or different, gone the IDs of those removed.
-	put  []store.Object
-	gone []string
+	// put are the objects that are new or different, removed those that are not listed any more.
+	put     []store.Object
+	removed []gone
 	// from is the peer that told them, or the store.
 	from string
+	// upTo is the revision up to which they are all that there were, for a list that was known
+	// up to where they begin. Zero is not known.
+	upTo int64
 }
 
-// changeServers takes over changes as of a revision, or of an unknown one where it is zero:
-// then each removal counts as the next.
-func (s *state) changeServers(c changes, revision int64, now time.Time) {
-	var entries []backend.Entry
-	gone := c.gone
+// changeServers takes over changes.
+func (s *state) changeServers(c changes, now time.Time) {
 	s.mu.Lock()
-	before := s.listing.revision
-	for _, object := range c.put {
-		if s.listing.has(object) {
-			// Peers tell it too.
-			continue
-		}
-		entry, err := s.listing.put(object)
-		if err != nil {
-			s.router.bad.note(err, now)
-			// The entry names no server any more. One that was in use leaves as if its entry
-			// were gone: it gets nothing new while there is another, and what is in flight
-			// ends. To keep it would trust a writer that nobody knows; to cut it off at once
-			// would fail what runs there for a slip of that writer.
-			gone = append(gone, object.Name)
-			continue
-		}
-		entries = append(entries, entry)
-	}
-	for _, id := range c.gone {
-		// An event of a removal may bear the entry's last revision, before it.
-		s.listing.remove(id, max(revision, s.listing.revision+1), now)
-	}
-	revision = max(revision, s.listing.revision)
+	at := step{from: c.from, before: s.listing.revision}
+	entries, left, broken := s.listing.merge(c, now)
+	at.to = max(c.upTo, s.listing.revision)
+	// Under the lock, so that the view gets changes in the order of the list.
+	ended := s.view.Change(entries, left, now)
 	s.mu.Unlock()
-	s.restarted(s.view.Change(entries, gone, now))
+	for _, err := range broken {
+		s.router.bad.note(err, now)
+	}
+	s.restarted(ended)
 	s.router.useVersions(now)
 	for _, entry := range entries {
 		s.checkService(entry, now)
 	}
-	s.logServers(entries, gone, step{from: c.from, before: before, to: revision})
+	s.logServers(entries, left, at)
 }
 
 // step is between which revisions of the list something has changed, and who told it.
@@ -189,10 +181,13 @@
 }
 
 // Apply implements store.Consumer.
-func (c serverConsumer) Apply(events []store.Event) { c.changeServers(lastOf(events), 0, time.Now()) }
+func (c serverConsumer) Apply(events []store.Event, revision int64) {
+	c.changeServers(lastOf(events, revision), time.Now())
+}
 
-// lastOf returns what the events of the store leave of each object.
-func lastOf(events []store.Event) changes {
+// lastOf returns what the events of the store up to a revision leave of each object. The event
+// of a removal may bear the entry's last revision, before it.
+func lastOf(events []store.Event, revision int64) changes {
 	last := map[string]int{}
 	for i := range events {
 		last[events[i].Object.Name] = i
@@ -202,7 +197,7 @@
 		switch name := event.Object.Name; {
 		case last[name] != i:
 		case event.Deleted:
-			c.gone = append(c.gone, name)
+			c.removed = append(c.removed, gone{id: name, revision: revision})
 		default:
 			c.put = append(c.put, event.Object)
 		}
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -101,7 +101,7 @@
 
 // packedChanges tells that a server is gone.
 func packedChanges(f *testing.F) []byte {
-	raw, err := proto.Marshal(&gossippb.ServerList{Gone: []string{"i-1"}})
+	raw, err := proto.Marshal(&gossippb.ServerList{Removed: []*gossippb.Removal{{Id: "i-1", Revision: 11}}})
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -29,13 +29,16 @@
 	digest uint64
 }
 
-// listed is an entry with what it adds to the digest.
+// listed is an entry with what it adds to the digest, and what was decoded of it.
 type listed struct {
 	spec     json.RawMessage
 	revision int64
 	digest   uint64
+	entry    backend.Entry
+	err      error
 }
 
+// removal is the revision by which an entry was gone, and when this daemon heard of it.
 type removal struct {
 	revision int64
 	at       time.Time
@@ -45,53 +48,79 @@
 	return &listing{entries: map[string]listed{}, gone: map[string]removal{}}
 }
 
-// replace takes over a whole list and returns the entries that can be decoded. What is
-// missing there was removed since the last one, so that a peer that is behind by less still
-// gets the changes alone.
-func (l *listing) replace(objects []store.Object, revision int64, now time.Time) ([]backend.Entry, []error) {
-	before := *l
-	*l = *newListing()
-	l.revision, l.floor = revision, revision
-	if before.revision > 0 && before.revision <= revision {
-		l.floor, l.gone = before.floor, before.gone
-		for id := range before.entries {
+// replace takes over a whole list as of a revision and returns the entries that can be decoded.
+// What is missing there was removed since, so that a peer that is behind by less still gets the
+// changes alone. It returns false for a list that is behind this one: what a call returned may
+// arrive after later words.
+func (l *listing) replace(objects []store.Object, revision int64, now time.Time) (entries []backend.Entry, broken []error, taken bool) {
+	if revision < l.revision {
+		return nil, nil, false
+	}
+	if l.revision == 0 {
+		l.floor = revision
+	}
+	present := map[string]bool{}
+	for _, object := range objects {
+		present[object.Name] = true
+		if one, known := l.entries[object.Name]; known && one.revision > revision {
+			// It has changed since.
+			continue
+		}
+		l.put(object)
+	}
+	for id, one := range l.entries {
+		if !present[id] && one.revision <= revision {
+			l.drop(id)
 			l.gone[id] = removal{revision: revision, at: now}
 		}
 	}
-	var entries []backend.Entry
-	var broken []error
-	for _, object := range objects {
-		entry, err := l.put(object)
-		if err != nil {
-			broken = append(broken, err)
+	l.revision = revision
+	entries, broken = l.decoded()
+	return entries, broken, true
+}
+
+// decoded returns the entries that name a server to use, and what is wrong with the others.
+func (l *listing) decoded() (entries []backend.Entry, broken []error) {
+	for _, one := range l.entries {
+		if one.err != nil {
+			broken = append(broken, one.err)
 			continue
 		}
-		entries = append(entries, entry)
+		entries = append(entries, one.entry)
 	}
 	return entries, broken
 }
 
-// has reports whether an entry stands there as of that revision or a later one.
-func (l *listing) has(object store.Object) bool {
-	one, known := l.entries[object.Name]
-	return known && object.Revision > 0 && one.revision >= object.Revision
+// change takes over an entry as of its revision. It returns false for one that is no news: the
+// same is known, or a later word, be it that the entry is gone. Peers tell what the store tells
+// too, in any order.
+func (l *listing) change(object store.Object) bool {
+	one, listed := l.entries[object.Name]
+	last := one.revision
+	if gone, removed := l.gone[object.Name]; removed && !listed {
+		last = gone.revision
+	}
+	if object.Revision > 0 && last >= object.Revision {
+		return false
+	}
+	l.put(object)
+	return true
 }
 
-// put takes over one entry. What cannot be decoded is passed on all the same, but
-// is no part of the digest.
-func (l *listing) put(object store.Object) (backend.Entry, error) {
+// put writes down one entry. What cannot be decoded is passed on all the same, but is no part
+// of the digest.
+func (l *listing) put(object store.Object) {
 	l.drop(object.Name)
 	delete(l.gone, object.Name)
 	entry, err := platform.DecodeServer(object.Name, object.Spec)
 	entry.Revision = object.Revision
-	one := listed{spec: object.Spec, revision: object.Revision}
+	one := listed{spec: object.Spec, revision: object.Revision, entry: entry, err: err}
 	if err == nil {
 		one.digest = xxhash.Sum64String(object.Name + "|" + entry.Address + "|" + entry.Version + "|" +
 			strconv.FormatInt(entry.BornMs, 16) + "|" + strconv.FormatBool(entry.Draining))
 	}
 	l.entries[object.Name] = one
 	l.digest += one.digest
-	return entry, err
 }
 
 func (l *listing) drop(id string) {
@@ -99,21 +128,75 @@
 	delete(l.entries, id)
 }
 
-// remove takes over that an entry is gone as of a revision.
-func (l *listing) remove(id string, revision int64, now time.Time) {
+// remove takes over that an entry was gone by a revision, and not there again. It returns false
+// where that is no news, or where the entry is known to have come back since. The revision is no
+// earlier than that of the removal: a peer that knows the list up to one between the two asks
+// for later changes alone, and would never be told.
+func (l *listing) remove(id string, revision int64, now time.Time) bool {
+	one, listed := l.entries[id]
+	if listed && one.revision > revision {
+		return false
+	}
+	if known, removed := l.gone[id]; removed && known.revision >= revision {
+		return false
+	}
 	l.drop(id)
-	for old, r := range l.gone {
+	l.forget(now)
+	l.gone[id] = removal{revision: revision, at: now}
+	return listed
+}
+
+// merge takes over changes. It returns what is news: the entries that name a server to use, the
+// IDs of servers that are none any more, and what is wrong with the others.
+//
+// An entry that cannot be decoded names no server any more. One that was in use leaves as if its
+// entry were gone: it gets nothing new while there is another, and what is in flight ends. To keep
+// it would trust a writer that nobody knows; to cut it off at once would fail what runs there for
+// a slip of that writer.
+func (l *listing) merge(c changes, now time.Time) (entries []backend.Entry, left []string, broken []error) {
+	for _, object := range c.put {
+		if !l.change(object) {
+			continue
+		}
+		one := l.entries[object.Name]
+		if one.err != nil {
+			broken = append(broken, one.err)
+			left = append(left, object.Name)
+			continue
+		}
+		entries = append(entries, one.entry)
+	}
+	for _, one := range c.removed {
+		if l.remove(one.id, one.revision, now) {
+			left = append(left, one.id)
+		}
+	}
+	if c.from != fromStore {
+		// Of the store's, Advance tells.
+		l.revision = max(l.revision, c.upTo)
+	}
+	return entries, left, broken
+}
+
+// forget lets go of removals that no peer is behind any more.
+func (l *listing) forget(now time.Time) {
+	for id, r := range l.gone {
 		if now.Sub(r.at) >= keepGone {
-			delete(l.gone, old)
+			delete(l.gone, id)
 			l.floor = max(l.floor, r.revision)
 		}
 	}
-	l.gone[id] = removal{revision: revision, at: now}
+}
+
+// gone is a server that is not listed any more, with the revision by which it was not.
+type gone struct {
+	id       string
+	revision int64
 }
 
 // since returns what has changed after a revision. It returns false when removals
 // since then are not all known, so that the whole list is needed.
-func (l *listing) since(revision int64) (changed []store.Object, gone []string, ok bool) {
+func (l *listing) since(revision int64) (changed []store.Object, removed []gone, ok bool) {
 	if revision < l.floor {
 		return l.all(), nil, false
 	}
@@ -124,10 +207,10 @@
 	}
 	for id, r := range l.gone {
 		if r.revision > revision {
-			gone = append(gone, id)
+			removed = append(removed, gone{id: id, revision: r.revision})
 		}
 	}
-	return changed, gone, true
+	return changed, removed, true
 }
 
 func (l *listing) all() []store.Object {
--- a/internal/router/pull.go
+++ b/internal/router/pull.go
@@ -117,6 +117,22 @@
 	return objects
 }
 
+func encodeRemovals(removed []gone) []*gossippb.Removal {
+	told := make([]*gossippb.Removal, 0, len(removed))
+	for _, one := range removed {
+		told = append(told, &gossippb.Removal{Id: one.id, Revision: one.revision})
+	}
+	return told
+}
+
+func decodeRemovals(told []*gossippb.Removal) []gone {
+	removed := make([]gone, 0, len(told))
+	for _, one := range told {
+		removed = append(removed, gone{id: one.GetId(), revision: one.GetRevision()})
+	}
+	return removed
+}
+
 // packedList is a list of servers as peers exchange it, with what it was made from.
 type packedList struct {
 	since, revision int64
@@ -141,8 +157,8 @@
 			return kept.packed, kept.partial
 		}
 	}
-	changed, gone, partial := s.listing.since(since)
-	raw, err := proto.Marshal(&gossippb.ServerList{Servers: encodeServers(changed), Gone: gone})
+	changed, removed, partial := s.listing.since(since)
+	raw, err := proto.Marshal(&gossippb.ServerList{Servers: encodeServers(changed), Removed: encodeRemovals(removed)})
 	if err != nil {
 		s.router.logger.Error("list of servers cannot be encoded", "error", err)
 		return nil, partial
@@ -154,7 +170,7 @@
 }
 
 // unpackServers returns what packedServers returned at a peer.
-func unpackServers(packed []byte) (servers []store.Object, gone []string, err error) {
+func unpackServers(packed []byte) (servers []store.Object, removed []gone, err error) {
 	raw, err := unpack(packed)
 	if err != nil {
 		return nil, nil, err
@@ -163,7 +179,7 @@
 	if err := proto.Unmarshal(raw, &list); err != nil {
 		return nil, nil, err
 	}
-	return decodeServers(list.GetServers()), list.GetGone(), nil
+	return decodeServers(list.GetServers()), decodeRemovals(list.GetRemoved()), nil
 }
 
 // packedConfig returns a configuration as peers exchange it, packed once for all that
@@ -226,7 +242,7 @@
 	if ago := reply.GetStoreBackMs(); ago > 0 {
 		s.storeReturned(now.Add(-time.Duration(ago) * time.Millisecond))
 	}
-	objects, gone, err := unpackServers(reply.GetPackedServers())
+	objects, removed, err := unpackServers(reply.GetPackedServers())
 	if err != nil {
 		s.router.logger.Error("list of servers of a peer cannot be unpacked", "error", err, "bytes", len(reply.GetPackedServers()))
 		return
@@ -234,10 +250,7 @@
 	if !reply.GetPartial() {
 		s.takeServers(objects, reply.GetServersRevision(), reply.GetVm(), now)
 	} else {
-		s.changeServers(changes{put: objects, gone: gone, from: reply.GetVm()}, reply.GetServersRevision(), now)
-		s.mu.Lock()
-		s.listing.revision = max(s.listing.revision, reply.GetServersRevision())
-		s.mu.Unlock()
+		s.changeServers(changes{put: objects, removed: removed, from: reply.GetVm(), upTo: reply.GetServersRevision()}, now)
 	}
 	s.compare(reply, now)
 }
--- a/internal/router/pull_test.go
+++ b/internal/router/pull_test.go
@@ -77,7 +77,7 @@
 	for i := range 900 {
 		leaving := object(i, "draining", int64(3000+i))
 		plain += len(leaving.Name) + len(leaving.Spec)
-		from.changeServers(changes{put: []store.Object{leaving}}, 0, now)
+		from.changeServers(changes{put: []store.Object{leaving}}, now)
 	}
 	from.listing.revision = 4000
 	reply := from.Pull(to.Request())
--- a/internal/router/removal_test.go
+++ b/internal/router/removal_test.go
@@ -18,7 +18,14 @@
 // their entries had been removed, at single daemons; all others had heard of it.
 //
 // Two relays follow the store and hear of the same changes in steps that differ. A daemon has the
-// list up to a revision from one of them when the other one takes a removal over.
+// list up to a revision from one of them when the other one takes a removal over. The relay noted
+// it as of its own revision before, plus one, and so as if that daemon knew it. Asked for what
+// came after its revision, no relay told it any more; that two lists of one revision differ was
+// only looked at once nothing had changed for 0.6 s.
+//
+// The evidence: in a play of that day two daemons at revision 1272 were not told of two removals
+// that relays had noted as of 1263 and 1269, heard of six later ones, and of these two 3.2 s later
+// by chance.
 func TestRemovalIsToldToWhoIsPastTheEarlierList(t *testing.T) {
 	c := qt.New(t)
 	now := time.Now()
@@ -41,7 +48,7 @@
 
 // apply takes over what one call of the watch has brought, as the follower does.
 func apply(s *state, revision int64, events ...store.Event) {
-	serverConsumer{s}.Apply(events)
+	serverConsumer{s}.Apply(events, revision)
 	serverConsumer{s}.Advance(revision, false)
 }
 
@@ -54,3 +61,47 @@
 	}
 	return ids
 }
+
+// TestLaterWordsStand: the store's words come by more than one way and in any order; the one of
+// the highest revision stands, whether it says that the server is there or that it is not.
+func TestLaterWordsStand(t *testing.T) {
+	entry := func(revision int64) changes {
+		return changes{put: []store.Object{listedServer(1, revision)}, from: "peer"}
+	}
+	removal := func(revision int64) changes {
+		return changes{removed: []gone{{id: "i-1", revision: revision}}, from: "peer"}
+	}
+	for name, play := range map[string]struct {
+		words []changes
+		ready []string
+	}{
+		"removal, then an older entry":       {[]changes{entry(3), removal(7), entry(5)}, nil},
+		"removal of a server not heard of":   {[]changes{removal(7), entry(5)}, nil},
+		"back again, then an older removal":  {[]changes{entry(3), entry(9), removal(7)}, []string{"i-1"}},
+		"removal, then back again":           {[]changes{entry(3), removal(7), entry(9)}, []string{"i-1"}},
+		"removal twice, back between by now": {[]changes{removal(7), entry(9), removal(7)}, []string{"i-1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s, now := testRouter(t).state, time.Now()
+			for _, word := range play.words {
+				s.changeServers(word, now)
+			}
+			c.Check(readyServers(s, now), qt.DeepEquals, play.ready)
+		})
+	}
+}
+
+// TestListThatIsBehindChangesNothing: a call to the store may return after a peer has told what
+// came later.
+func TestListThatIsBehindChangesNothing(t *testing.T) {
+	c := qt.New(t)
+	s, now := testRouter(t).state, time.Now()
+	s.takeServers([]store.Object{listedServer(1, 1), listedServer(2, 2)}, 10, fromStore, now)
+	s.changeServers(changes{removed: []gone{{id: "i-1", revision: 14}}, put: []store.Object{listedServer(3, 13)}, from: "peer", upTo: 15}, now)
+	s.takeServers([]store.Object{listedServer(1, 1), listedServer(2, 2)}, 12, fromStore, now)
+	c.Check(readyServers(s, now), qt.DeepEquals, []string{"i-2", "i-3"})
+	// One of the same revision is the store's word on all of them.
+	s.takeServers([]store.Object{listedServer(2, 2)}, 15, fromStore, now)
+	c.Check(readyServers(s, now), qt.DeepEquals, []string{"i-2"})
+}
--- a/internal/router/rollouts.go
+++ b/internal/router/rollouts.go
@@ -44,7 +44,7 @@
 }
 
 // Apply implements store.Consumer.
-func (c orderConsumer) Apply(events []store.Event) {
+func (c orderConsumer) Apply(events []store.Event, _ int64) {
 	now := time.Now()
 	for _, event := range events {
 		if event.Deleted {
--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -168,8 +168,7 @@
 		return nil, syscall.ECONNREFUSED
 	}
 	if h.net.quiet(h.ip, ip) {
-		<-ctx.Done()
-		return nil, ctx.Err()
+		return nil, unanswered(ctx)
 	}
 	client, server := newPair(address(h.ip), address(addr), h.net.Traffic(h.ip), h.net.Traffic(ip))
 	select {
--- a/internal/standin/memnet/silence.go
+++ b/internal/standin/memnet/silence.go
@@ -1,11 +1,28 @@
 package memnet
 
-import "time"
+import (
+	"context"
+	"syscall"
+	"time"
+)
 
 // probesFail is how long a connection may be held before its ends give it up, as the probes of
 // a daemon's connections find out.
 const probesFail = 3 * time.Second
 
+// dialFails is how long an attempt to open a connection hangs where nothing answers it.
+const dialFails = 2 * time.Second
+
+// unanswered waits for as long as an attempt hangs and returns how it ends.
+func unanswered(ctx context.Context) error {
+	select {
+	case <-time.After(dialFails):
+		return syscall.ETIMEDOUT
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Silence lets nothing pass between two hosts and says nothing of it: connections and attempts
 // to open one hang.
 func (n *Net) Silence(a, b string) {
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -20,8 +20,9 @@
 	// Replace takes over the whole list. outage is true for the first list after
 	// calls that failed.
 	Replace(page Page, outage bool)
-	// Apply takes over the changes that one call has brought, in their order.
-	Apply(events []Event)
+	// Apply takes over the changes that one call has brought, in their order: all that there
+	// were up to a revision of the store.
+	Apply(events []Event, revision int64)
 	// Advance notes up to which revision of the store the consumer has seen
 	// everything, and whether the store fails to answer.
 	Advance(revision int64, failing bool)
@@ -148,7 +149,7 @@
 		return err
 	}
 	if len(changes.Events) > 0 {
-		f.consumer.Apply(changes.Events)
+		f.consumer.Apply(changes.Events, changes.Revision)
 	}
 	f.next, f.changed = changes.Revision, len(changes.Events) > 0
 	if changes.Nameless > 0 {
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -28,7 +28,7 @@
 
 func (c *told) Replace(Page, bool) {}
 
-func (c *told) Apply([]Event) { c.applied = append(c.applied, time.Now()) }
+func (c *told) Apply([]Event, int64) { c.applied = append(c.applied, time.Now()) }
 
 func (c *told) Advance(revision int64, _ bool) {
 	if revision > 1 {
--- a/robustness/onplatform/leaving_test.go
+++ b/robustness/onplatform/leaving_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -17,7 +18,9 @@
 )
 
 // Callers' requests reached backend servers seconds after the store had acknowledged that they
-// leave, at one or two daemons of some eighty, all others of which had heard of it.
+// leave, at one or two daemons of some eighty, all others of which had heard of it: a removal was
+// told under a revision before its own, and not to who was past that (see the tests of removals
+// in internal/router, with the evidence).
 
 const (
 	// leavingBound is how long a server that leaves may be sent requests, from the store's
@@ -281,3 +284,164 @@
 		t.Run(fmt.Sprintf("%d daemons", daemons), leavingPlay{daemons: daemons, length: 10 * time.Second}.play)
 	}
 }
+
+// relaysOf returns the numbers of a zone's first daemons by name, which relay.
+func (l *leavingBed) relaysOf(zone string, most int) []int {
+	var of []int
+	for i, d := range l.daemons {
+		if l.zoneOf(d) == zone && !l.ended(d) {
+			of = append(of, i)
+		}
+	}
+	slices.SortFunc(of, func(a, b int) int { return strings.Compare(l.daemons[a].id, l.daemons[b].id) })
+	return of[:min(most, len(of))]
+}
+
+var zoneNames = []string{"zone-0", "zone-1", "zone-2"}
+
+// firstRelays returns the first daemons of all zones.
+func (l *leavingBed) firstRelays(most int) []int {
+	var all []int
+	for _, zone := range zoneNames {
+		all = append(all, l.relaysOf(zone, most)...)
+	}
+	return all
+}
+
+// loseFor ends daemons and starts them again after a while. Without power nothing says that they
+// have ended.
+func (l *leavingBed) loseFor(down time.Duration, power bool, lost ...int) {
+	for _, i := range lost {
+		l.touch(i)
+		if power {
+			l.net.Darken(l.daemons[i].ip)
+		}
+	}
+	for _, i := range lost {
+		l.kill(i)
+	}
+	time.Sleep(down)
+	count := len(l.daemons)
+	for _, i := range lost {
+		l.net.Lighten(l.daemons[i].ip)
+		l.touch(i)
+		l.daemons[i] = l.startDaemon(i + 1)
+		l.daemons = l.daemons[:count]
+	}
+}
+
+// leavingPlays are plays beside which something else happens.
+var leavingPlays = map[string]func(l *leavingBed){
+	"leads die": func(l *leavingBed) {
+		for range 3 {
+			time.Sleep(3 * time.Second)
+			l.loseFor(1500*time.Millisecond, false, l.firstRelays(1)...)
+		}
+	},
+	"leads lose power": func(l *leavingBed) {
+		for range 3 {
+			time.Sleep(3 * time.Second)
+			l.loseFor(4*time.Second, true, l.firstRelays(1)...)
+		}
+	},
+	"all relays lose power": func(l *leavingBed) {
+		for range 2 {
+			time.Sleep(3 * time.Second)
+			l.loseFor(4*time.Second, true, l.firstRelays(2)...)
+		}
+	},
+	"most daemons die": func(l *leavingBed) {
+		for range 2 {
+			time.Sleep(3 * time.Second)
+			var most []int
+			for i := range l.daemons {
+				if l.random.IntN(10) < 6 {
+					most = append(most, i)
+				}
+			}
+			l.loseFor(time.Second, false, most...)
+		}
+	},
+	"all daemons die": func(l *leavingBed) {
+		for range 2 {
+			time.Sleep(4 * time.Second)
+			for i := range l.daemons {
+				l.touch(i)
+			}
+			l.restartAll(700 * time.Millisecond)
+			for i := range l.daemons {
+				l.touch(i)
+			}
+		}
+	},
+	"daemons start one after the other": func(l *leavingBed) {
+		for i := range min(10, len(l.daemons)) {
+			time.Sleep(700 * time.Millisecond)
+			l.loseFor(300*time.Millisecond, false, i)
+		}
+	},
+	"leads are cut off from the store": func(l *leavingBed) {
+		time.Sleep(2 * time.Second)
+		cut := l.firstRelays(1)
+		for _, i := range cut {
+			l.touch(i)
+			l.net.Silence(l.daemons[i].ip, storeIP)
+		}
+		time.Sleep(6 * time.Second)
+		for _, i := range cut {
+			l.touch(i)
+			l.net.Speak(l.daemons[i].ip, storeIP)
+		}
+	},
+	"a zone is cut off from the others": func(l *leavingBed) {
+		time.Sleep(2 * time.Second)
+		l.acrossZone("zone-1", l.net.Silence)
+		time.Sleep(6 * time.Second)
+		l.acrossZone("zone-1", l.net.Speak)
+	},
+	"the store is away": func(l *leavingBed) {
+		for _, outage := range []fake.Outage{fake.Silent, fake.Busy} {
+			time.Sleep(2 * time.Second)
+			l.shake()
+			l.store.SetOutage(outage)
+			time.Sleep(2500 * time.Millisecond)
+			l.store.SetOutage(fake.Up)
+			l.shake()
+		}
+	},
+	"the store turns leads away": func(l *leavingBed) {
+		time.Sleep(2 * time.Second)
+		cut := l.firstRelays(1)
+		for _, i := range cut {
+			l.store.Refuse(l.daemons[i].ip, fake.Silent)
+		}
+		time.Sleep(5 * time.Second)
+		for _, i := range cut {
+			l.store.Refuse(l.daemons[i].ip, fake.Up)
+		}
+	},
+}
+
+// acrossZone does something between each daemon of a zone and each of the others.
+func (l *leavingBed) acrossZone(zone string, do func(one, other string)) {
+	for i, in := range l.daemons {
+		for _, out := range l.daemons {
+			if l.zoneOf(in) == zone && l.zoneOf(out) != zone {
+				do(in.ip, out.ip)
+			}
+		}
+		if l.zoneOf(in) == zone {
+			l.touch(i)
+		}
+	}
+}
+
+// TestServersThatLeaveBesideTrouble: the same for daemons to which nothing has happened lately,
+// whatever happens to others.
+func TestServersThatLeaveBesideTrouble(t *testing.T) {
+	for name, trouble := range leavingPlays {
+		for _, daemons := range []int{9, 60} {
+			t.Run(fmt.Sprintf("%s, %d daemons", name, daemons), leavingPlay{daemons: daemons, length: 14 * time.Second, trouble: trouble}.play)
+		}
+	}
+}
