Ask for the whole list at once where a peer's changes do not make the lists alike

The whole list was fetched only once the digests had differed for 0.6 s at one revision of the store, and each new revision began that anew: the lease is written twice a second, so that a daemon that lacked a change went on lacking it for 9 s. The answer to a pull bears the digest of the list that it was made from; where the changes alone do not give that, one was lost, and all is asked for in the next call.

TestListThatDiffersIsAskedForWhole fails without it.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -85,8 +85,9 @@
 	Heard(status *gossippb.Status, unknown bool)
 	// Lacks reports whether a pull from the peer would bring something newer.
 	Lacks(status *gossippb.Status) bool
-	// Pulled takes over what a pull has brought.
-	Pulled(reply *gossippb.PullReply)
+	// Pulled takes over what a pull has brought. It reports whether the peer has to be asked
+	// again at once, for all that it has.
+	Pulled(reply *gossippb.PullReply) (again bool)
 	// Noticed takes over what a peer has just sent to a server.
 	Noticed(load *gossippb.Load)
 }
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -40,20 +40,21 @@
 
 // pull asks the peer for what is newer, until it has told of nothing more meanwhile.
 func (n *Node) pull(ctx context.Context, address string) {
-	for again := true; again; again = n.endPull(address) && ctx.Err() == nil {
-		n.pullOnce(ctx, address)
+	for again := true; again && ctx.Err() == nil; {
+		again = n.pullOnce(ctx, address) || n.endPull(address)
 	}
 }
 
-func (n *Node) pullOnce(ctx context.Context, address string) {
+// pullOnce makes one call and reports whether another one is due at once.
+func (n *Node) pullOnce(ctx context.Context, address string) (again bool) {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	reply, err := n.call(ctx, address)
 	if err != nil {
 		n.options.Logger.Warn("peer could not be asked", "peer_address", address, "error", err)
-		return
+		return false
 	}
-	n.options.Sink.Pulled(reply)
+	return n.options.Sink.Pulled(reply)
 }
 
 func (n *Node) call(ctx context.Context, address string) (*gossippb.PullReply, error) {
--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -77,6 +77,7 @@
 		s.router.logger.Info("list of servers is behind what is known", "from", from, "revision_before", before, "revision", revision)
 		return
 	}
+	s.wantAll = false
 	// Under the lock, so that the view gets changes in the order of the list.
 	ended := s.view.Replace(entries, now)
 	s.mu.Unlock()
--- a/internal/router/pull.go
+++ b/internal/router/pull.go
@@ -45,14 +45,12 @@
 	ahead := status.GetServersRevision() > s.listing.revision || (!following && status.GetServersRevision() == s.listing.revision)
 	if !ahead || status.GetStoreFailing() || status.GetServersDigest() == s.listing.digest {
 		delete(s.differs, status.GetVm())
-		s.wantAll = false
 		return false
 	}
 	if !following && status.GetServersRevision() > s.listing.revision {
 		// The changes are enough. While servers change all the time the digests never
 		// agree: 295 daemons fetched the whole list 18 times each in their first seconds.
 		delete(s.differs, status.GetVm())
-		s.wantAll = false
 		return true
 	}
 	since, known := s.differs[status.GetVm()]
@@ -227,7 +225,7 @@
 }
 
 // Pulled implements gossip.Sink.
-func (s *state) Pulled(reply *gossippb.PullReply) {
+func (s *state) Pulled(reply *gossippb.PullReply) (again bool) {
 	if len(reply.GetConfig()) > 0 {
 		s.takePackedConfig(reply.GetConfig())
 	}
@@ -236,7 +234,7 @@
 		(reply.GetServersRevision() == s.listing.revision && len(reply.GetPackedServers()) > 0)
 	s.mu.Unlock()
 	if !wanted {
-		return
+		return false
 	}
 	now := time.Now()
 	if ago := reply.GetStoreBackMs(); ago > 0 {
@@ -245,25 +243,29 @@
 	objects, removed, err := unpackServers(reply.GetPackedServers())
 	if err != nil {
 		s.router.logger.Error("list of servers of a peer cannot be unpacked", "error", err, "bytes", len(reply.GetPackedServers()))
-		return
+		return false
 	}
 	if !reply.GetPartial() {
 		s.takeServers(objects, reply.GetServersRevision(), reply.GetVm(), now)
 	} else {
 		s.changeServers(changes{put: objects, removed: removed, from: reply.GetVm(), upTo: reply.GetServersRevision()}, now)
 	}
-	s.compare(reply, now)
+	return !s.compare(reply, now)
 }
 
-// compare notes whether the list is now that of the peer that told it.
-func (s *state) compare(reply *gossippb.PullReply, now time.Time) {
+// compare reports whether the list is now that of the peer that told it, as far as that can be
+// said. Where its changes did not make it so, one was lost, and the whole list is asked for: the
+// revision alone says nothing of that, and goes on for other objects all the time.
+func (s *state) compare(reply *gossippb.PullReply, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.agree(reply.GetServersDigest(), reply.GetServersAgeMs(), now)
 	if reply.GetServersDigest() == 0 || reply.GetServersRevision() != s.listing.revision || reply.GetServersDigest() == s.listing.digest {
-		return
+		return true
 	}
 	s.router.listsDiffer.Inc()
 	s.router.logger.Warn("list of servers differs from the one it was told from", "from", reply.GetVm(),
 		"revision", s.listing.revision, "partial", reply.GetPartial(), "servers", len(s.listing.entries))
+	s.wantAll = reply.GetPartial()
+	return !reply.GetPartial()
 }
--- a/internal/router/removal_test.go
+++ b/internal/router/removal_test.go
@@ -105,3 +105,22 @@
 	s.takeServers([]store.Object{listedServer(2, 2)}, 15, fromStore, now)
 	c.Check(readyServers(s, now), qt.DeepEquals, []string{"i-2"})
 }
+
+// TestListThatDiffersIsAskedForWhole: where the changes that a peer tells do not make the lists
+// alike, the whole list is fetched at once, however fast the revision goes on.
+func TestListThatDiffersIsAskedForWhole(t *testing.T) {
+	c := qt.New(t)
+	lead, member, now := testRouter(t).state, testRouter(t).state, time.Now()
+	serverConsumer{lead}.Replace(store.Page{Objects: []store.Object{listedServer(1, 1), listedServer(2, 2)}, Revision: 10}, false)
+	c.Assert(member.Pulled(lead.Pull(member.Request())), qt.IsFalse)
+	// A change is lost on the way to the member, whose revision says that it has it.
+	apply(lead, 15, store.Event{Object: listedServer(3, 12)})
+	member.listing.revision = 15
+	apply(lead, 20, store.Event{Object: listedServer(4, 18)})
+	c.Assert(member.Pulled(lead.Pull(member.Request())), qt.IsTrue)
+	c.Check(member.Request().GetServersRevision(), qt.Equals, int64(0))
+	c.Check(member.Pulled(lead.Pull(member.Request())), qt.IsFalse)
+	c.Check(member.listing.digest, qt.Equals, lead.listing.digest)
+	c.Check(readyServers(member, now), qt.HasLen, 4)
+	c.Check(member.Request().GetServersRevision(), qt.Equals, int64(20))
+}
