Let another daemon of the zone follow the store after a report and a half of silence

A zone hears of leaving servers from the one relay that follows the store. When it died, and the leads of the other zones with it, nobody told the zone until the relays counted as silent, 1.5 s later, and daemons at which nothing had happened sent requests to servers that had left 1.3 to 1.6 s before, where they have to know within half of the operators' bound. Daemons now say whether they follow the store and it answers them; who hears of nobody of its zone that does for a report and a half follows it, in the order of names, and tells the zone, whatever its part in the gossip. Sums and suspicion keep their 1.5 s.

Left red: relays that the store does not reach any more, without a word.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -235,7 +235,7 @@
 	fresh, unknown := n.options.Members.hear(Peer{
 		VM: status.GetVm(), Zone: status.GetZone(), Address: status.GetAddress(), Incarnation: status.GetIncarnation(),
 		ConfigVersion: status.GetConfigVersion(), ServersRevision: status.GetServersRevision(),
-		Counting: countingOf(status), Fence: status.GetFence(), Draining: status.GetDraining(), StoreFailing: status.GetStoreFailing(),
+		Counting: countingOf(status), Fence: status.GetFence(), Draining: status.GetDraining(), StoreFailing: status.GetStoreFailing(), Follows: status.GetFollows(),
 	}, status.GetSequence(), now)
 	if !fresh {
 		return
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -39,6 +39,8 @@
 	Draining bool
 	// StoreFailing is set while the store does not answer the peer.
 	StoreFailing bool
+	// Follows is set while the peer follows the store for its zone.
+	Follows bool
 	// HeardAt is when the peer's last datagram came; NamedAt is when this daemon
 	// last learned from others that the peer is there.
 	HeardAt time.Time
--- a/internal/gossip/plan.go
+++ b/internal/gossip/plan.go
@@ -26,7 +26,8 @@
 	Follows bool
 	// ReportTo are the other relays of the zone.
 	ReportTo []Peer
-	// Zone are the other daemons of the zone, for a relay to tell.
+	// Zone are the other daemons of the zone, for a relay to tell, and for who follows the store
+	// in place of relays that have fallen silent.
 	Zone []Peer
 	// Far are the relays of other zones, for the lead to tell.
 	Far []Peer
@@ -38,7 +39,7 @@
 }
 
 // Condition is what a daemon knows of itself.
-type Condition struct{ StoreFailing, Draining bool }
+type Condition struct{ StoreFailing, Draining, Follows bool }
 
 // Plan returns the part of this daemon.
 func (m *Members) Plan(self Condition, now time.Time) Plan {
@@ -65,7 +66,7 @@
 		}
 		plan.ReportTo = append(plan.ReportTo, p)
 	}
-	if plan.Relay {
+	if plan.Relay || self.Follows {
 		plan.Zone = m.zonePeers(now)
 	}
 	if plan.Lead {
--- a/internal/gossip/tell.go
+++ b/internal/gossip/tell.go
@@ -38,10 +38,11 @@
 	}
 }
 
-// tellZone tells the daemons of the zone, from a relay. What differs between the
-// receivers is added to the common part: parts of a message add up.
+// tellZone tells the daemons of the zone, from a relay or from who follows the store in place
+// of one. What differs between the receivers is added to the common part: parts of a message add
+// up.
 func (n *Node) tellZone(plan Plan, own *gossippb.Counts, sequence uint64, now time.Time) {
-	if !plan.Relay {
+	if len(plan.Zone) == 0 {
 		return
 	}
 	common := n.status(sequence)
@@ -68,7 +69,7 @@
 				extra.All = &gossippb.Counts{Windows: n.options.Source.Windows()}
 			}
 		}
-		if slices.ContainsFunc(plan.ReportTo, func(p Peer) bool { return p.VM == peer.VM }) {
+		if plan.Relay && slices.ContainsFunc(plan.ReportTo, func(p Peer) bool { return p.VM == peer.VM }) {
 			extra.Own = own
 			n.options.Members.asked(peer.VM, now)
 		}
--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -214,7 +214,7 @@
 	if failing {
 		c.failingAt = time.Now()
 	} else {
-		c.failingAt, c.provenAt = time.Time{}, time.Now()
+		c.failingAt, c.provenAt, c.answered = time.Time{}, time.Now(), true
 	}
 	c.mu.Unlock()
 	if ahead {
@@ -223,6 +223,13 @@
 	}
 }
 
+// beginRole notes that this daemon begins to follow the store, or stops.
+func (s *state) beginRole() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered = false
+}
+
 // Freshness implements forward.Options' question.
 func (s *state) Freshness() (serversAge time.Duration, storeFailing bool) {
 	s.mu.Lock()
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/gossip"
@@ -73,7 +74,10 @@
 		following := r.follows(now)
 		if r.following.Swap(following) != following {
 			r.logger.Info("role of following the store changed", "following", following)
+			r.state.beginRole()
 			r.relist()
+			// The daemons of the zone learn whom they can rely on.
+			r.node.Soon()
 		}
 		first := following && r.isFirst(now)
 		if r.sentinel.Swap(first) != first {
@@ -106,47 +110,74 @@
 		return false
 	}
 	plan := r.plan(now)
-	if plan.Follows {
+	switch {
+	case plan.Follows:
 		r.unledAt = time.Time{}
 		return true
+	case r.led(plan, now):
+		r.unledAt = time.Time{}
+		return false
 	}
-	heard := false
-	for _, relay := range plan.ReportTo {
-		heard = heard || relay.Heard(now)
-		if !relay.StoreFailing && (relay.Heard(now) || now.Sub(r.state.started) < findFor) {
-			r.unledAt = time.Time{}
-			return false
+	return r.unledFor(plan, now)
+}
+
+// led reports whether another daemon of the zone follows the store, as far as was heard of late,
+// or may be about to. Of two that follow, the later one in the order of names stops.
+func (r *Router) led(plan gossip.Plan, now time.Time) bool {
+	stays := r.following.Load() && !r.state.failing()
+	for _, peer := range r.members.HeardWithin(followerPatience(r.node.Round(now)), now) {
+		follows := peer.Zone == r.settings.VM.Zone && peer.Follows && !peer.StoreFailing
+		if follows && (!stays || peer.VM < r.settings.VM.ID) {
+			return true
 		}
 	}
+	if now.Sub(r.state.started) >= findFor {
+		return false
+	}
+	return slices.ContainsFunc(plan.ReportTo, func(relay gossip.Peer) bool { return !relay.StoreFailing })
+}
+
+// unledFor reports whether nobody has followed the store for the zone for long enough that this
+// daemon should.
+func (r *Router) unledFor(plan gossip.Plan, now time.Time) bool {
 	if r.unledAt.IsZero() {
 		r.unledAt = now
 	}
+	heard := slices.ContainsFunc(plan.ReportTo, func(relay gossip.Peer) bool { return relay.Heard(now) && relay.StoreFailing })
 	return now.Sub(r.unledAt) >= unledPatience(plan.ZonePlace, heard)
 }
 
 const (
-	// tryAtOnce is the number of daemons of a zone that try the store at once when it
-	// answers none of the relays. The others try in turns, as many each second: when the
-	// store was down for 6 s, 295 daemons that all tried made some 4,000 calls.
+	// reportSlack is how late a report may be: links within a zone take some ms, and a daemon's
+	// timer may fire late.
+	reportSlack = 100 * time.Millisecond
+	// tryAtOnce is the number of daemons of a zone that try the store first when nobody follows it,
+	// one after the other, each tryStep later. The others try in turns, as many each second, and all
+	// do while the store answers none of the relays: when it was down for 6 s, 295 daemons that all
+	// tried made some 4,000 calls.
 	tryAtOnce = 8
+	tryStep   = 50 * time.Millisecond
 	tryTurn   = time.Second
-	// relaysFound is how long the others wait when the relays of the zone have fallen
-	// silent: new ones are heard by then. With the 1.5 s until they are missed, a daemon
-	// that is cut off from all others still follows the store itself within 2 s.
-	relaysFound = 300 * time.Millisecond
 )
 
-// unledPatience returns how long a daemon waits without a relay that the store answers
-// before it asks the store itself. heard is set if it hears relays that the store does not
-// answer.
-func unledPatience(zonePlace int, heard bool) time.Duration {
+// followerPatience is how long nothing may be heard of who follows the store for a zone until
+// another one does: a report and a half. While nobody does, the zone hears of no server that
+// leaves, and it has half of the operators' bound to. Should one report be lost, two daemons
+// follow for a while, at the price of a few calls.
+func followerPatience(round time.Duration) time.Duration { return round + round/2 + reportSlack }
+
+// unledPatience returns how long a daemon waits, once nobody of its zone follows the store, before
+// it does: those who come before it in their order may be there. failing is set where relays are
+// heard that the store does not answer; they go on trying.
+func unledPatience(zonePlace int, failing bool) time.Duration {
+	turns := time.Duration(zonePlace/tryAtOnce) * tryTurn
 	switch {
+	case failing:
+		return turns + tryTurn
 	case zonePlace < tryAtOnce:
-		return 0
-	case heard:
-		return time.Duration(zonePlace/tryAtOnce) * tryTurn
+		return time.Duration(max(0, zonePlace-1)) * tryStep
 	}
-	return relaysFound
+	return turns
 }
 
 // isFirst reports whether this daemon comes first among those that it hears and
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -43,6 +43,8 @@
 	provenAt    time.Time
 	failingAt   time.Time
 	storeBackAt time.Time
+	// answered is set once the store has answered since this daemon follows it.
+	answered bool
 	// differs is since when each peer that is ahead shows other servers.
 	differs map[string]time.Time
 	// wantAll is set when the changes that a peer tells do not make the lists alike.
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -39,7 +39,7 @@
 		status.RollOuts, status.RollOutsRead = encodeRollOuts(s.router.board.Tell(time.Now())), s.router.board.ReadUpTo()
 	}
 	status.Held = encodeHeld(s.quarantine.Tell(time.Now()))
-	status.Draining = s.router.draining.Load()
+	status.Draining, status.Follows = s.router.draining.Load(), s.followsStore()
 	status.Fence = s.ownFence()
 	status.UptimeMs = time.Since(s.started).Milliseconds()
 	status.CountingMs = max(1, s.limiter.counted().Milliseconds())
@@ -53,9 +53,17 @@
 	return right.Fence
 }
 
+// followsStore reports whether this daemon follows the store, and the store has answered it since
+// it does: others of the zone rely on it then.
+func (s *state) followsStore() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.router.following.Load() && s.answered && !s.storeFailing()
+}
+
 // Condition implements gossip.Source.
 func (s *state) Condition() gossip.Condition {
-	return gossip.Condition{StoreFailing: s.failing(), Draining: s.router.draining.Load()}
+	return gossip.Condition{StoreFailing: s.failing(), Draining: s.router.draining.Load(), Follows: s.followsStore()}
 }
 
 // Own implements gossip.Source.
