Probe the store while following it, so that a zone does not wait for a watch that is dead

A watch that waits says nothing of a path that carries nothing: the follower found it out after 4.7 to 6.5 s, by the connection's probes and a second attempt of its own, and its zone heard of no leaving server meanwhile. The daemon that follows the store now asks it each eighth of the operators' bound for an entry that is not there, which may be stale and costs a tenth of a call. One that gets no answer within that time, or four times the usual one where the store is slow, says so; the next relay follows. The bound is a setting now (bounds.leaving, 2 s without it).

--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"reflect"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -83,6 +84,9 @@
 	QuotaWindow Duration `yaml:"quota_window"`
 	QuotaOver   float64  `yaml:"quota_over"`
 	QuotaSlack  float64  `yaml:"quota_slack"`
+	// Leaving is how long a backend server that leaves may be sent requests, from when the store
+	// has taken over that it does. Without it StartLeaving holds.
+	Leaving Duration `yaml:"leaving"`
 	// RollOutShare and RollOutSlack are how many requests a bad version may get while a
 	// service moves to it: a share of all, and a number besides. RollOutStop is how long after
 	// its 50th bad answer it may get the last. Without them versions of servers do not matter.
@@ -91,6 +95,18 @@
 	RollOutStop  Duration `yaml:"rollout_stop"`
 }
 
+// StartLeaving is the bound for servers that leave where the settings have none: the least that
+// a drain is of use with.
+const StartLeaving = 2 * time.Second
+
+// LeavingBound returns how long a backend server that leaves may be sent requests.
+func (b RouterBounds) LeavingBound() time.Duration {
+	if b.Leaving <= 0 {
+		return StartLeaving
+	}
+	return b.Leaving.Std()
+}
+
 // LoadRouterSettings reads a router's settings from a file.
 func LoadRouterSettings(path string) (RouterSettings, error) {
 	raw, err := os.ReadFile(path)
@@ -121,6 +137,9 @@
 			found.Addf(source.Place(path), "%s: must be greater than zero", path)
 		}
 	}
+	if settings.Bounds.Leaving < 0 {
+		found.Addf(source.Place("bounds.leaving"), "bounds.leaving: must not be negative")
+	}
 	settings.checkAddresses(source, &found)
 	if settings.Bounds.RetryRatio < 0 || settings.Bounds.RetryExtra < 0 {
 		found.Addf(source.Place("bounds.retry_ratio"), "bounds.retry_ratio and bounds.retry_extra: must not be negative")
--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -43,12 +43,19 @@
 // Replace implements store.Consumer.
 func (c serverConsumer) Replace(page store.Page, outage bool) {
 	now := time.Now()
-	if outage || c.failing() {
+	if outage || c.away() {
 		c.storeReturned(now)
 	}
 	c.takeServers(page.Objects, page.Revision, fromStore, now)
 }
 
+// away reports whether the store gave no answer of late.
+func (s *state) away() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeFailing()
+}
+
 // storeReturned notes when the store has come back from an outage.
 func (s *state) storeReturned(at time.Time) {
 	s.mu.Lock()
@@ -214,7 +221,7 @@
 	if failing {
 		c.failingAt = time.Now()
 	} else {
-		c.failingAt, c.provenAt, c.answered = time.Time{}, time.Now(), true
+		c.failingAt, c.unreachedAt, c.provenAt, c.answered = time.Time{}, time.Time{}, time.Now(), true
 	}
 	c.mu.Unlock()
 	if ahead {
--- /dev/null
+++ b/internal/router/probe_test.go
@@ -0,0 +1,34 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestSlowStoreIsNotOutOfReach: a probe that is late once the store has been slow for a while is
+// waited for; one that gets no answer is found out within an eighth of the bound.
+func TestSlowStoreIsNotOutOfReach(t *testing.T) {
+	c := qt.New(t)
+	p := newProbes(2 * time.Second)
+	for range 20 {
+		p.answered(4 * time.Millisecond)
+	}
+	c.Check(p.patience(), qt.Equals, 250*time.Millisecond)
+	const slow = 400 * time.Millisecond
+	missed := 0
+	for range 20 {
+		if p.patience() < slow {
+			missed++
+		}
+		p.answered(min(slow, p.patience()))
+	}
+	c.Check(missed <= 4, qt.IsTrue, qt.Commentf("%d of 20 answers of a slow store missed", missed))
+	c.Check(p.patience(), qt.Equals, longestProbe)
+	for bound, every := range map[time.Duration]time.Duration{
+		100 * time.Millisecond: shortestProbe, 4 * time.Second: 500 * time.Millisecond, time.Minute: longestProbe,
+	} {
+		c.Check(newProbes(bound).patience(), qt.Equals, every)
+	}
+}
--- a/internal/router/pull.go
+++ b/internal/router/pull.go
@@ -62,7 +62,7 @@
 		s.wantAll = true
 		return true
 	}
-	return !following || s.storeFailing()
+	return !following || s.unreached()
 }
 
 // Request implements gossip.Source.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -268,6 +268,7 @@
 		r.configs.Run,
 		r.servers.Run,
 		r.watchRole,
+		r.probeStore,
 		func(ctx context.Context) { r.node.Run(ctx, r.peers) },
 		r.register,
 		r.housekeep,
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -43,6 +43,9 @@
 	provenAt    time.Time
 	failingAt   time.Time
 	storeBackAt time.Time
+	// unreachedAt is when the store was last found to be out of reach, or zero once it has
+	// answered since.
+	unreachedAt time.Time
 	// answered is set once the store has answered since this daemon follows it.
 	answered bool
 	// differs is since when each peer that is ahead shows other servers.
@@ -79,6 +82,19 @@
 	return !s.failingAt.IsZero() && time.Since(s.failingAt) < failingFor
 }
 
+// outOfReach notes that the store does not reach this daemon.
+func (s *state) outOfReach() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.unreachedAt = time.Now()
+}
+
+// unreached reports whether the store is out of reach, or does not answer. The caller holds the
+// lock.
+func (s *state) unreached() bool {
+	return s.storeFailing() || (!s.unreachedAt.IsZero() && time.Since(s.unreachedAt) < failingFor)
+}
+
 func newState(r *Router) *state {
 	now := time.Now()
 	return &state{
@@ -108,11 +124,11 @@
 	return own.Add(s.lead.demand[service].Less(s.lead.without[service]))
 }
 
-// failing reports whether the store does not answer this daemon.
+// failing reports whether the store does not answer this daemon, or does not reach it.
 func (s *state) failing() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.storeFailing()
+	return s.unreached()
 }
 
 // takeConfig puts a configuration in force unless it is older than the present
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -32,7 +32,7 @@
 		status.ConfigVersion = c.Version
 	}
 	s.mu.Lock()
-	status.ServersRevision, status.StoreFailing = s.listing.revision, s.storeFailing()
+	status.ServersRevision, status.StoreFailing = s.listing.revision, s.unreached()
 	status.ServersDigest, status.ServersAgeMs = s.listing.digest, s.tellAge(time.Now())
 	s.mu.Unlock()
 	if s.router.board.Enabled() {
@@ -58,7 +58,7 @@
 func (s *state) followsStore() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.router.following.Load() && s.answered && !s.storeFailing()
+	return s.router.following.Load() && s.answered && !s.unreached()
 }
 
 // Condition implements gossip.Source.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -65,6 +65,9 @@
 	// ListStale returns all objects of a kind as they were some seconds ago at most, at a
 	// tenth of the price and beside the store's rate.
 	ListStale(ctx context.Context, kind string) (Page, error)
+	// Reach returns nil if the store is reached, at a tenth of the price of another call. A watch
+	// that waits on a connection that is dead does not tell.
+	Reach(ctx context.Context) error
 	// Watch waits at most that long for changes after a revision.
 	Watch(ctx context.Context, kind string, after int64, wait time.Duration) (Changes, error)
 	// Get returns one object, not older than the call.
