Count calls to silent peers among the few at once for 300 ms alone

Two calls to peers at a time, each of up to 2 s, keep answers from choking a relay's link. Two relays that lose power while a daemon asks them held it up for those 2 s, while the daemon that follows the store in their place told of what it lacks. Found by reading; TestSilentPeersHoldNobodyUp fails without it.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -51,6 +51,9 @@
 	// that they have something newer; were it to ask all, their answers would choke
 	// its link. A second call goes on when the first peer does not answer.
 	mostPulls = 2
+	// slowPull is how long a call counts among those. Peers that have lost power answer nothing
+	// until pullTimeout, and others may tell what they would have.
+	slowPull = 300 * time.Millisecond
 )
 
 // Source fills in what the daemon tells.
@@ -120,8 +123,8 @@
 
 	mu       sync.Mutex
 	sequence uint64
-	// pulling are the peers that are being asked, with whether to ask again.
-	pulling map[string]bool
+	// pulling are the peers that are being asked, by address.
+	pulling map[string]*pulling
 }
 
 // Listen opens the node's UDP and TCP ports.
@@ -135,7 +138,7 @@
 		_ = packets.Close()
 		return nil, nil, eris.Wrap(err, "listen for calls of peers")
 	}
-	n := &Node{options: options, packets: packets, server: grpc.NewServer(), soon: make(chan struct{}, 1), align: make(chan struct{}, 1), notices: newNoticeRate(), pulling: map[string]bool{}}
+	n := &Node{options: options, packets: packets, server: grpc.NewServer(), soon: make(chan struct{}, 1), align: make(chan struct{}, 1), notices: newNoticeRate(), pulling: map[string]*pulling{}}
 	gossippb.RegisterPeersServer(n.server, n)
 	return n, listener, nil
 }
@@ -256,7 +259,7 @@
 	if unknown {
 		n.Soon()
 	}
-	if n.options.Sink.Lacks(status) && n.beginPull(status.GetAddress()) {
+	if n.options.Sink.Lacks(status) && n.beginPull(status.GetAddress(), now) {
 		go n.pull(ctx, status.GetAddress())
 	}
 }
--- a/internal/gossip/pull.go
+++ b/internal/gossip/pull.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -9,29 +10,44 @@
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
 )
 
+// pulling is a peer that is being asked.
+type pulling struct {
+	// begun is when the present call to it began.
+	begun time.Time
+	// again is set where another call is due after it.
+	again bool
+}
+
 // beginPull reports whether a call to the peer may begin. Where one is under way, another
 // follows it: the peer has told of something newer since, and its next report may be half
 // a second away.
-func (n *Node) beginPull(address string) bool {
+func (n *Node) beginPull(address string, now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, under := n.pulling[address]; under {
-		n.pulling[address] = true
+	if under := n.pulling[address]; under != nil {
+		under.again = true
 		return false
 	}
-	if len(n.pulling) >= mostPulls {
+	lately := 0
+	for _, p := range n.pulling {
+		if now.Sub(p.begun) < slowPull {
+			lately++
+		}
+	}
+	if lately >= mostPulls {
 		return false
 	}
-	n.pulling[address] = false
+	n.pulling[address] = &pulling{begun: now}
 	return true
 }
 
 // endPull reports whether another call to the peer is due.
-func (n *Node) endPull(address string) (again bool) {
+func (n *Node) endPull(address string, now time.Time) (again bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.pulling[address] {
-		n.pulling[address] = false
+	p := n.pulling[address]
+	if p.again {
+		p.begun, p.again = now, false
 		return true
 	}
 	delete(n.pulling, address)
@@ -41,7 +57,7 @@
 // pull asks the peer for what is newer, until it has told of nothing more meanwhile.
 func (n *Node) pull(ctx context.Context, address string) {
 	for again := true; again && ctx.Err() == nil; {
-		again = n.pullOnce(ctx, address) || n.endPull(address)
+		again = n.pullOnce(ctx, address) || n.endPull(address, time.Now())
 	}
 }
 
