Count the last use of a leaving server from the store's word, and look at it again before sending

A server that drains or has left the list was sent requests for 1.2 s from when a daemon heard of it, where a service had no other: news that came 0.8 s late or more broke the operators' bound of 2 s, and a daemon that had just started took a server that had drained for long for one that begins to. The bound is a setting (bounds.leaving) and counts from when the store can have taken the change over at the earliest, which is when its list was last known without it; where that is not known, as at the first list of a start, such a server gets nothing. A request that has waited for a connection looks at its server once more before it is sent. An entry that is gone counts as lapsed in an outage only if it was not seen since the store's return.

TestDrainingIsALastResort and the tests beside it state the end of the use from the setting in place of the constant 1.2 s.

--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -66,15 +66,6 @@
 )
 
 const (
-	// lastResort is how long a server that drains or has left the list is still
-	// used when a service has no other, from the moment this daemon learned of
-	// it. The platform allows 2 s from its acknowledgement; a watch is behind by
-	// some hundred milliseconds.
-	lastResort = 1200 * time.Millisecond
-	// afterOutage is how long an entry that lapsed during an outage of the
-	// store is still used after the store's return: live servers are back
-	// within about two seconds.
-	afterOutage = 2200 * time.Millisecond
 	// failureHalfLife halves the weight of a failure. A server is suspect while
 	// its weight is above suspectAbove, so one failure counts for two seconds. An
 	// answer takes a fifth off, so that a server that fails now and then stays
@@ -199,13 +190,6 @@
 	s.slow, s.slowAt = slow+slowWeight*(ratio-slow), now
 }
 
-// leave marks the server as leaving at a time, usable as a last resort.
-func (s *server) leave(now, usableUntil time.Time) {
-	if s.leftAt.IsZero() {
-		s.leftAt, s.usableUntil = now, usableUntil
-	}
-}
-
 // remoteFor is how long what others have in flight counts after it was told: twice
 // the time after which a daemon counts as silent.
 const remoteFor = 3 * time.Second
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -36,6 +36,8 @@
 	// early are figures that others told before the configuration of the service came.
 	early     map[string]pace.EngineFigures
 	outageEnd time.Time
+	// leaving is how long a server that leaves may be sent requests, from the store's word.
+	leaving time.Duration
 	// inService are the servers in service, by service, as far as they were asked for
 	// since one last came or left.
 	inService map[side][]*server
@@ -52,7 +54,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, distances: map[string]distance{}, paces: map[string]*pace.Engine{}, early: map[string]pace.EngineFigures{}, inService: map[side][]*server{}, versions: map[string]Versions{}, changed: make(chan struct{})}
+	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, distances: map[string]distance{}, paces: map[string]*pace.Engine{}, early: map[string]pace.EngineFigures{}, inService: map[side][]*server{}, versions: map[string]Versions{}, changed: make(chan struct{}), leaving: startLeaving}
 }
 
 // SetTraits takes over what a configuration says of the services.
@@ -84,21 +86,21 @@
 
 // Replace takes over a whole list. Servers that are missing have left. It returns the
 // entries of servers that have started again as they were before.
-func (v *View) Replace(entries []Entry, now time.Time) (ended []Entry) {
+func (v *View) Replace(entries []Entry, news News) (ended []Entry) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.listed = true
 	present := map[string]bool{}
 	for _, e := range entries {
 		present[e.ID] = true
-		ended = append(ended, v.put(e, now)...)
+		ended = append(ended, v.put(e, news)...)
 	}
 	for id, s := range v.servers {
 		if !present[id] {
-			v.lapse(s, now)
+			v.lapse(s, news)
 		}
 	}
-	v.prune(now)
+	v.prune(news.At)
 	v.announce()
 	return ended
 }
@@ -111,34 +113,35 @@
 	return v.listed
 }
 
-// Put takes over a new or changed entry. If the server has started again it returns its
+// Put takes over a new or changed entry as of now. If the server has started again it returns its
 // entry as it was before.
 func (v *View) Put(e Entry, now time.Time) (ended []Entry) {
-	return v.Change([]Entry{e}, nil, now)
+	return v.Change([]Entry{e}, nil, JustNow(now))
 }
 
-// Remove takes over that an entry is gone from the list.
-func (v *View) Remove(id string, now time.Time) { v.Change(nil, []string{id}, now) }
+// Remove takes over that an entry is gone from the list as of now.
+func (v *View) Remove(id string, now time.Time) { v.Change(nil, []string{id}, JustNow(now)) }
 
 // Change takes over new and changed entries and the IDs of those that are gone from the
 // list. It returns the entries of servers that have started again as they were before.
-func (v *View) Change(entries []Entry, gone []string, now time.Time) (ended []Entry) {
+func (v *View) Change(entries []Entry, gone []string, news News) (ended []Entry) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, e := range entries {
-		ended = append(ended, v.put(e, now)...)
+		ended = append(ended, v.put(e, news)...)
 	}
 	for _, id := range gone {
 		if s := v.servers[id]; s != nil {
-			v.lapse(s, now)
+			v.lapse(s, news)
 		}
 	}
-	v.prune(now)
+	v.prune(news.At)
 	v.announce()
 	return ended
 }
 
-func (v *View) put(e Entry, now time.Time) (ended []Entry) {
+func (v *View) put(e Entry, news News) (ended []Entry) {
+	now := news.At
 	s := v.servers[e.ID]
 	if s != nil && s.outdates(e) {
 		return nil
@@ -165,24 +168,13 @@
 		clear(v.inService)
 	}
 	if e.Draining {
-		s.leave(now, now.Add(lastResort))
+		s.leave(now, v.usableUntil(news))
 		return ended
 	}
 	s.leftAt, s.usableUntil = time.Time{}, time.Time{}
 	return ended
 }
 
-// lapse marks a server whose entry is gone.
-func (v *View) lapse(s *server, now time.Time) {
-	clear(v.inService)
-	s.listed = false
-	until := now.Add(lastResort)
-	if grace := v.outageEnd.Add(afterOutage); !s.Draining && grace.After(until) {
-		until = grace
-	}
-	s.leave(now, until)
-}
-
 // forgetAfter is how long a server that has left is remembered, for attempts
 // that are still on their way.
 const forgetAfter = time.Minute
--- a/internal/backend/view_test.go
+++ b/internal/backend/view_test.go
@@ -63,7 +63,7 @@
 	v.Put(moved, start)
 	v.Put(entry("c", "z-c"), start)
 	c.Check(pick(v, start), qt.Equals, "c")
-	v.Replace([]Entry{entry("d", "z-d")}, start)
+	v.Replace([]Entry{entry("d", "z-d")}, JustNow(start))
 	c.Check(pick(v, start), qt.Equals, "d")
 }
 
@@ -89,37 +89,99 @@
 	c.Check(pick(v, start), qt.Equals, "a")
 }
 
+// lastUse is until when a server may be sent requests of which it was news at the start that it
+// leaves.
+var lastUse = start.Add(startLeaving - onTheWay)
+
+func draining(id string) Entry {
+	e := entry(id, "z-"+id)
+	e.Draining = true
+	return e
+}
+
 func TestDrainingIsALastResort(t *testing.T) {
 	c := qt.New(t)
 	v := plainView("a", "b")
-	leaving := entry("a", "z-a")
-	leaving.Draining = true
-	v.Put(leaving, start)
+	v.Put(draining("a"), start)
 	c.Check(pick(v, start), qt.Equals, "b")
 	v.Remove("b", start)
-	c.Check(pick(v, start), qt.Not(qt.Equals), "", qt.Commentf("both have just left"))
-	c.Check(pick(v, start.Add(lastResort)), qt.Equals, "")
+	c.Check(pick(v, lastUse.Add(-time.Millisecond)), qt.Not(qt.Equals), "", qt.Commentf("both have just left"))
+	c.Check(pick(v, lastUse), qt.Equals, "")
 }
 
 func TestSecondSignOfLeavingDoesNotExtendUse(t *testing.T) {
 	c := qt.New(t)
 	v := plainView("a")
-	leaving := entry("a", "z-a")
-	leaving.Draining = true
-	v.Put(leaving, start)
-	v.Remove("a", start.Add(lastResort/2))
-	c.Check(pick(v, start.Add(lastResort)), qt.Equals, "")
+	v.Put(draining("a"), start)
+	v.Remove("a", start.Add(startLeaving/2))
+	c.Check(pick(v, lastUse), qt.Equals, "")
+}
+
+// TestLastResortCountsFromTheStoresWord: not from when this daemon has heard of it.
+func TestLastResortCountsFromTheStoresWord(t *testing.T) {
+	late := News{At: start.Add(time.Second), Since: start}
+	for name, leave := range map[string]func(v *View, news News){
+		"drains":              func(v *View, news News) { v.Change([]Entry{draining("a")}, nil, news) },
+		"gone":                func(v *View, news News) { v.Change(nil, []string{"a"}, news) },
+		"not listed any more": func(v *View, news News) { v.Replace(nil, news) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			v := plainView("a")
+			leave(v, late)
+			c.Check(pick(v, lastUse.Add(-time.Millisecond)), qt.Equals, "a")
+			c.Check(pick(v, lastUse), qt.Equals, "")
+			v = plainView("a")
+			v.SetLeaving(5 * time.Second)
+			leave(v, late)
+			c.Check(pick(v, lastUse.Add(3*time.Second-time.Millisecond)), qt.Equals, "a")
+			c.Check(pick(v, lastUse.Add(3*time.Second)), qt.Equals, "")
+		})
+	}
+}
+
+// TestServerThatHasDrainedForLong: a daemon that has just started does not know for how long.
+func TestServerThatHasDrainedForLong(t *testing.T) {
+	c := qt.New(t)
+	v := NewView()
+	v.Replace([]Entry{draining("a")}, News{At: start})
+	c.Check(pick(v, start), qt.Equals, "")
+}
+
+// TestAttemptIsLookedAtBeforeItIsSent: its server may have left while it waited for a connection.
+func TestAttemptIsLookedAtBeforeItIsSent(t *testing.T) {
+	c := qt.New(t)
+	v := plainView("a", "b")
+	choice, _ := v.Begin(Need{Service: "s", Zone: "z-a"}, start)
+	c.Assert(choice.ID, qt.Equals, "a")
+	c.Check(choice.MaySend(start), qt.IsTrue)
+	v.Put(draining("a"), start)
+	c.Check(choice.MaySend(start), qt.IsFalse, qt.Commentf("there is another one"))
+	v.Remove("b", start)
+	c.Check(choice.MaySend(lastUse.Add(-time.Millisecond)), qt.IsTrue)
+	c.Check(choice.MaySend(lastUse), qt.IsFalse)
+	v.Put(entry("a", "z-a"), lastUse)
+	c.Check(choice.MaySend(lastUse), qt.IsTrue, qt.Commentf("it is back"))
 }
 
 func TestEntriesThatLapsedInAnOutage(t *testing.T) {
 	c := qt.New(t)
 	v := plainView("a")
 	v.StoreReturned(start)
-	v.Replace(nil, start)
+	v.Replace(nil, News{At: start, Since: start.Add(-5 * time.Second)})
 	c.Check(pick(v, start.Add(2*time.Second)), qt.Equals, "a")
 	c.Check(pick(v, start.Add(afterOutage)), qt.Equals, "")
 }
 
+// TestEntryThatIsGoneSinceTheOutage: it was seen after the store's return, and has left.
+func TestEntryThatIsGoneSinceTheOutage(t *testing.T) {
+	c := qt.New(t)
+	v := plainView("a")
+	v.StoreReturned(start.Add(-time.Second))
+	v.Remove("a", start)
+	c.Check(pick(v, lastUse), qt.Equals, "")
+}
+
 func TestLoadsOfPeersCount(t *testing.T) {
 	c := qt.New(t)
 	v := NewView()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -50,6 +50,10 @@
 		return result{outcome: backend.OutcomeNeutral, what: "not-allowed", done: true, err: r.giveUp(ctx, &Refusal{Reason: err.Error()})}
 	}
 	answer, err := r.options.Backend.Send(ctx, r.attempt(choice))
+	if errors.Is(err, upstream.ErrCalledOff) {
+		r.unsent++
+		return r.ended(request.StepNotSent, backend.OutcomeNeutral, "left")
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		r.unsent++
 		return r.ended(request.StepNotSent, r.failure(ctx), "not-sent")
@@ -118,6 +122,7 @@
 
 		FetchFrom: choice.FetchFrom,
 		MaxIdle:   r.maxIdle(),
+		MaySend:   func() bool { return choice.MaySend(time.Now()) },
 	}
 }
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -106,6 +106,8 @@
 	FetchFrom string
 	// MaxIdle is how long a connection that is used may have been idle.
 	MaxIdle time.Duration
+	// MaySend is asked right before the request is sent, once there is a connection.
+	MaySend func() bool
 }
 
 // Errors of an attempt, beside those of package upstream.
--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -35,7 +35,7 @@
 }
 
 // Advance implements store.Consumer.
-func (c configConsumer) Advance(int64, bool) {}
+func (c configConsumer) Advance(int64, time.Time, bool) {}
 
 // serverConsumer takes the backend servers from the store.
 type serverConsumer struct{ *state }
@@ -86,7 +86,7 @@
 	}
 	s.wantAll = false
 	// Under the lock, so that the view gets changes in the order of the list.
-	ended := s.view.Replace(entries, now)
+	ended := s.view.Replace(entries, s.news(now))
 	s.mu.Unlock()
 	for _, err := range broken {
 		s.router.bad.note(err, now)
@@ -116,7 +116,7 @@
 	entries, left, broken := s.listing.merge(c, now)
 	at.to = max(c.upTo, s.listing.revision)
 	// Under the lock, so that the view gets changes in the order of the list.
-	ended := s.view.Change(entries, left, now)
+	ended := s.view.Change(entries, left, s.news(now))
 	s.mu.Unlock()
 	for _, err := range broken {
 		s.router.bad.note(err, now)
@@ -214,14 +214,15 @@
 }
 
 // Advance implements store.Consumer.
-func (c serverConsumer) Advance(revision int64, failing bool) {
+func (c serverConsumer) Advance(revision int64, asOf time.Time, failing bool) {
 	c.mu.Lock()
 	ahead := revision > c.listing.revision
 	c.listing.revision = max(c.listing.revision, revision)
 	if failing {
 		c.failingAt = time.Now()
 	} else {
-		c.failingAt, c.unreachedAt, c.provenAt, c.answered = time.Time{}, time.Time{}, time.Now(), true
+		c.failingAt, c.unreachedAt, c.answered = time.Time{}, time.Time{}, true
+		c.provenAt = later(c.provenAt, asOf)
 	}
 	c.mu.Unlock()
 	if ahead {
@@ -253,15 +254,24 @@
 	return now.Sub(s.provenAt)
 }
 
+// news returns when changes of the list that are heard now can have come at the earliest: the
+// list was known to be whole until then. The caller holds the lock.
+func (s *state) news(now time.Time) backend.News { return backend.News{At: now, Since: s.provenAt} }
+
 // agree takes over that a peer has the same list of servers, which the store was known to have
 // so long ago, in milliseconds; zero is not known. The caller holds the lock.
 func (s *state) agree(digest uint64, ageMs int64, now time.Time) {
 	if ageMs <= 0 || digest != s.listing.digest {
 		return
 	}
-	if at := now.Add(-time.Duration(ageMs) * time.Millisecond); at.After(s.provenAt) {
-		s.provenAt = at
+	s.provenAt = later(s.provenAt, now.Add(-time.Duration(ageMs)*time.Millisecond))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
 // tellAge returns the age of the list for a peer, in milliseconds; zero is not known. The caller
--- a/internal/router/removal_test.go
+++ b/internal/router/removal_test.go
@@ -49,7 +49,7 @@
 // apply takes over what one call of the watch has brought, as the follower does.
 func apply(s *state, revision int64, events ...store.Event) {
 	serverConsumer{s}.Apply(events, revision)
-	serverConsumer{s}.Advance(revision, false)
+	serverConsumer{s}.Advance(revision, time.Now(), false)
 }
 
 func readyServers(s *state, now time.Time) []string {
--- a/internal/router/rollouts.go
+++ b/internal/router/rollouts.go
@@ -64,7 +64,7 @@
 }
 
 // Advance implements store.Consumer.
-func (c orderConsumer) Advance(revision int64, failing bool) {
+func (c orderConsumer) Advance(revision int64, _ time.Time, failing bool) {
 	if !failing {
 		c.board.Read(revision)
 	}
--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -13,6 +13,8 @@
 	// to be in force within 2 s of the store's return.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
+	// answerWay is how long the answer of a watch may be on its way.
+	answerWay = 100 * time.Millisecond
 )
 
 // Consumer takes over the objects of a kind.
@@ -24,8 +26,8 @@
 	// were up to a revision of the store.
 	Apply(events []Event, revision int64)
 	// Advance notes up to which revision of the store the consumer has seen
-	// everything, and whether the store fails to answer.
-	Advance(revision int64, failing bool)
+	// everything, as of when, and whether the store fails to answer.
+	Advance(revision int64, asOf time.Time, failing bool)
 }
 
 // Follower keeps a consumer up to date with one kind of object.
@@ -37,6 +39,8 @@
 	// next is the revision to watch from; zero asks for a list.
 	next   int64
 	failed bool
+	// asOf is when the store said at the earliest what the last call has brought.
+	asOf time.Time
 	// changed is set when the last call brought changes.
 	changed bool
 	retry   time.Duration
@@ -148,6 +152,7 @@
 		f.next = 0
 		return err
 	}
+	f.asOf = time.Now().Add(-answerWay)
 	if len(changes.Events) > 0 {
 		f.consumer.Apply(changes.Events, changes.Revision)
 	}
@@ -175,6 +180,7 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
+	begun := time.Now()
 	page, err := f.store.List(ctx, f.kind)
 	if err != nil {
 		return err
@@ -183,7 +189,7 @@
 		f.logger.Warn("objects of a list cannot be read", "kind", f.kind, "objects", page.Nameless, "revision", page.Revision)
 	}
 	f.consumer.Replace(page, f.failed)
-	f.next = page.Revision
+	f.next, f.asOf = page.Revision, begun
 	return nil
 }
 
@@ -192,7 +198,7 @@
 		f.logger.Info("store answers again", "kind", f.kind, "revision", f.next)
 	}
 	f.failed, f.retry = false, firstRetry
-	f.consumer.Advance(f.next, false)
+	f.consumer.Advance(f.next, f.asOf, false)
 }
 
 func (f *Follower) pause(ctx context.Context, err error) {
@@ -200,7 +206,7 @@
 		f.logger.Warn("store does not answer", "kind", f.kind, "error", err)
 	}
 	f.failed = true
-	f.consumer.Advance(0, true)
+	f.consumer.Advance(0, time.Time{}, true)
 	timer := time.NewTimer(f.retry)
 	defer timer.Stop()
 	select {
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -30,7 +30,7 @@
 
 func (c *told) Apply([]Event, int64) { c.applied = append(c.applied, time.Now()) }
 
-func (c *told) Advance(revision int64, _ bool) {
+func (c *told) Advance(revision int64, _ time.Time, _ bool) {
 	if revision > 1 {
 		c.advanced = append(c.advanced, time.Now())
 	}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -25,6 +25,8 @@
 var (
 	// ErrNotSent means that no byte of the request has left.
 	ErrNotSent = errors.New("request was not sent")
+	// ErrCalledOff means that the request was called off before it was sent.
+	ErrCalledOff = errors.New("request was called off")
 	// ErrNoAnswer means that the request was sent, at least in part, and no
 	// head of an answer came back.
 	ErrNoAnswer = errors.New("no answer to a request that was sent")
@@ -77,6 +79,8 @@
 	// Mine tells whether an answer belongs to this request. Others, left over
 	// from an earlier request, are skipped. Nil takes any.
 	Mine func(*http.Response) bool
+	// MaySend is asked once a connection is there, right before the request is sent. Nil sends it.
+	MaySend func() bool
 }
 
 // Response is the head of an answer and a reader of its body. Close must be
@@ -130,6 +134,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if reuse.MaySend != nil && !reuse.MaySend() {
+		p.keep(c)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, ErrCalledOff)
+	}
 	x := &exchange{pool: p, conn: c, written: make(chan error, 1)}
 	x.stop = context.AfterFunc(ctx, c.abort)
 	if req.ContentLength <= writtenFirst {
@@ -246,6 +254,14 @@
 	return c
 }
 
+// keep puts back a connection on which nothing was sent.
+func (p *Pool) keep(c *conn) {
+	if c.idleLimit == 0 {
+		c.idleLimit = idleDefault
+	}
+	p.put(c)
+}
+
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -302,8 +318,7 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 	}
-	c.idleLimit = idleDefault
-	p.put(c)
+	p.keep(c)
 	return false
 }
 
--- a/robustness/onplatform/leaving_test.go
+++ b/robustness/onplatform/leaving_test.go
@@ -27,11 +27,12 @@
 	// acknowledgement. A daemon has to know of it by half of that.
 	leavingBound = 2 * time.Second
 	// inTouchAfter is how long nothing may have happened to a daemon, or to the store, for the
-	// bound to hold.
+	// bound to hold: a store that was away for longer than the bound is asked in vain until then.
 	inTouchAfter = 3 * time.Second
-	// leavingServices is the number of services, each with one server that stays and one that
-	// leaves.
-	leavingServices = 20
+	// leavingServices is the number of services, each with one server that leaves and, but for the
+	// last loneServices, one that stays.
+	leavingServices = 24
+	loneServices    = 4
 )
 
 // leavingPlay is a play of servers that come and leave, beside some trouble.
@@ -89,7 +90,9 @@
 		b.store.SetPageSize(500)
 		l.configureServices()
 		for i := range leavingServices {
-			l.addStaying(i)
+			if !lone(i) {
+				l.addStaying(i)
+			}
 			l.leaving = append(l.leaving, nil)
 			l.addLeaving(i)
 		}
@@ -125,6 +128,9 @@
 	})
 }
 
+// lone reports whether a service has no server that stays: one that leaves is its last resort.
+func lone(service int) bool { return service >= leavingServices-loneServices }
+
 func serviceName(i int) string { return fmt.Sprintf("s%d", i) }
 
 // addStaying adds a server that stays. It is slow, so that the other one is preferred.
@@ -232,7 +238,7 @@
 // check compares when requests arrived with when their servers had left.
 func (l *leavingBed) check(t *testing.T, seed uint64) {
 	c := qt.New(t)
-	arrived, late := 0, 0
+	arrived, late, lastResort := 0, 0, 0
 	var latest time.Duration
 	for _, s := range l.all {
 		for _, a := range s.Arrivals() {
@@ -241,7 +247,12 @@
 			_, err := fmt.Sscanf(a.Target, "/%d/%d", &service, &from)
 			c.Assert(err, qt.IsNil)
 			after := a.At.Sub(s.left)
-			if s.left.IsZero() || after <= 0 || within(l.touched[from], a.At, a.At) || within(l.shaken, s.left, s.left) {
+			if s.left.IsZero() || after <= 0 || within(l.touched[from], a.At, a.At) || within(l.shaken, s.left, a.At) {
+				continue
+			}
+			if lone(service) {
+				c.Check(after <= leavingBound, qt.IsTrue, qt.Commentf("seed %d: %s from %s %v after it had left", seed, s.ID, l.daemons[from].id, after))
+				lastResort++
 				continue
 			}
 			latest = max(latest, after)
@@ -253,7 +264,7 @@
 			}
 		}
 	}
-	t.Logf("seed %d: %d daemons, %d servers, %d requests at them, the latest %v after its server had left, %d late", seed, len(l.daemons), len(l.all), arrived, latest, late)
+	t.Logf("seed %d: %d daemons, %d servers, %d requests at them, the latest %v after its server had left, %d late, %d at a last resort", seed, len(l.daemons), len(l.all), arrived, latest, late, lastResort)
 	c.Check(arrived > 0, qt.IsTrue)
 	c.Check(late, qt.Equals, 0, qt.Commentf("seed %d: %d requests reached servers later than %v after they had left", seed, late, leavingBound/2))
 	l.checkUsed(c)
@@ -267,9 +278,16 @@
 		}
 		told := l.metrics(d)
 		for i, s := range l.leaving {
-			ready := 1
+			ready := 0
 			if s != nil {
-				ready = 2
+				ready++
+			}
+			if !lone(i) {
+				ready++
+			}
+			if ready == 0 {
+				c.Check(strings.Contains(told, fmt.Sprintf(`plankridge_servers{service=%q,state="ready"}`, serviceName(i))), qt.IsFalse, qt.Commentf("%s: %s", d.id, serviceName(i)))
+				continue
 			}
 			line := fmt.Sprintf(`plankridge_servers{service=%q,state="ready"} %d`, serviceName(i), ready)
 			c.Check(strings.Contains(told, line+"\n"), qt.IsTrue, qt.Commentf("%s: %s", d.id, line))
@@ -445,3 +463,24 @@
 		}
 	}
 }
+
+// TestStartedDaemonAndServersThatHaveDrained: a daemon that has just started sees that a server
+// drains and not since when; it sent requests there for 1.2 s more, seconds after the bound.
+func TestStartedDaemonAndServersThatHaveDrained(t *testing.T) {
+	var leaving *fake.Runner
+	run(t, 3, func(b *bed) {
+		leaving = b.addServer("i-1", plain, &fake.Runner{})
+		b.configure(routes{plainRoute("/a/", "idempotent", 1)})
+	}, func(b *bed) {
+		b.listServer("i-1", plain, "draining")
+		time.Sleep(leavingBound + time.Second)
+		before := len(leaving.Arrivals())
+		b.restartAll(200 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		for i := range b.daemons {
+			b.Assert(b.ready(b.daemons[i]), qt.IsTrue)
+			b.Check(b.send(call{method: "GET", path: "/a/x", key: testKey, to: i}).status, qt.Equals, 503)
+		}
+		b.Check(len(leaving.Arrivals()), qt.Equals, before)
+	})
+}
