Let the sentinel ask each second again

It asked each half second where the operators' bound is 2 s, so that daemons know more closely since when a server can have left.

--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -11,12 +11,9 @@
 )
 
 const (
-	// sentinelWait is how long the watches of the sentinel wait at the most. A watch can go
-	// deaf without a sign; a change has to be in force everywhere within 2 s. The sentinel's word
-	// also says since when a server can have left, so that a wait is no more than sentinelShare of
-	// the operators' bound for those.
-	sentinelWait  = time.Second
-	sentinelShare = 1.0 / 4
+	// sentinelWait is how long the watches of the sentinel wait. A watch can go
+	// deaf without a sign; a change has to be in force everywhere within 2 s.
+	sentinelWait = time.Second
 	// otherWait is how long the watches of the other daemons wait. Each call is
 	// paid for, and what their watches miss the sentinel tells them.
 	otherWait = 15 * time.Second
@@ -49,7 +46,7 @@
 
 func (r *Router) watchWait() time.Duration {
 	if r.sentinel.Load() {
-		return min(sentinelWait, time.Duration(sentinelShare*float64(r.settings.Bounds.LeavingBound())))
+		return sentinelWait
 	}
 	return otherWait
 }
