--- /dev/null
+++ b/internal/advice/advice.go
@@ -0,0 +1,65 @@
+// Package advice holds what backend servers say in their answers of the work that they take. It
+// does no I/O; the time is passed in.
+package advice
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Advice is what one answer says. The zero value is that of a server that takes any work.
+type Advice struct {
+	// Limit is the number of requests a second that the server takes from all daemons together.
+	// It is nil where the answer names none.
+	Limit *float64
+	// LimitErr is set where the answer names a limit that cannot be read.
+	LimitErr error
+}
+
+// ParseLimit reads a limit in requests a second.
+func ParseLimit(text string) (float64, error) {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return 0, fmt.Errorf("limit %q is no number of requests a second", text)
+	}
+	return rate, nil
+}
+
+// Limit is the latest that is known of a server's limit.
+type Limit struct {
+	// Rate is in requests a second. It counts only where Named is set.
+	Rate  float64
+	Named bool
+	// At is when an answer that named the limit came or, for one without, when its request was
+	// sent. A later one replaces an earlier one.
+	At time.Time
+}
+
+// Observe merges an answer to a request that was sent and answered at these times. An answer
+// without a limit ends one only if its request was sent later than the limit was learned: answers
+// may overtake each other.
+func (l Limit) Observe(a Advice, sent, answered time.Time) Limit {
+	switch {
+	case a.LimitErr != nil:
+		return l
+	case a.Limit != nil:
+		return l.Merge(Limit{Rate: *a.Limit, Named: true, At: answered})
+	}
+	return l.Merge(Limit{At: sent})
+}
+
+// Merge returns the later of two.
+func (l Limit) Merge(other Limit) Limit {
+	if other.At.After(l.At) {
+		return other
+	}
+	return l
+}
+
+// Same reports whether two limits allow the same.
+func (l Limit) Same(other Limit) bool {
+	return l.Named == other.Named && (!l.Named || l.Rate == other.Rate)
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/plankridge/plankridge/internal/advice"
 )
 
 // Entry is a backend server as the platform lists it.
@@ -119,6 +121,8 @@
 	slowAt   time.Time
 	servedAt time.Time
 	joinedAt time.Time
+	// limit is what the server's answers say of how many requests it takes.
+	limit advice.Limit
 }
 
 // ready reports whether the server takes new work.
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/plankridge/plankridge/internal/advice"
 	"github.com/plankridge/plankridge/internal/pace"
 	"github.com/plankridge/plankridge/internal/route"
 )
@@ -389,7 +390,9 @@
 	Suspect bool
 	// Barred is set for a server of a version that may not be used.
 	Barred bool
-	Age    time.Duration
+	// Limit is what the server's answers say of how many requests it takes.
+	Limit advice.Limit
+	Age   time.Duration
 }
 
 // Servers returns every listed server, ordered by ID.
@@ -399,7 +402,7 @@
 	var all []Status
 	for _, s := range v.servers {
 		if s.listed {
-			all = append(all, Status{Entry: s.Entry, Load: s.load(now), Ready: s.ready(), Suspect: s.suspect(now), Barred: !v.mayUse(s), Age: now.Sub(s.joinedAt)})
+			all = append(all, Status{Entry: s.Entry, Load: s.load(now), Ready: s.ready(), Suspect: s.suspect(now), Barred: !v.mayUse(s), Limit: s.limit, Age: now.Sub(s.joinedAt)})
 		}
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -68,6 +68,7 @@
 		return r.noAnswer(ctx)
 	}
 	defer answer.Exchange.Drop()
+	r.advised(choice, answer)
 	return r.take(ctx, choice, answer)
 }
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/plankridge/plankridge/internal/advice"
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
@@ -127,6 +128,8 @@
 	WrongServer bool
 	// Signed is set when the answer carries the server's signature.
 	Signed bool
+	// Advice is what the server says of the work that it takes.
+	Advice advice.Advice
 	// Events is set for an answer of events.
 	Events bool
 	// Exchange ends the exchange.
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -25,6 +25,7 @@
 	configVersion = describe("config_version", "Version of the configuration in force; 0 before the first.")
 	configAge     = describe("config_age_seconds", "Time since the configuration came into force.")
 	serversListed = describe("servers", "Backend servers as this daemon believes.", "service", "state")
+	serversLimit  = describe("servers_with_limit", "Backend servers whose answers name a limit.", "service")
 	serversAge    = describe("servers_age_seconds", "Time since the store was last known to list just the servers that this daemon believes in.")
 	serversAt     = describe("servers_revision", "Revision of the store up to which the servers are known.")
 	storeFailing  = describe("store_failing", "1 while the store does not answer this daemon.")
@@ -44,7 +45,7 @@
 
 // Describe implements prometheus.Collector.
 func (b beliefs) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversAge, serversAt, storeFailing, leaseFence, daemonsSeen, heldBack, roles, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
+	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversLimit, serversAge, serversAt, storeFailing, leaseFence, daemonsSeen, heldBack, roles, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
 		descs <- d
 	}
 }
@@ -96,7 +97,7 @@
 // configuration, so that their number is bounded.
 func (b beliefs) collectServers(gauge func(d *prometheus.Desc, value float64, labels ...string), now time.Time) {
 	type group struct{ service, state string }
-	counts := map[group]int{}
+	counts, limited := map[group]int{}, map[string]int{}
 	for _, s := range b.state.view.Servers(now) {
 		state := "ready"
 		switch {
@@ -106,6 +107,12 @@
 			state = "suspect"
 		}
 		counts[group{s.Service, state}]++
+		if s.Limit.Named {
+			limited[s.Service]++
+		}
+	}
+	for service, n := range limited {
+		gauge(serversLimit, float64(n), service)
 	}
 	for g, n := range counts {
 		gauge(serversListed, float64(n), g.service, g.state)
