Share the limits that servers name among all daemons

Class: advice of a server that concerns all daemons together, and no place that keeps it. A daemon that keeps the limit by itself would break it as well, so the sum has to be shared.

Each daemon reports the limits it knows, from answers or peers, and the later sighting stands; an answer without a limit ends it. What all have sent to such a server, and been asked for, is counted in windows of 4 s by the limiter of the workspaces' allowances, whose sums daemons report to each other already, and what is free goes to requests by a draw. A server at its limit is passed over when one is picked, before the attempt counts; where all are, the refusal comes at once and says when the first may be asked. A new limit starts as used up.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -22,12 +22,15 @@
 // ParseLimit reads a limit in requests a second.
 func ParseLimit(text string) (float64, error) {
 	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+	if err != nil || !Valid(rate) {
 		return 0, fmt.Errorf("limit %q is no number of requests a second", text)
 	}
 	return rate, nil
 }
 
+// Valid reports whether a server can name a limit.
+func Valid(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 0) }
+
 // Limit is the latest that is known of a server's limit.
 type Limit struct {
 	// Rate is in requests a second. It counts only where Named is set.
@@ -63,3 +66,10 @@
 func (l Limit) Same(other Limit) bool {
 	return l.Named == other.Named && (!l.Named || l.Rate == other.Rate)
 }
+
+// Record is what daemons report to each other of a server's limit.
+type Record struct {
+	// Server is the key of one incarnation of a server.
+	Server uint32
+	Limit
+}
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -87,6 +87,9 @@
 	// opened is set once what was used before this process started is known, and
 	// adopted once a daemon that has been running for longer has told it.
 	opened, adopted bool
+	// likeOwn is set where others are taken to be asked as this daemon is while what they tell does
+	// not say how fast they are.
+	likeOwn bool
 }
 
 const (
@@ -167,6 +170,9 @@
 // they have spent meanwhile, which says nothing of how fast they are asked: taken for 0.15 s
 // worth of it, 5 s of a cut kept a workspace from what was free for 8 s more.
 func (l *Limiter) reach(a *account, heard int, share float64, now time.Time) {
+	if share != l.share {
+		a.others.disturbedAt = now
+	}
 	switch {
 	case share > l.share:
 		a.others.backlog = true
@@ -178,7 +184,7 @@
 		a.others.asked.rate *= 1 - lost
 	}
 	if heard <= 1 {
-		a.others = others{}
+		a.others = others{disturbedAt: a.others.disturbedAt}
 	}
 }
 
@@ -202,6 +208,9 @@
 	// A request above the whole allowance of a window is admitted to an empty one.
 	need := min(tokens, a.limit)
 	free := l.free(a, now) + l.margin(a, now)
+	if a.likeOwn && l.overdue(a, now) {
+		free -= a.others.missed(now)
+	}
 	unheard := l.unheard(a, now)
 	if need+unheard <= free || l.drawn(a, need, free, now) {
 		a.used.add(tokens, now)
@@ -274,15 +283,22 @@
 	switch {
 	case l.alone:
 		return 0
+	case !a.others.measured && a.likeOwn:
+		return max(assumedRise*a.rate, l.asOwn(a, now))
 	case !a.others.measured:
 		return assumedRise * a.rate
 	}
-	if l.overdue(a, now) {
-		return max(a.others.asked.rate, a.own.rate(now)*float64(l.peers))
+	if l.overdue(a, now) || (a.likeOwn && a.others.disturbed(now)) {
+		return max(a.others.asked.rate, l.asOwn(a, now))
 	}
 	return a.others.asked.rate
 }
 
+// asOwn returns how fast others are asked if each is asked as this daemon is.
+func (l *Limiter) asOwn(a *account, now time.Time) float64 {
+	return a.own.rate(now) * float64(l.peers)
+}
+
 // overdue reports whether news of others should have come by now. Those that tell them may
 // have died, and what was told last says nothing of a workspace that has become hot since:
 // until others are heard again, all are taken to be asked as this daemon is. With the rate of
@@ -306,13 +322,30 @@
 	if free <= 0 || l.draw == nil {
 		return false
 	}
-	rivals := l.asked(a, now) * max(handOut, l.behind+l.round, l.horizon(a, now)).Seconds()
+	asked := l.asked(a, now)
+	if a.likeOwn {
+		// Its own requests are rivals too, also where no other daemon is heard.
+		asked += a.own.rate(now)
+		free *= l.certainty(a, now)
+	}
+	rivals := asked * max(handOut, l.behind+l.round, l.horizon(a, now)).Seconds()
 	if rivals == 0 && l.share >= 1 {
 		return false
 	}
 	return l.draw() < free/max(rivals, need)
 }
 
+// uncertainShare is the part of what is free that is used while what others do is not known.
+const uncertainShare = 0.5
+
+// certainty returns the part of what is free that may be used.
+func (l *Limiter) certainty(a *account, now time.Time) float64 {
+	if l.overdue(a, now) || a.others.disturbed(now) {
+		return uncertainShare
+	}
+	return 1
+}
+
 // wait returns how long a caller had better wait until what is missing is there.
 func (l *Limiter) wait(a *account, missing float64, now time.Time) time.Duration {
 	if !a.opened && now.Sub(l.started) < l.tolerance.Window {
@@ -380,7 +413,7 @@
 			// a workspace that had become hot used a quarter of its allowance untold.
 			like := (a.spent - a.spentAtNews) * float64(l.peers)
 			a.used.add(max(a.others.missed(now), like), now)
-			a.others.heardAt, a.spentAtNews = now, a.spent
+			a.others.heardAt, a.others.disturbedAt, a.spentAtNews = now, now, a.spent
 			continue
 		}
 		spent := r.Counters.Spent[name] - before.Spent[name]
--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -39,6 +39,8 @@
 	// pending is set until the prompt is read.
 	pending bool
 	begun   time.Time
+	// admitted is when the attempt took a part of its server's limit, or zero.
+	admitted time.Time
 	// firstAt and lastAt are when the first and the last event came, of so many.
 	firstAt, lastAt time.Time
 	events          int
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -1,17 +1,214 @@
 package backend
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/advice"
+	"github.com/plankridge/plankridge/internal/route"
 )
 
+const (
+	// liftedFor is how long a limit that has ended is reported: daemons that missed the answer
+	// would keep it otherwise.
+	liftedFor = 30 * time.Second
+	// sameSighting is how much later an equal limit has to have been seen to replace a known one.
+	// Reports age on their way, and would refresh each other for ever.
+	sameSighting = time.Second
+	// maxRecords bounds the limits in one report; others follow in the next ones.
+	maxRecords = 64
+)
+
+// Limiter shares the limits that servers name among all daemons. Servers are named by their keys.
+type Limiter interface {
+	// SetLimit sets the number of requests a second for a server.
+	SetLimit(server uint32, requestsPerSecond float64)
+	// Lift ends the limit of a server, and Forget all that is known of it.
+	Lift(server uint32)
+	Forget(server uint32)
+	// Admit counts a request that this daemon is about to send to a server, or says when one may
+	// be sent.
+	Admit(server uint32) (admitted time.Time, retryAfter time.Duration, ok bool)
+	// Refund takes back a request that was not sent.
+	Refund(server uint32, admitted time.Time)
+	// Binds reports whether callers ask for more than a server's limit.
+	Binds(server uint32) bool
+}
+
+// SetLimiter sets who shares the servers' limits. Without one they are not kept.
+func (v *View) SetLimiter(limiter Limiter) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.limiter = limiter
+}
+
 // Advised merges what the answer to an attempt says of the server, and returns its limit before
 // and after.
 func (c *Choice) Advised(a advice.Advice, answered time.Time) (before, after advice.Limit) {
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
 	before = c.server.limit
-	c.server.limit = before.Observe(a, c.begun, answered)
-	return before, c.server.limit
+	after = before.Observe(a, c.begun, answered)
+	if c.view.servers[c.ID] == c.server {
+		c.view.setLimit(c.server, after)
+	}
+	return before, after
+}
+
+// NotSent gives back the part of the server's limit that the attempt took.
+func (c *Choice) NotSent() {
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	if c.admitted.IsZero() {
+		return
+	}
+	c.view.limiter.Refund(c.server.key, c.admitted)
+	c.admitted = time.Time{}
+}
+
+// setLimit takes over a server's limit; the caller holds the lock.
+func (v *View) setLimit(s *server, limit advice.Limit) {
+	before := s.limit
+	s.limit = limit
+	if before.Named && !limit.Named {
+		s.liftedAt = limit.At
+	}
+	if v.limiter == nil || limit.Same(before) {
+		return
+	}
+	if limit.Named {
+		v.limiter.SetLimit(s.key, limit.Rate)
+		return
+	}
+	v.limiter.Lift(s.key)
+}
+
+// forgetLimit lets go of the limit of a server that is no more; the caller holds the lock.
+func (v *View) forgetLimit(s *server) {
+	if v.limiter != nil && (s.limit.Named || !s.liftedAt.IsZero()) {
+		v.limiter.Forget(s.key)
+	}
+}
+
+// sweepLimits forgets limits that have ended long ago; the caller holds the lock.
+func (v *View) sweepLimits(now time.Time) {
+	for _, s := range v.servers {
+		if !s.liftedAt.IsZero() && !s.reportsLimit(now) {
+			v.forgetLimit(s)
+			s.liftedAt = time.Time{}
+		}
+	}
+}
+
+// reportsLimit reports whether other daemons are told of a server's limit.
+func (s *server) reportsLimit(now time.Time) bool {
+	return s.limit.Named || now.Sub(s.liftedAt) < liftedFor
+}
+
+// Limits returns what to report to other daemons of the servers' limits. Where there are many,
+// turn picks those of one report.
+func (v *View) Limits(turn uint64, now time.Time) []advice.Record {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var records []advice.Record
+	for _, s := range v.servers {
+		if s.reportsLimit(now) {
+			records = append(records, advice.Record{Server: s.key, Limit: s.limit})
+		}
+	}
+	if len(records) <= maxRecords {
+		return records
+	}
+	slices.SortFunc(records, func(a, b advice.Record) int { return cmp.Compare(a.Server, b.Server) })
+	first := int(turn * maxRecords % uint64(len(records)))
+	return append(records, records...)[first : first+maxRecords]
+}
+
+// LimitedKeys returns the keys of all servers that have a limit, or had one lately.
+func (v *View) LimitedKeys(now time.Time) map[uint32]bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	keys := map[uint32]bool{}
+	for _, s := range v.servers {
+		if s.reportsLimit(now) {
+			keys[s.key] = true
+		}
+	}
+	return keys
+}
+
+// MergeLimits merges what another daemon reports of the servers' limits, and returns the entries
+// and limits of those that have changed.
+func (v *View) MergeLimits(records []advice.Record) (changed []ServerLimit) {
+	if len(records) == 0 {
+		return nil
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := map[uint32]*server{}
+	for _, s := range v.servers {
+		known[s.key] = s
+	}
+	for _, r := range records {
+		s := known[r.Server]
+		if s == nil || r.Same(s.limit) && r.At.Before(s.limit.At.Add(sameSighting)) {
+			continue
+		}
+		merged := s.limit.Merge(r.Limit)
+		if !merged.Same(s.limit) {
+			changed = append(changed, ServerLimit{Entry: s.Entry, Before: s.limit, Limit: merged})
+		}
+		v.setLimit(s, merged)
+	}
+	return changed
+}
+
+// ServerLimit is a change of a server's limit.
+type ServerLimit struct {
+	Entry
+	Before, Limit advice.Limit
+}
+
+// admit picks a server that may get one more request, and counts it. Servers at their limits are
+// passed over. The caller holds the lock.
+func (v *View) admit(offers []route.Server, need route.Need, now time.Time) (route.Choice, time.Time, bool) {
+	for {
+		picked, ok := route.Pick(offers, need)
+		if !ok {
+			return route.Choice{}, time.Time{}, false
+		}
+		s := v.servers[picked.Server.ID]
+		if !s.limit.Named || v.limiter == nil {
+			return picked, time.Time{}, true
+		}
+		admitted, retryAfter, ok := v.limiter.Admit(s.key)
+		if ok {
+			return picked, admitted, true
+		}
+		s.againAt = now.Add(retryAfter)
+		exclude(offers, picked.Server.ID)
+	}
+}
+
+// exclude keeps a server from being picked.
+func exclude(offers []route.Server, id string) {
+	for i := range offers {
+		if offers[i].ID == id {
+			offers[i].Leaving = true
+		}
+	}
+}
+
+// AtLimit returns how long it takes until one of the servers that were passed over may get a
+// request, and false where a service has no server at all.
+func (v *View) AtLimit(need Need, now time.Time) (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	servers, _ := v.sideOf(need, now)
+	if len(servers) == 0 {
+		return 0, false
+	}
+	first := slices.MinFunc(servers, func(a, b *server) int { return a.againAt.Compare(b.againAt) })
+	return max(0, first.againAt.Sub(now)), true
 }
--- /dev/null
+++ b/internal/backend/limits_test.go
@@ -0,0 +1,163 @@
+package backend
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/advice"
+)
+
+// fakeLimiter admits a number of requests to each server.
+type fakeLimiter struct {
+	left    map[uint32]int
+	limits  map[uint32]float64
+	refunds int
+}
+
+func newFakeLimiter() *fakeLimiter {
+	return &fakeLimiter{left: map[uint32]int{}, limits: map[uint32]float64{}}
+}
+
+func (f *fakeLimiter) SetLimit(server uint32, rate float64) { f.limits[server] = rate }
+func (f *fakeLimiter) Lift(server uint32)                   { delete(f.limits, server) }
+func (f *fakeLimiter) Forget(server uint32)                 { delete(f.limits, server) }
+func (f *fakeLimiter) Refund(uint32, time.Time)             { f.refunds++ }
+func (f *fakeLimiter) Binds(server uint32) bool             { return f.left[server] == 0 }
+
+func (f *fakeLimiter) Admit(server uint32) (time.Time, time.Duration, bool) {
+	if f.left[server] == 0 {
+		return time.Time{}, 700 * time.Millisecond, false
+	}
+	f.left[server]--
+	return start, 0, true
+}
+
+func limitedView(ids ...string) (*View, *fakeLimiter) {
+	v, limiter := NewView(), newFakeLimiter()
+	v.SetLimiter(limiter)
+	for _, id := range ids {
+		v.Put(entry(id, "z-a"), start)
+	}
+	return v, limiter
+}
+
+func named(rate float64, at time.Time) advice.Limit {
+	return advice.Limit{Rate: rate, Named: true, At: at}
+}
+
+// report merges a peer's report on one server.
+func report(v *View, id string, limit advice.Limit) []ServerLimit {
+	return v.MergeLimits([]advice.Record{{Server: KeyOf(entry(id, "z-a")), Limit: limit}})
+}
+
+func TestServersAtTheirLimitsArePassedOver(t *testing.T) {
+	c := qt.New(t)
+	v, limiter := limitedView("a", "b")
+	need := Need{Service: "s", Zone: "z-a"}
+	choice, _ := v.Begin(Need{Service: "s", Zone: "z-a", Only: "a"}, start)
+	rate := 1.5
+	before, after := choice.Advised(advice.Advice{Limit: &rate}, start)
+	c.Check(before.Named, qt.IsFalse)
+	c.Check(after, qt.Equals, named(1.5, start))
+	choice.End(OutcomeServed, start)
+	c.Check(limiter.limits, qt.DeepEquals, map[uint32]float64{KeyOf(choice.Entry): 1.5})
+	for range 4 {
+		other, ok := v.Begin(need, start)
+		c.Assert(ok, qt.IsTrue)
+		c.Check(other.ID, qt.Equals, "b")
+	}
+	c.Check(v.Servers(start)[0].AtLimit, qt.IsTrue)
+	limiter.left[KeyOf(choice.Entry)] = 1
+	within, _ := v.Begin(need, start)
+	c.Check(within.ID, qt.Equals, "a")
+	within.NotSent()
+	within.NotSent()
+	c.Check(limiter.refunds, qt.Equals, 1)
+}
+
+func TestAllServersAtTheirLimits(t *testing.T) {
+	c := qt.New(t)
+	v, _ := limitedView("a", "b")
+	need := Need{Service: "s", Zone: "z-a"}
+	report(v, "a", named(1, start))
+	report(v, "b", named(1, start))
+	_, ok := v.Begin(need, start)
+	c.Assert(ok, qt.IsFalse)
+	wait, found := v.AtLimit(need, start)
+	c.Check(found, qt.IsTrue)
+	c.Check(wait, qt.Equals, 700*time.Millisecond)
+	_, found = v.AtLimit(Need{Service: "other"}, start)
+	c.Check(found, qt.IsFalse)
+}
+
+// TestManyServersAtTheirLimits guards against a refusal because the few servers that a prompt looks
+// at are at their limits.
+func TestManyServersAtTheirLimits(t *testing.T) {
+	c := qt.New(t)
+	var ids []string
+	for i := range 40 {
+		ids = append(ids, fmt.Sprintf("i-%02d", i))
+	}
+	v, _ := limitedView(ids...)
+	for _, id := range ids[1:] {
+		report(v, id, named(1, start))
+	}
+	for i := range 20 {
+		choice, ok := v.Begin(Need{Service: "s", Zone: "z-a", Draw: uint64(i), Parts: []Part{{ID: fmt.Sprint(i), Tokens: 100}}}, start)
+		c.Assert(ok, qt.IsTrue)
+		c.Check(choice.ID, qt.Equals, ids[0])
+	}
+}
+
+func TestReportsOfLimitsMerge(t *testing.T) {
+	c := qt.New(t)
+	v, limiter := limitedView("a")
+	c.Check(report(v, "a", named(2, start)), qt.HasLen, 1)
+	c.Check(report(v, "a", named(2, start.Add(500*time.Millisecond))), qt.HasLen, 0)
+	c.Check(v.Limits(0, start)[0].At, qt.Equals, start, qt.Commentf("an equal limit is not refreshed by each report"))
+	c.Check(report(v, "a", advice.Limit{At: start.Add(-time.Second)}), qt.HasLen, 0, qt.Commentf("an older report ends nothing"))
+	c.Check(report(v, "unknown", named(2, start)), qt.HasLen, 0)
+	c.Check(report(v, "a", advice.Limit{At: start.Add(time.Second)}), qt.HasLen, 1)
+	c.Check(limiter.limits, qt.HasLen, 0)
+	c.Check(v.Limits(0, start.Add(2*time.Second)), qt.HasLen, 1, qt.Commentf("that it has ended is reported"))
+	c.Check(v.Limits(0, start.Add(liftedFor+2*time.Second)), qt.HasLen, 0)
+}
+
+func TestRestartedServerHasNoLimit(t *testing.T) {
+	c := qt.New(t)
+	v, limiter := limitedView()
+	v.Put(bornAt("a", 1000, 1), start)
+	choice, _ := v.Begin(Need{Service: "s", Zone: "z-a"}, start)
+	rate := 2.0
+	choice.Advised(advice.Advice{Limit: &rate}, start)
+	c.Check(limiter.limits, qt.HasLen, 1)
+	v.Put(bornAt("a", 2000, 1), start)
+	c.Check(limiter.limits, qt.HasLen, 0)
+	choice.Advised(advice.Advice{Limit: &rate}, start.Add(time.Second))
+	c.Check(limiter.limits, qt.HasLen, 0, qt.Commentf("the answer is of the earlier incarnation"))
+	c.Check(v.Servers(start)[0].Limit.Named, qt.IsFalse)
+}
+
+func TestReportsOfManyLimitsTakeTurns(t *testing.T) {
+	c := qt.New(t)
+	var ids []string
+	for i := range 150 {
+		ids = append(ids, fmt.Sprintf("i-%03d", i))
+	}
+	v, _ := limitedView(ids...)
+	for _, id := range ids {
+		report(v, id, named(1, start))
+	}
+	seen := map[uint32]bool{}
+	for turn := range uint64(3) {
+		records := v.Limits(turn, start)
+		c.Check(records, qt.HasLen, maxRecords)
+		for _, r := range records {
+			seen[r.Server] = true
+		}
+	}
+	c.Check(seen, qt.HasLen, 150)
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -121,8 +121,11 @@
 	slowAt   time.Time
 	servedAt time.Time
 	joinedAt time.Time
-	// limit is what the server's answers say of how many requests it takes.
-	limit advice.Limit
+	// limit is what the server's answers say of how many requests it takes, liftedAt when it last
+	// ended, and againAt when a server at its limit may get a request.
+	limit    advice.Limit
+	liftedAt time.Time
+	againAt  time.Time
 }
 
 // ready reports whether the server takes new work.
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -51,6 +51,8 @@
 	// listed is set once a whole list was taken over.
 	listed  bool
 	changed chan struct{}
+	// limiter shares the limits that servers name. Nil keeps none.
+	limiter Limiter
 }
 
 // NewView returns an empty view.
@@ -150,6 +152,7 @@
 	var again time.Time
 	if s != nil && s.startedAgain(e) {
 		ended = append(ended, s.Entry)
+		v.forgetLimit(s)
 		s.end()
 		s, again = nil, now
 		clear(v.inService)
@@ -189,8 +192,10 @@
 		return
 	}
 	v.prunedAt = now
+	v.sweepLimits(now)
 	for id, s := range v.servers {
 		if !s.listed && now.Sub(s.leftAt) > forgetAfter && s.own.Running == 0 {
+			v.forgetLimit(s)
 			delete(v.servers, id)
 		}
 	}
@@ -264,7 +269,13 @@
 	servers := shortlist(inService, need)
 	prompt := newPlacement(need.Parts, servers, traits, now)
 	engines := v.pace(need.Service)
-	picked, ok := route.Pick(v.offersOf(servers, need, prompt, traits, engines, now), route.Need{Zone: need.Zone, Target: need.Target, Tried: need.Tried, AnyZone: traits.CacheTokens > 0})
+	routing := route.Need{Zone: need.Zone, Target: need.Target, Tried: need.Tried, AnyZone: traits.CacheTokens > 0}
+	picked, admitted, ok := v.admit(v.offersOf(servers, need, prompt, traits, engines, now), routing, now)
+	if !ok && len(servers) < len(inService) {
+		// All that were looked at are at their limits.
+		prompt = newPlacement(need.Parts, inService, traits, now)
+		picked, admitted, ok = v.admit(v.offersOf(inService, need, prompt, traits, engines, now), routing, now)
+	}
 	if !ok {
 		return nil, false
 	}
@@ -272,7 +283,7 @@
 	work := s.work(prompt, traits, need)
 	choice := &Choice{
 		Entry: s.Entry, Wait: picked.Wait, Own: picked.Server.Own, Unread: work.Unread, FetchFrom: prompt.source(s), Running: picked.Server.Running,
-		Candidate: candidate, view: v, server: s, need: need, work: work, queued: s.load(now).PendingTokens, pending: true, begun: now,
+		Candidate: candidate, view: v, server: s, need: need, work: work, queued: s.load(now).PendingTokens, pending: true, begun: now, admitted: admitted,
 	}
 	if engines != nil {
 		choice.Learned = engines.Known()
@@ -392,7 +403,9 @@
 	Barred bool
 	// Limit is what the server's answers say of how many requests it takes.
 	Limit advice.Limit
-	Age   time.Duration
+	// AtLimit is set where callers ask for more than the limit.
+	AtLimit bool
+	Age     time.Duration
 }
 
 // Servers returns every listed server, ordered by ID.
@@ -402,7 +415,7 @@
 	var all []Status
 	for _, s := range v.servers {
 		if s.listed {
-			all = append(all, Status{Entry: s.Entry, Load: s.load(now), Ready: s.ready(), Suspect: s.suspect(now), Barred: !v.mayUse(s), Limit: s.limit, Age: now.Sub(s.joinedAt)})
+			all = append(all, Status{Entry: s.Entry, Load: s.load(now), Ready: s.ready(), Suspect: s.suspect(now), Barred: !v.mayUse(s), Limit: s.limit, AtLimit: s.limit.Named && v.limiter != nil && v.limiter.Binds(s.key), Age: now.Sub(s.joinedAt)})
 		}
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/forward/advice.go
+++ b/internal/forward/advice.go
@@ -17,8 +17,12 @@
 	if err := answer.Advice.LimitErr; err != nil {
 		r.options.Logger.Debug("server's limit cannot be read", "server", choice.ID, "service", choice.Service, "request_id", r.call.ID, "error", err)
 	}
-	if !after.Same(before) {
-		r.logLimit(choice, before, after)
+	if after.Same(before) {
+		return
+	}
+	r.logLimit(choice, before, after)
+	if after.Named != before.Named && r.options.Limited != nil {
+		r.options.Limited()
 	}
 }
 
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -50,13 +50,8 @@
 		return result{outcome: backend.OutcomeNeutral, what: "not-allowed", done: true, err: r.giveUp(ctx, &Refusal{Reason: err.Error()})}
 	}
 	answer, err := r.options.Backend.Send(ctx, r.attempt(choice))
-	if errors.Is(err, upstream.ErrCalledOff) {
-		r.unsent++
-		return r.ended(request.StepNotSent, backend.OutcomeNeutral, "left")
-	}
 	if errors.Is(err, upstream.ErrNotSent) {
-		r.unsent++
-		return r.ended(request.StepNotSent, r.failure(ctx), "not-sent")
+		return r.notSent(ctx, choice, err)
 	}
 	if r.sends++; r.sends == 1 {
 		r.options.Budget.Count(r.call.Service, time.Now())
@@ -72,6 +67,16 @@
 	return r.take(ctx, choice, answer)
 }
 
+// notSent ends an attempt that did not reach its server.
+func (r *run) notSent(ctx context.Context, choice *backend.Choice, err error) result {
+	choice.NotSent()
+	r.unsent++
+	if errors.Is(err, upstream.ErrCalledOff) {
+		return r.ended(request.StepNotSent, backend.OutcomeNeutral, "left")
+	}
+	return r.ended(request.StepNotSent, r.failure(ctx), "not-sent")
+}
+
 // ended takes the step that an attempt without an answer for the caller ended
 // with.
 func (r *run) ended(step request.Step, outcome backend.Outcome, what string) result {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -73,6 +73,8 @@
 	Limits *firsttry.Limits
 	// Notice tells other daemons of a prompt that keeps a server reading for long.
 	Notice func(server backend.Entry, tokens int)
+	// Limited is called when a server's answer begins or ends a limit. Nil calls nothing.
+	Limited func()
 	// Freshness returns how long ago the store told of the servers, and whether
 	// it fails to answer. It is for the log only.
 	Freshness func() (serversAge time.Duration, storeFailing bool)
@@ -240,10 +242,11 @@
 		}
 		choice, ok := r.options.View.Begin(r.need(), now)
 		if !ok {
-			return r.giveUp(ctx, &Refusal{Status: http.StatusServiceUnavailable, Reason: "service has no backend server", RetryAfter: retryNoServer})
+			return r.giveUp(ctx, r.noServer(now))
 		}
 		r.ask(choice, now)
 		if refusal := r.tooLate(choice, now); refusal != nil {
+			choice.NotSent()
 			choice.End(backend.OutcomeNeutral, now)
 			r.note(choice, "not-tried", now, now)
 			return r.giveUp(ctx, refusal)
@@ -268,6 +271,15 @@
 	}
 }
 
+// noServer refuses a call for which no server may be picked.
+func (r *run) noServer(now time.Time) *Refusal {
+	wait, found := r.options.View.AtLimit(r.need(), now)
+	if !found {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "service has no backend server", RetryAfter: retryNoServer}
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "backend servers are at the limits that they name", RetryAfter: max(retrySoon, wait)}
+}
+
 // ask counts the call's demand, once.
 func (r *run) ask(choice *backend.Choice, now time.Time) {
 	if r.asked {
--- a/internal/router/allowances.go
+++ b/internal/router/allowances.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -11,11 +12,17 @@
 	"github.com/plankridge/plankridge/internal/steady"
 )
 
-// allowances is the limiter by a clock that goes on while the VM is suspended. Whoever uses it
-// after the process has stood still, paused or suspended, first tells the limiter so: what is
+// serverTolerance is how far above its limit a backend server may get: in 4 s half of the limit
+// and 5 requests, of which 2 are kept in reserve.
+var serverTolerance = allowance.Tolerance{Window: 4 * time.Second, Over: 0.5, Tokens: 3}
+
+// allowances are the limiters by a clock that goes on while the VM is suspended: that of the
+// workspaces, and that of the backend servers that name a limit. Whoever uses them
+// after the process has stood still, paused or suspended, first tells the limiters so: what is
 // read from sockets then has waited there, and would be admitted by what was known before.
 type allowances struct {
 	limiter *allowance.Limiter
+	servers *allowance.Limiter
 	logger  *slog.Logger
 	// behind is called when the process has stood still.
 	behind func()
@@ -27,7 +34,10 @@
 
 func newAllowances(tolerance allowance.Tolerance, logger *slog.Logger, behind func()) *allowances {
 	now := steady.Now()
-	return &allowances{limiter: allowance.NewLimiter(tolerance, now, rand.Float64), logger: logger, behind: behind, aliveAt: now}
+	return &allowances{
+		limiter: allowance.NewLimiter(tolerance, now, rand.Float64), servers: allowance.NewLimiter(serverTolerance, now, rand.Float64),
+		logger: logger, behind: behind, aliveAt: now,
+	}
 }
 
 // now returns the time, and tells the limiter if the process has stood still.
@@ -41,6 +51,7 @@
 		return now
 	}
 	a.limiter.StoodStill(now)
+	a.servers.StoodStill(now)
 	a.logger.Warn("process stood still, others are asked what was used", "for_ms", stood.Milliseconds())
 	go a.behind()
 	return now
@@ -56,20 +67,35 @@
 	a.limiter.Refund(workspace, tokens, admitted)
 }
 
-// own returns what this daemon has admitted and refused. It is asked for in each round of
-// reports, which shows that the process runs.
+// own returns what this daemon has admitted and refused, of workspaces and servers. It is asked
+// for in each round of reports, which shows that the process runs.
 func (a *allowances) own() allowance.Counters {
 	a.now()
-	return a.limiter.Own()
+	own, servers := a.limiter.Own(), a.servers.Own()
+	maps.Copy(own.Spent, servers.Spent)
+	maps.Copy(own.Refused, servers.Refused)
+	return own
 }
 
 func (a *allowances) applyCatalog(c *catalog.Catalog)        { a.limiter.ApplyCatalog(c, a.now()) }
 func (a *allowances) open(o allowance.Opening)               { a.limiter.Open(o, a.now()) }
-func (a *allowances) setReach(heard, known int)              { a.limiter.SetReach(heard, known, a.now()) }
-func (a *allowances) hear(r allowance.Report)                { a.limiter.Heard(r, a.now()) }
 func (a *allowances) counted() time.Duration                 { return a.limiter.Counted(a.now()) }
 func (a *allowances) uses() (map[string]allowance.Use, bool) { return a.limiter.Uses(a.now()) }
 
+// setReach takes over how many of the known daemons are heard.
+func (a *allowances) setReach(heard, known int) {
+	now := a.now()
+	a.limiter.SetReach(heard, known, now)
+	a.servers.SetReach(heard, known, now)
+}
+
+// hear takes over a report. Each limiter knows its own accounts in it.
+func (a *allowances) hear(r allowance.Report) {
+	now := a.now()
+	a.limiter.Heard(r, now)
+	a.servers.Heard(r, now)
+}
+
 // take takes over what a daemon tells that has counted for a time.
 func (a *allowances) take(uses map[string]allowance.Use, counted time.Duration) {
 	a.limiter.TakeUses(uses, counted, a.now())
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -195,6 +195,7 @@
 		Demand:  r.state.demand,
 		Limits:  r.state.limits,
 		Notice:  r.state.notice,
+		Limited: r.state.limitChanged,
 
 		RollOuts:   r.board,
 		Quarantine: r.state.quarantine,
--- /dev/null
+++ b/internal/router/serverlimits_test.go
@@ -0,0 +1,55 @@
+package router
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/advice"
+	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+	"github.com/plankridge/plankridge/internal/rollup"
+)
+
+func TestLimitsOnTheWire(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	limited := advice.Record{Server: 7, Limit: advice.Limit{Rate: 1.2, Named: true, At: now.Add(-time.Second)}}
+	lifted := advice.Record{Server: 8, Limit: advice.Limit{At: now}}
+	c.Check(decodeLimits(encodeLimits([]advice.Record{limited, lifted}, now), now), qt.DeepEquals, []advice.Record{limited, lifted})
+	for _, rate := range []float64{-1, math.NaN(), math.Inf(1)} {
+		c.Check(decodeLimits([]*gossippb.ServerLimit{{Server: 7, Named: true, RequestsPerSecond: rate}}, now), qt.HasLen, 0)
+	}
+	future := decodeLimits([]*gossippb.ServerLimit{{Server: 7, Named: true, RequestsPerSecond: 1, AgeMs: -5000}}, now)
+	c.Check(future[0].At, qt.Equals, now)
+}
+
+func TestAccountsOfServers(t *testing.T) {
+	c := qt.New(t)
+	server, found := serverOf(accountOf(0xab))
+	c.Check(found, qt.IsTrue)
+	c.Check(server, qt.Equals, uint32(0xab))
+	for _, workspace := range []string{"quarry", "server/", "server/xyz"} {
+		_, found := serverOf(workspace)
+		c.Check(found, qt.IsFalse)
+	}
+}
+
+// TestSumsLeaveOutServersWithoutLimit guards against reports that grow with each server that ever
+// had a limit.
+func TestSumsLeaveOutServersWithoutLimit(t *testing.T) {
+	c := qt.New(t)
+	s := testRouter(t).state
+	entry := backend.Entry{ID: "i-1", Service: "s"}
+	s.view.Put(entry, time.Now())
+	sums := func() map[string]float64 {
+		counts := rollup.NewCounts()
+		counts.Spent["quarry"], counts.Spent[accountOf(backend.KeyOf(entry))], counts.Spent[accountOf(99)] = 5, 6, 7
+		return s.decodeSums(s.encodeSums(counts)).Spent
+	}
+	c.Check(sums(), qt.DeepEquals, map[string]float64{"quarry": 5})
+	s.view.MergeLimits([]advice.Record{{Server: backend.KeyOf(entry), Limit: advice.Limit{Rate: 1, Named: true, At: time.Now()}}})
+	c.Check(sums(), qt.DeepEquals, map[string]float64{"quarry": 5, accountOf(backend.KeyOf(entry)): 6})
+}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -99,8 +99,10 @@
 	now := time.Now()
 	view := backend.NewView()
 	view.SetLeaving(r.settings.Bounds.LeavingBound())
+	limiter := newAllowances(toleranceOf(r.settings.Bounds), r.logger, r.soon)
+	view.SetLimiter(serverLimits{limiter})
 	return &state{
-		router: r, view: view, limiter: newAllowances(toleranceOf(r.settings.Bounds), r.logger, r.soon), ledger: newLedger(r.settings),
+		router: r, view: view, limiter: limiter, ledger: newLedger(r.settings),
 		demand: demand.NewMeter(), limits: firsttry.NewLimits(), sums: rollup.New(), sent: map[uint64]rollup.Counts{},
 		quarantine: r.newQuarantine(), started: now, configured: make(chan struct{}), listing: newListing(), differs: map[string]time.Time{},
 	}
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -39,6 +39,7 @@
 		status.RollOuts, status.RollOutsRead = encodeRollOuts(s.router.board.Tell(time.Now())), s.router.board.ReadUpTo()
 	}
 	status.Held = encodeHeld(s.quarantine.Tell(time.Now()))
+	status.Limits = encodeLimits(s.view.Limits(status.GetSequence(), time.Now()), time.Now())
 	status.Draining, status.Follows = s.router.draining.Load(), s.followsStore()
 	status.Fence = s.ownFence()
 	status.UptimeMs = time.Since(s.started).Milliseconds()
@@ -89,6 +90,7 @@
 
 // encodeSums encodes sums over many daemons, with the loads in few words.
 func (s *state) encodeSums(sums rollup.Counts) *gossippb.Counts {
+	s.withoutOldLimits(sums, time.Now())
 	told, rest := rollup.Concise(sums.Loads, s.view.Keys)
 	sums.Loads = told
 	counts := encodeCounts(sums)
@@ -146,6 +148,7 @@
 	s.mu.Unlock()
 	s.router.hearRollOuts(status, now)
 	s.quarantine.Hear(decodeHeld(status.GetHeld()), 0, now)
+	s.mergeLimits(status, now)
 	if own := status.GetOwn(); own != nil && status.GetZone() == s.router.settings.VM.Zone {
 		s.heardMember(status, own, now)
 	}
