Order a server beside each that takes fewer requests than it is asked for

A server that names a limit was one of those that take work for the planner of capacity, so that what it no longer takes was made up for by nobody. A zone gets one server more for each whose limit binds (all daemons together are asked for more), as far as the most of the service allows; the order is given once, since the servers at their limits stay among those that are there.

Test: TestServersAtTheirLimitsAreReplacedOnce (without the change no order is given).

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -62,6 +62,10 @@
 	// OnDemand and Reclaimable are the servers that take new work.
 	OnDemand    int
 	Reclaimable int
+	// OnDemandAtLimit and ReclaimableAtLimit are those among them that take fewer requests than
+	// callers ask of them.
+	OnDemandAtLimit    int
+	ReclaimableAtLimit int
 	// Dry is set while the cloud has no reclaimable servers to give here.
 	Dry bool
 }
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -174,6 +174,7 @@
 	for _, target := range targets {
 		present := s.zone(target.Zone)
 		target.OnDemand = untilReplaced(target, present, s.Scaling.BootTime)
+		target = besideLimited(target, present, s.Scaling.Max)
 		orders = p.add(orders, Order{Market{target.Zone, false}, target.OnDemand, present.OnDemand}, s.Scaling, now)
 		if s.Scaling.SpotPrice > 0 {
 			orders = p.add(orders, Order{Market{target.Zone, true}, target.Reclaimable, present.Reclaimable}, s.Scaling, now)
@@ -182,6 +183,16 @@
 	return orders
 }
 
+// besideLimited adds a server for each that takes fewer requests than it is asked for, as far as
+// the zone may have so many.
+func besideLimited(target Target, present Zone, most int) Target {
+	room := max(0, most-target.OnDemand-target.Reclaimable)
+	reclaimable := min(room, present.ReclaimableAtLimit)
+	target.Reclaimable += reclaimable
+	target.OnDemand += min(room-reclaimable, present.OnDemandAtLimit)
+	return target
+}
+
 func (s *State) zone(name string) Zone {
 	for _, z := range s.Zones {
 		if z.Name == name {
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -239,3 +239,40 @@
 	c.Check(onDemand, qt.Equals, 9)
 	c.Check(reclaimable, qt.Equals, 0)
 }
+
+// TestServersAtTheirLimitsAreReplacedOnce guards against servers that count as whole while they take
+// few requests, and against orders without end for them.
+func TestServersAtTheirLimitsAreReplacedOnce(t *testing.T) {
+	c := qt.New(t)
+	orderedWith := func(atLimit int) (counts []int) {
+		p := duringWave(now)
+		there := 1
+		for tick := range 200 {
+			at := now.Add(time.Duration(tick) * 300 * time.Millisecond)
+			s := present(1, there)
+			s.Zones[0].ReclaimableAtLimit = atLimit
+			market := Market{s.Zones[0].Name, true}
+			for _, o := range answer(p, s, at, ReplyTaken) {
+				if o.Market == market {
+					counts = append(counts, o.Count)
+				}
+			}
+			if given := p.given[market]; given.answered && at.Sub(given.at) >= s.Scaling.BootTime {
+				there = given.count
+			}
+		}
+		return counts
+	}
+	c.Check(orderedWith(0), qt.HasLen, 0, qt.Commentf("what is there is what is wanted"))
+	c.Check(orderedWith(2), qt.DeepEquals, []int{3})
+}
+
+func TestReplacementsKeepTheMostOfAZone(t *testing.T) {
+	c := qt.New(t)
+	target := Target{Zone: "z", OnDemand: 1, Reclaimable: 3}
+	z := Zone{Name: "z", OnDemand: 1, Reclaimable: 3, OnDemandAtLimit: 1, ReclaimableAtLimit: 3}
+	c.Check(besideLimited(target, z, 4), qt.Equals, target)
+	c.Check(besideLimited(target, z, 6), qt.Equals, Target{Zone: "z", OnDemand: 1, Reclaimable: 5})
+	c.Check(besideLimited(target, z, 20), qt.Equals, Target{Zone: "z", OnDemand: 2, Reclaimable: 6})
+	c.Check(besideLimited(target, z, 2), qt.Equals, target)
+}
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -93,17 +93,25 @@
 			// had there for a while.
 			zones[i].Dry = true
 		}
-		switch {
-		case !server.Ready:
-		case server.Reclaimable:
-			zones[i].Reclaimable++
-		default:
-			zones[i].OnDemand++
+		if server.Ready {
+			countReady(&zones[i], server)
 		}
 	}
 	return zones
 }
 
+// countReady counts a server that takes new work.
+func countReady(zone *capacity.Zone, server backend.Status) {
+	all, atLimit := &zone.OnDemand, &zone.OnDemandAtLimit
+	if server.Reclaimable {
+		all, atLimit = &zone.Reclaimable, &zone.ReclaimableAtLimit
+	}
+	*all++
+	if server.AtLimit {
+		*atLimit++
+	}
+}
+
 // order gives an order, while the right to do so lasts.
 func (s *Scaler) order(ctx context.Context, service string, planner *capacity.Planner, order capacity.Order, load demand.Load) {
 	right, holds := s.Holder.Right()
