Keep the limits that servers name on the product's own interface too

What callers saw: nothing; a server of the own interface had no way to say what it takes, and got 41 requests in 4 s where it took 2 a second (TestServersOfTheOwnInterfaceKeepTheirLimits on the code before, 17 allowed).

Servers name the limit in Plankridge-Limit. Heartbeats carry it, at once where it has changed. The daemons of this interface know each other by the list of VMs but do not report sums, so the limit is shared by few of them, the same at every daemon by rendezvous hashing: 2 and two for each request a second, of the server's zone first, since callers of other zones are served by theirs. Each keeps its part in a bucket. A daemon that is not among them does not send there. Where all servers are at their limits a request is refused at once with when to come back.

Found in building it: equal shares of a burst start full at every daemon, so that all send at once; buckets start at a level by hash.

Left: a daemon among the few that has few callers leaves its part unused.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +20,25 @@
 	LimitErr error
 }
 
+// HeaderLimit is the header of answers at the product's own interface to servers that names a limit,
+// in requests a second.
+const HeaderLimit = "Plankridge-Limit"
+
+// FromHeader reads what an answer at the product's own interface says.
+func FromHeader(header http.Header) Advice { return Read(header, HeaderLimit) }
+
+// Read reads what an answer says under the name of a header.
+func Read(header http.Header, limitName string) Advice {
+	var a Advice
+	if texts := header.Values(limitName); len(texts) > 0 {
+		rate, err := ParseLimit(texts[0])
+		if a.LimitErr = err; err == nil {
+			a.Limit = &rate
+		}
+	}
+	return a
+}
+
 // ParseLimit reads a limit in requests a second.
 func ParseLimit(text string) (float64, error) {
 	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,6 +158,7 @@
 		Follower:    d.follower,
 		Copies:      backup.NewStore(d.settings.Limits.CopyBytes),
 		Quarantine:  d.quarantine,
+		Limits:      d.registry,
 		Logger:      d.logger,
 	})
 	d.dispatcher = dispatch.New(dispatch.Options{
@@ -172,6 +173,7 @@
 		Burn:        d.burn,
 		Quarantine:  d.quarantine,
 		Dial:        options.Network.Dial,
+		Advised:     func() { d.mesh.Soon() },
 		Logger:      d.logger,
 		Registerer:  d.metrics,
 		OnViolation: options.OnViolation,
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/plankridge/plankridge/internal/advice"
 	"github.com/plankridge/plankridge/internal/cloud"
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/route"
@@ -64,6 +65,11 @@
 	excess        time.Duration
 	excessAt      time.Time
 	serviceTime   time.Duration
+	// limit is what the server's answers say of how many requests it takes, liftedAt when it last
+	// ended, and quota this daemon's part of it.
+	limit    advice.Limit
+	liftedAt time.Time
+	quota    quota
 }
 
 // NewRegistry returns a registry without VMs for the daemon on the VM with the
@@ -168,6 +174,9 @@
 		r.applyServer(vm)
 	}
 	r.revision = changes.Revision
+	if daemonsChanged {
+		r.shareLimits(time.Now())
+	}
 	r.wake()
 	r.mu.Unlock()
 	if daemonsChanged {
@@ -274,6 +283,7 @@
 	if daemon, ok := r.daemons[id]; ok {
 		daemon.State = vmlist.VMLeaving
 		r.daemons[id] = daemon
+		r.shareLimits(time.Now())
 		return true
 	}
 	s := r.servers[id]
@@ -345,7 +355,7 @@
 		Zone:         s.vm.Zone,
 		Address:      s.vm.Address,
 		PricePerHour: r.index.Price(s.vm.Class, s.vm.Zone, config.Market(s.vm.Market)),
-		Leaving:      s.vm.State != vmlist.VMLive,
+		Leaving:      s.vm.State != vmlist.VMLive || s.untilAdmitted(now) > 0,
 		Suspect:      now.Before(s.suspectUntil),
 		Running:      s.running,
 		Excess:       s.decayedExcess(now),
--- a/internal/discovery/slot.go
+++ b/internal/discovery/slot.go
@@ -20,12 +20,12 @@
 }
 
 // Acquire counts an attempt in on a server that is live. It returns false when
-// the server has begun to leave or is gone.
+// the server has begun to leave, is gone, or is at the limit that it names.
 func (r *Registry) Acquire(id string, promptTokens int, now time.Time) (*Slot, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.servers[id]
-	if s == nil || s.vm.State != vmlist.VMLive {
+	if s == nil || s.vm.State != vmlist.VMLive || !s.admit(now) {
 		return nil, false
 	}
 	s.running++
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -34,6 +34,7 @@
 		Path:       spec.Path,
 		Header:     spec.Header,
 		Body:       spec.Body,
+		OnAdvice:   d.adviceOf(choice.Server),
 	})
 	switch {
 	case err == nil:
@@ -71,6 +72,7 @@
 
 	stream := &modelStream{dispatcher: d, flight: flight, slot: slot, predicted: choice.Wait, number: flight.attempts()}
 	attempt := d.engineAttempt(flight)
+	attempt.OnAdvice = d.adviceOf(choice.Server)
 	err := d.options.Engine.Generate(ctx, choice.Server.Address, attempt, func(event engine.Event) error {
 		if !stream.owns(&event) {
 			return nil
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -43,7 +43,9 @@
 	// which hears of no other daemon.
 	Quarantine *watch.Watch
 	// Dial opens a connection to a server, which shows whether anybody listens there.
-	Dial       func(ctx context.Context, address string) (net.Conn, error)
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Advised is called when a server's answer has changed what it takes. Nil calls nothing.
+	Advised    func()
 	Logger     *slog.Logger
 	Registerer prometheus.Registerer
 	// PrepareKeyed returns what has to be done before the first attempt of a
@@ -143,7 +145,7 @@
 func (d *Dispatcher) refuseForWait(spec *request.Spec, now time.Time) *Refusal {
 	choice, ok := d.pick(spec, nil, now)
 	if !ok {
-		return &Refusal{Status: http.StatusServiceUnavailable, Detail: "service has no backend server", RetryAfter: noServerRetry}
+		return d.refuseForServers(spec, now)
 	}
 	if most := spec.Route.Targets.QueueWait.Std(); choice.Wait > most {
 		return &Refusal{Status: http.StatusServiceUnavailable, Detail: "predicted wait is too long", RetryAfter: choice.Wait - most}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/plankridge/plankridge/internal/advice"
 	"github.com/plankridge/plankridge/internal/httpjson"
 )
 
@@ -49,6 +50,9 @@
 		return fmt.Errorf("%w: %w", ErrBroken, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if attempt.OnAdvice != nil {
+		attempt.OnAdvice(advice.FromHeader(resp.Header))
+	}
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -6,6 +6,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+
+	"github.com/plankridge/plankridge/internal/advice"
 )
 
 // Errors of an attempt at an engine. They say whether the attempt can have
@@ -49,6 +51,8 @@
 	// Parameters are the sampling parameters of the caller, passed on as they
 	// came.
 	Parameters map[string]json.RawMessage `json:"parameters,omitempty"`
+	// OnAdvice is told what the engine's answer says of the work that it takes. Nil is not told.
+	OnAdvice func(advice.Advice) `json:"-"`
 }
 
 // Usage counts the tokens of one attempt.
--- a/internal/peer/contacts.go
+++ b/internal/peer/contacts.go
@@ -34,7 +34,7 @@
 			contacts = append(contacts, zoneContactsOf(self, members)...)
 			continue
 		}
-		contacts = append(contacts, ranked(self.ID, members)[:min(outsideContacts, len(members))]...)
+		contacts = append(contacts, vmlist.Ranked(self.ID, members)[:min(outsideContacts, len(members))]...)
 	}
 	slices.SortFunc(contacts, func(a, b vmlist.VM) int { return cmp.Compare(a.ID, b.ID) })
 	return contacts
@@ -43,7 +43,7 @@
 func zoneContactsOf(self vmlist.VM, members []vmlist.VM) []vmlist.VM {
 	next := ringSuccessor(self, members)
 	contacts := []vmlist.VM{next}
-	for _, member := range ranked(self.ID, members) {
+	for _, member := range vmlist.Ranked(self.ID, members) {
 		if len(contacts) < zoneContacts && member.ID != next.ID {
 			contacts = append(contacts, member)
 		}
@@ -59,19 +59,8 @@
 	})
 }
 
-// ranked orders daemons by the hash of a key with each.
-func ranked(key string, daemons []vmlist.VM) []vmlist.VM {
-	weights := make(map[string]uint64, len(daemons))
-	for _, daemon := range daemons {
-		weights[daemon.ID] = xxhash.Sum64String(key + "/" + daemon.ID)
-	}
-	sorted := slices.Clone(daemons)
-	slices.SortFunc(sorted, func(a, b vmlist.VM) int { return cmp.Compare(weights[b.ID], weights[a.ID]) })
-	return sorted
-}
-
 // Keepers returns the daemons that keep the answer of a request whose owner
 // has gone, the likeliest first. Every daemon computes the same order.
 func Keepers(requestID string, daemons []vmlist.VM) []vmlist.VM {
-	return ranked(requestID, daemons)
+	return vmlist.Ranked(requestID, daemons)
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -56,7 +56,9 @@
 	Copies *backup.Store
 	// Quarantine is what this daemon knows of requests that end servers; nil knows nothing.
 	Quarantine *watch.Watch
-	Logger     *slog.Logger
+	// Limits are those that backend servers name; nil knows none.
+	Limits Limits
+	Logger *slog.Logger
 }
 
 // Mesh knows the peers of a daemon and speaks to them.
@@ -69,6 +71,7 @@
 	incarnation uint64
 	pulls       chan string
 	quarantine  *watch.Watch
+	limits      Limits
 	// early asks for heartbeats at once.
 	early chan struct{}
 
@@ -124,6 +127,7 @@
 		incarnation: binary.LittleEndian.Uint64(random[:]),
 		pulls:       make(chan string, 1),
 		quarantine:  options.Quarantine,
+		limits:      options.Limits,
 		early:       make(chan struct{}, 1),
 		conns:       map[string]*connection{},
 		learned:     map[process]int64{},
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -15,6 +15,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/plankridge/plankridge/internal/advice"
 	"github.com/plankridge/plankridge/internal/network"
 )
 
@@ -51,6 +52,8 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// OnAdvice is told what the service's answer says of the work that it takes. Nil is not told.
+	OnAdvice func(advice.Advice)
 }
 
 // Answer is a whole answer.
@@ -135,6 +138,9 @@
 	if echoed := resp.Header.Get(HeaderRequestID); echoed != "" && echoed != call.RequestID {
 		return Answer{}, ErrForeignAnswer
 	}
+	if call.OnAdvice != nil {
+		call.OnAdvice(advice.FromHeader(resp.Header))
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.maxAnswer)+1))
 	if err != nil {
 		return Answer{}, fmt.Errorf("%w: %w", ErrNoAnswer, err)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -13,7 +13,7 @@
 	Address string
 	// PricePerHour is the price of the server's VM.
 	PricePerHour float64
-	// Leaving servers get no new work.
+	// Leaving servers, and those at the limits that they name, get no new work.
 	Leaving bool
 	// Suspect servers have just failed and are used only when no other is
 	// left.
--- a/internal/standin/faults/faults.go
+++ b/internal/standin/faults/faults.go
@@ -28,6 +28,8 @@
 	// CrossEvery puts an answer of another request, and one that was given
 	// already, before each n-th part of an answer; zero puts none.
 	CrossEvery int `json:"cross_every"`
+	// Header stands in each answer.
+	Header map[string]string `json:"header"`
 }
 
 // Switches are the fault switches of one stand-in. The zero value has no
@@ -88,6 +90,9 @@
 			return
 		}
 		state := s.Get()
+		for name, value := range state.Header {
+			w.Header().Set(name, value)
+		}
 		if state.Delay > 0 {
 			time.Sleep(state.Delay)
 		}
--- a/internal/standin/plainservice/plainservice.go
+++ b/internal/standin/plainservice/plainservice.go
@@ -11,6 +11,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,6 +52,16 @@
 	handler http.Handler
 	ledger  *Ledger
 	work    time.Duration
+
+	mu       sync.Mutex
+	arrivals []time.Time
+}
+
+// Arrivals returns the times at which calls have arrived.
+func (s *Server) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
 }
 
 // New returns a server that works for the given time on each call.
@@ -74,6 +85,9 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	s.mu.Unlock()
 	if s.Faults.Get().Refuse {
 		http.Error(w, "busy", http.StatusServiceUnavailable)
 		return
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -3,8 +3,12 @@
 package vmlist
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // VMState is the state of a VM in the VM list.
@@ -57,3 +61,15 @@
 	// that long for a change. Revision zero asks for the whole list.
 	ListVMs(ctx context.Context, after int64, wait time.Duration) (VMChanges, error)
 }
+
+// Ranked orders VMs by the hash of a key with each: rendezvous hashing, by which all that know the
+// same VMs choose the same ones for a key.
+func Ranked(key string, vms []VM) []VM {
+	weights := make(map[string]uint64, len(vms))
+	for _, vm := range vms {
+		weights[vm.ID] = xxhash.Sum64String(key + "/" + vm.ID)
+	}
+	sorted := slices.Clone(vms)
+	slices.SortFunc(sorted, func(a, b VM) int { return cmp.Compare(weights[b.ID], weights[a.ID]) })
+	return sorted
+}
--- /dev/null
+++ b/robustness/advice_test.go
@@ -0,0 +1,117 @@
+package robustness
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/standin/faults"
+	"github.com/plankridge/plankridge/internal/standin/plainservice"
+)
+
+const (
+	// adviceLength is how long callers ask beside what servers say, and adviceEach the time
+	// between two requests.
+	adviceLength = 16 * time.Second
+	adviceEach   = 100 * time.Millisecond
+	// adviceLearned is how long after a server first says something daemons may not know of it.
+	adviceLearned = 4 * time.Second
+)
+
+// weigh calls the plain service for a while and returns the answers' statuses.
+func (b *bed) weigh(length time.Duration) (statuses []int, retryAfter []string) {
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	for begun := time.Now(); time.Since(begun) < length; time.Sleep(adviceEach) {
+		// The next request goes to the next daemon.
+		b.client.CloseIdleConnections()
+		asking.Go(func() {
+			resp, _ := b.call(http.MethodGet, balancerURL+"/services/app-carriere/weighings", "pesee", "")
+			mu.Lock()
+			defer mu.Unlock()
+			statuses = append(statuses, resp.StatusCode)
+			if resp.StatusCode != http.StatusOK {
+				retryAfter = append(retryAfter, resp.Header.Get("Retry-After"))
+			}
+		})
+	}
+	asking.Wait()
+	return statuses, retryAfter
+}
+
+// arrivalsFrom returns the times from a moment on at which calls arrived at a server.
+func arrivalsFrom(s *plainservice.Server, from time.Time) []time.Time {
+	return slices.DeleteFunc(s.Arrivals(), func(at time.Time) bool { return at.Before(from) })
+}
+
+// mostIn returns the largest number of times within a window.
+func mostIn(times []time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for last := range times {
+		for times[last].Sub(times[first]) > window {
+			first++
+		}
+		most = max(most, last-first+1)
+	}
+	return most
+}
+
+// TestServersOfTheOwnInterfaceKeepTheirLimits guards against daemons that each know of no limit, or
+// keep one by themselves, and against a server that is not used again afterwards.
+func TestServersOfTheOwnInterfaceKeepTheirLimits(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		servers := b.d.Cloud.PlainServers()
+		b.Assert(len(servers) >= 2, qt.IsTrue)
+		limited := servers[0]
+		b.weigh(2 * time.Second)
+		limited.Faults.Set(faults.State{Header: map[string]string{"Plankridge-Limit": "2"}})
+		from := time.Now().Add(adviceLearned)
+		statuses, _ := b.weigh(adviceLength)
+		got := arrivalsFrom(limited, from)
+		most := mostIn(got, 4*time.Second)
+		rate := float64(len(got)) / time.Since(from).Seconds()
+		b.Logf("%d in 4 s, %.2f a second; %d of %d callers served", most, rate, count(statuses, http.StatusOK), len(statuses))
+		b.Check(most <= 17, qt.IsTrue, qt.Commentf("%d requests in 4 s at a server that takes 2 a second", most))
+		b.Check(rate >= 1, qt.IsTrue, qt.Commentf("%.2f a second", rate))
+		b.Check(count(statuses, http.StatusOK), qt.Equals, len(statuses))
+
+		limited.Faults.Set(faults.State{})
+		b.weigh(adviceLearned)
+		from = time.Now()
+		b.weigh(4 * time.Second)
+		b.Check(len(arrivalsFrom(limited, from)) > 10, qt.IsTrue, qt.Commentf("used again once its limit has ended"))
+	})
+}
+
+// TestAllServersOfTheOwnInterfaceAtTheirLimits guards against callers that wait where no server may
+// be asked.
+func TestAllServersOfTheOwnInterfaceAtTheirLimits(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		for _, s := range b.d.Cloud.PlainServers() {
+			s.Faults.Set(faults.State{Header: map[string]string{"Plankridge-Limit": "2"}})
+		}
+		b.weigh(adviceLearned)
+		statuses, retryAfter := b.weigh(adviceLength / 2)
+		b.Check(count(statuses, http.StatusServiceUnavailable) > 0, qt.IsTrue)
+		b.Check(count(statuses, http.StatusOK) > 0, qt.IsTrue)
+		b.Check(count(statuses, http.StatusServiceUnavailable)+count(statuses, http.StatusOK), qt.Equals, len(statuses))
+		for _, after := range retryAfter {
+			b.Check(after, qt.Not(qt.Equals), "")
+		}
+	})
+}
+
+// count returns how often a status was answered.
+func count(statuses []int, status int) int {
+	n := 0
+	for _, s := range statuses {
+		if s == status {
+			n++
+		}
+	}
+	return n
+}
--- a/robustness/onplatform/limits_test.go
+++ b/robustness/onplatform/limits_test.go
@@ -103,7 +103,7 @@
 			l.addLimited(i, limit)
 		}
 		for i := range p.sound {
-			l.sound = append(l.sound, l.addAt(fmt.Sprintf("i-sound-%d", i), &fake.Runner{Behave: l.serve(0)}))
+			l.sound = append(l.sound, l.addAt(fmt.Sprintf("i-sound-%d", i), &fake.Runner{Behave: l.serve(nil)}))
 		}
 		b.configure(routes{plainRoute("/a/", "idempotent", 2)})
 	}, func(*bed) {
@@ -132,16 +132,16 @@
 }
 
 func (l *limitsBed) addLimited(i int, limit float64) {
-	runner := l.addAt(fmt.Sprintf("i-limited-%d", i), &fake.Runner{Behave: l.serve(limit)})
+	runner := l.addAt(fmt.Sprintf("i-limited-%d", i), &fake.Runner{Behave: l.serve(&limit)})
 	l.servers = append(l.servers, &limitedServer{Runner: runner, limit: limit})
 }
 
-// serve answers after 80 ms and names the limit for a while; zero is none.
-func (l *limitsBed) serve(limit float64) func(int, *http.Request) fake.Behaviour {
+// serve answers after 80 ms and names the limit for a while.
+func (l *limitsBed) serve(limit *float64) func(int, *http.Request) fake.Behaviour {
 	return func(int, *http.Request) fake.Behaviour {
 		b := fake.Behaviour{Delay: 80 * time.Millisecond}
-		if since := time.Since(l.begun); limit > 0 && since >= namedFrom && since < namedUntil {
-			b.Header = map[string]string{"Server-Limit": strconv.FormatFloat(limit, 'g', -1, 64)}
+		if since := time.Since(l.begun); limit != nil && since >= namedFrom && since < namedUntil {
+			b.Header = map[string]string{"Server-Limit": strconv.FormatFloat(*limit, 'g', -1, 64)}
 		}
 		return b
 	}
@@ -241,6 +241,7 @@
 func TestServersGetNoMoreThanTheLimitTheyName(t *testing.T) {
 	for name, p := range map[string]limitsPlay{
 		"two of four servers": {daemons: 8, limits: []float64{1.2, 3}, sound: 2, each: 130 * time.Millisecond},
+		"one takes none":      {daemons: 8, limits: []float64{0, 2}, sound: 2, each: 130 * time.Millisecond},
 		"all servers":         {daemons: 8, limits: []float64{2, 4, 6}, each: 130 * time.Millisecond},
 	} {
 		t.Run(name, p.run)
