Show in logs what servers' answers say of leaving and of rest

Retry-After counts as a rest only in an answer by which a server declines a request; a rest that cannot be read (soon, -1, NaN, Inf) is none, one over an hour an hour.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -16,29 +16,56 @@
 	// Limit is the number of requests a second that the server takes from all daemons together.
 	// It is nil where the answer names none.
 	Limit *float64
-	// LimitErr is set where the answer names a limit that cannot be read.
-	LimitErr error
+	// Leaving is set where the server says that it leaves.
+	Leaving bool
+	// Rest is how long a server that has declined the request wants no other from this daemon; zero
+	// where it does not say.
+	Rest time.Duration
+	// LimitErr and RestErr are set where a limit or a rest cannot be read: then none is named.
+	LimitErr, RestErr error
 }
 
-// HeaderLimit is the header of answers at the product's own interface to servers that names a limit,
-// in requests a second.
-const HeaderLimit = "Plankridge-Limit"
+// Names are those of the headers that carry advice, and Retry-After beside them.
+type Names struct{ Limit, Leaving string }
 
-// FromHeader reads what an answer at the product's own interface says.
-func FromHeader(header http.Header) Advice { return Read(header, HeaderLimit) }
+// ownNames are those of the product's own interface to servers.
+var ownNames = Names{Limit: "Plankridge-Limit", Leaving: "Plankridge-Leaving"}
 
-// Read reads what an answer says under the name of a header.
-func Read(header http.Header, limitName string) Advice {
-	var a Advice
-	if texts := header.Values(limitName); len(texts) > 0 {
+// FromHeader reads what an answer at the product's own interface says. declined is set where the
+// server did not run the request.
+func FromHeader(header http.Header, declined bool) Advice { return Read(header, ownNames, declined) }
+
+// Read reads what an answer says under names of its headers. Only a server that has declined the
+// request means itself by Retry-After.
+func Read(header http.Header, names Names, declined bool) Advice {
+	a := Advice{Leaving: strings.TrimSpace(header.Get(names.Leaving)) == leavingValue}
+	if texts := header.Values(names.Limit); len(texts) > 0 {
 		rate, err := ParseLimit(texts[0])
 		if a.LimitErr = err; err == nil {
 			a.Limit = &rate
 		}
 	}
+	if text := header.Get("Retry-After"); declined && text != "" {
+		a.Rest, a.RestErr = ParseRest(text)
+	}
 	return a
 }
 
+// leavingValue is what a server that leaves says of itself.
+const leavingValue = "1"
+
+// maxRest bounds a rest: longer ones are taken for a mistake of the server.
+const maxRest = time.Hour
+
+// ParseRest reads a rest in seconds, which may have a fraction.
+func ParseRest(text string) (time.Duration, error) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !Valid(seconds) {
+		return 0, fmt.Errorf("rest %q is no number of seconds", text)
+	}
+	return time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second)), nil
+}
+
 // ParseLimit reads a limit in requests a second.
 func ParseLimit(text string) (float64, error) {
 	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
@@ -48,8 +75,8 @@
 	return rate, nil
 }
 
-// Valid reports whether a server can name a limit.
-func Valid(rate float64) bool { return rate >= 0 && !math.IsInf(rate, 0) }
+// Valid reports whether a server can name a number, of requests a second or of seconds.
+func Valid(number float64) bool { return number >= 0 && !math.IsInf(number, 0) }
 
 // Limit is the latest that is known of a server's limit.
 type Limit struct {
--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -1,6 +1,7 @@
 package advice
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -53,3 +54,29 @@
 	l := Limit{}.Observe(naming(2), at(100), at(180))
 	c.Check(l.Observe(unreadable, at(200), at(280)), qt.Equals, l)
 }
+
+func TestParseRest(t *testing.T) {
+	for text, want := range map[string]time.Duration{"3": 3 * time.Second, "0.25": 250 * time.Millisecond, "0": 0, "1e9": maxRest} {
+		rest, err := ParseRest(text)
+		qt.Check(t, err, qt.IsNil)
+		qt.Check(t, rest, qt.Equals, want)
+	}
+	for _, text := range []string{"", "soon", "-1", "NaN", "Inf"} {
+		_, err := ParseRest(text)
+		qt.Check(t, err, qt.ErrorMatches, `rest ".*" is no number of seconds`)
+	}
+}
+
+func TestReadAdvice(t *testing.T) {
+	c := qt.New(t)
+	header := http.Header{}
+	c.Check(FromHeader(header, true), qt.Equals, Advice{})
+	header.Set("Plankridge-Leaving", "1")
+	header.Set("Retry-After", "3")
+	c.Check(FromHeader(header, true), qt.Equals, Advice{Leaving: true, Rest: 3 * time.Second})
+	c.Check(FromHeader(header, false).Rest, qt.Equals, time.Duration(0), qt.Commentf("the answer of a service that ran"))
+	header.Set("Plankridge-Limit", "many")
+	c.Check(FromHeader(header, false).LimitErr, qt.IsNotNil)
+	header.Set("Plankridge-Limit", "2.5")
+	c.Check(*FromHeader(header, false).Limit, qt.Equals, 2.5)
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -51,7 +51,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if attempt.OnAdvice != nil {
-		attempt.OnAdvice(advice.FromHeader(resp.Header))
+		attempt.OnAdvice(advice.FromHeader(resp.Header, resp.StatusCode == http.StatusServiceUnavailable))
 	}
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
--- a/internal/forward/advice.go
+++ b/internal/forward/advice.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/advice"
@@ -14,9 +15,7 @@
 		return
 	}
 	before, after := choice.Advised(answer.Advice, time.Now())
-	if err := answer.Advice.LimitErr; err != nil {
-		r.options.Logger.Debug("server's limit cannot be read", "server", choice.ID, "service", choice.Service, "request_id", r.call.ID, "error", err)
-	}
+	r.logAdvice(choice, answer.Advice)
 	if after.Same(before) {
 		return
 	}
@@ -30,3 +29,17 @@
 	r.options.Logger.Info("server's limit changed", "server", choice.ID, "service", choice.Service, "zone", choice.Zone, "request_id", r.call.ID,
 		"limited", after.Named, "requests_per_second", after.Rate, "limited_before", before.Named, "requests_per_second_before", before.Rate, "from", "answer")
 }
+
+// logAdvice writes down what an answer says that a server seldom says.
+func (r *run) logAdvice(choice *backend.Choice, a advice.Advice) {
+	logger := r.options.Logger.With("server", choice.ID, "service", choice.Service, "zone", choice.Zone, "request_id", r.call.ID)
+	if err := errors.Join(a.LimitErr, a.RestErr); err != nil {
+		logger.Debug("server's advice cannot be read", "error", err)
+	}
+	if a.Rest > 0 {
+		logger.Info("server declined and asked for rest", "rest_ms", a.Rest.Milliseconds())
+	}
+	if a.Leaving {
+		logger.Info("server's answer says that it leaves")
+	}
+}
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -139,7 +139,7 @@
 		return Answer{}, ErrForeignAnswer
 	}
 	if call.OnAdvice != nil {
-		call.OnAdvice(advice.FromHeader(resp.Header))
+		call.OnAdvice(advice.FromHeader(resp.Header, false))
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(c.maxAnswer)+1))
 	if err != nil {
