Send nothing to servers whose answers have said that they leave

What callers saw: nothing until the server had gone; requests reached it 4.2 to 5.2 s after an answer had told the daemon that it leaves (2 s allowed), while the store was away and said nothing.

Class: a server's own word that the daemon carries past and does not use.

The end of its last use counts from the answer, and from the store's acknowledgement where that is earlier. Daemons report such servers to each other, so that others need not ask first; a daemon goes by what others have heard for a minute, so that a wrong report takes no sound server out for good.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -120,3 +120,11 @@
 	Server uint32
 	Limit
 }
+
+// Departure is what daemons report to each other of a server whose answer has said that it leaves.
+type Departure struct {
+	// Server is the key of one incarnation of a server.
+	Server uint32
+	// At is when the first such answer came.
+	At time.Time
+}
--- a/internal/backend/leaving.go
+++ b/internal/backend/leaving.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/plankridge/plankridge/internal/advice"
 )
 
 const (
@@ -58,8 +60,80 @@
 
 // leave marks the server as leaving, usable as a last resort until a time.
 func (s *server) leave(now, usableUntil time.Time) {
-	if s.leftAt.IsZero() {
+	switch {
+	case s.leftAt.IsZero():
 		s.leftAt, s.usableUntil = now, usableUntil
+	case usableUntil.Before(s.usableUntil):
+		s.usableUntil = usableUntil
+	}
+}
+
+// reportDeparture is how long daemons go by what others have heard a server say of its leaving. One
+// that still answers then is asked again, and says so itself.
+const reportDeparture = time.Minute
+
+// saidLeaving takes over that the server has said in an answer at a time that it leaves. An entry
+// that says otherwise does not count from then on: the store may not have been told, and the lists of
+// peers are older. The caller holds the lock.
+func (v *View) saidLeaving(s *server, at, now time.Time) (changed bool) {
+	if !s.saidLeavingAt.IsZero() && !at.Before(s.saidLeavingAt) {
+		return false
+	}
+	changed = s.saidLeavingAt.IsZero()
+	s.saidLeavingAt = at
+	s.leave(now, at.Add(v.leaving-onTheWay))
+	clear(v.inService)
+	return changed
+}
+
+// Leaving returns the servers whose answers have said lately that they leave, to report them. Where
+// there are many, turn picks those of one report.
+func (v *View) Leaving(turn uint64, now time.Time) []advice.Departure {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var said []advice.Departure
+	for _, s := range v.servers {
+		if !s.saidLeavingAt.IsZero() && now.Sub(s.saidLeavingAt) < reportDeparture {
+			said = append(said, advice.Departure{Server: s.key, At: s.saidLeavingAt})
+		}
+	}
+	return inTurn(said, turn, func(d advice.Departure) uint32 { return d.Server })
+}
+
+// MergeLeaving merges what another daemon reports of servers that have said that they leave, and
+// returns the entries of those of which that is new.
+func (v *View) MergeLeaving(said []advice.Departure, now time.Time) (changed []Entry) {
+	if len(said) == 0 {
+		return nil
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.byKey()
+	for _, d := range said {
+		s := known[d.Server]
+		if s == nil || now.Sub(d.At) >= reportDeparture {
+			continue
+		}
+		if v.saidLeaving(s, d.At, now) {
+			s.secondHand = true
+			changed = append(changed, s.Entry)
+		}
+	}
+	return changed
+}
+
+// sweepDepartures asks servers again of whose leaving only others have heard; the caller holds the
+// lock.
+func (v *View) sweepDepartures(now time.Time) {
+	for _, s := range v.servers {
+		if !s.secondHand || now.Sub(s.saidLeavingAt) < reportDeparture {
+			continue
+		}
+		s.saidLeavingAt, s.secondHand = time.Time{}, false
+		if s.listed && !s.Draining {
+			s.leftAt, s.usableUntil = time.Time{}, time.Time{}
+		}
+		clear(v.inService)
 	}
 }
 
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -43,17 +43,29 @@
 	v.limiter = limiter
 }
 
-// Advised merges what the answer to an attempt says of the server, and returns its limit before
-// and after.
-func (c *Choice) Advised(a advice.Advice, answered time.Time) (before, after advice.Limit) {
+// Change is what an answer has changed of what is known of a server.
+type Change struct {
+	// Before and After are its limits.
+	Before, After advice.Limit
+	// Leaves is set for the first answer that says that the server leaves.
+	Leaves bool
+}
+
+// Advised merges what the answer to an attempt says of the server.
+func (c *Choice) Advised(a advice.Advice, answered time.Time) Change {
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
-	before = c.server.limit
-	after = before.Observe(a, c.begun, answered)
-	if c.view.servers[c.ID] == c.server {
-		c.view.setLimit(c.server, after)
+	s := c.server
+	change := Change{Before: s.limit, After: s.limit.Observe(a, c.begun, answered)}
+	if c.view.servers[c.ID] != s {
+		return change
 	}
-	return before, after
+	c.view.setLimit(s, change.After)
+	if a.Leaving {
+		change.Leaves = c.view.saidLeaving(s, answered, answered)
+		s.secondHand = false
+	}
+	return change
 }
 
 // NotSent gives back the part of the server's limit that the attempt took.
@@ -117,14 +129,28 @@
 			records = append(records, advice.Record{Server: s.key, Limit: s.limit})
 		}
 	}
+	return inTurn(records, turn, func(r advice.Record) uint32 { return r.Server })
+}
+
+// inTurn returns all of few records, and of many those whose turn it is.
+func inTurn[R any](records []R, turn uint64, server func(R) uint32) []R {
 	if len(records) <= maxRecords {
 		return records
 	}
-	slices.SortFunc(records, func(a, b advice.Record) int { return cmp.Compare(a.Server, b.Server) })
+	slices.SortFunc(records, func(a, b R) int { return cmp.Compare(server(a), server(b)) })
 	first := int(turn * maxRecords % uint64(len(records)))
 	return append(records, records...)[first : first+maxRecords]
 }
 
+// byKey returns the servers by their keys; the caller holds the lock.
+func (v *View) byKey() map[uint32]*server {
+	known := make(map[uint32]*server, len(v.servers))
+	for _, s := range v.servers {
+		known[s.key] = s
+	}
+	return known
+}
+
 // LimitedKeys returns the keys of all servers that have a limit, or had one lately.
 func (v *View) LimitedKeys(now time.Time) map[uint32]bool {
 	v.mu.Lock()
@@ -146,10 +172,7 @@
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	known := map[uint32]*server{}
-	for _, s := range v.servers {
-		known[s.key] = s
-	}
+	known := v.byKey()
 	for _, r := range records {
 		s := known[r.Server]
 		if s == nil || r.Same(s.limit) && r.At.Before(s.limit.At.Add(sameSighting)) {
--- a/internal/backend/limits_test.go
+++ b/internal/backend/limits_test.go
@@ -59,9 +59,9 @@
 	need := Need{Service: "s", Zone: "z-a"}
 	choice, _ := v.Begin(Need{Service: "s", Zone: "z-a", Only: "a"}, start)
 	rate := 1.5
-	before, after := choice.Advised(advice.Advice{Limit: &rate}, start)
-	c.Check(before.Named, qt.IsFalse)
-	c.Check(after, qt.Equals, named(1.5, start))
+	change := choice.Advised(advice.Advice{Limit: &rate}, start)
+	c.Check(change.Before.Named, qt.IsFalse)
+	c.Check(change.After, qt.Equals, named(1.5, start))
 	choice.End(OutcomeServed, start)
 	c.Check(limiter.limits, qt.DeepEquals, map[uint32]float64{KeyOf(choice.Entry): 1.5})
 	for range 4 {
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -114,7 +114,11 @@
 	leftAt      time.Time
 	usableUntil time.Time
 	listed      bool
-	serviceTime time.Duration
+	// saidLeavingAt is when an answer of the server said that it leaves, or zero; secondHand is set
+	// while only other daemons have had such an answer.
+	saidLeavingAt time.Time
+	secondHand    bool
+	serviceTime   time.Duration
 	// slow is how much longer the server's first events took of late than those of its
 	// service, as a logarithm, as of slowAt.
 	slow     float64
@@ -129,7 +133,7 @@
 }
 
 // ready reports whether the server takes new work.
-func (s *server) ready() bool { return s.listed && !s.Draining }
+func (s *server) ready() bool { return s.listed && !s.Draining && s.saidLeavingAt.IsZero() }
 
 // usable reports whether a server that leaves may still be used when there is
 // no other.
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -175,7 +175,9 @@
 		s.leave(now, v.usableUntil(news))
 		return ended
 	}
-	s.leftAt, s.usableUntil = time.Time{}, time.Time{}
+	if s.saidLeavingAt.IsZero() {
+		s.leftAt, s.usableUntil = time.Time{}, time.Time{}
+	}
 	return ended
 }
 
@@ -192,7 +194,6 @@
 		return
 	}
 	v.prunedAt = now
-	v.sweepLimits(now)
 	for id, s := range v.servers {
 		if !s.listed && now.Sub(s.leftAt) > forgetAfter && s.own.Running == 0 {
 			v.forgetLimit(s)
@@ -201,6 +202,14 @@
 	}
 }
 
+// Sweep lets go of what servers have said long ago. It is called now and then.
+func (v *View) Sweep(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.sweepLimits(now)
+	v.sweepDepartures(now)
+}
+
 // SetRemote takes over what all other daemons have in flight, by key.
 func (v *View) SetRemote(loads map[uint32]Load, now time.Time) {
 	v.mu.Lock()
--- a/internal/forward/advice.go
+++ b/internal/forward/advice.go
@@ -14,14 +14,17 @@
 	if answer.WrongServer {
 		return
 	}
-	before, after := choice.Advised(answer.Advice, time.Now())
+	change := choice.Advised(answer.Advice, time.Now())
 	r.logAdvice(choice, answer.Advice)
-	if after.Same(before) {
-		return
+	limited := !change.After.Same(change.Before)
+	if limited {
+		r.logLimit(choice, change.Before, change.After)
+	}
+	if change.Leaves {
+		r.options.Logger.Info("server's answer says that it leaves", "server", choice.ID, "service", choice.Service, "zone", choice.Zone, "request_id", r.call.ID, "from", "answer")
 	}
-	r.logLimit(choice, before, after)
-	if after.Named != before.Named && r.options.Limited != nil {
-		r.options.Limited()
+	if (change.Leaves || limited && change.After.Named != change.Before.Named) && r.options.Advised != nil {
+		r.options.Advised()
 	}
 }
 
@@ -39,7 +42,4 @@
 	if a.Rest > 0 {
 		logger.Info("server declined and asked for rest", "rest_ms", a.Rest.Milliseconds())
 	}
-	if a.Leaving {
-		logger.Info("server's answer says that it leaves")
-	}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -73,8 +73,9 @@
 	Limits *firsttry.Limits
 	// Notice tells other daemons of a prompt that keeps a server reading for long.
 	Notice func(server backend.Entry, tokens int)
-	// Limited is called when a server's answer begins or ends a limit. Nil calls nothing.
-	Limited func()
+	// Advised is called when a server's answer has changed what others should know. Nil calls
+	// nothing.
+	Advised func()
 	// Freshness returns how long ago the store told of the servers, and whether
 	// it fails to answer. It is for the log only.
 	Freshness func() (serversAge time.Duration, storeFailing bool)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -195,7 +195,7 @@
 		Demand:  r.state.demand,
 		Limits:  r.state.limits,
 		Notice:  r.state.notice,
-		Limited: r.state.limitChanged,
+		Advised: r.soon,
 
 		RollOuts:   r.board,
 		Quarantine: r.state.quarantine,
@@ -368,6 +368,7 @@
 // shareLimits sets this daemon's part of the limits that all daemons share.
 func (s *state) shareLimits(now time.Time) {
 	s.sums.Sweep(now)
+	s.view.Sweep(now)
 	if s.listens(now) == "" {
 		s.useOwnSums(now)
 	}
--- a/internal/router/serverlimits.go
+++ b/internal/router/serverlimits.go
@@ -74,9 +74,6 @@
 	}
 }
 
-// limitChanged lets other daemons know of a limit that an answer has begun or ended.
-func (s *state) limitChanged() { s.router.node.Soon() }
-
 // withoutOldLimits leaves out the accounts of servers that have no limit any more: sums hold all
 // that there ever were.
 func (s *state) withoutOldLimits(sums rollup.Counts, now time.Time) {
