Leave servers that ask for rest alone for as long as they say

A server that asked for 3 s of rest got up to seven requests from the same daemon within that time (two allowed).

A server that declines with Retry-After is passed over until then, by this daemon alone, as it asked. Where all rest the refusal comes at once and says when the first may be asked. Servers that leave stand in for those that rest or are at their limits, within the bound of their last use, and an attempt of a roll-out's candidate goes to the stable version where the candidate's servers rest.

--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -61,6 +61,9 @@
 		return change
 	}
 	c.view.setLimit(s, change.After)
+	if a.Rest > 0 {
+		s.restUntil = later(s.restUntil, answered.Add(a.Rest))
+	}
 	if a.Leaving {
 		change.Leaves = c.view.saidLeaving(s, answered, answered)
 		s.secondHand = false
@@ -223,15 +226,30 @@
 	}
 }
 
-// AtLimit returns how long it takes until one of the servers that were passed over may get a
-// request, and false where a service has no server at all.
-func (v *View) AtLimit(need Need, now time.Time) (time.Duration, bool) {
+// Again returns how long it takes until one of a service's servers may get a request, where they
+// rest or are at their limits, and false where it has no server at all.
+func (v *View) Again(need Need, now time.Time) (time.Duration, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	servers, _ := v.sideOf(need, now)
 	if len(servers) == 0 {
 		return 0, false
 	}
-	first := slices.MinFunc(servers, func(a, b *server) int { return a.againAt.Compare(b.againAt) })
-	return max(0, first.againAt.Sub(now)), true
+	first := servers[0].mayGetAt()
+	for _, s := range servers[1:] {
+		if at := s.mayGetAt(); at.Before(first) {
+			first = at
+		}
+	}
+	return max(0, first.Sub(now)), true
+}
+
+// mayGetAt returns when a server that was passed over may get a request.
+func (s *server) mayGetAt() time.Time { return later(s.againAt, s.restUntil) }
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
--- a/internal/backend/limits_test.go
+++ b/internal/backend/limits_test.go
@@ -86,10 +86,10 @@
 	report(v, "b", named(1, start))
 	_, ok := v.Begin(need, start)
 	c.Assert(ok, qt.IsFalse)
-	wait, found := v.AtLimit(need, start)
+	wait, found := v.Again(need, start)
 	c.Check(found, qt.IsTrue)
 	c.Check(wait, qt.Equals, 700*time.Millisecond)
-	_, found = v.AtLimit(Need{Service: "other"}, start)
+	_, found = v.Again(Need{Service: "other"}, start)
 	c.Check(found, qt.IsFalse)
 }
 
@@ -161,3 +161,60 @@
 	}
 	c.Check(seen, qt.HasLen, 150)
 }
+
+func TestServersThatRestArePassedOver(t *testing.T) {
+	c := qt.New(t)
+	v, _ := limitedView("a", "b")
+	need := Need{Service: "s", Zone: "z-a"}
+	decline := func(id string, rest time.Duration) {
+		only := need
+		only.Only = id
+		choice, ok := v.Begin(only, start)
+		c.Assert(ok, qt.IsTrue)
+		choice.Advised(advice.Advice{Rest: rest}, start)
+		choice.End(OutcomeFull, start)
+	}
+	decline("a", 3*time.Second)
+	for ms := range 30 {
+		c.Check(pick(v, start.Add(time.Duration(ms)*100*time.Millisecond)), qt.Equals, "b")
+	}
+	decline("b", time.Second)
+	_, ok := v.Begin(need, start)
+	c.Check(ok, qt.IsFalse)
+	wait, found := v.Again(need, start)
+	c.Check(found, qt.IsTrue)
+	c.Check(wait, qt.Equals, time.Second)
+	c.Check(pick(v, start.Add(time.Second)), qt.Equals, "b")
+	v.Remove("b", start.Add(2*time.Second))
+	c.Check(pick(v, start.Add(3*time.Second)), qt.Equals, "a", qt.Commentf("used again at once"))
+}
+
+func TestLeavingServerStandsInForThoseThatRest(t *testing.T) {
+	c := qt.New(t)
+	v, _ := limitedView("a", "b")
+	choice, _ := v.Begin(Need{Service: "s", Zone: "z-a", Only: "a"}, start)
+	choice.Advised(advice.Advice{Rest: 3 * time.Second}, start)
+	v.Remove("b", start)
+	c.Check(pick(v, start), qt.Equals, "b")
+}
+
+func TestCandidatesThatRestAreNotWaitedFor(t *testing.T) {
+	c := qt.New(t)
+	v, _ := limitedView()
+	for id, version := range map[string]string{"a": "v1", "c": "v2"} {
+		e := entry(id, "z-a")
+		e.Version = version
+		v.Put(e, start)
+	}
+	v.SetVersions("s", Versions{Checked: true, Stable: "v1", Candidate: "v2"})
+	need := Need{Service: "s", Zone: "z-a", Candidate: true}
+	choice, ok := v.Begin(need, start)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(choice.ID, qt.Equals, "c")
+	report(v, "c", named(0, start))
+	choice.Advised(advice.Advice{Rest: time.Second}, start)
+	choice, ok = v.Begin(need, start)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(choice.ID, qt.Equals, "a")
+	c.Check(choice.Candidate, qt.IsFalse)
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -130,6 +130,8 @@
 	limit    advice.Limit
 	liftedAt time.Time
 	againAt  time.Time
+	// restUntil is until when the server wants no requests from this daemon.
+	restUntil time.Time
 }
 
 // ready reports whether the server takes new work.
@@ -147,6 +149,9 @@
 	return s.failures * math.Exp2(-age)
 }
 
+// rests reports whether the server has asked this daemon for rest.
+func (s *server) rests(now time.Time) bool { return now.Before(s.restUntil) }
+
 // suspect reports whether the server should be used only when no other is
 // left.
 func (s *server) suspect(now time.Time) bool {
--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -98,7 +98,7 @@
 	versions := v.versionsOf(need.Service)
 	if need.Candidate {
 		tried := v.candidates(side{need.Service, true}, now)
-		sound := slices.ContainsFunc(tried, func(s *server) bool { return s.ready() && !s.suspect(now) })
+		sound := slices.ContainsFunc(tried, func(s *server) bool { return s.ready() && !s.suspect(now) && !s.rests(now) })
 		if sound {
 			return tried, true
 		}
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -273,18 +273,40 @@
 func (v *View) Begin(need Need, now time.Time) (*Choice, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	traits := v.traits[need.Service]
+	choice, ok := v.begin(need, now)
+	if !ok && need.Candidate {
+		// Nothing waits for a candidate.
+		need.Candidate = false
+		choice, ok = v.begin(need, now)
+	}
+	return choice, ok
+}
+
+// begin is Begin for one track of a roll-out. The few servers that suit the request are looked at
+// first, then all, and those that leave where the others rest or are at their limits. The caller
+// holds the lock.
+func (v *View) begin(need Need, now time.Time) (*Choice, bool) {
 	inService, candidate := v.sideOf(need, now)
-	servers := shortlist(inService, need)
+	few := shortlist(inService, need)
+	if choice, ok := v.beginAt(few, candidate, need, now); ok {
+		return choice, true
+	}
+	if len(few) < len(inService) {
+		if choice, ok := v.beginAt(inService, candidate, need, now); ok {
+			return choice, true
+		}
+	}
+	return v.beginAt(v.lastResort(side{need.Service, candidate}, now), candidate, need, now)
+}
+
+// beginAt picks one of some servers; the caller holds the lock.
+func (v *View) beginAt(servers []*server, candidate bool, need Need, now time.Time) (*Choice, bool) {
+	traits := v.traits[need.Service]
 	prompt := newPlacement(need.Parts, servers, traits, now)
 	engines := v.pace(need.Service)
+	offers := v.offersOf(servers, need, prompt, traits, engines, now)
 	routing := route.Need{Zone: need.Zone, Target: need.Target, Tried: need.Tried, AnyZone: traits.CacheTokens > 0}
-	picked, admitted, ok := v.admit(v.offersOf(servers, need, prompt, traits, engines, now), routing, now)
-	if !ok && len(servers) < len(inService) {
-		// All that were looked at are at their limits.
-		prompt = newPlacement(need.Parts, inService, traits, now)
-		picked, admitted, ok = v.admit(v.offersOf(inService, need, prompt, traits, engines, now), routing, now)
-	}
+	picked, admitted, ok := v.admit(offers, routing, now)
 	if !ok {
 		return nil, false
 	}
@@ -315,6 +337,7 @@
 			offer.Queue += engines.Queue(s.deferred)
 		}
 		offer.Away = v.away(s.Zone, need.Zone)
+		offer.Leaving = s.rests(now)
 		offers = append(offers, offer)
 	}
 	return offers
@@ -327,32 +350,37 @@
 	if ready, kept := v.inService[of]; kept {
 		return ready
 	}
-	var ready, leaving []*server
-	named := v.tellIncarnations(of.service)
-	versions := v.versionsOf(of.service)
-	for _, s := range v.servers {
-		switch {
-		case s.Service != of.service, named && s.BornMs == 0, !versions.allows(s.Version, of.candidate):
-		case s.ready():
-			ready = append(ready, s)
-		case s.usable(now):
-			leaving = append(leaving, s)
-		}
-	}
-	byID := func(a, b *server) int { return cmp.Compare(a.ID, b.ID) }
+	ready := v.matching(of, func(s *server) bool { return s.ready() })
 	if len(ready) == 0 {
-		// These are usable for a while only.
-		slices.SortFunc(leaving, byID)
-		return leaving
+		return v.lastResort(of, now)
 	}
-	slices.SortFunc(ready, byID)
-	if of.candidate && !versions.All {
+	if of.candidate && !v.versionsOf(of.service).All {
 		ready = few(ready)
 	}
 	v.inService[of] = ready
 	return ready
 }
 
+// lastResort returns the servers that leave and may still be used.
+func (v *View) lastResort(of side, now time.Time) []*server {
+	return v.matching(of, func(s *server) bool { return !s.ready() && s.usable(now) })
+}
+
+// matching returns the servers of one side for which a condition holds, in the order of their IDs.
+func (v *View) matching(of side, holds func(s *server) bool) []*server {
+	var servers []*server
+	named := v.tellIncarnations(of.service)
+	versions := v.versionsOf(of.service)
+	for _, s := range v.servers {
+		if s.Service != of.service || named && s.BornMs == 0 || !versions.allows(s.Version, of.candidate) || !holds(s) {
+			continue
+		}
+		servers = append(servers, s)
+	}
+	slices.SortFunc(servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	return servers
+}
+
 // tellingShare is the share of a service's servers from which on all are taken to tell their
 // incarnation. Were one enough, a single entry of another writer would take all servers away
 // where none tells it.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -274,11 +274,11 @@
 
 // noServer refuses a call for which no server may be picked.
 func (r *run) noServer(now time.Time) *Refusal {
-	wait, found := r.options.View.AtLimit(r.need(), now)
+	wait, found := r.options.View.Again(r.need(), now)
 	if !found {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "service has no backend server", RetryAfter: retryNoServer}
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "backend servers are at the limits that they name", RetryAfter: max(retrySoon, wait)}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "backend servers rest or are at the limits that they name", RetryAfter: max(retrySoon, wait)}
 }
 
 // ask counts the call's demand, once.
