Send nothing to servers of the own interface whose answers have said that they leave

Servers say Plankridge-Leaving: 1; heartbeats carry it.

TestServersOfTheOwnInterfaceThatSayTheyLeave fails on the code before (requests reach the server to the end of the play) and passes now, no caller refused; TestServersAreUsedAgainAfterTheyLeft guards the opposite.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,7 +158,7 @@
 		Follower:    d.follower,
 		Copies:      backup.NewStore(d.settings.Limits.CopyBytes),
 		Quarantine:  d.quarantine,
-		Limits:      d.registry,
+		Advice:      d.registry,
 		Logger:      d.logger,
 	})
 	d.dispatcher = dispatch.New(dispatch.Options{
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -70,6 +70,8 @@
 	limit    advice.Limit
 	liftedAt time.Time
 	quota    quota
+	// departure is what its answers say of its leaving.
+	departure departure
 }
 
 // NewRegistry returns a registry without VMs for the daemon on the VM with the
@@ -355,7 +357,7 @@
 		Zone:         s.vm.Zone,
 		Address:      s.vm.Address,
 		PricePerHour: r.index.Price(s.vm.Class, s.vm.Zone, config.Market(s.vm.Market)),
-		Leaving:      s.vm.State != vmlist.VMLive || s.untilAdmitted(now) > 0,
+		Leaving:      !s.takesWork(now) || s.untilAdmitted(now) > 0,
 		Suspect:      now.Before(s.suspectUntil),
 		Running:      s.running,
 		Excess:       s.decayedExcess(now),
--- a/internal/discovery/limits.go
+++ b/internal/discovery/limits.go
@@ -29,13 +29,17 @@
 	sameSighting = time.Second
 )
 
-// LimitRecord is what daemons report to each other of a server's limit.
-type LimitRecord struct {
+// AdviceRecord is what daemons report to each other of what a server has said.
+type AdviceRecord struct {
 	Server            string  `json:"server"`
 	Named             bool    `json:"named"`
 	RequestsPerSecond float64 `json:"requests_per_second"`
 	// AgeMs is how long ago that was learned, in milliseconds.
 	AgeMs int64 `json:"age_ms"`
+	// Leaving is set where the server has said that it leaves, and LeavingAgeMs how long ago that,
+	// or that it does not any more, was learned; zero is not known.
+	Leaving      bool  `json:"leaving,omitempty"`
+	LeavingAgeMs int64 `json:"leaving_age_ms,omitempty"`
 }
 
 // quota is this daemon's part of a server's limit, as a bucket of requests.
@@ -76,7 +80,8 @@
 	if s == nil {
 		return false
 	}
-	return r.setLimit(s, s.limit.Observe(a, sent, answered), answered)
+	limited := r.setLimit(s, s.limit.Observe(a, sent, answered), answered)
+	return r.adviseLeaving(s, a, answered) || limited
 }
 
 // setLimit takes over a server's limit; the caller holds the lock.
@@ -172,7 +177,7 @@
 	var wait time.Duration
 	found := false
 	for _, s := range r.servers {
-		if s.vm.Service != service || s.vm.State != vmlist.VMLive {
+		if s.vm.Service != service || !s.takesWork(now) {
 			continue
 		}
 		if until := s.untilAdmitted(now); !found || until < wait {
@@ -182,35 +187,55 @@
 	return wait, found
 }
 
-// Limits returns what to report to other daemons of the servers' limits.
-func (r *Registry) Limits(now time.Time) []LimitRecord {
+// Advice returns what to report to other daemons of what servers have said.
+func (r *Registry) Advice(now time.Time) []AdviceRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var records []LimitRecord
+	var records []AdviceRecord
 	for _, s := range r.servers {
-		if s.limit.Named || now.Sub(s.liftedAt) < liftedFor {
-			records = append(records, LimitRecord{
-				Server: s.vm.ID, Named: s.limit.Named, RequestsPerSecond: s.limit.Rate, AgeMs: now.Sub(s.limit.At).Milliseconds(),
-			})
+		limited := s.limit.Named || now.Sub(s.liftedAt) < liftedFor
+		if !limited && !s.reportsDeparture(now) {
+			continue
+		}
+		record := AdviceRecord{Server: s.vm.ID, Named: s.limit.Named, RequestsPerSecond: s.limit.Rate, AgeMs: now.Sub(s.limit.At).Milliseconds()}
+		if s.reportsDeparture(now) {
+			record.Leaving, record.LeavingAgeMs = s.departure.said, max(1, now.Sub(s.departure.at).Milliseconds())
 		}
+		records = append(records, record)
 	}
 	return records
 }
 
-// MergeLimits merges what another daemon reports. It reports whether others should know at once.
-func (r *Registry) MergeLimits(records []LimitRecord, now time.Time) (changed bool) {
+// MergeAdvice merges what another daemon reports. It reports whether others should know at once.
+func (r *Registry) MergeAdvice(records []AdviceRecord, now time.Time) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, record := range records {
-		s := r.servers[record.Server]
-		if s == nil || !advice.Valid(record.RequestsPerSecond) {
-			continue
+		if s := r.servers[record.Server]; s != nil {
+			changed = r.mergeLimit(s, record, now) || changed
+			changed = r.mergeDeparture(s, record, now) || changed
 		}
-		limit := advice.Limit{Rate: record.RequestsPerSecond, Named: record.Named, At: now.Add(-time.Duration(max(0, record.AgeMs)) * time.Millisecond)}
-		if limit.Same(s.limit) && limit.At.Before(s.limit.At.Add(sameSighting)) {
-			continue
-		}
-		changed = r.setLimit(s, s.limit.Merge(limit), now) || changed
 	}
 	return changed
 }
+
+// mergeLimit merges what a record says of a server's limit; the caller holds the lock.
+func (r *Registry) mergeLimit(s *server, record AdviceRecord, now time.Time) (changed bool) {
+	if !advice.Valid(record.RequestsPerSecond) {
+		return false
+	}
+	limit := advice.Limit{Rate: record.RequestsPerSecond, Named: record.Named, At: now.Add(-age(record.AgeMs))}
+	if limit.Same(s.limit) && limit.At.Before(s.limit.At.Add(sameSighting)) {
+		return false
+	}
+	return r.setLimit(s, s.limit.Merge(limit), now)
+}
+
+// mergeDeparture merges what a record says of a server's leaving; the caller holds the lock.
+func (r *Registry) mergeDeparture(s *server, record AdviceRecord, now time.Time) (changed bool) {
+	told := age(record.LeavingAgeMs)
+	return told > 0 && told < departureFor && r.setDeparture(s, departure{said: record.Leaving, at: now.Add(-told)})
+}
+
+// age returns an age that was reported in milliseconds.
+func age(ms int64) time.Duration { return max(0, time.Duration(ms)*time.Millisecond) }
--- a/internal/discovery/slot.go
+++ b/internal/discovery/slot.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // Slot is the place of one attempt on a backend server, from dispatch to end.
@@ -25,7 +23,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.servers[id]
-	if s == nil || s.vm.State != vmlist.VMLive || !s.admit(now) {
+	if s == nil || !s.takesWork(now) || !s.admit(now) {
 		return nil, false
 	}
 	s.running++
--- /dev/null
+++ b/internal/peer/advice.go
@@ -0,0 +1,48 @@
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/discovery"
+)
+
+// Advice is what backend servers say in their answers.
+type Advice interface {
+	// Advice returns what to report to other daemons.
+	Advice(now time.Time) []discovery.AdviceRecord
+	// MergeAdvice merges what another daemon reports, and reports whether others should know at
+	// once.
+	MergeAdvice(records []discovery.AdviceRecord, now time.Time) (changed bool)
+}
+
+// encodeAdvice encodes what this daemon knows of what servers have said.
+func (m *Mesh) encodeAdvice() []byte {
+	if m.advice == nil {
+		return nil
+	}
+	records := m.advice.Advice(time.Now())
+	if len(records) == 0 {
+		return nil
+	}
+	raw, err := json.Marshal(records)
+	if err != nil {
+		m.logger.Error("advice of servers cannot be encoded", "error", err)
+	}
+	return raw
+}
+
+// mergeAdvice merges what a peer reports of what servers have said.
+func (m *Mesh) mergeAdvice(peer string, raw []byte) {
+	if m.advice == nil || len(raw) == 0 {
+		return
+	}
+	var records []discovery.AdviceRecord
+	if err := json.Unmarshal(raw, &records); err != nil {
+		m.logger.Warn("advice of servers that a peer reports cannot be read", "peer", peer, "error", err)
+		return
+	}
+	if m.advice.MergeAdvice(records, time.Now()) {
+		m.Soon()
+	}
+}
--- a/internal/peer/heartbeat.go
+++ b/internal/peer/heartbeat.go
@@ -69,7 +69,7 @@
 		Incarnation: m.incarnation,
 		Generation:  m.follower.Generation(),
 		Held:        m.tellHeld(),
-		Limits:      m.encodeLimits(),
+		Advice:      m.encodeAdvice(),
 	})
 	if err != nil {
 		m.logger.Debug("heartbeat failed", "peer", contact.ID, "error", err)
@@ -78,7 +78,7 @@
 	m.answered(process{reply.GetDaemonId(), reply.GetIncarnation()}, asked)
 	m.heard(reply.GetDaemonId(), reply.GetIncarnation(), reply.GetGeneration())
 	m.hearHeld(reply.GetDaemonId(), reply.GetHeld())
-	m.mergeLimits(reply.GetDaemonId(), reply.GetLimits())
+	m.mergeAdvice(reply.GetDaemonId(), reply.GetAdvice())
 }
 
 // heard takes over what a peer has said of itself.
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -56,8 +56,8 @@
 	Copies *backup.Store
 	// Quarantine is what this daemon knows of requests that end servers; nil knows nothing.
 	Quarantine *watch.Watch
-	// Limits are those that backend servers name; nil knows none.
-	Limits Limits
+	// Advice is what backend servers say in their answers; nil knows none.
+	Advice Advice
 	Logger *slog.Logger
 }
 
@@ -71,7 +71,7 @@
 	incarnation uint64
 	pulls       chan string
 	quarantine  *watch.Watch
-	limits      Limits
+	advice      Advice
 	// early asks for heartbeats at once.
 	early chan struct{}
 
@@ -127,7 +127,7 @@
 		incarnation: binary.LittleEndian.Uint64(random[:]),
 		pulls:       make(chan string, 1),
 		quarantine:  options.Quarantine,
-		limits:      options.Limits,
+		advice:      options.Advice,
 		early:       make(chan struct{}, 1),
 		conns:       map[string]*connection{},
 		learned:     map[process]int64{},
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -37,13 +37,13 @@
 func (s *Server) Heartbeat(_ context.Context, in *peerpb.HeartbeatRequest) (*peerpb.HeartbeatResponse, error) {
 	s.mesh.heard(in.GetDaemonId(), in.GetIncarnation(), in.GetGeneration())
 	s.mesh.hearHeld(in.GetDaemonId(), in.GetHeld())
-	s.mesh.mergeLimits(in.GetDaemonId(), in.GetLimits())
+	s.mesh.mergeAdvice(in.GetDaemonId(), in.GetAdvice())
 	return &peerpb.HeartbeatResponse{
 		DaemonId:    s.mesh.self.ID,
 		Incarnation: s.mesh.incarnation,
 		Generation:  s.follower.Generation(),
 		Held:        s.mesh.tellHeld(),
-		Limits:      s.mesh.encodeLimits(),
+		Advice:      s.mesh.encodeAdvice(),
 	}, nil
 }
 
--- a/robustness/advice_test.go
+++ b/robustness/advice_test.go
@@ -115,3 +115,17 @@
 	}
 	return n
 }
+
+// TestServersOfTheOwnInterfaceThatSayTheyLeave guards against daemons that go by the list of VMs
+// alone, and against callers that are refused for it.
+func TestServersOfTheOwnInterfaceThatSayTheyLeave(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		leaving := b.d.Cloud.PlainServers()[0]
+		b.weigh(time.Second)
+		leaving.Faults.Set(faults.State{Header: map[string]string{"Plankridge-Leaving": "1"}})
+		told := time.Now().Add(2 * time.Second)
+		statuses, _ := b.weigh(adviceLength)
+		b.Check(count(statuses, http.StatusOK), qt.Equals, len(statuses))
+		b.Check(arrivalsFrom(leaving, told), qt.HasLen, 0)
+	})
+}
