Leave engines of the own interface that ask for rest alone for as long as they say

The same lack as on the platform: an engine that declined was avoided for a second, doubling, and only as long as another one was left. A plain service's 503 is an answer of the service and goes on to the caller, as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -72,6 +72,8 @@
 	quota    quota
 	// departure is what its answers say of its leaving.
 	departure departure
+	// restUntil is until when the server wants no requests from this daemon.
+	restUntil time.Time
 }
 
 // NewRegistry returns a registry without VMs for the daemon on the VM with the
--- a/internal/discovery/limits.go
+++ b/internal/discovery/limits.go
@@ -80,6 +80,10 @@
 	if s == nil {
 		return false
 	}
+	if a.Rest > 0 && answered.Add(a.Rest).After(s.restUntil) {
+		s.restUntil = answered.Add(a.Rest)
+		r.logger.Info("server declined and asked for rest", "server", s.vm.ID, "service", s.vm.Service, "rest_ms", a.Rest.Milliseconds())
+	}
 	limited := r.setLimit(s, s.limit.Observe(a, sent, answered), answered)
 	return r.adviseLeaving(s, a, answered) || limited
 }
@@ -149,13 +153,14 @@
 	return live
 }
 
-// untilAdmitted returns how long it takes until this daemon may send a request to a server; the
-// caller holds the lock.
+// untilAdmitted returns how long it takes until this daemon may send a request to a server, which
+// rests or is at its limit; the caller holds the lock.
 func (s *server) untilAdmitted(now time.Time) time.Duration {
+	rest := max(0, s.restUntil.Sub(now))
 	if !s.limit.Named {
-		return 0
+		return rest
 	}
-	return s.quota.wait(now)
+	return max(rest, s.quota.wait(now))
 }
 
 // admit counts a request to a server; the caller holds the lock.
--- a/internal/discovery/limits_test.go
+++ b/internal/discovery/limits_test.go
@@ -125,3 +125,21 @@
 	c.Check(all[0].Advice(later.Add(liftedFor)), qt.HasLen, 0)
 	c.Check(all[0].MergeAdvice([]AdviceRecord{{Server: "s-0", Named: true, RequestsPerSecond: -1}, {Server: "unknown", Named: true}}, later), qt.IsFalse)
 }
+
+// TestServersThatRestAreUsedAgainAfterwards guards against requests within the rest that a server has
+// asked this daemon for, and against other daemons that keep it.
+func TestServersThatRestAreUsedAgainAfterwards(t *testing.T) {
+	c := qt.New(t)
+	all := deployment(2, 1)
+	all[0].Advised("s-0", advice.Advice{Rest: 3 * time.Second}, start, start)
+	all[0].Advised("s-0", advice.Advice{Rest: time.Second}, start, start.Add(100*time.Millisecond))
+	for ms := range 30 {
+		c.Check(acquires(all[0], start.Add(time.Duration(ms)*100*time.Millisecond)), qt.IsFalse)
+	}
+	wait, found := all[0].AtLimit("s", start.Add(time.Second))
+	c.Check(found, qt.IsTrue)
+	c.Check(wait, qt.Equals, 2*time.Second)
+	c.Check(acquires(all[0], start.Add(3*time.Second)), qt.IsTrue)
+	c.Check(all[1].MergeAdvice(all[0].Advice(start), start), qt.IsFalse)
+	c.Check(acquires(all[1], start), qt.IsTrue)
+}
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -79,5 +79,5 @@
 	if !found {
 		return &Refusal{Status: http.StatusServiceUnavailable, Detail: "service has no backend server", RetryAfter: noServerRetry}
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Detail: "backend servers are at the limits that they name", RetryAfter: max(backoffBase, wait)}
+	return &Refusal{Status: http.StatusServiceUnavailable, Detail: "backend servers rest or are at the limits that they name", RetryAfter: max(backoffBase, wait)}
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -51,7 +51,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if attempt.OnAdvice != nil {
-		attempt.OnAdvice(advice.FromHeader(resp.Header, resp.StatusCode == http.StatusServiceUnavailable))
+		attempt.OnAdvice(advice.FromHeader(resp.Header, declines(resp.StatusCode)))
 	}
 	if resp.StatusCode != http.StatusOK {
 		return refusal(resp)
@@ -59,6 +59,11 @@
 	return readEvents(resp.Body, sink)
 }
 
+// declines reports whether an engine with a status has declined an attempt for now.
+func declines(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 func refusal(resp *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
 	if resp.StatusCode >= 400 && resp.StatusCode < 500 && resp.StatusCode != http.StatusTooManyRequests {
--- a/internal/standin/modelengine/modelengine.go
+++ b/internal/standin/modelengine/modelengine.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -54,6 +55,7 @@
 	cache       *prefixCache
 	running     map[string]run
 	started     int
+	declined    []Decline
 	reports     []timedLoad
 	fence       int64
 	orders      []engine.Order
@@ -96,15 +98,15 @@
 }
 
 func (s *Server) generate(w http.ResponseWriter, r *http.Request) {
-	if s.Faults.Get().Refuse {
-		http.Error(w, "busy", http.StatusServiceUnavailable)
-		return
-	}
 	var attempt engine.Attempt
 	if err := json.NewDecoder(r.Body).Decode(&attempt); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if s.Faults.Get().Refuse {
+		s.decline(w, attempt.RequestID)
+		return
+	}
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	blocks := Blocks(attempt.CacheSalt, attempt.Prompt)
@@ -121,6 +123,26 @@
 	s.decode(ctx, json.NewEncoder(w), w.(http.Flusher), attempt, cached)
 }
 
+// Decline is a request that was declined.
+type Decline struct {
+	At        time.Time
+	RequestID string
+}
+
+func (s *Server) decline(w http.ResponseWriter, requestID string) {
+	s.mu.Lock()
+	s.declined = append(s.declined, Decline{At: time.Now(), RequestID: requestID})
+	s.mu.Unlock()
+	http.Error(w, "busy", http.StatusServiceUnavailable)
+}
+
+// Declined returns the requests that were declined.
+func (s *Server) Declined() []Decline {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.declined)
+}
+
 func (s *Server) enter(id string, r run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/robustness/advice_test.go
+++ b/robustness/advice_test.go
@@ -9,7 +9,9 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/standin/faults"
+	"github.com/plankridge/plankridge/internal/standin/modelengine"
 	"github.com/plankridge/plankridge/internal/standin/plainservice"
 )
 
@@ -129,3 +131,54 @@
 		b.Check(arrivalsFrom(leaving, told), qt.HasLen, 0)
 	})
 }
+
+// TestEnginesThatAskForRestGetIt guards against attempts that are spent on engines that have just
+// declined, and against callers that wait for them.
+func TestEnginesThatAskForRestGetIt(t *testing.T) {
+	run(t, "ndiaye", func(b *bed) {
+		engines := b.d.Cloud.Engines()
+		for _, engine := range engines {
+			engine.Faults.Set(faults.State{Refuse: true, Header: map[string]string{"Retry-After": "3"}})
+		}
+		var asking sync.WaitGroup
+		begun := time.Now()
+		for time.Since(begun) < adviceLength/2 {
+			b.client.CloseIdleConnections()
+			asking.Go(func() { b.chat() })
+			time.Sleep(adviceEach)
+		}
+		for _, engine := range engines {
+			early := withinRests(engine.Declined(), 3*time.Second)
+			b.Check(early <= 2, qt.IsTrue, qt.Commentf("%d of %d requests within rests", early, len(engine.Declined())))
+			engine.Faults.Set(faults.State{})
+		}
+		resp := b.chat()
+		b.Check(resp.StatusCode, qt.Equals, http.StatusServiceUnavailable)
+		b.Check(resp.Header.Get("Retry-After"), qt.Not(qt.Equals), "")
+		time.Sleep(3 * time.Second)
+		b.Check(b.chat().StatusCode, qt.Equals, http.StatusOK)
+		asking.Wait()
+	})
+}
+
+// withinRests counts the requests that came from a daemon between half a second after its last one was
+// declined and the end of the rest that it was asked for.
+func withinRests(declines []modelengine.Decline, rest time.Duration) int {
+	early := 0
+	last := map[string]time.Time{}
+	for _, d := range declines {
+		from := request.ID(d.RequestID).Tag()
+		since := d.At.Sub(last[from])
+		if since > 500*time.Millisecond && since < rest {
+			early++
+		}
+		last[from] = d.At
+	}
+	return early
+}
+
+// chat asks a model.
+func (b *bed) chat() *http.Response {
+	resp, _ := b.call(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", `{"model":"modele-devis","messages":[{"role":"user","content":"hello"}],"max_tokens":2}`)
+	return resp
+}
