Let explain name requests that no server took by its own word

A request that is refused since all servers rest or are at their limits had the cause "not named by the log". The story shows which servers of the service said what, as its daemon knew it.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -21,6 +21,7 @@
 	CauseAllowance   Cause = "the workspace was above its allowance"
 	CauseEndsServers Cause = "the request ended the servers that ran it and is held back"
 	CauseNoServer    Cause = "the service had no backend server"
+	CauseAtLimits    Cause = "all servers of the service had asked for rest or were at the limits that they name"
 	CauseOverload    Cause = "the servers were too busy to answer in time"
 	CauseOwnSize     Cause = "the request was predicted to be late by its own size"
 	CauseUnreachable Cause = "no backend server could be reached"
@@ -31,6 +32,9 @@
 	CauseTimeout     Cause = "the route's timeout or the caller's limit was reached"
 )
 
+// reasonAtLimits is that of a request for which all servers were passed over.
+const reasonAtLimits = "backend servers rest or are at the limits that they name"
+
 // lostResults are results of attempts whose answer was lost.
 var lostResults = []string{"no-answer", "broken-answer", "broken-stream", "event-gap", "unsigned"}
 
@@ -77,6 +81,8 @@
 		return CauseEndsServers
 	case "service has no backend server":
 		return CauseNoServer
+	case reasonAtLimits:
+		return CauseAtLimits
 	case "predicted wait is too long":
 		return overloadOrSize(l.Attempts)
 	case "no backend server could be reached":
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -31,6 +31,9 @@
 	msgEnding    = "server has ended under requests"
 	msgHeld      = "request is held back"
 	msgShutDown  = "shutting down"
+	msgLimit     = "server's limit changed"
+	msgRest      = "server declined and asked for rest"
+	msgLeaves    = "server's answer says that it leaves"
 )
 
 // Attempt is one sending of a request, as the log shows it.
@@ -57,6 +60,7 @@
 	VM        string    `json:"vm"`
 	RequestID string    `json:"request_id"`
 	Server    string    `json:"server"`
+	Service   string    `json:"service"`
 	Outcome   string    `json:"outcome"`
 	Status    int       `json:"status"`
 	Reason    string    `json:"reason"`
@@ -73,6 +77,10 @@
 	ServersAgeMS int64 `json:"servers_age_ms"`
 	StoreFailing bool  `json:"store_failing"`
 	Draining     bool  `json:"draining"`
+	// Limited, RequestsPerSecond and RestMS are what a server has said of the work that it takes.
+	Limited           bool    `json:"limited"`
+	RequestsPerSecond float64 `json:"requests_per_second"`
+	RestMS            int64   `json:"rest_ms"`
 	// ReadyIDs, DrainingIDs and GoneIDs are those of the servers that one line tells of,
 	// separated by blanks.
 	ReadyIDs    string `json:"ids_ready"`
@@ -192,6 +200,10 @@
 			if tried[l.Server] {
 				keep("server "+l.Server, l)
 			}
+		case msgLimit, msgRest, msgLeaves:
+			if tried[l.Server] || (of.Reason == reasonAtLimits && l.Service == of.Service) {
+				keep(l.Message+l.Server, l)
+			}
 		}
 	}
 	var out []Line
@@ -256,6 +268,15 @@
 		return fmt.Sprintf("server %s ended while it had this request, or one that asks the same", l.Server)
 	case msgHeld:
 		return "what the request asks is held back from now on"
+	case msgLimit:
+		if !l.Limited {
+			return fmt.Sprintf("server %s names no limit any more", l.Server)
+		}
+		return fmt.Sprintf("server %s takes %g requests a second from all daemons", l.Server, l.RequestsPerSecond)
+	case msgRest:
+		return fmt.Sprintf("server %s declined and wants no requests for %d ms", l.Server, l.RestMS)
+	case msgLeaves:
+		return fmt.Sprintf("server %s leaves by its own word", l.Server)
 	case msgRestarted:
 		return fmt.Sprintf("server %s has started again and knows nothing of before", l.Server)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -55,6 +55,24 @@
 	c.Check(out.String(), qt.Contains, "server i-4 left the list")
 }
 
+func TestStoryOfServersAtTheirLimits(t *testing.T) {
+	c := qt.New(t)
+	lines, _, err := Read(strings.NewReader(`{"time":"2026-01-01T00:00:01Z","msg":"server's limit changed","vm":"vm-1","server":"i-1","service":"s","limited":true,"requests_per_second":1.2}
+{"time":"2026-01-01T00:00:01Z","msg":"server's limit changed","vm":"vm-1","server":"i-2","service":"other","limited":true,"requests_per_second":3}
+{"time":"2026-01-01T00:00:02Z","msg":"server declined and asked for rest","vm":"vm-1","server":"i-3","service":"s","rest_ms":3000}
+{"time":"2026-01-01T00:00:02Z","msg":"server's answer says that it leaves","vm":"vm-1","server":"i-4","service":"s"}
+{"time":"2026-01-01T00:00:03Z","msg":"request ended","vm":"vm-1","request_id":"a","service":"s","outcome":"refused","status":503,"reason":"backend servers rest or are at the limits that they name"}`))
+	c.Assert(err, qt.IsNil)
+	story, _ := Tell(lines, "a")
+	c.Check(story.Cause, qt.Equals, CauseAtLimits)
+	var out bytes.Buffer
+	c.Assert(story.Print(&out), qt.IsNil)
+	c.Check(out.String(), qt.Contains, "server i-1 takes 1.2 requests a second from all daemons")
+	c.Check(out.String(), qt.Contains, "server i-3 declined and wants no requests for 3000 ms")
+	c.Check(out.String(), qt.Contains, "server i-4 leaves by its own word")
+	c.Check(strings.Contains(out.String(), "i-2"), qt.IsFalse)
+}
+
 func TestSummaryLeavesOutWhatWasServed(t *testing.T) {
 	c := qt.New(t)
 	lines, _, err := Read(strings.NewReader(log))
