List roll-outs at once for the first server of a service

What callers saw: "service has no backend server" for 1 to 5 s after the first server that a service ever had was listed. Cause: a service has no version until all orders to move it are known up to its server's revision, and the watch for orders says at its end only that there is nothing new, every 5 s (all of the last refusals came at whole multiples of it). The daemon that follows the store lists the orders once for each newer revision of such servers.

TestFirstServerOfAServiceIsUsedAtOnce, 8 daemons: used at all daemons 1.2, 2.0, 3.3 and 5.3 s after it was listed before, within the second asked now. TestStartsCostFewCalls holds.

--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -110,6 +110,18 @@
 	return servers, false
 }
 
+// NewestOf returns the highest revision of the listed servers of some services.
+func (v *View) NewestOf(of func(service string) bool) (revision int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.servers {
+		if s.listed && of(s.Service) {
+			revision = max(revision, s.Revision)
+		}
+	}
+	return revision
+}
+
 // VersionCount is the number of servers that take work, and what is in flight there, by
 // version of a service.
 type VersionCount struct {
--- a/internal/router/rollouts.go
+++ b/internal/router/rollouts.go
@@ -136,6 +136,20 @@
 	for service, found := range unnamed {
 		r.board.Found(service, found)
 	}
+	r.askForOrders(unnamed)
+}
+
+// askForOrders lists the roll-outs at once where servers of services that have no version yet are
+// newer than what is known of them: the watch would tell at its end only that there is nothing new.
+func (r *Router) askForOrders(unnamed map[string]map[string]int) {
+	newest := r.state.view.NewestOf(func(service string) bool { return unnamed[service] != nil })
+	asked := r.ordersAsked.Load()
+	if newest <= max(asked, r.board.ReadUpTo()) || !r.following.Load() {
+		return
+	}
+	if r.ordersAsked.CompareAndSwap(asked, newest) {
+		r.orders.Refresh(true)
+	}
 }
 
 // watchVersions compares the versions while a roll-out runs.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -96,9 +96,11 @@
 	// listsDiffer counts lists of servers that differ from the peer's that told them.
 	listsDiffer prometheus.Counter
 	// board is what this daemon knows of versions, orders their follower.
-	board    *rollout.Board
-	orders   *store.Follower
-	draining atomic.Bool
+	board  *rollout.Board
+	orders *store.Follower
+	// ordersAsked is the revision of the servers for which orders were last listed at once.
+	ordersAsked atomic.Int64
+	draining    atomic.Bool
 
 	callers   net.Listener
 	readiness net.Listener
--- a/robustness/onplatform/start_test.go
+++ b/robustness/onplatform/start_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"runtime"
 	"testing"
 	"time"
@@ -81,3 +82,23 @@
 		b.Check(calls <= 1800, qt.IsTrue, qt.Commentf("%.0f calls", calls))
 	})
 }
+
+// TestFirstServerOfAServiceIsUsedAtOnce guards against a service that waits for the next look at
+// roll-outs before it has a version.
+func TestFirstServerOfAServiceIsUsedAtOnce(t *testing.T) {
+	for _, after := range []time.Duration{0, 1300 * time.Millisecond, 3 * time.Second, 12 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			run(t, 8, func(b *bed) { b.configure(routes{plainRoute("/a/", "idempotent", 1)}) }, func(b *bed) {
+				time.Sleep(after)
+				b.addServer("i-first", plain, &fake.Runner{})
+				listed := time.Now()
+				for i := range b.daemons {
+					for b.send(call{method: "GET", path: "/a/x", key: testKey, to: i}).status != http.StatusOK && time.Since(listed) < 10*time.Second {
+						time.Sleep(50 * time.Millisecond)
+					}
+				}
+				b.Check(time.Since(listed) <= time.Second, qt.IsTrue, qt.Commentf("used %v after it was listed", time.Since(listed)))
+			})
+		})
+	}
+}
