Reckon with a jump for as long as a record of uses was not renewed

Cause, as listed: nobody could write down what was used, and starts reckoned with the rate of before and one burst for as long as the record was old. A record older than renewals and a usual death of all make it (2 s) says that nobody could write it, so the time beyond that is reckoned with at the rise that is assumed elsewhere until others have told, four times the rate, up to the whole allowance.

--- a/internal/allowance/opening.go
+++ b/internal/allowance/opening.go
@@ -19,6 +19,9 @@
 	// unknownShare is the part of the tolerance that all daemons together use after a
 	// start while nothing is known of before.
 	unknownShare = 0.25
+	// usualRecord is the age up to which a record is as old as renewals and a usual death of all
+	// make it. While it was not renewed for longer, a workspace may have become hot.
+	usualRecord = 2 * time.Second
 	// unseenFor is how long it takes until a record of uses is written: a call to the store,
 	// and the look at what is due ten times a second.
 	unseenFor = 100 * time.Millisecond
@@ -68,7 +71,7 @@
 	a.used.fill(use, l.started.Add(-l.opening.Age))
 	since := use[spans-1] / (l.tolerance.Window.Seconds() / spans)
 	burst := a.limit - a.rate*l.tolerance.Window.Seconds()
-	unseen := since*(l.opening.Age+unseenFor).Seconds() + burst
+	unseen := since*(l.opening.Age+unseenFor).Seconds() + burst + assumedRise*a.rate*max(0, l.opening.Age-usualRecord).Seconds()
 	a.used.add(max(0, min(unseen, a.limit-a.used.sum())), l.started)
 }
 
