Spend no last attempt on a server that has just rested while sound ones stand beside

After its rest a server is found out by a request. A server that has served nothing since its rest now comes behind the others for an attempt after which none may follow, for 5 s, so that routes with one attempt find it out too.

--- a/internal/backend/limits_test.go
+++ b/internal/backend/limits_test.go
@@ -218,3 +218,25 @@
 	c.Check(choice.ID, qt.Equals, "a")
 	c.Check(choice.Candidate, qt.IsFalse)
 }
+
+// TestLastAttemptAvoidsServersThatMayDecline guards against requests whose last attempt goes to a
+// server that has just rested while sound ones stand beside.
+func TestLastAttemptAvoidsServersThatMayDecline(t *testing.T) {
+	c := qt.New(t)
+	v, _ := limitedView("a", "b")
+	choice, _ := v.Begin(Need{Service: "s", Zone: "z-a", Only: "a"}, start)
+	choice.Advised(advice.Advice{Rest: time.Second}, start)
+	choice.End(OutcomeFull, start)
+	rested := start.Add(time.Second)
+	picked := func(final bool, at time.Time) string {
+		choice, _ := v.Begin(Need{Service: "s", Zone: "z-a", Final: final}, at)
+		defer choice.End(OutcomeNeutral, at)
+		return choice.ID
+	}
+	c.Check(picked(false, rested), qt.Equals, "a", qt.Commentf("it is found out whether it serves again"))
+	c.Check(picked(true, rested), qt.Equals, "b")
+	c.Check(picked(true, rested.Add(probationFor)), qt.Equals, "a", qt.Commentf("also where each request has one attempt"))
+	served, _ := v.Begin(Need{Service: "s", Zone: "z-a", Only: "a"}, rested)
+	served.End(OutcomeServed, rested)
+	c.Check(picked(true, rested), qt.Equals, "a")
+}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -152,6 +152,14 @@
 // rests reports whether the server has asked this daemon for rest.
 func (s *server) rests(now time.Time) bool { return now.Before(s.restUntil) }
 
+// probationFor is how long after its rest a server that has served nothing since is not relied on.
+const probationFor = 5 * time.Second
+
+// onProbation reports whether the server has declined and served nothing since: it may decline again.
+func (s *server) onProbation(now time.Time) bool {
+	return now.Before(s.restUntil.Add(probationFor)) && s.servedAt.Before(s.restUntil)
+}
+
 // suspect reports whether the server should be used only when no other is
 // left.
 func (s *server) suspect(now time.Time) bool {
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -257,6 +257,8 @@
 	Target  time.Duration
 	// Tried are servers to avoid.
 	Tried map[string]bool
+	// Final is set for an attempt after which no other may follow.
+	Final bool
 	// Deferred attempts go behind all others at the engine.
 	Deferred bool
 	// Draw is a number that differs between requests. It picks the servers that
@@ -338,6 +340,7 @@
 		}
 		offer.Away = v.away(s.Zone, need.Zone)
 		offer.Leaving = s.rests(now)
+		offer.Suspect = offer.Suspect || (need.Final && s.onProbation(now))
 		offers = append(offers, offer)
 	}
 	return offers
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -315,6 +315,7 @@
 
 func (r *run) need() backend.Need {
 	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.Target, Tried: r.tried, Candidate: r.candidate, Draw: xxhash.Sum64String(r.call.ID)}
+	need.Final = r.sends+1 >= r.call.Route.MaxAttempts
 	if p := r.call.Prompt; p != nil {
 		need.Deferred = r.overdue()
 		need.Tokens, need.Parts, need.Answer, need.Resumed = p.Tokens, p.Parts, pace.Answer{Allowed: p.MaxOutput, Hinted: p.LikelyOutput}, r.after != ""
