--- a/internal/backend/choice_bench_test.go
+++ b/internal/backend/choice_bench_test.go
@@ -18,7 +18,7 @@
 			for i := range entries {
 				entries[i] = Entry{ID: fmt.Sprintf("i-%08x", i*7919), Service: "s", Zone: fmt.Sprintf("z%d", i%5), Slots: 48}
 			}
-			v.Replace(entries, JustNow(now))
+			v.Replace(entries, Observed(now))
 			b.ReportAllocs()
 			for i := range b.N {
 				need := Need{Service: "s", Zone: "z1", Tokens: 3000, Parts: []Part{{ID: "a", Tokens: 1000}, {ID: fmt.Sprintf("p%d", i%500), Tokens: 2000}}, Draw: uint64(i)}
--- a/internal/backend/incarnation_test.go
+++ b/internal/backend/incarnation_test.go
@@ -75,7 +75,7 @@
 			got := v.Servers(start)[0]
 			c.Check(got.Address, qt.Equals, "a:80")
 			c.Check(got.Ready, qt.IsTrue)
-			c.Check(v.Replace([]Entry{older}, JustNow(start)), qt.HasLen, 0)
+			c.Check(v.Replace([]Entry{older}, Observed(start)), qt.HasLen, 0)
 			c.Check(pick(v, start), qt.Equals, "a")
 			v.Remove("a", start)
 			v.Put(older, start)
@@ -89,11 +89,11 @@
 func TestRestartThatNobodySaw(t *testing.T) {
 	c := qt.New(t)
 	v := NewView()
-	v.Replace([]Entry{bornAt("a", 1000, 5), bornAt("b", 1000, 5)}, JustNow(start))
+	v.Replace([]Entry{bornAt("a", 1000, 5), bornAt("b", 1000, 5)}, Observed(start))
 	choice, _ := v.Begin(Need{Service: "s", Zone: "z-a"}, start)
 	told := false
 	choice.OnRestart(func() { told = true })
-	ended := v.Replace([]Entry{bornAt("a", 1500, 1), bornAt("b", 1000, 6)}, JustNow(start.Add(time.Minute)))
+	ended := v.Replace([]Entry{bornAt("a", 1500, 1), bornAt("b", 1000, 6)}, Observed(start.Add(time.Minute)))
 	c.Check(ended, qt.HasLen, 1)
 	c.Check(told, qt.IsTrue)
 	// Within one heartbeat, draining before and after.
--- a/internal/backend/leaving.go
+++ b/internal/backend/leaving.go
@@ -8,54 +8,52 @@
 )
 
 const (
-	// startLeaving is how long a server that leaves may be sent requests where nothing is set.
-	startLeaving = 2 * time.Second
-	// onTheWay is how long a request takes at the most from its last look at the server until it
-	// arrives there.
-	onTheWay = 150 * time.Millisecond
+	// defaultDrainBound is how long a draining server may be sent requests where nothing is set.
+	defaultDrainBound = 2 * time.Second
+	// maxTransit bounds the time from the last check of a server to the arrival of the request.
+	maxTransit = 150 * time.Millisecond
 	// afterOutage is how long an entry that lapsed during an outage of the
 	// store is still used after the store's return: live servers are back
 	// within about two seconds.
 	afterOutage = 2200 * time.Millisecond
 )
 
-// News is when this daemon heard something of the servers, and when the store can have taken it
-// over at the earliest: when it was last known to say otherwise. Where that is not known, it may
-// have been long ago.
-type News struct{ At, Since time.Time }
+// Observation is when this daemon received a change of the servers, and the earliest time at which
+// the store can have acknowledged it: when it was last known to say otherwise. NotBefore is zero
+// where that is not known.
+type Observation struct{ ReceivedAt, NotBefore time.Time }
 
-// JustNow is what the store has taken over at the moment at which it is heard.
-func JustNow(now time.Time) News { return News{At: now, Since: now} }
+// Observed is the observation of a change that the store acknowledges at the time it is received.
+func Observed(now time.Time) Observation { return Observation{ReceivedAt: now, NotBefore: now} }
 
-// SetLeaving sets how long a server that leaves may be sent requests, from when the store has
-// taken over that it does.
-func (v *View) SetLeaving(bound time.Duration) {
+// SetDrainBound sets how long a draining server may be sent requests after the store has acknowledged
+// that it drains.
+func (v *View) SetDrainBound(bound time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.leaving = bound
+	v.drainBound = bound
 }
 
-// usableUntil returns until when a server of which it is news that it leaves may be sent requests
-// where there is no other. The bound counts from the store's word and not from when it was heard:
-// news may be late, and a daemon that has just started sees servers that have drained for long.
-// The caller holds the lock.
-func (v *View) usableUntil(news News) time.Time {
-	if news.Since.IsZero() {
+// usableUntil returns the time up to which a draining server may be picked if no ready server is left.
+// The bound counts from the store's acknowledgement: an observation may be late, and a daemon that has
+// just started sees servers that have drained for long. The caller holds the lock.
+func (v *View) usableUntil(seen Observation) time.Time {
+	if seen.NotBefore.IsZero() {
 		return time.Time{}
 	}
-	return news.Since.Add(v.leaving - onTheWay)
+	return seen.NotBefore.Add(v.drainBound - maxTransit)
 }
 
 // lapse marks a server whose entry is gone.
-func (v *View) lapse(s *server, news News) {
+func (v *View) lapse(s *server, seen Observation) {
 	clear(v.inService)
 	s.listed = false
-	until := v.usableUntil(news)
+	until := v.usableUntil(seen)
 	// It may have lapsed during the outage if it was not seen since.
-	if grace := v.outageEnd.Add(afterOutage); !s.Draining && !news.Since.After(v.outageEnd) && grace.After(until) {
+	if grace := v.outageEnd.Add(afterOutage); !s.Draining && !seen.NotBefore.After(v.outageEnd) && grace.After(until) {
 		until = grace
 	}
-	s.leave(news.At, until)
+	s.leave(seen.ReceivedAt, until)
 }
 
 // leave marks the server as leaving, usable as a last resort until a time.
@@ -81,7 +79,7 @@
 	}
 	changed = s.saidLeavingAt.IsZero()
 	s.saidLeavingAt = at
-	s.leave(now, at.Add(v.leaving-onTheWay))
+	s.leave(now, at.Add(v.drainBound-maxTransit))
 	clear(v.inService)
 	return changed
 }
--- a/internal/backend/leaving_test.go
+++ b/internal/backend/leaving_test.go
@@ -23,7 +23,7 @@
 func takeAway(v *View, at time.Time) {
 	drains := bornAt("b", 1000, 9)
 	drains.Draining = true
-	v.Change([]Entry{drains}, nil, News{At: at})
+	v.Change([]Entry{drains}, nil, Observation{ReceivedAt: at})
 }
 
 // TestAnswerThatSaysLeavingStands guards against entries that bring a server back which has said in
@@ -34,7 +34,7 @@
 		"an older entry": func(v *View, at time.Time) { v.Put(bornAt("a", 1000, 0), at) },
 		"a newer entry":  func(v *View, at time.Time) { v.Put(bornAt("a", 1000, 2), at) },
 		"a whole list": func(v *View, at time.Time) {
-			v.Replace([]Entry{bornAt("a", 1000, 3), bornAt("b", 1000, 1)}, JustNow(at))
+			v.Replace([]Entry{bornAt("a", 1000, 3), bornAt("b", 1000, 1)}, Observed(at))
 		},
 		"back after an outage": func(v *View, at time.Time) { v.Remove("a", at); v.StoreReturned(at); v.Put(bornAt("a", 1000, 4), at) },
 		"lapsed in an outage":  func(v *View, at time.Time) { v.StoreReturned(at); v.Remove("a", at) },
@@ -52,8 +52,8 @@
 			happen(v, at)
 			c.Check(pick(v, at), qt.Equals, "b")
 			takeAway(v, at)
-			c.Check(pick(v, start.Add(startLeaving-onTheWay-time.Millisecond)), qt.Equals, "a", qt.Commentf("as a last resort"))
-			c.Check(pick(v, start.Add(startLeaving-onTheWay)), qt.Equals, "")
+			c.Check(pick(v, start.Add(defaultDrainBound-maxTransit-time.Millisecond)), qt.Equals, "a", qt.Commentf("as a last resort"))
+			c.Check(pick(v, start.Add(defaultDrainBound-maxTransit)), qt.Equals, "")
 			v.Sweep(start.Add(time.Hour))
 			c.Check(pick(v, start.Add(time.Hour)), qt.Equals, "")
 		})
@@ -80,7 +80,7 @@
 	c.Check(v.MergeLeaving(told, start), qt.HasLen, 0)
 	c.Check(v.Leaving(0, start), qt.HasLen, 1, qt.Commentf("reported on"))
 	takeAway(v, start)
-	c.Check(pick(v, start.Add(startLeaving)), qt.Equals, "")
+	c.Check(pick(v, start.Add(defaultDrainBound)), qt.Equals, "")
 	later := start.Add(reportDeparture)
 	v.Sweep(later)
 	c.Check(pick(v, later), qt.Equals, "a")
--- a/internal/backend/view_test.go
+++ b/internal/backend/view_test.go
@@ -63,7 +63,7 @@
 	v.Put(moved, start)
 	v.Put(entry("c", "z-c"), start)
 	c.Check(pick(v, start), qt.Equals, "c")
-	v.Replace([]Entry{entry("d", "z-d")}, JustNow(start))
+	v.Replace([]Entry{entry("d", "z-d")}, Observed(start))
 	c.Check(pick(v, start), qt.Equals, "d")
 }
 
@@ -91,7 +91,7 @@
 
 // lastUse is until when a server may be sent requests of which it was news at the start that it
 // leaves.
-var lastUse = start.Add(startLeaving - onTheWay)
+var lastUse = start.Add(defaultDrainBound - maxTransit)
 
 func draining(id string) Entry {
 	e := entry(id, "z-"+id)
@@ -113,17 +113,17 @@
 	c := qt.New(t)
 	v := plainView("a")
 	v.Put(draining("a"), start)
-	v.Remove("a", start.Add(startLeaving/2))
+	v.Remove("a", start.Add(defaultDrainBound/2))
 	c.Check(pick(v, lastUse), qt.Equals, "")
 }
 
 // TestLastResortCountsFromTheStoresWord: not from when this daemon has heard of it.
 func TestLastResortCountsFromTheStoresWord(t *testing.T) {
-	late := News{At: start.Add(time.Second), Since: start}
-	for name, leave := range map[string]func(v *View, news News){
-		"drains":              func(v *View, news News) { v.Change([]Entry{draining("a")}, nil, news) },
-		"gone":                func(v *View, news News) { v.Change(nil, []string{"a"}, news) },
-		"not listed any more": func(v *View, news News) { v.Replace(nil, news) },
+	late := Observation{ReceivedAt: start.Add(time.Second), NotBefore: start}
+	for name, leave := range map[string]func(v *View, seen Observation){
+		"drains":              func(v *View, seen Observation) { v.Change([]Entry{draining("a")}, nil, seen) },
+		"gone":                func(v *View, seen Observation) { v.Change(nil, []string{"a"}, seen) },
+		"not listed any more": func(v *View, seen Observation) { v.Replace(nil, seen) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -132,7 +132,7 @@
 			c.Check(pick(v, lastUse.Add(-time.Millisecond)), qt.Equals, "a")
 			c.Check(pick(v, lastUse), qt.Equals, "")
 			v = plainView("a")
-			v.SetLeaving(5 * time.Second)
+			v.SetDrainBound(5 * time.Second)
 			leave(v, late)
 			c.Check(pick(v, lastUse.Add(3*time.Second-time.Millisecond)), qt.Equals, "a")
 			c.Check(pick(v, lastUse.Add(3*time.Second)), qt.Equals, "")
@@ -144,7 +144,7 @@
 func TestServerThatHasDrainedForLong(t *testing.T) {
 	c := qt.New(t)
 	v := NewView()
-	v.Replace([]Entry{draining("a")}, News{At: start})
+	v.Replace([]Entry{draining("a")}, Observation{ReceivedAt: start})
 	c.Check(pick(v, start), qt.Equals, "")
 }
 
@@ -168,7 +168,7 @@
 	c := qt.New(t)
 	v := plainView("a")
 	v.StoreReturned(start)
-	v.Replace(nil, News{At: start, Since: start.Add(-5 * time.Second)})
+	v.Replace(nil, Observation{ReceivedAt: start, NotBefore: start.Add(-5 * time.Second)})
 	c.Check(pick(v, start.Add(2*time.Second)), qt.Equals, "a")
 	c.Check(pick(v, start.Add(afterOutage)), qt.Equals, "")
 }
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -85,7 +85,7 @@
 	QuotaOver   float64  `yaml:"quota_over"`
 	QuotaSlack  float64  `yaml:"quota_slack"`
 	// Leaving is how long a backend server that leaves may be sent requests, from when the store
-	// has taken over that it does. Without it StartLeaving holds.
+	// has taken over that it does. Without it DefaultDrainBound holds.
 	Leaving Duration `yaml:"leaving"`
 	// RollOutShare and RollOutSlack are how many requests a bad version may get while a
 	// service moves to it: a share of all, and a number besides. RollOutStop is how long after
@@ -95,14 +95,14 @@
 	RollOutStop  Duration `yaml:"rollout_stop"`
 }
 
-// StartLeaving is the bound for servers that leave where the settings have none: the least that
+// DefaultDrainBound is the bound for servers that leave where the settings have none: the least that
 // a drain is of use with.
-const StartLeaving = 2 * time.Second
+const DefaultDrainBound = 2 * time.Second
 
-// LeavingBound returns how long a backend server that leaves may be sent requests.
-func (b RouterBounds) LeavingBound() time.Duration {
+// DrainBound returns how long a backend server that leaves may be sent requests.
+func (b RouterBounds) DrainBound() time.Duration {
 	if b.Leaving <= 0 {
-		return StartLeaving
+		return DefaultDrainBound
 	}
 	return b.Leaving.Std()
 }
--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -86,7 +86,7 @@
 	}
 	s.wantAll = false
 	// Under the lock, so that the view gets changes in the order of the list.
-	ended := s.view.Replace(entries, s.news(now))
+	ended := s.view.Replace(entries, s.observation(now))
 	s.mu.Unlock()
 	for _, err := range broken {
 		s.router.bad.note(err, now)
@@ -116,7 +116,7 @@
 	entries, left, broken := s.listing.merge(c, now)
 	at.to = max(c.upTo, s.listing.revision)
 	// Under the lock, so that the view gets changes in the order of the list.
-	ended := s.view.Change(entries, left, s.news(now))
+	ended := s.view.Change(entries, left, s.observation(now))
 	s.mu.Unlock()
 	for _, err := range broken {
 		s.router.bad.note(err, now)
@@ -254,9 +254,11 @@
 	return now.Sub(s.provenAt)
 }
 
-// news returns when changes of the list that are heard now can have come at the earliest: the
-// list was known to be whole until then. The caller holds the lock.
-func (s *state) news(now time.Time) backend.News { return backend.News{At: now, Since: s.provenAt} }
+// observation returns that of changes of the list that are received now: the list was known to be
+// complete until then. The caller holds the lock.
+func (s *state) observation(now time.Time) backend.Observation {
+	return backend.Observation{ReceivedAt: now, NotBefore: s.provenAt}
+}
 
 // agree takes over that a peer has the same list of servers, which the store was known to have
 // so long ago, in milliseconds; zero is not known. The caller holds the lock.
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -98,7 +98,7 @@
 func newState(r *Router) *state {
 	now := time.Now()
 	view := backend.NewView()
-	view.SetLeaving(r.settings.Bounds.LeavingBound())
+	view.SetDrainBound(r.settings.Bounds.DrainBound())
 	limiter := newAllowances(toleranceOf(r.settings.Bounds), r.logger, r.soon)
 	view.SetLimiter(serverLimits{limiter})
 	return &state{
--- a/internal/router/talk_test.go
+++ b/internal/router/talk_test.go
@@ -30,7 +30,7 @@
 		}
 		sums.Loads[key] = backend.Load{Running: 12 + i%3, PendingTokens: 2000 + i%500}
 	}
-	s.view.Replace(entries, backend.JustNow(time.Now()))
+	s.view.Replace(entries, backend.Observed(time.Now()))
 	whole := proto.Size(encodeCounts(sums))
 	told := s.encodeSums(sums)
 	t.Logf("%d bytes with all servers, %d told", whole, proto.Size(told))
