--- a/robustness/advice_test.go
+++ b/robustness/advice_test.go
@@ -89,6 +89,38 @@
 	})
 }
 
+// TestLimitsOfTheOwnInterfaceBesideTrouble guards against parts of a limit that die with a daemon, and
+// against both sides of a cut that take it whole.
+func TestLimitsOfTheOwnInterfaceBesideTrouble(t *testing.T) {
+	for name, trouble := range map[string]func(b *bed){
+		"a daemon of the server's zone dies": func(b *bed) {
+			node := b.d.Nodes[0]
+			node.Kill()
+			b.d.Cloud.Fleet.Kill(node.Daemon.VM().ID)
+		},
+		"a daemon is cut off from the others": func(b *bed) {
+			for _, other := range b.d.Nodes[1:] {
+				b.plane.Net.Cut(b.d.Nodes[0].Host.IP, other.Host.IP)
+			}
+		},
+		"the list of VMs is away": func(b *bed) { b.d.Cloud.Fleet.ListFaults.Set(faults.State{Outage: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, "ndiaye", func(b *bed) {
+				limited := b.d.Cloud.PlainServers()[0]
+				limited.Faults.Set(faults.State{Header: map[string]string{"Plankridge-Limit": "2"}})
+				b.weigh(adviceLearned)
+				trouble(b)
+				from := time.Now()
+				b.weigh(adviceLength)
+				got := arrivalsFrom(limited, from)
+				b.Check(mostIn(got, 4*time.Second) <= 17, qt.IsTrue, qt.Commentf("%d in 4 s", mostIn(got, 4*time.Second)))
+				b.Check(len(got) >= int(adviceLength.Seconds()/2), qt.IsTrue, qt.Commentf("%d in %v", len(got), adviceLength))
+			})
+		})
+	}
+}
+
 // TestAllServersOfTheOwnInterfaceAtTheirLimits guards against callers that wait where no server may
 // be asked.
 func TestAllServersOfTheOwnInterfaceAtTheirLimits(t *testing.T) {
