--- a/robustness/soak/deployment_test.go
+++ b/robustness/soak/deployment_test.go
@@ -90,10 +90,24 @@
 	http          *httptest.Server
 	link          *link
 
-	// mu guards the ID of the present start.
+	// mu guards the ID of the present start, and what the server's answers say.
 	mu     sync.Mutex
 	id     string
 	starts int
+	says   fake.Behaviour
+}
+
+// say sets what the server's answers say of the work that it takes.
+func (s *server) say(b fake.Behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.says = b
+}
+
+func (s *server) said() fake.Behaviour {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.says
 }
 
 const settingsText = `kind: router
@@ -138,7 +152,8 @@
 func (d *deployment) addServer(id, service string) *server {
 	s := &server{id: id, name: id, service: service, runner: &fake.Runner{ID: id}}
 	s.runner.Behave = func(n int, _ *http.Request) fake.Behaviour {
-		b := fake.Behaviour{Delay: 5 * time.Millisecond}
+		b := s.said()
+		b.Delay = 5 * time.Millisecond
 		// Some answers are lost and some streams break, whatever else happens.
 		switch {
 		case service == plainService && n%23 == 0:
--- a/robustness/soak/faults_test.go
+++ b/robustness/soak/faults_test.go
@@ -75,6 +75,27 @@
 		time.Sleep(lasts)
 		d.list(s, "ready")
 	}},
+	{"server names a limit", func(d *deployment, r *rand.Rand, lasts time.Duration) {
+		s := one(r, d.servers[:6])
+		s.say(fake.Behaviour{Header: map[string]string{"Server-Limit": one(r, []string{"0", "0.5", "3", "20", "many"})}})
+		time.Sleep(lasts)
+		s.say(fake.Behaviour{})
+	}},
+	{"server asks for rest", func(d *deployment, r *rand.Rand, lasts time.Duration) {
+		s := one(r, d.servers[:6])
+		s.say(fake.Behaviour{Decline: true, Header: map[string]string{"Retry-After": one(r, []string{"0.2", "1", "soon"})}})
+		time.Sleep(lasts)
+		s.say(fake.Behaviour{})
+	}},
+	{"server says that it leaves", func(d *deployment, r *rand.Rand, lasts time.Duration) {
+		s := one(r, d.servers[:6])
+		s.say(fake.Behaviour{Header: map[string]string{"Server-Leaving": "1"}})
+		time.Sleep(lasts)
+		s.link.down()
+		s.say(fake.Behaviour{})
+		time.Sleep(awayFor)
+		d.comeBack(s)
+	}},
 	{"configuration changes", func(d *deployment, _ *rand.Rand, lasts time.Duration) {
 		d.configure(false)
 		time.Sleep(lasts)
