Let a leaving server that stands in for resting ones be sent to

Found by reading: a leaving server that was picked since the others rest or are at their limits was called off at the last check before sending, which asks for a service without any ready server, so that the request tried it three times and was refused. And a logger was prepared for each answer, also where it says nothing.

TestLeavingServerStandsInForThoseThatRest checks the last look too, and failed before.

--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -39,6 +39,9 @@
 	// pending is set until the prompt is read.
 	pending bool
 	begun   time.Time
+	// standsIn is set for a server that leaves and was picked since the others rest or are at their
+	// limits.
+	standsIn bool
 	// admitted is when the attempt took a part of its server's limit, or zero.
 	admitted time.Time
 	// firstAt and lastAt are when the first and the last event came, of so many.
--- a/internal/backend/leaving.go
+++ b/internal/backend/leaving.go
@@ -143,5 +143,8 @@
 	if c.view.servers[c.ID] != c.server {
 		return false
 	}
+	if c.standsIn && c.server.usable(now) {
+		return true
+	}
 	return c.server.ready() || slices.Contains(c.view.candidates(side{c.need.Service, c.Candidate}, now), c.server)
 }
--- a/internal/backend/limits_test.go
+++ b/internal/backend/limits_test.go
@@ -195,7 +195,11 @@
 	choice, _ := v.Begin(Need{Service: "s", Zone: "z-a", Only: "a"}, start)
 	choice.Advised(advice.Advice{Rest: 3 * time.Second}, start)
 	v.Remove("b", start)
-	c.Check(pick(v, start), qt.Equals, "b")
+	standIn, ok := v.Begin(Need{Service: "s", Zone: "z-a"}, start)
+	c.Assert(ok, qt.IsTrue)
+	c.Check(standIn.ID, qt.Equals, "b")
+	c.Check(standIn.MaySend(start), qt.IsTrue)
+	c.Check(standIn.MaySend(start.Add(defaultDrainBound)), qt.IsFalse)
 }
 
 func TestCandidatesThatRestAreNotWaitedFor(t *testing.T) {
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -64,7 +64,11 @@
 			return choice, true
 		}
 	}
-	return v.beginAt(v.lastResort(side{need.Service, candidate}, now), candidate, need, now)
+	choice, ok := v.beginAt(v.lastResort(side{need.Service, candidate}, now), candidate, need, now)
+	if ok {
+		choice.standsIn = true
+	}
+	return choice, ok
 }
 
 // beginAt picks one of some servers; the caller holds the lock.
--- a/internal/forward/advice.go
+++ b/internal/forward/advice.go
@@ -35,6 +35,9 @@
 
 // logAdvice writes down what an answer says that a server seldom says.
 func (r *run) logAdvice(choice *backend.Choice, a advice.Advice) {
+	if a.LimitErr == nil && a.RestErr == nil && a.Rest == 0 {
+		return
+	}
 	logger := r.options.Logger.With("server", choice.ID, "service", choice.Service, "zone", choice.Zone, "request_id", r.call.ID)
 	if err := errors.Join(a.LimitErr, a.RestErr); err != nil {
 		logger.Debug("server's advice cannot be read", "error", err)
