--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -1,5 +1,5 @@
-// Package advice holds what backend servers say in their answers of the work that they take. It
-// does no I/O; the time is passed in.
+// Package advice decodes and merges the load advice in backend servers' responses: a request limit,
+// an announcement that the server leaves, and Retry-After. It does no I/O; the time is passed in.
 package advice
 
 import (
@@ -11,15 +11,15 @@
 	"time"
 )
 
-// Advice is what one answer says. The zero value is that of a server that takes any work.
+// Advice is that of one response. The zero value is that of a server that accepts any work.
 type Advice struct {
 	// Limit is the number of requests a second that the server takes from all daemons together.
 	// It is nil where the answer names none.
 	Limit *float64
-	// Leaving is set where the server says that it leaves.
+	// Leaving is set where the server announces that it leaves.
 	Leaving bool
-	// Rest is how long a server that has declined the request wants no other from this daemon; zero
-	// where it does not say.
+	// Rest is the Retry-After of a server that declined the request: for so long it wants no other
+	// from this daemon. Zero is none.
 	Rest time.Duration
 	// LimitErr and RestErr are set where a limit or a rest cannot be read: then none is named.
 	LimitErr, RestErr error
@@ -31,12 +31,12 @@
 // ownNames are those of the product's own interface to servers.
 var ownNames = Names{Limit: "Plankridge-Limit", Leaving: "Plankridge-Leaving"}
 
-// FromHeader reads what an answer at the product's own interface says. declined is set where the
-// server did not run the request.
+// FromHeader decodes a response at the product's own interface. declined is set where the server did
+// not run the request.
 func FromHeader(header http.Header, declined bool) Advice { return Read(header, ownNames, declined) }
 
-// Read reads what an answer says under names of its headers. Only a server that has declined the
-// request means itself by Retry-After.
+// Read decodes a response by the names of its headers. Retry-After counts only where the server
+// declined the request; otherwise it is part of the service's answer.
 func Read(header http.Header, names Names, declined bool) Advice {
 	a := Advice{Leaving: strings.TrimSpace(header.Get(names.Leaving)) == leavingValue}
 	if texts := header.Values(names.Limit); len(texts) > 0 {
@@ -51,7 +51,7 @@
 	return a
 }
 
-// leavingValue is what a server that leaves says of itself.
+// leavingValue is the header's value for a server that leaves.
 const leavingValue = "1"
 
 // maxRest bounds a rest: longer ones are taken for a mistake of the server.
@@ -121,10 +121,10 @@
 	Limit
 }
 
-// Departure is what daemons report to each other of a server whose answer has said that it leaves.
-type Departure struct {
+// LeavingNotice is what daemons report to each other of a server that has announced that it leaves.
+type LeavingNotice struct {
 	// Server is the key of one incarnation of a server.
 	Server uint32
-	// At is when the first such answer came.
+	// At is when the first response with the announcement was received.
 	At time.Time
 }
--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -87,8 +87,8 @@
 	// opened is set once what was used before this process started is known, and
 	// adopted once a daemon that has been running for longer has told it.
 	opened, adopted bool
-	// likeOwn is set where others are taken to be asked as this daemon is while what they tell does
-	// not say how fast they are.
+	// likeOwn is set where other daemons are assumed to have this daemon's demand until theirs has been
+	// measured.
 	likeOwn bool
 }
 
@@ -324,7 +324,7 @@
 	}
 	asked := l.asked(a, now)
 	if a.likeOwn {
-		// Its own requests are rivals too, also where no other daemon is heard.
+		// Without other daemons its own requests compete for what is free.
 		asked += a.own.rate(now)
 		free *= l.certainty(a, now)
 	}
--- a/internal/allowance/others.go
+++ b/internal/allowance/others.go
@@ -74,15 +74,15 @@
 	// backlog is set when some of them are heard again: what they tell next they have spent
 	// since long.
 	backlog bool
-	// disturbedAt is when other daemons, or another source, were last heard than before.
+	// disturbedAt is when the set of daemons that report, or the source of the sums, last changed.
 	disturbedAt time.Time
 }
 
-// remeasureFor is how long after that it takes to know again how fast others are asked: three
-// rounds of reports of a large deployment, and one that is lost.
+// remeasureFor is how long it takes to measure the others' demand again after that: three rounds of
+// reports of a large deployment, and one that is lost.
 const remeasureFor = 1600 * time.Millisecond
 
-// disturbed reports whether how fast others are asked is not known again yet.
+// disturbed reports whether the others' demand has not been measured again yet.
 func (o *others) disturbed(now time.Time) bool { return now.Sub(o.disturbedAt) < remeasureFor }
 
 // hear takes over what they have spent and refused since they were last heard.
--- a/internal/backend/leaving.go
+++ b/internal/backend/leaving.go
@@ -66,68 +66,68 @@
 	}
 }
 
-// reportDeparture is how long daemons go by what others have heard a server say of its leaving. One
-// that still answers then is asked again, and says so itself.
-const reportDeparture = time.Minute
+// leavingNoticeTTL is how long a server is avoided on the reports of other daemons alone. After that it
+// is tried again, and a server that does leave announces it to this daemon as well.
+const leavingNoticeTTL = time.Minute
 
-// saidLeaving takes over that the server has said in an answer at a time that it leaves. An entry
-// that says otherwise does not count from then on: the store may not have been told, and the lists of
-// peers are older. The caller holds the lock.
-func (v *View) saidLeaving(s *server, at, now time.Time) (changed bool) {
-	if !s.saidLeavingAt.IsZero() && !at.Before(s.saidLeavingAt) {
+// announceLeaving records that the server announced in a response received at a time that it leaves. The
+// announcement overrides later entries: the store may be unreachable for the server, and peers' lists are
+// older. The caller holds the lock.
+func (v *View) announceLeaving(s *server, at, now time.Time) (changed bool) {
+	if !s.leavingAnnouncedAt.IsZero() && !at.Before(s.leavingAnnouncedAt) {
 		return false
 	}
-	changed = s.saidLeavingAt.IsZero()
-	s.saidLeavingAt = at
+	changed = s.leavingAnnouncedAt.IsZero()
+	s.leavingAnnouncedAt = at
 	s.leave(now, at.Add(v.drainBound-maxTransit))
 	clear(v.inService)
 	return changed
 }
 
-// Leaving returns the servers whose answers have said lately that they leave, to report them. Where
-// there are many, turn picks those of one report.
-func (v *View) Leaving(turn uint64, now time.Time) []advice.Departure {
+// LeavingNotices returns the announcements to report to other daemons. Of many, turn picks those of one
+// report.
+func (v *View) LeavingNotices(turn uint64, now time.Time) []advice.LeavingNotice {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	var said []advice.Departure
+	var notices []advice.LeavingNotice
 	for _, s := range v.servers {
-		if !s.saidLeavingAt.IsZero() && now.Sub(s.saidLeavingAt) < reportDeparture {
-			said = append(said, advice.Departure{Server: s.key, At: s.saidLeavingAt})
+		if !s.leavingAnnouncedAt.IsZero() && now.Sub(s.leavingAnnouncedAt) < leavingNoticeTTL {
+			notices = append(notices, advice.LeavingNotice{Server: s.key, At: s.leavingAnnouncedAt})
 		}
 	}
-	return inTurn(said, turn, func(d advice.Departure) uint32 { return d.Server })
+	return inTurn(notices, turn, func(n advice.LeavingNotice) uint32 { return n.Server })
 }
 
-// MergeLeaving merges what another daemon reports of servers that have said that they leave, and
-// returns the entries of those of which that is new.
-func (v *View) MergeLeaving(said []advice.Departure, now time.Time) (changed []Entry) {
-	if len(said) == 0 {
+// MergeLeavingNotices merges the announcements that another daemon reports, and returns the entries of
+// servers for which they are new.
+func (v *View) MergeLeavingNotices(notices []advice.LeavingNotice, now time.Time) (changed []Entry) {
+	if len(notices) == 0 {
 		return nil
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	known := v.byKey()
-	for _, d := range said {
-		s := known[d.Server]
-		if s == nil || now.Sub(d.At) >= reportDeparture {
+	for _, n := range notices {
+		s := known[n.Server]
+		if s == nil || now.Sub(n.At) >= leavingNoticeTTL {
 			continue
 		}
-		if v.saidLeaving(s, d.At, now) {
-			s.secondHand = true
+		if v.announceLeaving(s, n.At, now) {
+			s.peerReported = true
 			changed = append(changed, s.Entry)
 		}
 	}
 	return changed
 }
 
-// sweepDepartures asks servers again of whose leaving only others have heard; the caller holds the
+// sweepLeavingNotices expires announcements that only other daemons have received; the caller holds the
 // lock.
-func (v *View) sweepDepartures(now time.Time) {
+func (v *View) sweepLeavingNotices(now time.Time) {
 	for _, s := range v.servers {
-		if !s.secondHand || now.Sub(s.saidLeavingAt) < reportDeparture {
+		if !s.peerReported || now.Sub(s.leavingAnnouncedAt) < leavingNoticeTTL {
 			continue
 		}
-		s.saidLeavingAt, s.secondHand = time.Time{}, false
+		s.leavingAnnouncedAt, s.peerReported = time.Time{}, false
 		if s.listed && !s.Draining {
 			s.leftAt, s.usableUntil = time.Time{}, time.Time{}
 		}
--- a/internal/backend/leaving_test.go
+++ b/internal/backend/leaving_test.go
@@ -40,7 +40,7 @@
 		"lapsed in an outage":  func(v *View, at time.Time) { v.StoreReturned(at); v.Remove("a", at) },
 		"an answer without it": func(v *View, at time.Time) { _ = pick(v, at) },
 		"a report that is late": func(v *View, at time.Time) {
-			v.MergeLeaving([]advice.Departure{{Server: KeyOf(bornAt("a", 1000, 1)), At: at}}, at)
+			v.MergeLeavingNotices([]advice.LeavingNotice{{Server: KeyOf(bornAt("a", 1000, 1)), At: at}}, at)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -75,15 +75,15 @@
 func TestReportsOfLeavingLapse(t *testing.T) {
 	c := qt.New(t)
 	v, _ := viewOfTwo(c)
-	told := []advice.Departure{{Server: KeyOf(bornAt("a", 1000, 1)), At: start}, {Server: 99, At: start}}
-	c.Check(v.MergeLeaving(told, start), qt.HasLen, 1)
-	c.Check(v.MergeLeaving(told, start), qt.HasLen, 0)
-	c.Check(v.Leaving(0, start), qt.HasLen, 1, qt.Commentf("reported on"))
+	told := []advice.LeavingNotice{{Server: KeyOf(bornAt("a", 1000, 1)), At: start}, {Server: 99, At: start}}
+	c.Check(v.MergeLeavingNotices(told, start), qt.HasLen, 1)
+	c.Check(v.MergeLeavingNotices(told, start), qt.HasLen, 0)
+	c.Check(v.LeavingNotices(0, start), qt.HasLen, 1, qt.Commentf("reported on"))
 	takeAway(v, start)
 	c.Check(pick(v, start.Add(defaultDrainBound)), qt.Equals, "")
-	later := start.Add(reportDeparture)
+	later := start.Add(leavingNoticeTTL)
 	v.Sweep(later)
 	c.Check(pick(v, later), qt.Equals, "a")
-	c.Check(v.MergeLeaving(told, later), qt.HasLen, 0)
-	c.Check(v.Leaving(0, later), qt.HasLen, 0)
+	c.Check(v.MergeLeavingNotices(told, later), qt.HasLen, 0)
+	c.Check(v.LeavingNotices(0, later), qt.HasLen, 0)
 }
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -43,15 +43,15 @@
 	v.limiter = limiter
 }
 
-// Change is what an answer has changed of what is known of a server.
+// Change is the effect of a response on what is known of a server.
 type Change struct {
 	// Before and After are its limits.
 	Before, After advice.Limit
-	// Leaves is set for the first answer that says that the server leaves.
+	// Leaves is set for the first response that announces that the server leaves.
 	Leaves bool
 }
 
-// Advised merges what the answer to an attempt says of the server.
+// Advised merges the advice in the response to an attempt.
 func (c *Choice) Advised(a advice.Advice, answered time.Time) Change {
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
@@ -65,8 +65,8 @@
 		s.restUntil = later(s.restUntil, answered.Add(a.Rest))
 	}
 	if a.Leaving {
-		change.Leaves = c.view.saidLeaving(s, answered, answered)
-		s.secondHand = false
+		change.Leaves = c.view.announceLeaving(s, answered, answered)
+		s.peerReported = false
 	}
 	return change
 }
@@ -82,7 +82,7 @@
 	c.admitted = time.Time{}
 }
 
-// setLimit takes over a server's limit; the caller holds the lock.
+// setLimit applies a server's limit; the caller holds the lock.
 func (v *View) setLimit(s *server, limit advice.Limit) {
 	before := s.limit
 	s.limit = limit
@@ -116,7 +116,7 @@
 	}
 }
 
-// reportsLimit reports whether other daemons are told of a server's limit.
+// reportsLimit reports whether a server's limit, or its end, is reported to other daemons.
 func (s *server) reportsLimit(now time.Time) bool {
 	return s.limit.Named || now.Sub(s.liftedAt) < liftedFor
 }
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -114,19 +114,19 @@
 	leftAt      time.Time
 	usableUntil time.Time
 	listed      bool
-	// saidLeavingAt is when an answer of the server said that it leaves, or zero; secondHand is set
-	// while only other daemons have had such an answer.
-	saidLeavingAt time.Time
-	secondHand    bool
-	serviceTime   time.Duration
+	// leavingAnnouncedAt is when the server announced in a response that it leaves, or zero; peerReported
+	// is set while only other daemons have received such a response.
+	leavingAnnouncedAt time.Time
+	peerReported       bool
+	serviceTime        time.Duration
 	// slow is how much longer the server's first events took of late than those of its
 	// service, as a logarithm, as of slowAt.
 	slow     float64
 	slowAt   time.Time
 	servedAt time.Time
 	joinedAt time.Time
-	// limit is what the server's answers say of how many requests it takes, liftedAt when it last
-	// ended, and againAt when a server at its limit may get a request.
+	// limit is the server's latest request limit, liftedAt when it last ended, and againAt when a server
+	// at its limit may be sent a request.
 	limit    advice.Limit
 	liftedAt time.Time
 	againAt  time.Time
@@ -135,7 +135,7 @@
 }
 
 // ready reports whether the server takes new work.
-func (s *server) ready() bool { return s.listed && !s.Draining && s.saidLeavingAt.IsZero() }
+func (s *server) ready() bool { return s.listed && !s.Draining && s.leavingAnnouncedAt.IsZero() }
 
 // usable reports whether a server that leaves may still be used when there is
 // no other.
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -177,7 +177,7 @@
 		s.leave(now, v.usableUntil(seen))
 		return ended
 	}
-	if s.saidLeavingAt.IsZero() {
+	if s.leavingAnnouncedAt.IsZero() {
 		s.leftAt, s.usableUntil = time.Time{}, time.Time{}
 	}
 	return ended
@@ -205,12 +205,12 @@
 	}
 }
 
-// Sweep lets go of what servers have said long ago. It is called now and then.
+// Sweep expires old advice of servers. It is called periodically.
 func (v *View) Sweep(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.sweepLimits(now)
-	v.sweepDepartures(now)
+	v.sweepLeavingNotices(now)
 }
 
 // SetRemote takes over what all other daemons have in flight, by key.
@@ -275,7 +275,7 @@
 	Suspect bool
 	// Barred is set for a server of a version that may not be used.
 	Barred bool
-	// Limit is what the server's answers say of how many requests it takes.
+	// Limit is the server's latest request limit.
 	Limit advice.Limit
 	// AtLimit is set where callers ask for more than the limit.
 	AtLimit bool
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -65,13 +65,13 @@
 	excess        time.Duration
 	excessAt      time.Time
 	serviceTime   time.Duration
-	// limit is what the server's answers say of how many requests it takes, liftedAt when it last
-	// ended, and quota this daemon's part of it.
+	// limit is the server's latest request limit, liftedAt when it last ended, and quota this daemon's
+	// part of it.
 	limit    advice.Limit
 	liftedAt time.Time
 	quota    quota
-	// departure is what its answers say of its leaving.
-	departure departure
+	// leaving is whether it has announced that it leaves.
+	leaving leavingState
 	// restUntil is until when the server wants no requests from this daemon.
 	restUntil time.Time
 }
--- a/internal/discovery/leaving_test.go
+++ b/internal/discovery/leaving_test.go
@@ -49,7 +49,7 @@
 
 	all[0].Advised("s-0", leaving, back, back.Add(time.Second))
 	c.Check(acquires(all[0], back.Add(2*time.Second)), qt.IsFalse)
-	lapsed := back.Add(time.Second + departureFor)
+	lapsed := back.Add(time.Second + leavingNoticeTTL)
 	c.Check(acquires(all[0], lapsed), qt.IsTrue)
 	c.Check(all[0].Advised("s-0", leaving, lapsed, lapsed), qt.IsTrue)
 	c.Check(acquires(all[0], lapsed), qt.IsFalse)
--- a/internal/discovery/limits.go
+++ b/internal/discovery/limits.go
@@ -29,15 +29,15 @@
 	sameSighting = time.Second
 )
 
-// AdviceRecord is what daemons report to each other of what a server has said.
+// AdviceRecord is a server's advice as daemons report it to each other.
 type AdviceRecord struct {
 	Server            string  `json:"server"`
 	Named             bool    `json:"named"`
 	RequestsPerSecond float64 `json:"requests_per_second"`
 	// AgeMs is how long ago that was learned, in milliseconds.
 	AgeMs int64 `json:"age_ms"`
-	// Leaving is set where the server has said that it leaves, and LeavingAgeMs how long ago that,
-	// or that it does not any more, was learned; zero is not known.
+	// Leaving is whether the server has announced that it leaves, LeavingAgeMs the age of that state in
+	// milliseconds; zero is unknown.
 	Leaving      bool  `json:"leaving,omitempty"`
 	LeavingAgeMs int64 `json:"leaving_age_ms,omitempty"`
 }
@@ -71,8 +71,8 @@
 // noQuotaRetry is the advice where this daemon has no part of a server's limit: another daemon may.
 const noQuotaRetry = time.Second
 
-// Advised merges what a server's answer says of it, to a request that was sent and answered at these
-// times. It reports whether others should know at once.
+// Advised merges the advice in the response to a request that was sent and answered at these times. It
+// reports whether other daemons should be informed at once.
 func (r *Registry) Advised(id string, a advice.Advice, sent, answered time.Time) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -85,10 +85,10 @@
 		r.logger.Info("server declined and asked for rest", "server", s.vm.ID, "service", s.vm.Service, "rest_ms", a.Rest.Milliseconds())
 	}
 	limited := r.setLimit(s, s.limit.Observe(a, sent, answered), answered)
-	return r.adviseLeaving(s, a, answered) || limited
+	return r.announceLeaving(s, a, answered) || limited
 }
 
-// setLimit takes over a server's limit; the caller holds the lock.
+// setLimit applies a server's limit; the caller holds the lock.
 func (r *Registry) setLimit(s *server, limit advice.Limit, now time.Time) (changed bool) {
 	before := s.limit
 	s.limit = limit
@@ -113,7 +113,7 @@
 	return float64(xxhash.Sum64String(server+"/"+daemon)) / math.MaxUint64
 }
 
-// shareLimits takes over that the daemons have changed; the caller holds the lock.
+// shareLimits recomputes this daemon's parts when the daemons change; the caller holds the lock.
 func (r *Registry) shareLimits(now time.Time) {
 	for _, s := range r.servers {
 		if s.limit.Named {
@@ -192,39 +192,39 @@
 	return wait, found
 }
 
-// Advice returns what to report to other daemons of what servers have said.
+// Advice returns the servers' advice to report to other daemons.
 func (r *Registry) Advice(now time.Time) []AdviceRecord {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var records []AdviceRecord
 	for _, s := range r.servers {
 		limited := s.limit.Named || now.Sub(s.liftedAt) < liftedFor
-		if !limited && !s.reportsDeparture(now) {
+		if !limited && !s.reportsLeaving(now) {
 			continue
 		}
 		record := AdviceRecord{Server: s.vm.ID, Named: s.limit.Named, RequestsPerSecond: s.limit.Rate, AgeMs: now.Sub(s.limit.At).Milliseconds()}
-		if s.reportsDeparture(now) {
-			record.Leaving, record.LeavingAgeMs = s.departure.said, max(1, now.Sub(s.departure.at).Milliseconds())
+		if s.reportsLeaving(now) {
+			record.Leaving, record.LeavingAgeMs = s.leaving.announced, max(1, now.Sub(s.leaving.at).Milliseconds())
 		}
 		records = append(records, record)
 	}
 	return records
 }
 
-// MergeAdvice merges what another daemon reports. It reports whether others should know at once.
+// MergeAdvice merges another daemon's report. It reports whether others should be informed at once.
 func (r *Registry) MergeAdvice(records []AdviceRecord, now time.Time) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, record := range records {
 		if s := r.servers[record.Server]; s != nil {
 			changed = r.mergeLimit(s, record, now) || changed
-			changed = r.mergeDeparture(s, record, now) || changed
+			changed = r.mergeLeaving(s, record, now) || changed
 		}
 	}
 	return changed
 }
 
-// mergeLimit merges what a record says of a server's limit; the caller holds the lock.
+// mergeLimit merges the limit of a record; the caller holds the lock.
 func (r *Registry) mergeLimit(s *server, record AdviceRecord, now time.Time) (changed bool) {
 	if !advice.Valid(record.RequestsPerSecond) {
 		return false
@@ -236,10 +236,10 @@
 	return r.setLimit(s, s.limit.Merge(limit), now)
 }
 
-// mergeDeparture merges what a record says of a server's leaving; the caller holds the lock.
-func (r *Registry) mergeDeparture(s *server, record AdviceRecord, now time.Time) (changed bool) {
+// mergeLeaving merges the leaving state of a record; the caller holds the lock.
+func (r *Registry) mergeLeaving(s *server, record AdviceRecord, now time.Time) (changed bool) {
 	told := age(record.LeavingAgeMs)
-	return told > 0 && told < departureFor && r.setDeparture(s, departure{said: record.Leaving, at: now.Add(-told)})
+	return told > 0 && told < leavingNoticeTTL && r.setLeaving(s, leavingState{said: record.Leaving, at: now.Add(-told)})
 }
 
 // age returns an age that was reported in milliseconds.
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -10,7 +10,7 @@
 	"github.com/plankridge/plankridge/internal/route"
 )
 
-// adviceOf returns what takes over what a server's answer to an attempt that begins now says of it.
+// adviceOf returns the handler of the advice in the response to an attempt that begins now.
 func (d *Dispatcher) adviceOf(server route.Server) func(advice.Advice) {
 	sent := time.Now()
 	return func(a advice.Advice) {
@@ -24,7 +24,7 @@
 	}
 }
 
-// advised lets other daemons know of what a server has said.
+// advised informs other daemons.
 func (d *Dispatcher) advised() {
 	if d.options.Advised != nil {
 		d.options.Advised()
@@ -41,7 +41,7 @@
 	ended := false
 	ticker := time.NewTicker(returnPoll)
 	defer ticker.Stop()
-	for d.options.Registry.SaysLeaving(server.ID, time.Now()) {
+	for d.options.Registry.AnnouncedLeaving(server.ID, time.Now()) {
 		select {
 		case <-ticker.C:
 		case <-d.ctx.Done():
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -51,7 +51,7 @@
 	// Parameters are the sampling parameters of the caller, passed on as they
 	// came.
 	Parameters map[string]json.RawMessage `json:"parameters,omitempty"`
-	// OnAdvice is told what the engine's answer says of the work that it takes. Nil is not told.
+	// OnAdvice, if not nil, gets the advice in the response.
 	OnAdvice func(advice.Advice) `json:"-"`
 }
 
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -33,7 +33,7 @@
 	msgShutDown  = "shutting down"
 	msgLimit     = "server's limit changed"
 	msgRest      = "server declined and asked for rest"
-	msgLeaves    = "server's answer says that it leaves"
+	msgLeaves    = "server leaves by its own announcement"
 )
 
 // Attempt is one sending of a request, as the log shows it.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -60,7 +60,7 @@
 	lines, _, err := Read(strings.NewReader(`{"time":"2026-01-01T00:00:01Z","msg":"server's limit changed","vm":"vm-1","server":"i-1","service":"s","limited":true,"requests_per_second":1.2}
 {"time":"2026-01-01T00:00:01Z","msg":"server's limit changed","vm":"vm-1","server":"i-2","service":"other","limited":true,"requests_per_second":3}
 {"time":"2026-01-01T00:00:02Z","msg":"server declined and asked for rest","vm":"vm-1","server":"i-3","service":"s","rest_ms":3000}
-{"time":"2026-01-01T00:00:02Z","msg":"server's answer says that it leaves","vm":"vm-1","server":"i-4","service":"s"}
+{"time":"2026-01-01T00:00:02Z","msg":"server leaves by its own announcement","vm":"vm-1","server":"i-4","service":"s"}
 {"time":"2026-01-01T00:00:03Z","msg":"request ended","vm":"vm-1","request_id":"a","service":"s","outcome":"refused","status":503,"reason":"backend servers rest or are at the limits that they name"}`))
 	c.Assert(err, qt.IsNil)
 	story, _ := Tell(lines, "a")
--- a/internal/forward/advice.go
+++ b/internal/forward/advice.go
@@ -8,8 +8,7 @@
 	"github.com/plankridge/plankridge/internal/backend"
 )
 
-// advised takes what an answer says of its server. Another server that has the address now says
-// nothing of the one that was chosen.
+// advised applies the advice in a response, unless another server has the address now.
 func (r *run) advised(choice *backend.Choice, answer *Answer) {
 	if answer.WrongServer {
 		return
@@ -21,7 +20,7 @@
 		r.logLimit(choice, change.Before, change.After)
 	}
 	if change.Leaves {
-		r.options.Logger.Info("server's answer says that it leaves", "server", choice.ID, "service", choice.Service, "zone", choice.Zone, "request_id", r.call.ID, "from", "answer")
+		r.options.Logger.Info("server leaves by its own announcement", "server", choice.ID, "service", choice.Service, "zone", choice.Zone, "request_id", r.call.ID, "from", "answer")
 	}
 	if (change.Leaves || limited && change.After.Named != change.Before.Named) && r.options.Advised != nil {
 		r.options.Advised()
@@ -33,7 +32,7 @@
 		"limited", after.Named, "requests_per_second", after.Rate, "limited_before", before.Named, "requests_per_second_before", before.Rate, "from", "answer")
 }
 
-// logAdvice writes down what an answer says that a server seldom says.
+// logAdvice logs a rest, and advice that cannot be decoded.
 func (r *run) logAdvice(choice *backend.Choice, a advice.Advice) {
 	if a.LimitErr == nil && a.RestErr == nil && a.Rest == 0 {
 		return
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -128,7 +128,7 @@
 	WrongServer bool
 	// Signed is set when the answer carries the server's signature.
 	Signed bool
-	// Advice is what the server says of the work that it takes.
+	// Advice is the server's load advice.
 	Advice advice.Advice
 	// Events is set for an answer of events.
 	Events bool
--- a/internal/peer/advice.go
+++ b/internal/peer/advice.go
@@ -7,16 +7,16 @@
 	"github.com/plankridge/plankridge/internal/discovery"
 )
 
-// Advice is what backend servers say in their answers.
+// Advice is the load advice of backend servers.
 type Advice interface {
 	// Advice returns what to report to other daemons.
 	Advice(now time.Time) []discovery.AdviceRecord
-	// MergeAdvice merges what another daemon reports, and reports whether others should know at
+	// MergeAdvice merges what another daemon reports, and reports whether others should be informed at
 	// once.
 	MergeAdvice(records []discovery.AdviceRecord, now time.Time) (changed bool)
 }
 
-// encodeAdvice encodes what this daemon knows of what servers have said.
+// encodeAdvice encodes the servers' advice for a heartbeat.
 func (m *Mesh) encodeAdvice() []byte {
 	if m.advice == nil {
 		return nil
@@ -32,7 +32,7 @@
 	return raw
 }
 
-// mergeAdvice merges what a peer reports of what servers have said.
+// mergeAdvice merges the servers' advice of a peer's heartbeat.
 func (m *Mesh) mergeAdvice(peer string, raw []byte) {
 	if m.advice == nil || len(raw) == 0 {
 		return
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -56,7 +56,7 @@
 	Copies *backup.Store
 	// Quarantine is what this daemon knows of requests that end servers; nil knows nothing.
 	Quarantine *watch.Watch
-	// Advice is what backend servers say in their answers; nil knows none.
+	// Advice is the load advice of backend servers; nil has none.
 	Advice Advice
 	Logger *slog.Logger
 }
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -52,7 +52,7 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// OnAdvice is told what the service's answer says of the work that it takes. Nil is not told.
+	// OnAdvice, if not nil, gets the advice in the response.
 	OnAdvice func(advice.Advice)
 }
 
--- a/internal/router/rollouts.go
+++ b/internal/router/rollouts.go
@@ -140,7 +140,7 @@
 }
 
 // askForOrders lists the roll-outs at once where servers of services that have no version yet are
-// newer than what is known of them: the watch would tell at its end only that there is nothing new.
+// newer than the orders that are known: the watch reports at its end only that there are no others.
 func (r *Router) askForOrders(unnamed map[string]map[string]int) {
 	newest := r.state.view.NewestOf(func(service string) bool { return unnamed[service] != nil })
 	asked := r.ordersAsked.Load()
--- a/internal/router/serverlimits.go
+++ b/internal/router/serverlimits.go
@@ -62,7 +62,7 @@
 // Binds implements backend.Limiter.
 func (l serverLimits) Binds(server uint32) bool { return l.servers.Binds(accountOf(server), l.now()) }
 
-// mergeLimits takes over what a peer reports of the servers' limits.
+// mergeLimits merges the limits that a peer reports.
 func (s *state) mergeLimits(status *gossippb.Status, now time.Time) {
 	changed := s.view.MergeLimits(decodeLimits(status.GetLimits(), now))
 	for _, c := range changed {
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -41,7 +41,7 @@
 	status.Held = encodeHeld(s.quarantine.Tell(time.Now()))
 	now := time.Now()
 	status.Limits = encodeLimits(s.view.Limits(status.GetSequence(), now), now)
-	status.Leaving = encodeLeaving(s.view.Leaving(status.GetSequence(), now), now)
+	status.Leaving = encodeLeavingNotices(s.view.LeavingNotices(status.GetSequence(), now), now)
 	status.Draining, status.Follows = s.router.draining.Load(), s.followsStore()
 	status.Fence = s.ownFence()
 	status.UptimeMs = time.Since(s.started).Milliseconds()
@@ -151,7 +151,7 @@
 	s.router.hearRollOuts(status, now)
 	s.quarantine.Hear(decodeHeld(status.GetHeld()), 0, now)
 	s.mergeLimits(status, now)
-	s.mergeLeaving(status, now)
+	s.mergeLeavingNotices(status, now)
 	if own := status.GetOwn(); own != nil && status.GetZone() == s.router.settings.VM.Zone {
 		s.heardMember(status, own, now)
 	}
