--- a/internal/discovery/leaving.go
+++ b/internal/discovery/leaving.go
@@ -14,7 +14,7 @@
 // leavingState is whether a server has announced that it leaves, as of a time.
 type leavingState struct {
 	announced bool
-	at   time.Time
+	at        time.Time
 }
 
 // takesWork reports whether new requests may be sent to a server.
--- a/internal/discovery/limits.go
+++ b/internal/discovery/limits.go
@@ -239,7 +239,7 @@
 // mergeLeaving merges the leaving state of a record; the caller holds the lock.
 func (r *Registry) mergeLeaving(s *server, record AdviceRecord, now time.Time) (changed bool) {
 	told := age(record.LeavingAgeMs)
-	return told > 0 && told < leavingNoticeTTL && r.setLeaving(s, leavingState{said: record.Leaving, at: now.Add(-told)})
+	return told > 0 && told < leavingNoticeTTL && r.setLeaving(s, leavingState{announced: record.Leaving, at: now.Add(-told)})
 }
 
 // age returns an age that was reported in milliseconds.
