--- a/robustness/onplatform/rests_test.go
+++ b/robustness/onplatform/rests_test.go
@@ -73,6 +73,9 @@
 
 // TestAdviceBesideTrouble guards both while daemons die, start, are cut off, and the store is away.
 func TestAdviceBesideTrouble(t *testing.T) {
+	if raceDetector {
+		return
+	}
 	for name, trouble := range leavingPlays {
 		p := advicePlay{daemons: 9, advising: 2, sound: 2, each: 130 * time.Millisecond, trouble: trouble}
 		p.behave = leavingAnswer
