Take no watch that a refresh has ended for an answer of the store

What callers saw: where a zone's follower was cut off from the store without a word, requests reached servers up to 1.15 s after they had left; the daemons of the zone have to know within half of the bound, 1 s.

Cause: a probe finds the store out of reach, notes it and has the followers list anew. Refresh ends the watch that waits; step returned no error for it, so that Run took it for an answer and cleared what the probe had just noted. Whether the zone heard of it in between hung on which goroutine came first; where it did not, the next probes, half a second later, found it out again.

Now such a watch ends without a verdict, and a call that ends with its daemon is no answer either. The new test failed before (2 answers, 1 given).

--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -109,12 +109,14 @@
 			f.rest(ctx)
 			continue
 		}
-		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+		err := f.step(ctx)
+		switch {
+		case err == nil:
+			f.recovered()
+			f.gather(ctx)
+		case ctx.Err() == nil && !errors.Is(err, errRefreshed):
 			f.pause(ctx, err)
-			continue
 		}
-		f.recovered()
-		f.gather(ctx)
 	}
 }
 
@@ -131,6 +133,9 @@
 	}
 }
 
+// errRefreshed ends a watch that Refresh has cancelled. The store has not answered it.
+var errRefreshed = errors.New("watch ended by a refresh")
+
 // step makes one call.
 func (f *Follower) step(ctx context.Context) error {
 	waiting, cancel := f.watching(ctx)
@@ -146,7 +151,7 @@
 		f.options.OnCompacted()
 		return nil
 	case err != nil && waiting.Err() != nil:
-		return nil
+		return errRefreshed
 	case err != nil:
 		// The list finds what lapsed meanwhile.
 		f.next = 0
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -55,3 +56,58 @@
 		}
 	})
 }
+
+// silentStore answers one list and then nothing.
+type silentStore struct {
+	Store
+	lists int
+}
+
+func (s *silentStore) List(ctx context.Context, _ string) (Page, error) {
+	s.lists++
+	if s.lists == 1 {
+		return Page{Revision: 1}, nil
+	}
+	<-ctx.Done()
+	return Page{}, ctx.Err()
+}
+
+func (s *silentStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (Changes, error) {
+	<-ctx.Done()
+	return Changes{}, ctx.Err()
+}
+
+// answers counts how often the store was said to have answered.
+type answers struct{ count int }
+
+func (a *answers) Replace(Page, bool) {}
+
+func (a *answers) Apply([]Event, int64) {}
+
+func (a *answers) Advance(_ int64, _ time.Time, failing bool) {
+	if !failing {
+		a.count++
+	}
+}
+
+func TestWatchEndedByRefreshIsNoAnswerOfTheStore(t *testing.T) {
+	for _, relist := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			consumer := &answers{}
+			f := NewFollower(&silentStore{}, "kind", consumer, slog.New(slog.DiscardHandler), FollowOptions{
+				Wait: func() time.Duration { return time.Minute }, OnCompacted: func() {},
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			var running sync.WaitGroup
+			running.Go(func() { f.Run(ctx) })
+			synctest.Wait()
+			c.Assert(consumer.count, qt.Equals, 1, qt.Commentf("the list was answered"))
+			f.Refresh(relist)
+			synctest.Wait()
+			c.Check(consumer.count, qt.Equals, 1)
+			cancel()
+			running.Wait()
+		})
+	}
+}
