Let all that follow the store list once one of them finds its history gone

What callers saw: beside a store that drops its history while watches wait, requests reached servers up to 1.48 s after they had left, where all daemons are to know within half of the bound, 1 s.

Cause: such a watch notices nothing until its wait ends. The sentinel's waits 1 s, and then only the sentinel listed. Who follows for another zone waits 15 s, and takes a peer's list only after it has differed for 0.6 s, since its own watch usually brings the same.

Evidence: a new play, in which the stand-in's watches stay deaf after such a loss. Ruled out: the follower itself, which lists on the answer that history is gone, and the last resort.

Now who finds it reports that for 2 s, and the others that follow list at once; the sentinel's watch of the servers waits 0.4 of the operators' bound for leaving servers, where that is under 1 s.

--- /dev/null
+++ b/internal/router/compaction_test.go
@@ -0,0 +1,36 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+)
+
+func TestLossOfHistoryIsTakenOverOnce(t *testing.T) {
+	c := qt.New(t)
+	s := testRouter(t).state
+	now := time.Now()
+	report := func(ago time.Duration) *gossippb.Status {
+		return &gossippb.Status{HistoryGoneMs: ago.Milliseconds()}
+	}
+	c.Check(s.hearHistoryGone(report(0), now), qt.IsFalse, qt.Commentf("no loss is reported"))
+	c.Check(s.hearHistoryGone(report(10*time.Millisecond), now), qt.IsTrue)
+	c.Check(s.hearHistoryGone(report(400*time.Millisecond), now.Add(500*time.Millisecond)), qt.IsFalse, qt.Commentf("the same loss, dated anew"))
+	c.Check(s.hearHistoryGone(report(10*time.Millisecond), now.Add(time.Second)), qt.IsTrue, qt.Commentf("a later one"))
+	c.Check(s.hearHistoryGone(report(time.Hour), now.Add(2*time.Hour)), qt.IsFalse, qt.Commentf("too long ago"))
+}
+
+func TestLossOfHistoryIsReportedByWhoFoundItAndNotForLong(t *testing.T) {
+	c := qt.New(t)
+	s := testRouter(t).state
+	now := time.Now()
+	c.Check(s.tellHistoryGone(now), qt.Equals, int64(0))
+	c.Check(s.hearHistoryGone(&gossippb.Status{HistoryGoneMs: 1}, now), qt.IsTrue)
+	c.Check(s.tellHistoryGone(now), qt.Equals, int64(0), qt.Commentf("another daemon found it"))
+	s.foundHistoryGone(now.Add(time.Second))
+	c.Check(s.tellHistoryGone(now.Add(1100*time.Millisecond)), qt.Equals, int64(100))
+	c.Check(s.tellHistoryGone(now.Add(time.Second+historyGoneFor)), qt.Equals, int64(0))
+}
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -11,9 +11,13 @@
 )
 
 const (
-	// sentinelWait is how long the watches of the sentinel wait. A watch can go
+	// sentinelWait is how long the watches of the sentinel wait at the most. A watch can go
 	// deaf without a sign; a change has to be in force everywhere within 2 s.
 	sentinelWait = time.Second
+	// sentinelShare is the part of the operators' bound for leaving servers that the sentinel's
+	// watch of the servers waits. A deaf one leaves the rest of the first half of that bound for
+	// the others to list the servers and to tell their zones.
+	sentinelShare = 0.4
 	// otherWait is how long the watches of the other daemons wait. Each call is
 	// paid for, and what their watches miss the sentinel tells them.
 	otherWait = 15 * time.Second
@@ -34,9 +38,9 @@
 
 // follow makes the followers of the configuration and of the backend servers.
 func (r *Router) follow() {
-	options := store.FollowOptions{Wait: r.watchWait, OnCompacted: r.relist, Active: r.following.Load}
+	options := store.FollowOptions{Wait: r.watchWait, OnCompacted: r.findHistoryGone, Active: r.following.Load}
 	r.configs = store.NewFollower(r.objects, platform.KindConfig, configConsumer{r.state}, r.logger, options)
-	options.Gather = gatherServers
+	options.Wait, options.Gather = r.serversWait, gatherServers
 	r.servers = store.NewFollower(r.objects, platform.KindServers, serverConsumer{r.state}, r.logger, options)
 	options.Gather = 0
 	options.Wait = func() time.Duration { return max(orderWait, r.watchWait()) }
@@ -51,6 +55,14 @@
 	return otherWait
 }
 
+// serversWait is watchWait for the servers.
+func (r *Router) serversWait() time.Duration {
+	if !r.sentinel.Load() {
+		return otherWait
+	}
+	return min(sentinelWait, time.Duration(sentinelShare*float64(r.settings.Bounds.DrainBound())))
+}
+
 // relist makes every follower list anew.
 func (r *Router) relist() {
 	r.configs.Refresh(true)
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -46,6 +46,9 @@
 	// unreachedAt is when the store was last found to be out of reach, or zero once it has
 	// answered since.
 	unreachedAt time.Time
+	// historyGoneAt is when the store was last found to have dropped its history, by this daemon or
+	// another one, and historyGoneFoundAt when by this one.
+	historyGoneAt, historyGoneFoundAt time.Time
 	// answered is set once the store has answered since this daemon follows it.
 	answered bool
 	// differs is since when each peer that is ahead shows other servers.
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -34,6 +34,7 @@
 	s.mu.Lock()
 	status.ServersRevision, status.StoreFailing = s.listing.revision, s.unreached()
 	status.ServersDigest, status.ServersAgeMs = s.listing.digest, s.tellAge(time.Now())
+	status.HistoryGoneMs = s.tellHistoryGone(time.Now())
 	s.mu.Unlock()
 	if s.router.board.Enabled() {
 		status.RollOuts, status.RollOutsRead = encodeRollOuts(s.router.board.Tell(time.Now())), s.router.board.ReadUpTo()
@@ -148,6 +149,7 @@
 	s.mu.Lock()
 	s.agree(status.GetServersDigest(), status.GetServersAgeMs(), now)
 	s.mu.Unlock()
+	s.router.followHistoryGone(status, now)
 	s.router.hearRollOuts(status, now)
 	s.quarantine.Hear(decodeHeld(status.GetHeld()), 0, now)
 	s.mergeLimits(status, now)
--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -54,6 +55,8 @@
 	places map[string]string
 	// bootstrap is set while daemons start for the first time.
 	bootstrap bool
+	// zones is the number of availability zones of the daemons; without it there are three.
+	zones int
 }
 
 // daemon is one router with the means to end it.
@@ -115,7 +118,7 @@
 	ip := fmt.Sprintf("10.1.0.%d", n)
 	settings := config.RouterSettings{
 		Kind:   config.KindRouter,
-		VM:     config.RouterVM{ID: fmt.Sprintf("vm-%d", n), Zone: fmt.Sprintf("zone-%d", n%3)},
+		VM:     config.RouterVM{ID: fmt.Sprintf("vm-%d", n), Zone: fmt.Sprintf("zone-%d", n%cmp.Or(b.zones, 3))},
 		Listen: config.RouterListen{Callers: ip + ":80", Readiness: ip + ":81", Peers: ip + ":82", Metrics: ip + ":83"},
 		Peers:  config.RouterPeers{Seeds: []string{"10.1.0.1:82", "10.1.0.2:82"}, Bootstrap: b.bootstrap},
 		Store:  config.RouterAddress{Address: storeIP + ":1"},
--- a/robustness/onplatform/leaving_test.go
+++ b/robustness/onplatform/leaving_test.go
@@ -40,7 +40,9 @@
 // leavingPlay is a play of servers that come and leave, beside some trouble.
 type leavingPlay struct {
 	daemons int
-	length  time.Duration
+	// zones is the number of availability zones; without it there are three.
+	zones  int
+	length time.Duration
 	// trouble happens meanwhile.
 	trouble func(p *leavingBed)
 }
@@ -94,6 +96,7 @@
 	l := &leavingBed{random: rand.New(rand.NewPCG(seed, 34)), luck: rand.New(rand.NewPCG(seed, 35)), touched: map[int][]time.Time{}}
 	runAlone(t, p.daemons, func(b *bed) {
 		l.bed = b
+		b.zones = p.zones
 		b.places = map[string]string{}
 		b.store.SetPageSize(500)
 		l.configureServices()
@@ -442,6 +445,12 @@
 			l.shake()
 		}
 	},
+	"the store forgets its history": func(l *leavingBed) {
+		for range 4 {
+			pause(context.Background(), 2*time.Second+time.Duration(l.luck.IntN(900))*time.Millisecond)
+			l.store.CompactUnnoticed()
+		}
+	},
 	"the store turns leads away": func(l *leavingBed) {
 		time.Sleep(2 * time.Second)
 		cut := l.firstRelays(1)
@@ -456,7 +465,7 @@
 }
 
 // leavingAtSize are those that are played with many daemons too, without the race detector.
-var leavingAtSize = []string{"leads lose power", "most daemons die", "leads are cut off from the store"}
+var leavingAtSize = []string{"leads lose power", "most daemons die", "leads are cut off from the store", "the store forgets its history"}
 
 // acrossZone does something between each daemon of a zone and each of the others.
 func (l *leavingBed) acrossZone(zone string, do func(one, other string)) {
@@ -485,6 +494,12 @@
 	}
 }
 
+// TestServersThatLeaveUnnoticedInOneZone: nobody but the zone's own follower can tell that its watch
+// misses what happens.
+func TestServersThatLeaveUnnoticedInOneZone(t *testing.T) {
+	leavingPlay{daemons: 9, zones: 1, length: 14 * time.Second, trouble: leavingPlays["the store forgets its history"]}.play(t)
+}
+
 // TestStartedDaemonAndServersThatHaveDrained: a daemon that has just started sees that a server
 // drains and not since when; it sent requests there for 1.2 s more, seconds after the bound.
 func TestStartedDaemonAndServersThatHaveDrained(t *testing.T) {
