--- a/internal/standin/memnet/silence_test.go
+++ b/internal/standin/memnet/silence_test.go
@@ -45,35 +45,29 @@
 	}
 }
 
-func TestBytesHeldUntilTheConnectionIsGivenUpNeverArrive(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		n := New()
-		client, server := openPair(c, n)
-		n.Silence(clientIP, serverIP)
-		_, err := client.Write([]byte("sent"))
-		c.Assert(err, qt.IsNil)
-		time.Sleep(2 * probesFail)
-		n.Speak(clientIP, serverIP)
-		read, err := server.Read(make([]byte, 4))
-		c.Check(read, qt.Equals, 0)
-		c.Check(err, qt.ErrorIs, net.ErrClosed)
-	})
-}
-
-func TestBytesHeldDuringShortSilenceArrive(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		c := qt.New(t)
-		n := New()
-		client, server := openPair(c, n)
-		n.Silence(clientIP, serverIP)
-		_, err := client.Write([]byte("sent"))
-		c.Assert(err, qt.IsNil)
-		time.Sleep(probesFail / 2)
-		n.Speak(clientIP, serverIP)
-		read, err := server.Read(make([]byte, 4))
-		c.Check(read, qt.Equals, 4)
-		c.Check(err, qt.IsNil)
-		c.Assert(client.Close(), qt.IsNil)
-	})
+func TestBytesHeldBySilenceArriveUnlessTheConnectionIsGivenUp(t *testing.T) {
+	for _, given := range []struct {
+		silence time.Duration
+		arrives bool
+	}{{probesFail / 2, true}, {2 * probesFail, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			n := New()
+			client, server := openPair(c, n)
+			n.Silence(clientIP, serverIP)
+			_, err := client.Write([]byte("sent"))
+			c.Assert(err, qt.IsNil)
+			time.Sleep(given.silence)
+			n.Speak(clientIP, serverIP)
+			read, err := server.Read(make([]byte, 4))
+			if !given.arrives {
+				c.Check(read, qt.Equals, 0)
+				c.Check(err, qt.ErrorIs, net.ErrClosed)
+				return
+			}
+			c.Check(read, qt.Equals, 4)
+			c.Check(err, qt.IsNil)
+			c.Assert(client.Close(), qt.IsNil)
+		})
+	}
 }
