--- a/robustness/onplatform/uses_test.go
+++ b/robustness/onplatform/uses_test.go
@@ -49,3 +49,40 @@
 		b.Check(admitted <= allowed+int(rate/cost), qt.IsTrue, qt.Commentf("%d admitted, %v allowed", admitted, allowed))
 	})
 }
+
+// TestAllDieBeforeAnythingIsRecorded: the first daemons of a deployment all die before the first holder
+// of the lease has written what the workspaces use.
+func TestAllDieBeforeAnythingIsRecorded(t *testing.T) {
+	const rate, cost, daemons = 2000.0, 200.0, 6
+	// An allowance is the rate over a window of 8 s and one burst.
+	const allowed = int((8*rate + rate) / cost)
+	// Callers ask for seven times the rate, in tenths of a second; before the death for a second.
+	const each, before, after = 7, 10, 50
+	run(t, 0, func(b *bed) {
+		b.addServer("i-1", plain, &fake.Runner{})
+		b.configure(routes{plainRoute("/a/", "idempotent", 1)}, limited(rate, rate))
+	}, func(b *bed) {
+		b.bootstrap = true
+		for i := range daemons {
+			b.startDaemon(i + 1)
+		}
+		b.bootstrap = false
+		admitted, asked := 0, 0
+		ask := func(tenths int) {
+			for range tenths {
+				time.Sleep(100 * time.Millisecond)
+				first := asked
+				asked += each
+				admitted += count(b.burst(each, func(i int) call {
+					return call{method: "GET", path: "/a/x", key: testKey, to: (first + i) % daemons}
+				}), 200)
+			}
+		}
+		ask(before)
+		b.Assert(admitted > 0, qt.IsTrue)
+		b.restartAll(200 * time.Millisecond)
+		ask(after)
+		t.Logf("%d admitted, %v allowed", admitted, allowed)
+		b.Check(admitted <= allowed+int(rate/cost), qt.IsTrue, qt.Commentf("%d admitted, %v allowed", admitted, allowed))
+	})
+}
