--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -50,10 +50,10 @@
 	revision int64
 	changed  chan struct{}
 	onChange []func([]vmlist.VM, int64)
-	// asked is what this daemon's callers ask for now, by service, and askers what daemons have
+	// ownDemand is what this daemon's callers ask for now, by service, and demands what daemons have
 	// reported of theirs, by service and daemon.
-	asked  map[string]asker
-	askers map[string]map[string]asker
+	ownDemand map[string]demand
+	demands   map[string]map[string]demand
 }
 
 type server struct {
@@ -84,14 +84,14 @@
 // ID self.
 func NewRegistry(self string, logger *slog.Logger) *Registry {
 	return &Registry{
-		self:    self,
-		leaves:  make(chan time.Time, 1),
-		logger:  logger,
-		servers: map[string]*server{},
-		daemons: map[string]vmlist.VM{},
-		asked:   map[string]asker{},
-		askers:  map[string]map[string]asker{},
-		changed: make(chan struct{}),
+		self:      self,
+		leaves:    make(chan time.Time, 1),
+		logger:    logger,
+		servers:   map[string]*server{},
+		daemons:   map[string]vmlist.VM{},
+		ownDemand: map[string]demand{},
+		demands:   map[string]map[string]demand{},
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -225,7 +225,7 @@
 	for id := range r.daemons {
 		if !present[id] {
 			delete(r.daemons, id)
-			r.forgetAsker(id)
+			r.forgetDemand(id)
 		}
 	}
 }
@@ -233,7 +233,7 @@
 func (r *Registry) applyDaemon(vm vmlist.VM) {
 	if vm.State == vmlist.VMGone {
 		delete(r.daemons, vm.ID)
-		r.forgetAsker(vm.ID)
+		r.forgetDemand(vm.ID)
 		return
 	}
 	if r.daemons[vm.ID].State == vmlist.VMLeaving && r.daemons[vm.ID].Address == vm.Address {
@@ -345,7 +345,7 @@
 func (r *Registry) Candidates(service string, promptTokens int, now time.Time) []route.Server {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.countAsked(service, now)
+	r.countRequest(service, now)
 	if r.index == nil {
 		return nil
 	}
--- a/internal/discovery/limits.go
+++ b/internal/discovery/limits.go
@@ -33,8 +33,8 @@
 	// milliseconds; zero is unknown.
 	Leaving      bool  `json:"leaving,omitempty"`
 	LeavingAgeMs int64 `json:"leaving_age_ms,omitempty"`
-	// Askers are daemons whose callers ask for the server's service. One record of a service has them.
-	Askers []Asker `json:"askers,omitempty"`
+	// Demands are what daemons' callers ask of the server's service. One record of a service has them.
+	Demands []DemandRecord `json:"demands,omitempty"`
 }
 
 // quota is this daemon's part of a server's limit, as a bucket of requests.
@@ -164,7 +164,7 @@
 		}
 		record := AdviceRecord{Server: s.vm.ID, Named: s.limit.Named, RequestsPerSecond: s.limit.Rate, AgeMs: now.Sub(s.limit.At).Milliseconds()}
 		if limited && !reported[s.vm.Service] {
-			record.Askers, reported[s.vm.Service] = r.reportAskers(s.vm.Service, now), true
+			record.Demands, reported[s.vm.Service] = r.reportDemands(s.vm.Service, now), true
 		}
 		if s.reportsLeaving(now) {
 			record.Leaving, record.LeavingAgeMs = s.leaving.announced, max(1, now.Sub(s.leaving.at).Milliseconds())
@@ -178,15 +178,15 @@
 func (r *Registry) MergeAdvice(records []AdviceRecord, now time.Time) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	asked := false
+	demandChanged := false
 	for _, record := range records {
 		if s := r.servers[record.Server]; s != nil {
-			asked = r.mergeAskers(s.vm.Service, record.Askers, now) || asked
+			demandChanged = r.mergeDemands(s.vm.Service, record.Demands, now) || demandChanged
 			changed = r.mergeLimit(s, record, now) || changed
 			changed = r.mergeLeaving(s, record, now) || changed
 		}
 	}
-	if asked {
+	if demandChanged {
 		r.shareLimits(now)
 	}
 	return changed
--- a/internal/discovery/sharing.go
+++ b/internal/discovery/sharing.go
@@ -18,15 +18,15 @@
 // sender is a daemon that may have a part of a server's limit, with what its callers ask for, in
 // requests a second.
 type sender struct {
-	vm    vmlist.VM
-	asked float64
+	vm     vmlist.VM
+	demand float64
 }
 
-// askedOf returns what the callers of some daemons ask for together, in requests a second.
-func askedOf(senders []sender) float64 {
+// totalDemand returns what the callers of some daemons ask for together, in requests a second.
+func totalDemand(senders []sender) float64 {
 	sum := 0.0
 	for _, s := range senders {
-		sum += s.asked
+		sum += s.demand
 	}
 	return sum
 }
@@ -54,7 +54,7 @@
 	}
 	for _, one := range senders {
 		if one.vm.ID == r.self {
-			s.quota.rate = max(minServerRate, s.limit.Rate) * one.asked / askedOf(senders)
+			s.quota.rate = max(minServerRate, s.limit.Rate) * one.demand / totalDemand(senders)
 		}
 	}
 }
@@ -63,14 +63,14 @@
 // their callers ask for as much as it takes, or of all.
 func (r *Registry) sendersOf(s *server) []sender {
 	var all []sender
-	for _, daemon := range r.leadingAskers(s.vm.Service) {
-		all = append(all, sender{vm: r.daemons[daemon], asked: r.askers[s.vm.Service][daemon].perSecond})
+	for _, daemon := range r.leadingDaemons(s.vm.Service) {
+		all = append(all, sender{vm: r.daemons[daemon], demand: r.demands[s.vm.Service][daemon].perSecond})
 	}
 	near := slices.DeleteFunc(slices.Clone(all), func(d sender) bool { return d.vm.Zone != s.vm.Zone })
 	switch {
 	case len(all) == 0:
 		return firstSenders(s, alike(r.nearTo(s.vm.Zone)))
-	case askedOf(near) < s.limit.Rate:
+	case totalDemand(near) < s.limit.Rate:
 		return firstSenders(s, all)
 	}
 	return firstSenders(s, near)
@@ -88,7 +88,7 @@
 	wanted := minSenders + int(math.Min(float64(len(pool)), sendersEach*s.limit.Rate))
 	var senders []sender
 	for _, vm := range vmlist.Ranked(s.vm.ID, vms) {
-		if len(senders) >= wanted && askedOf(senders) >= s.limit.Rate {
+		if len(senders) >= wanted && totalDemand(senders) >= s.limit.Rate {
 			break
 		}
 		senders = append(senders, byID[vm.ID])
@@ -100,7 +100,7 @@
 func alike(daemons []vmlist.VM) []sender {
 	var equal []sender
 	for _, vm := range daemons {
-		equal = append(equal, sender{vm: vm, asked: 1})
+		equal = append(equal, sender{vm: vm, demand: 1})
 	}
 	return equal
 }
