Count a jump beside a record of uses that was written in the warmup of a deployment

The rate of the last span, that a start goes by, says nothing in a warmup: nobody was served for most of it.

Mend: whoever writes a record less than 3 s after it began to count says so, and a start then counts a jump to four times the rate up to the next write of the record (0.6 s), also for workspaces that the record lacks. Other records count as before, since to reckon with a jump at each death of all refuses callers within their allowance.

--- a/internal/allowance/opening.go
+++ b/internal/allowance/opening.go
@@ -8,6 +8,8 @@
 	Uses map[string]Use
 	// Age is how long before the start of the process that was written.
 	Age time.Duration
+	// Warmup is set when whoever wrote that had just started to count.
+	Warmup bool
 	// Unrecorded is set where nothing was written: the first daemon started Age ago.
 	Unrecorded bool
 }
@@ -24,6 +26,8 @@
 	// usualRecord is the age up to which a record is as old as renewals and a usual death of all
 	// make it. While it was not renewed for longer, a workspace may have become hot.
 	usualRecord = 2 * time.Second
+	// renewEvery is the time between two writes of a record.
+	renewEvery = 500 * time.Millisecond
 	// unseenFor is how long it takes until a record of uses is written: a call to the store,
 	// and the look at what is due ten times a second.
 	unseenFor = 100 * time.Millisecond
@@ -71,13 +75,24 @@
 		return
 	}
 	use, known := l.opening.Uses[name]
-	if !known {
+	if !known && !l.opening.Warmup {
 		return
 	}
 	a.used.fill(use, l.started.Add(-l.opening.Age))
-	since := use[spans-1] / (l.tolerance.Window.Seconds() / spans)
-	unseen := since*(l.opening.Age+unseenFor).Seconds() + l.burst(a) + assumedRise*a.rate*max(0, l.opening.Age-usualRecord).Seconds()
-	a.used.add(max(0, min(unseen, a.limit-a.used.sum())), l.started)
+	a.used.add(max(0, min(l.unseen(a, use), a.limit-a.used.sum())), l.started)
+}
+
+// unseen returns what a workspace may have used after a record was written: at the rate of its last
+// span, and one burst. Callers that were refused until a deployment served them come at once, so that
+// a record from its warmup counts a jump up to its next write.
+func (l *Limiter) unseen(a *account, use Use) float64 {
+	age := l.opening.Age
+	rate := use[spans-1] / (l.tolerance.Window.Seconds() / spans)
+	unseen := rate * (age + unseenFor).Seconds()
+	if l.opening.Warmup {
+		unseen = max(unseen, assumedRise*a.rate*min(age, renewEvery+unseenFor).Seconds())
+	}
+	return unseen + l.burst(a) + assumedRise*a.rate*max(0, age-usualRecord).Seconds()
 }
 
 // unrecorded returns what a workspace may have used since the first daemon started, where nothing was
@@ -112,6 +127,9 @@
 	return uses, known
 }
 
+// Warmup reports whether this process has just started to count what the workspaces use.
+func (l *Limiter) Warmup(now time.Time) bool { return l.Counted(now) < settleFor }
+
 // Adopt takes over, once, what a daemon that has been running for longer tells of the
 // uses: it has heard of what was admitted before this one's start.
 func (l *Limiter) Adopt(uses map[string]Use, now time.Time) {
--- a/internal/allowance/opening_test.go
+++ b/internal/allowance/opening_test.go
@@ -70,6 +70,18 @@
 	c.Check(l.usedNow(), qt.Equals, 0.0, qt.Commentf("daemons start together"))
 }
 
+// TestRecordOfAWarmupCountsAJump guards against taking callers that had waited for the first daemons to serve them
+// for workspaces that used nothing.
+func TestRecordOfAWarmupCountsAJump(t *testing.T) {
+	c := qt.New(t)
+	l := opened(1000, Opening{Warmup: true, Age: 500 * time.Millisecond})
+	c.Check(l.usedNow(), qt.Equals, 1000+4*500.0)
+	l = opened(1000, Opening{Warmup: true, Age: usualRecord})
+	c.Check(l.usedNow(), qt.Equals, 1000+4*600.0, qt.Commentf("up to the next write of the record"))
+	l = opened(1000, Opening{Warmup: true, Uses: steady(500), Age: 0})
+	c.Check(l.usedNow(), qt.Equals, 5050.0, qt.Commentf("the rate of the last span"))
+}
+
 // TestUnknownUsesAreNotTold: neither by a daemon that could not read the record nor by one
 // that has no configuration yet.
 func TestUnknownUsesAreNotTold(t *testing.T) {
--- a/internal/router/allowances.go
+++ b/internal/router/allowances.go
@@ -80,6 +80,7 @@
 func (a *allowances) applyCatalog(c *catalog.Catalog)        { a.limiter.ApplyCatalog(c, a.now()) }
 func (a *allowances) open(o allowance.Opening)               { a.limiter.Open(o, a.now()) }
 func (a *allowances) counted() time.Duration                 { return a.limiter.Counted(a.now()) }
+func (a *allowances) warmup() bool                           { return a.limiter.Warmup(a.now()) }
 func (a *allowances) uses() (map[string]allowance.Use, bool) { return a.limiter.Uses(a.now()) }
 
 // setReach takes over how many of the known daemons are heard.
--- a/internal/router/keptuses.go
+++ b/internal/router/keptuses.go
@@ -32,6 +32,8 @@
 // keptUses is what a lead keeps.
 type keptUses struct {
 	Uses map[string]allowance.Use `json:"uses"`
+	// Warmup is set when the lead had just started to count them.
+	Warmup bool `json:"warmup,omitempty"`
 	// WrittenMs is the time of day at which this was known, in milliseconds since 1970.
 	WrittenMs int64 `json:"written_ms"`
 }
@@ -65,7 +67,7 @@
 	if !known || len(uses) == 0 {
 		return
 	}
-	err := store.Overwrite(ctx, r.objects, usesKind, r.settings.VM.Zone, keptUses{Uses: uses, WrittenMs: now.UnixMilli()})
+	err := store.Overwrite(ctx, r.objects, usesKind, r.settings.VM.Zone, keptUses{Uses: uses, Warmup: r.state.limiter.warmup(), WrittenMs: now.UnixMilli()})
 	if err != nil {
 		r.logger.Warn("what the workspaces use is not written", "error", err)
 	}
@@ -91,7 +93,7 @@
 	}
 	latest := mergeUses(kept)
 	if latest.WrittenMs > memory.WrittenMs {
-		memory.Uses, memory.WrittenMs = latest.Uses, latest.WrittenMs
+		memory.Uses, memory.Warmup, memory.WrittenMs = latest.Uses, latest.Warmup, latest.WrittenMs
 	}
 	return memory, nil
 }
@@ -108,6 +110,7 @@
 		if newest-one.WrittenMs > keptTogether.Milliseconds() {
 			continue
 		}
+		merged.Warmup = merged.Warmup || one.Warmup
 		for workspace, use := range one.Uses {
 			if use.Sum() > merged.Uses[workspace].Sum() {
 				merged.Uses[workspace] = use
