Hand out what is free at servers with a limit over the same part of their window as of workspaces

A server in need gets too little while two thirds of the daemons are without power.

Cause, by the arrivals of 60 plays by the second: what is free goes to a part of the requests so that it lasts for 1.5 s. That was found for workspaces, whose window is 8 s; a server's is 4 s, and of the 4 s without relays a third passes until the dead count as gone.

Mend: it is handed out over three sixteenths of the window: 1.5 s for workspaces as before, 0.75 s for servers.

The test is unchanged.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -101,10 +101,10 @@
 	// of all and cuts beside a jump would break the rule (TestDeathOfAllWhileAWorkspaceIsHot,
 	// TestZoneCutWhileAWorkspaceIsHot).
 	coverShare = 0.5
-	// handOut is the time over which what is free goes to those that want more than that.
-	// Over 0.35 s, the time until 8 daemons hear of each other, the same tests break: the
-	// room that a jump leaves is used up at once 8 s later, and more in each turn.
-	handOut = 1500 * time.Millisecond
+	// handOutShare is the part of a window over which what is free goes to those that want more
+	// than that. Over 0.35 s of 8 s, the time until 8 daemons hear of each other, the same tests
+	// break: the room that a jump leaves is used up at once 8 s later, and more in each turn.
+	handOutShare = 3.0 / 16
 )
 
 // NewLimiter returns a limiter without workspaces. Until it is told of others, it takes
@@ -328,13 +328,18 @@
 		asked += a.own.rate(now)
 		free *= l.certainty(a, now)
 	}
-	rivals := asked * max(handOut, l.behind+l.round, l.horizon(a, now)).Seconds()
+	rivals := asked * max(l.handOut(), l.behind+l.round, l.horizon(a, now)).Seconds()
 	if rivals == 0 && l.share >= 1 {
 		return false
 	}
 	return l.draw() < free/max(rivals, need)
 }
 
+// handOut is the time over which what is free goes to those that want more than that.
+func (l *Limiter) handOut() time.Duration {
+	return time.Duration(handOutShare * float64(l.tolerance.Window))
+}
+
 // uncertainShare is the part of what is free that is used while what others do is not known.
 const uncertainShare = 0.5
 
