Seed the pauses between callers' requests in the plays of servers' advice

The pauses came from an unseeded source, so that a seed of a play that failed could not be played again with the same traffic. The daemons' own draws stay unseeded.

--- a/robustness/onplatform/advice_test.go
+++ b/robustness/onplatform/advice_test.go
@@ -42,7 +42,7 @@
 }
 
 func (p advicePlay) runSeed(t *testing.T, seed uint64, check func(c *qt.C, l *limitsBed)) {
-	l := &limitsBed{play: limitsPlay{each: p.each, trouble: p.trouble}, leavingBed: &leavingBed{random: rand.New(rand.NewPCG(seed, 41)), luck: rand.New(rand.NewPCG(seed, 42)), touched: map[int][]time.Time{}}}
+	l := &limitsBed{seed: seed, play: limitsPlay{each: p.each, trouble: p.trouble}, leavingBed: &leavingBed{random: rand.New(rand.NewPCG(seed, 41)), luck: rand.New(rand.NewPCG(seed, 42)), touched: map[int][]time.Time{}}}
 	runAlone(t, p.daemons, func(b *bed) {
 		l.bed = b
 		l.begun = time.Now().Add(time.Hour)
--- a/robustness/onplatform/limits_test.go
+++ b/robustness/onplatform/limits_test.go
@@ -65,6 +65,7 @@
 type limitsBed struct {
 	*leavingBed
 	play    limitsPlay
+	seed    uint64
 	begun   time.Time
 	servers []*limitedServer
 	sound   []*fake.Runner
@@ -94,7 +95,7 @@
 }
 
 func (p limitsPlay) runSeed(t *testing.T, seed uint64) {
-	l := &limitsBed{play: p, leavingBed: &leavingBed{random: rand.New(rand.NewPCG(seed, 37)), luck: rand.New(rand.NewPCG(seed, 38)), touched: map[int][]time.Time{}}}
+	l := &limitsBed{play: p, seed: seed, leavingBed: &leavingBed{random: rand.New(rand.NewPCG(seed, 37)), luck: rand.New(rand.NewPCG(seed, 38)), touched: map[int][]time.Time{}}}
 	runAlone(t, p.daemons, func(b *bed) {
 		l.bed = b
 		l.begun = time.Now().Add(time.Hour)
@@ -156,9 +157,10 @@
 func (l *limitsBed) ask(ctx context.Context) {
 	var asking sync.WaitGroup
 	for i, ip := range l.ips {
+		pauses := rand.New(rand.NewPCG(l.seed, uint64(i)))
 		asking.Go(func() {
 			for ctx.Err() == nil {
-				pause(ctx, time.Duration((0.5+rand.Float64())*float64(l.play.each)))
+				pause(ctx, time.Duration((0.5+pauses.Float64())*float64(l.play.each)))
 				asking.Go(func() { l.askOnce(ip, i) })
 			}
 		})
