--- a/internal/allowance/opening.go
+++ b/internal/allowance/opening.go
@@ -8,9 +8,9 @@
 	Uses map[string]Use
 	// Age is how long before the start of the process that was written.
 	Age time.Duration
-	// Warmup is set when whoever wrote that had just started to count.
+	// Warmup is set when the writer had just started to count.
 	Warmup bool
-	// Unrecorded is set where nothing was written: the first daemon started Age ago.
+	// Unrecorded is set if there is no record. Age is then the time since the first daemon started.
 	Unrecorded bool
 }
 
@@ -83,8 +83,8 @@
 }
 
 // unseen returns what a workspace may have used after a record was written: at the rate of its last
-// span, and one burst. Callers that were refused until a deployment served them come at once, so that
-// a record from its warmup counts a jump up to its next write.
+// span, and one burst. The last span of a warmup tells no rate, since nobody was served for most of it:
+// a jump counts until the next write of the record.
 func (l *Limiter) unseen(a *account, use Use) float64 {
 	age := l.opening.Age
 	rate := use[spans-1] / (l.tolerance.Window.Seconds() / spans)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -44,7 +44,7 @@
 	WrittenMs int64 `json:"written_ms,omitempty"`
 	// Uses are what the workspaces have used lately.
 	Uses map[string]allowance.Use `json:"uses,omitempty"`
-	// Warmup is set when whoever wrote the uses had just started to count them.
+	// Warmup is set when the writer of the uses had just started to count them.
 	Warmup bool `json:"warmup,omitempty"`
 	// Paces are what was learned of the engines, by service.
 	Paces map[string]pace.EngineFigures `json:"paces,omitempty"`
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -30,7 +30,7 @@
 	return memory
 }
 
-// recall takes over what was known before this process started, and returns whether that says what the
+// recall applies what was known before this process started, and returns whether that tells what the
 // workspaces have used. listed is the number of daemons in the store's list, which may be short.
 func (s *state) recall(memory lease.Memory, listed int, now time.Time) bool {
 	daemons := max(listed, memory.Daemons)
@@ -52,8 +52,8 @@
 	return opened
 }
 
-// openAllowances takes over what the workspaces have used, if that is known: it is in the record, or
-// this is the first start of all.
+// openAllowances applies what the workspaces have used: what the record tells, or nothing at the first
+// start of all daemons. It returns false if neither is the case.
 func (s *state) openAllowances(memory lease.Memory) bool {
 	opening := allowance.Opening{Uses: memory.Uses, Warmup: memory.Warmup, Age: max(0, s.started.Sub(time.UnixMilli(memory.WrittenMs)))}
 	if memory.WrittenMs == 0 {
--- a/internal/router/register.go
+++ b/internal/router/register.go
@@ -26,7 +26,7 @@
 // registerRetry follows a failed try to register.
 const registerRetry = time.Second
 
-// registration is how far a daemon has got with what it does once after its start.
+// registration is the progress of register: what was known is recalled, and the allowances are opened.
 type registration struct {
 	recalled, opened bool
 }
@@ -77,8 +77,8 @@
 	return unread
 }
 
-// openWithoutRecord takes what the workspaces have used for what they may have since the first daemon
-// started: those before may all have died before they wrote a record.
+// openWithoutRecord counts the most that the workspaces may have used since the first daemon started:
+// all that ran before may have died without writing a record.
 func (r *Router) openWithoutRecord(ctx context.Context) error {
 	page, err := r.objects.List(ctx, daemonKind)
 	if err != nil {
