--- a/internal/router/keptuses_test.go
+++ b/internal/router/keptuses_test.go
@@ -19,4 +19,8 @@
 	})
 	c.Check(merged, qt.DeepEquals, keptUses{WrittenMs: 10_000, Uses: map[string]allowance.Use{"a": {0, 300}, "b": {0, 7}, "c": {5}}})
 	c.Check(mergeUses(nil).WrittenMs, qt.Equals, int64(0))
+	merged = mergeUses([]keptUses{{WrittenMs: 10_000}, {WrittenMs: 9_400, Warmup: true}})
+	c.Check(merged.Warmup, qt.IsTrue, qt.Commentf("one of the leads has just started"))
+	merged = mergeUses([]keptUses{{WrittenMs: 10_000}, {WrittenMs: 2_000, Warmup: true}})
+	c.Check(merged.Warmup, qt.IsFalse, qt.Commentf("the older one does not count"))
 }
--- a/internal/router/register_test.go
+++ b/internal/router/register_test.go
@@ -54,3 +54,30 @@
 		synctest.Wait()
 	})
 }
+
+// TestFirstStartIsKnownOnlyIfAllEntriesTellIt guards against taking the daemons of an older version for new ones.
+func TestFirstStartIsKnownOnlyIfAllEntriesTellIt(t *testing.T) {
+	c := qt.New(t)
+	page := func(specs ...string) (page store.Page) {
+		for i, spec := range specs {
+			page.Objects = append(page.Objects, store.Object{Name: fmt.Sprintf("vm-%d", i), Spec: json.RawMessage(spec)})
+		}
+		return page
+	}
+	for _, test := range []struct {
+		page  store.Page
+		first int64
+		known bool
+	}{
+		{page(`{"zone":"z","since_ms":7}`, `{"zone":"z","since_ms":5}`, `{"zone":"z","since_ms":6}`), 5, true},
+		{page(`{"zone":"z","since_ms":7}`, `{"zone":"z"}`), 0, false},
+		{page(`{"zone":"z","since_ms":7}`, `unreadable`), 0, false},
+		{page(), 0, false},
+	} {
+		first, known := firstStart(test.page)
+		c.Check(known, qt.Equals, test.known)
+		if known {
+			c.Check(first.UnixMilli(), qt.Equals, test.first)
+		}
+	}
+}
--- a/robustness/onplatform/start_test.go
+++ b/robustness/onplatform/start_test.go
@@ -102,3 +102,15 @@
 		})
 	}
 }
+
+// TestRestartKeepsTheTimeOfTheFirstStart guards against restarts that pass for first starts.
+func TestRestartKeepsTheTimeOfTheFirstStart(t *testing.T) {
+	run(t, 2, func(b *bed) { b.configure(routes{plainRoute("/a/", "idempotent", 1)}) }, func(b *bed) {
+		entry := func() string { return string(b.store.Object("plankridge-daemons", "vm-1")) }
+		first := entry()
+		b.Assert(first, qt.Contains, `"since_ms"`)
+		b.restartAll(time.Second)
+		b.settle()
+		b.Check(entry(), qt.Equals, first)
+	})
+}
