--- a/internal/allowance/play_test.go
+++ b/internal/allowance/play_test.go
@@ -232,3 +232,15 @@
 		})
 	}
 }
+
+// TestDeathOfMostAsACutEnds guards against what the other side of a cut has used being told by nobody.
+func TestDeathOfMostAsACutEnds(t *testing.T) {
+	play(t, 60, func(r *rand.Rand) script {
+		hot := ms(r, 14_000, 18_000)
+		dies := hot + ms(r, 2_000, 4_500)
+		return script{hot: hot, x: 3 + 4*r.Float64(), events: []event{
+			{at: hot - ms(r, 5_000, 8_000), until: dies + ms(r, 0, 1_500), cut: true, zone: r.IntN(4)},
+			{at: dies, until: dies + time.Second, dead: 0.6},
+		}}
+	}, kept)
+}
