Log what the allowance decided on, its changes, and where its sums come from

Of a workspace above its allowance the logs told, per admitted request, its cost alone. A changed allowance, and sums from another lead or that this daemon cannot compare with its own reports, get a line each. No decision changes.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -120,10 +120,19 @@
 	}
 }
 
-// ApplyCatalog takes over the allowances of a configuration.
-func (l *Limiter) ApplyCatalog(c *catalog.Catalog, now time.Time) {
+// Change is an allowance that a configuration has changed.
+type Change struct {
+	Workspace string
+	// Before and Limit are what it may use in a window, and Used what it has, in tokens.
+	Before, Limit, Used float64
+}
+
+// ApplyCatalog takes over the allowances of a configuration. It returns those that were there before
+// and have changed.
+func (l *Limiter) ApplyCatalog(c *catalog.Catalog, now time.Time) []Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var changes []Change
 	next := map[string]*account{}
 	for _, w := range c.Workspaces {
 		a := l.accounts[w.Name]
@@ -131,12 +140,17 @@
 			a = &account{used: newWindow(l.tolerance.Window, l.started)}
 			a.used.advance(now)
 		}
+		before := a.limit
 		a.rate = w.TokensPerSecond
 		a.limit = w.TokensPerSecond*l.tolerance.Window.Seconds() + w.Burst
+		if l.accounts[w.Name] != nil && a.limit != before {
+			changes = append(changes, Change{Workspace: w.Name, Before: before, Limit: a.limit, Used: a.used.sum()})
+		}
 		l.open(w.Name, a, now)
 		next[w.Name] = a
 	}
 	l.accounts = next
+	return changes
 }
 
 // SetReach takes over how many of the known daemons are heard, this one
@@ -212,22 +226,34 @@
 		free -= a.others.missed(now)
 	}
 	unheard := l.unheard(a, now)
-	if need+unheard <= free || l.drawn(a, need, free, now) {
-		a.used.add(tokens, now)
-		a.spent += tokens
-		return Verdict{Admitted: true, At: now}
+	verdict := Verdict{
+		Admitted: need+unheard <= free,
+		Limit:    a.limit, Used: a.used.sum(), Free: free, Unheard: unheard, Asked: l.asked(a, now), HeardAgo: a.others.heardAgo(now),
+		Share: l.share, Opened: a.opened,
+	}
+	if !verdict.Admitted {
+		verdict.Drawn = l.drawn(a, need, free, now)
+		verdict.Admitted = verdict.Drawn
 	}
-	a.refused += tokens
-	return Verdict{
-		RetryAfter: l.wait(a, need+unheard-free, now),
-		Limit:      a.limit, Used: a.used.sum(), Free: free, Unheard: unheard, Share: l.share, Opened: a.opened,
+	if !verdict.Admitted {
+		a.refused += tokens
+		verdict.RetryAfter = l.wait(a, need+unheard-free, now)
+		return verdict
 	}
+	a.used.add(tokens, now)
+	a.spent += tokens
+	verdict.At = now
+	return verdict
 }
 
-// Verdict is a decision on a request, and if it is refused, what decided it.
+// Verdict is a decision on a request, and what decided it. All but Admitted is zero where there is no
+// allowance.
 type Verdict struct {
 	Admitted bool
-	// At is when the request was admitted, where there is an allowance.
+	// Drawn is set for a request that was admitted by chance, since what is free does not suffice for
+	// all that others may ask for.
+	Drawn bool
+	// At is when the request was admitted.
 	At time.Time
 	// RetryAfter is when a caller that is refused had better come back.
 	RetryAfter time.Duration
@@ -235,6 +261,10 @@
 	// daemon may count on and Unheard what others may have admitted since they were
 	// heard, in tokens.
 	Limit, Used, Free, Unheard float64
+	// Asked is how fast others are taken to be asked, in tokens a second.
+	Asked float64
+	// HeardAgo is the age of what others told last, or zero before they did.
+	HeardAgo time.Duration
 	// Share is the part of the daemons that is heard.
 	Share float64
 	// Opened is set once what was used before the start is known.
--- a/internal/allowance/others.go
+++ b/internal/allowance/others.go
@@ -98,6 +98,14 @@
 	o.asked.saw(spent+refused, elapsed)
 }
 
+// heardAgo returns how long ago they were last heard, or zero if they never were.
+func (o *others) heardAgo(now time.Time) time.Duration {
+	if o.heardAt.IsZero() {
+		return 0
+	}
+	return now.Sub(o.heardAt)
+}
+
 // missed returns what they are taken to have spent since they were last heard.
 func (o *others) missed(now time.Time) float64 {
 	if o.heardAt.IsZero() {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -125,8 +125,8 @@
 	first   time.Duration
 	status  int
 	history []attempted
-	// refused is set when the allowance did not admit the call.
-	refused *allowance.Verdict
+	// verdict is the decision of the call's allowance, if it has one.
+	verdict *allowance.Verdict
 }
 
 // Forward serves a call. It returns nil when the answer of a server was passed
@@ -174,8 +174,8 @@
 	cost := r.call.cost(w)
 	r.cost = cost
 	verdict := r.options.Limiter.Admit(w.Name, cost)
+	r.verdict = &verdict
 	if !verdict.Admitted {
-		r.refused = &verdict
 		return &Refusal{Status: http.StatusTooManyRequests, Reason: "workspace is above its allowance", RetryAfter: verdict.RetryAfter}
 	}
 	err := r.attempts(ctx)
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -62,9 +62,10 @@
 		"attempts", r.history, "allowance_tokens", r.cost, "config_version", r.call.Catalog.Version,
 		"config_age_ms", time.Since(r.call.Catalog.TakenAt).Milliseconds(), "servers_age_ms", serversAge.Milliseconds(), "store_failing", storeFailing,
 	}
-	if v := r.refused; v != nil {
+	if v := r.verdict; v != nil {
 		attrs = append(attrs, "allowance_limit", int64(v.Limit), "allowance_used", int64(v.Used), "allowance_free", int64(v.Free),
-			"allowance_unheard", int64(v.Unheard), "allowance_share", v.Share, "allowance_opened", v.Opened)
+			"allowance_unheard", int64(v.Unheard), "allowance_asked", int64(v.Asked), "allowance_heard_ms", v.HeardAgo.Milliseconds(),
+			"allowance_drawn", v.Drawn, "allowance_share", v.Share, "allowance_opened", v.Opened)
 	}
 	if err != nil {
 		attrs = append(attrs, "reason", err.Error())
--- a/internal/router/allowances.go
+++ b/internal/router/allowances.go
@@ -77,12 +77,19 @@
 	return own
 }
 
-func (a *allowances) applyCatalog(c *catalog.Catalog)        { a.limiter.ApplyCatalog(c, a.now()) }
 func (a *allowances) open(o allowance.Opening)               { a.limiter.Open(o, a.now()) }
 func (a *allowances) counted() time.Duration                 { return a.limiter.Counted(a.now()) }
 func (a *allowances) warmup() bool                           { return a.limiter.Warmup(a.now()) }
 func (a *allowances) uses() (map[string]allowance.Use, bool) { return a.limiter.Uses(a.now()) }
 
+// applyCatalog takes over the allowances of a configuration, and logs those that it changes.
+func (a *allowances) applyCatalog(c *catalog.Catalog) {
+	for _, change := range a.limiter.ApplyCatalog(c, a.now()) {
+		a.logger.Info("allowance changed", "workspace", change.Workspace, "config_version", c.Version,
+			"allowance_limit_before", int64(change.Before), "allowance_limit", int64(change.Limit), "allowance_used", int64(change.Used))
+	}
+}
+
 // setReach takes over how many of the known daemons are heard.
 func (a *allowances) setReach(heard, known int) {
 	now := a.now()
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -222,6 +222,7 @@
 	s.view.Learn(counts.Paces)
 	s.told, s.toldAt = s.lead.reach.Known, now
 	s.mu.Unlock()
+	s.logLead(before, known)
 	if !known && status.GetTaken() != 0 {
 		// The lead has an older report than is remembered: the next one will do.
 		return
@@ -239,6 +240,20 @@
 	s.hearUsed(status.GetVm(), status.GetIncarnation(), allowance.Counters{Spent: counts.Spent, Refused: counts.Refused}, first, now)
 }
 
+// logLead writes a line when the sums come from another lead than before, and when they begin or cease to
+// hold a report of this daemon that it remembers.
+func (s *state) logLead(before leadAccount, comparable bool) {
+	s.mu.Lock()
+	s.lead.comparable = comparable
+	now := s.lead
+	s.mu.Unlock()
+	if now.vm == before.vm && now.incarnation == before.incarnation && now.comparable == before.comparable {
+		return
+	}
+	s.router.logger.Info("sums come from another lead", "lead", now.vm, "incarnation", now.incarnation, "lead_before", before.vm,
+		"own_report", now.taken, "own_report_known", comparable, "heard", now.reach.Heard, "known", now.reach.Known)
+}
+
 // startedWith reports whether this daemon and the one that tells have both just
 // started.
 func (s *state) startedWith(status *gossippb.Status) bool {
@@ -274,6 +289,9 @@
 	before := s.lead.vm
 	s.lead = leadAccount{vm: s.router.settings.VM.ID}
 	s.mu.Unlock()
+	if changed {
+		s.router.logger.Info("sums are this daemon's own", "lead_before", before)
+	}
 	s.useReach(now)
 	others := s.sums.Others(now)
 	s.view.SetRemote(others.Loads, now)
@@ -290,7 +308,9 @@
 	at          time.Time
 	// taken is the sequence of this daemon's report that the sums hold, or zero.
 	taken uint64
-	reach rollup.Reach
+	// comparable is set while this daemon remembers that report.
+	comparable bool
+	reach      rollup.Reach
 	// demand is what is asked of each service, without what was asked of this daemon,
 	// which the sums also hold.
 	demand, without map[string]demand.Load
