--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -57,6 +57,9 @@
 	bootstrap bool
 	// zones is the number of availability zones of the daemons; without it there are three.
 	zones int
+	// quotaOver and quotaSlack are how far above its allowance a workspace may get, as a share of a
+	// window's allowance and in tokens.
+	quotaOver, quotaSlack float64
 }
 
 // daemon is one router with the means to end it.
@@ -128,6 +131,7 @@
 			RetryRatio: 0.2, RetryWindow: config.Duration(10 * time.Second), RetryExtra: 50,
 			UsageWindow: config.Duration(5 * time.Second), UsageDue: config.Duration(10 * time.Second),
 			RollOutShare: 0.1, RollOutSlack: 50, RollOutStop: config.Duration(5 * time.Second),
+			QuotaOver: b.quotaOver, QuotaSlack: b.quotaSlack,
 		},
 	}
 	r, err := router.New(router.Options{
