Keep what is known of the other daemons while a restarted lead warms up

A lead that has run for less than the time in which a zone counts as heard has not heard all; daemons that have run for longer keep the reach that they knew, and do not take over sums that lack their own report. What a lead hears after that time stands, so a cut beside its start is seen 1.5 s later.

TestLeadThatHasJustStartedEndsNoTrust fails before (1 and 5 of 9 heard).

--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -210,13 +210,21 @@
 	if plan.Lead || (status.GetVm() != plan.LeadVM && !s.mayListen(status.GetVm(), now)) {
 		return
 	}
+	warmup := s.leadWarmsUp(status)
+	if warmup && status.GetTaken() == 0 {
+		return
+	}
+	reach := decodeReach(status.GetReach())
+	if before, _ := s.reach(now); warmup && before.Heard > reach.Heard {
+		reach = before
+	}
 	counts := s.decodeSums(all)
 	s.mu.Lock()
 	own, known := s.sent[status.GetTaken()]
 	before := s.lead
 	s.lead = leadAccount{
 		vm: status.GetVm(), incarnation: status.GetIncarnation(), at: now, taken: status.GetTaken(),
-		reach: decodeReach(status.GetReach()), demand: counts.Demand, without: own.Demand,
+		reach: reach, demand: counts.Demand, without: own.Demand,
 	}
 	s.lead.versions = counts.Versions
 	s.view.Learn(counts.Paces)
@@ -260,6 +268,12 @@
 	return time.Since(s.started) < settling && time.Duration(status.GetUptimeMs())*time.Millisecond < settling
 }
 
+// leadWarmsUp reports whether a lead has started so lately that it may not have heard all others yet, while
+// this daemon has been running for longer.
+func (s *state) leadWarmsUp(status *gossippb.Status) bool {
+	return time.Duration(status.GetUptimeMs())*time.Millisecond < rollup.FreshFor && !s.startedWith(status)
+}
+
 // hearUsed tells the limiter what others have used.
 func (s *state) hearUsed(vm string, incarnation uint64, used allowance.Counters, first bool, now time.Time) {
 	round := s.router.node.Round(now)
--- a/internal/router/talk_test.go
+++ b/internal/router/talk_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
 	"github.com/plankridge/plankridge/internal/rollup"
 )
 
@@ -41,3 +42,32 @@
 		c.Check(heard.Loads[key], qt.Equals, backend.Load{})
 	}
 }
+
+// TestLeadThatHasJustStartedEndsNoTrust guards against daemons that take themselves for cut off, and forget what
+// others are asked, since their lead has started again and heard few.
+func TestLeadThatHasJustStartedEndsNoTrust(t *testing.T) {
+	c := qt.New(t)
+	s := testRouter(t).state
+	now := time.Now()
+	s.started = now.Add(-time.Hour)
+	s.router.members.Learn("vm-0", "zone-1", "10.1.0.9:82", now)
+	s.lead = leadAccount{vm: "vm-0", incarnation: 1, at: now, taken: 3, reach: rollup.Reach{Heard: 9, Known: 9}}
+	s.sent[4] = rollup.NewCounts()
+	for _, step := range []struct {
+		uptime time.Duration
+		taken  uint64
+		heard  int
+		want   int
+	}{
+		{50 * time.Millisecond, 0, 1, 9},
+		{100 * time.Millisecond, 4, 5, 9},
+		{rollup.FreshFor, 4, 5, 5},
+	} {
+		s.heardLead(&gossippb.Status{
+			Vm: "vm-0", Incarnation: 2, UptimeMs: step.uptime.Milliseconds(), Taken: step.taken,
+			Reach: encodeReach(rollup.Reach{Heard: step.heard, Known: 9}),
+		}, encodeCounts(rollup.NewCounts()), now)
+		reach, _ := s.reach(now)
+		c.Check(reach.Heard, qt.Equals, step.want, qt.Commentf("%v after the lead's start", step.uptime))
+	}
+}
