Remember how fast all daemons are asked while few of them are heard

Cause, from the limiter's lines: the daemons that are left hear nobody for 4 s, forget what others were asked (allowance_asked 815 a second before, 0 alone, then 80, four times the rate), and admit 100 of 180 requests in the half second after the relays are back, none of them by a draw. Where a part of the others was not heard their demand was scaled down for good: at the end of a cut it was that of one side.

Demand and spending are kept as of all known daemons: what is heard is divided by the part of them that is heard, and multiplied by it when it is used. Alone, nothing is measured.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -48,8 +48,8 @@
 	partedAt time.Time
 	// alone is set while no other is heard, after the time to be.
 	alone bool
-	// peers is the number of other daemons that are heard.
-	peers int
+	// peers is the number of other daemons that are heard, and knownPeers of those that are known.
+	peers, knownPeers int
 	// behind is how old what is told may be when it comes, and round the time until the
 	// next news.
 	behind, round time.Duration
@@ -165,7 +165,8 @@
 	}
 	l.settled = l.settled || share >= 1 || now.Sub(l.started) >= settleFor
 	l.alone = l.settled && heard <= 1
-	l.peers = max(0, heard-1)
+	before := l.peersHeard()
+	l.peers, l.knownPeers = max(0, heard-1), max(0, known-1)
 	switch {
 	case share >= 1:
 		l.partedAt = time.Time{}
@@ -173,32 +174,34 @@
 		l.partedAt = now
 	}
 	for _, a := range l.accounts {
-		l.reach(a, heard, share, now)
+		l.reach(a, share, before-l.peersHeard(), now)
 	}
 	l.share = share
 }
 
-// reach takes over that the part of the daemons that is heard has changed. Those that are
-// not heard any more go on, but with their own part; what they have spent since they fell
+// peersHeard returns the part of the other daemons that is heard.
+func (l *Limiter) peersHeard() float64 {
+	if l.knownPeers == 0 {
+		return 1
+	}
+	return min(1, float64(l.peers)/float64(l.knownPeers))
+}
+
+// reach takes over that the part of the daemons that is heard has changed, and that a part of the others is not
+// heard any more. Those go on, but with their own part; what they have spent since they fell
 // silent is taken to be as much as before. Those that are heard again tell at once what
 // they have spent meanwhile, which says nothing of how fast they are asked: taken for 0.15 s
 // worth of it, 5 s of a cut kept a workspace from what was free for 8 s more.
-func (l *Limiter) reach(a *account, heard int, share float64, now time.Time) {
+func (l *Limiter) reach(a *account, share, lost float64, now time.Time) {
 	if share != l.share {
 		a.others.disturbedAt = now
 	}
-	switch {
-	case share > l.share:
+	if share > l.share {
 		a.others.backlog = true
-	case share < l.share:
-		lost := 1 - share/l.share
+	}
+	if lost > 0 {
 		a.used.advance(now)
 		a.used.add(a.others.spending.rate*lost*l.behind.Seconds(), now)
-		a.others.spending.rate *= 1 - lost
-		a.others.asked.rate *= 1 - lost
-	}
-	if heard <= 1 {
-		a.others = others{disturbedAt: a.others.disturbedAt}
 	}
 }
 
@@ -318,10 +321,14 @@
 	case !a.others.measured:
 		return assumedRise * a.rate
 	}
+	measured := a.others.asked.rate
+	if l.settled {
+		measured *= l.peersHeard()
+	}
 	if l.overdue(a, now) || (a.likeOwn && a.others.disturbed(now)) {
-		return max(a.others.asked.rate, l.asOwn(a, now))
+		return max(measured, l.asOwn(a, now))
 	}
-	return a.others.asked.rate
+	return measured
 }
 
 // asOwn returns how fast others are asked if each is asked as this daemon is.
@@ -446,6 +453,9 @@
 			// Between two sources what others spent is told by none. Each is taken to have
 			// spent what it spent before, or as much as this daemon: while all leads were dead
 			// a workspace that had become hot used a quarter of its allowance untold.
+			if l.alone {
+				continue
+			}
 			like := (a.spent - a.spentAtNews) * float64(l.peers)
 			a.used.add(max(a.others.missed(now), like), now)
 			a.others.heardAt, a.others.disturbedAt, a.spentAtNews = now, now, a.spent
@@ -458,8 +468,10 @@
 		} else {
 			a.used.add(spent, now)
 		}
-		a.others.hear(spent, refused, now)
-		a.spentAtNews = a.spent
+		if !l.alone {
+			a.others.hear(spent, refused, l.peersHeard(), now)
+			a.spentAtNews = a.spent
+		}
 	}
 	if !known {
 		for old := range l.heard {
--- a/internal/allowance/others.go
+++ b/internal/allowance/others.go
@@ -66,6 +66,8 @@
 
 // others is what the other daemons do for one workspace, as far as they have told.
 type others struct {
+	// spending and asked are those of all other daemons: where a part of them is heard, the rest is taken
+	// to be asked like it.
 	spending, asked pace
 	// heardAt is when they were last heard, and measured is set once they were heard twice,
 	// so that it is known how fast they are.
@@ -85,17 +87,17 @@
 // disturbed reports whether the others' demand has not been measured again yet.
 func (o *others) disturbed(now time.Time) bool { return now.Sub(o.disturbedAt) < remeasureFor }
 
-// hear takes over what they have spent and refused since they were last heard.
-func (o *others) hear(spent, refused float64, now time.Time) {
+// hear takes over what the part of them that is heard has spent and refused since it was last heard.
+func (o *others) hear(spent, refused, part float64, now time.Time) {
 	elapsed := now.Sub(o.heardAt)
 	unknown := o.heardAt.IsZero() || o.backlog
 	o.heardAt, o.backlog = now, false
-	if unknown || elapsed <= 0 {
+	if unknown || elapsed <= 0 || part <= 0 {
 		return
 	}
 	o.measured = true
-	o.spending.saw(spent, elapsed)
-	o.asked.saw(spent+refused, elapsed)
+	o.spending.saw(spent/part, elapsed)
+	o.asked.saw((spent+refused)/part, elapsed)
 }
 
 // heardAgo returns how long ago they were last heard, or zero if they never were.
