Tell daemons that start how fast all are asked, and let them take others for asked like themselves

Until others were heard twice, their demand was taken for four times the allowance's rate.

The record of uses, and what a daemon that starts is told of them, now bear how fast all are asked. It holds until demand is measured, or more, where this daemon is asked for more by itself; where nobody told it, others are taken to be asked as this daemon is from its first request on, and a daemon that knows of no other takes itself for one of 330. Reports among running daemons stay as they are.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -115,7 +115,7 @@
 	}
 	return &Limiter{
 		started: now, countingSince: now, tolerance: tolerance, draw: draw, share: 1,
-		behind: firstBehind, round: firstBehind,
+		behind: firstBehind, round: firstBehind, knownPeers: unknownPeers,
 		accounts: map[string]*account{}, heard: map[reporter]Counters{},
 	}
 }
@@ -179,6 +179,9 @@
 	l.share = share
 }
 
+// unknownPeers is the number of other daemons while it is not known: that of the largest deployment.
+const unknownPeers = 329
+
 // peersHeard returns the part of the other daemons that is heard.
 func (l *Limiter) peersHeard() float64 {
 	if l.knownPeers == 0 {
@@ -187,6 +190,15 @@
 	return min(1, float64(l.peers)/float64(l.knownPeers))
 }
 
+// rivals returns the number of other daemons that take their part of the same allowance: those that are heard, and
+// after a start all that are known.
+func (l *Limiter) rivals() int {
+	if !l.settled {
+		return max(l.peers, l.knownPeers)
+	}
+	return l.peers
+}
+
 // reach takes over that the part of the daemons that is heard has changed, and that a part of the others is not
 // heard any more. Those go on, but with their own part; what they have spent since they fell
 // silent is taken to be as much as before. Those that are heard again tell at once what
@@ -316,10 +328,8 @@
 	switch {
 	case l.alone:
 		return 0
-	case !a.others.measured && a.likeOwn:
-		return max(assumedRise*a.rate, l.asOwn(a, now))
 	case !a.others.measured:
-		return assumedRise * a.rate
+		return max(assumedRise*a.rate, a.others.asked.rate, l.assumed(a, now))
 	}
 	measured := a.others.asked.rate
 	if l.settled {
@@ -331,9 +341,19 @@
 	return measured
 }
 
+// assumed returns how fast others are asked while they have not told it, if each is asked as this daemon is.
+// Where it is known how fast they were asked before, one request of this daemon says nothing.
+func (l *Limiter) assumed(a *account, now time.Time) float64 {
+	rate := a.own.rate(now)
+	if a.others.told {
+		rate = a.own.rateAfterFirst(now)
+	}
+	return rate * float64(l.rivals())
+}
+
 // asOwn returns how fast others are asked if each is asked as this daemon is.
 func (l *Limiter) asOwn(a *account, now time.Time) float64 {
-	return a.own.rate(now) * float64(l.peers)
+	return a.own.rate(now) * float64(l.rivals())
 }
 
 // overdue reports whether news of others should have come by now. Those that tell them may
--- a/internal/allowance/history_test.go
+++ b/internal/allowance/history_test.go
@@ -54,6 +54,7 @@
 	// had been used, and whole makes them take themselves for all in a cut: mistakes that
 	// have to show.
 	deaf, forget, whole bool
+	debug               func(p *player)
 }
 
 // event is a trouble of the deployment.
@@ -126,15 +127,17 @@
 	round  time.Duration
 	fleet  []*daemon
 	// phases are when the leads of the zones tell, within a round.
-	phases     []time.Duration
-	now        time.Duration
-	used       []float64
-	total      float64
-	limit      float64
-	record     map[string]Use
-	recordedAt time.Duration
-	returns    map[time.Duration][]float64
-	outcome    outcome
+	phases []time.Duration
+	now    time.Duration
+	used   []float64
+	total  float64
+	limit  float64
+	record map[string]Use
+	// recordedAsked is how fast all were asked then.
+	recordedAsked map[string]float64
+	recordedAt    time.Duration
+	returns       map[time.Duration][]float64
+	outcome       outcome
 }
 
 func (h history) play() outcome {
@@ -179,7 +182,7 @@
 	case p.forget:
 		d.limiter.Open(Opening{}, p.time())
 	case readable:
-		d.limiter.Open(Opening{Uses: p.record, Age: p.now - p.recordedAt}, p.time())
+		d.limiter.Open(Opening{Uses: p.record, Asked: p.recordedAsked, Age: p.now - p.recordedAt}, p.time())
 	}
 	d.limiter.ApplyCatalog(p.allowanceOf(d), p.time())
 	if readable {
@@ -245,7 +248,7 @@
 		case p.now == e.until && !d.alive:
 			p.begin(d, !e.unread && e.late == 0)
 		case e.late > 0 && p.now == e.until+e.late && d.alive:
-			d.limiter.Open(Opening{Uses: p.record, Age: d.started - p.recordedAt}, p.time())
+			d.limiter.Open(Opening{Uses: p.record, Asked: p.recordedAsked, Age: d.started - p.recordedAt}, p.time())
 		}
 	}
 }
@@ -335,13 +338,14 @@
 	reach, behind := p.useOwnSums(lead)
 	sums := lead.sums.All(p.time())
 	uses, known := lead.limiter.Uses(p.clock(lead))
+	asked := lead.limiter.Asked(p.clock(lead))
 	for _, d := range p.fleet {
 		if d.zone != zone || !d.runs() || d == lead || p.random.Float64() < p.lossOfDigests {
 			continue
 		}
 		p.hearLead(d, lead, reach, behind, Counters{Spent: sums.Spent, Refused: sums.Refused})
 		if known {
-			d.limiter.TakeUses(uses, lead.limiter.Counted(p.clock(lead)), p.clock(d))
+			d.limiter.TakeUses(uses, asked, lead.limiter.Counted(p.clock(lead)), p.clock(d))
 		}
 	}
 }
@@ -445,7 +449,7 @@
 			continue
 		}
 		if uses, known := relays[0].limiter.Uses(p.clock(relays[0])); known {
-			p.record, p.recordedAt = uses, p.now
+			p.record, p.recordedAsked, p.recordedAt = uses, relays[0].limiter.Asked(p.clock(relays[0])), p.now
 		}
 		return
 	}
--- a/internal/allowance/opening.go
+++ b/internal/allowance/opening.go
@@ -6,6 +6,8 @@
 type Opening struct {
 	// Uses are by workspace. One that is missing has used nothing.
 	Uses map[string]Use
+	// Asked is how fast all were asked then, in tokens a second, or nil if that is not known.
+	Asked map[string]float64
 	// Age is how long before the start of the process that was written.
 	Age time.Duration
 	// Warmup is set when the writer had just started to count.
@@ -70,6 +72,9 @@
 	}
 	a.opened = true
 	a.used.advance(now)
+	if l.opening.Asked != nil {
+		a.others.expect(l.opening.Asked[name])
+	}
 	if l.opening.Unrecorded {
 		a.used.add(l.unrecorded(a), l.started)
 		return
@@ -127,12 +132,25 @@
 	return uses, known
 }
 
+// Asked returns how fast all daemons are asked, in tokens a second, for daemons that start.
+func (l *Limiter) Asked(now time.Time) map[string]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	asked := make(map[string]float64, len(l.accounts))
+	for name, a := range l.accounts {
+		if rate := a.others.asked.rate + a.own.rate(now); rate > 0 {
+			asked[name] = rate
+		}
+	}
+	return asked
+}
+
 // Warmup reports whether this process has just started to count what the workspaces use.
 func (l *Limiter) Warmup(now time.Time) bool { return l.Counted(now) < settleFor }
 
 // Adopt takes over, once, what a daemon that has been running for longer tells of the
-// uses: it has heard of what was admitted before this one's start.
-func (l *Limiter) Adopt(uses map[string]Use, now time.Time) {
+// uses, and of how fast all are asked: it has heard of what was admitted before this one's start.
+func (l *Limiter) Adopt(uses map[string]Use, asked map[string]float64, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, a := range l.accounts {
@@ -141,6 +159,9 @@
 		}
 		use := uses[name]
 		a.opened, a.adopted = true, true
+		if asked != nil {
+			a.others.expect(asked[name])
+		}
 		a.used = newWindow(l.tolerance.Window, l.started)
 		a.used.advance(now)
 		a.used.fill(use, now)
--- a/internal/allowance/opening_test.go
+++ b/internal/allowance/opening_test.go
@@ -103,9 +103,9 @@
 	l := opened(1000, Opening{Uses: steady(800)})
 	ok := l.Admit("w", 500, start).Admitted
 	c.Assert(ok, qt.IsTrue)
-	l.Adopt(map[string]Use{"w": {0, 0, 0, 100}}, start)
+	l.Adopt(map[string]Use{"w": {0, 0, 0, 100}}, nil, start)
 	c.Check(l.usedNow(), qt.Equals, 600.0)
-	l.Adopt(map[string]Use{}, start)
+	l.Adopt(map[string]Use{}, nil, start)
 	c.Check(l.usedNow(), qt.Equals, 600.0, qt.Commentf("once"))
 }
 
--- a/internal/allowance/others.go
+++ b/internal/allowance/others.go
@@ -24,14 +24,23 @@
 // asks each of 300 daemons for two requests a second.
 const ownSlice = 500 * time.Millisecond
 
+// minOwnSpan is the shortest time that a rate is taken over: two requests at once are no rate.
+const minOwnSpan = 200 * time.Millisecond
+
 // ownPace is how fast this daemon itself is asked, over the present slice and the one before.
 type ownPace struct {
 	begun        time.Time
 	before, here float64
+	// since is when the first request came, and first its tokens.
+	since time.Time
+	first float64
 }
 
 // asked counts tokens that were asked for.
 func (o *ownPace) asked(tokens float64, now time.Time) {
+	if o.since.IsZero() {
+		o.since, o.first = now, tokens
+	}
 	o.advance(now)
 	o.here += tokens
 }
@@ -46,9 +55,22 @@
 }
 
 // rate returns it in tokens a second.
-func (o *ownPace) rate(now time.Time) float64 {
+func (o *ownPace) rate(now time.Time) float64 { return o.rateOf(0, now) }
+
+// rateAfterFirst returns it without the first request, which begins the time that it is taken over.
+func (o *ownPace) rateAfterFirst(now time.Time) float64 { return o.rateOf(o.first, now) }
+
+func (o *ownPace) rateOf(without float64, now time.Time) float64 {
+	if o.since.IsZero() {
+		return 0
+	}
 	o.advance(now)
-	return (o.before + o.here) / (ownSlice + now.Sub(o.begun)).Seconds()
+	known := now.Sub(o.since)
+	if known >= 2*ownSlice {
+		without = 0
+	}
+	span := min(ownSlice+now.Sub(o.begun), max(minOwnSpan, known))
+	return max(0, o.before+o.here-without) / span.Seconds()
 }
 
 // pace is how fast something is asked for or spent, in tokens a second.
@@ -73,6 +95,8 @@
 	// so that it is known how fast they are.
 	heardAt  time.Time
 	measured bool
+	// told is set once it is known from others how fast all were asked before.
+	told bool
 	// backlog is set when some of them are heard again: what they tell next they have spent
 	// since long.
 	backlog bool
@@ -100,6 +124,13 @@
 	o.asked.saw((spent+refused)/part, elapsed)
 }
 
+// expect takes over how fast all were asked, as others knew it.
+func (o *others) expect(asked float64) {
+	if !o.measured {
+		o.told, o.asked.rate = true, asked
+	}
+}
+
 // heardAgo returns how long ago they were last heard, or zero if they never were.
 func (o *others) heardAgo(now time.Time) time.Duration {
 	if o.heardAt.IsZero() {
--- a/internal/allowance/standstill.go
+++ b/internal/allowance/standstill.go
@@ -50,12 +50,12 @@
 
 // TakeUses takes over what a daemon tells that has counted what the workspaces use for a time,
 // if this process lacks it and that one has counted for longer.
-func (l *Limiter) TakeUses(uses map[string]Use, counted time.Duration, now time.Time) bool {
+func (l *Limiter) TakeUses(uses map[string]Use, asked map[string]float64, counted time.Duration, now time.Time) bool {
 	own := l.Counted(now)
 	if own >= settleFor || counted < own+adoptFrom {
 		return false
 	}
-	l.Adopt(uses, now)
+	l.Adopt(uses, asked, now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.countingSince, l.behindSince = now.Add(-counted), time.Time{}
--- a/internal/allowance/standstill_test.go
+++ b/internal/allowance/standstill_test.go
@@ -35,14 +35,14 @@
 	c.Check(l.Counted(now), qt.Equals, time.Duration(0))
 
 	full := Use{0, 0, 0, 200_000, 200_000, 200_000, 200_000, 90_000}
-	c.Check(l.TakeUses(map[string]Use{"w": full}, time.Minute, now.Add(200*time.Millisecond)), qt.IsTrue)
+	c.Check(l.TakeUses(map[string]Use{"w": full}, nil, time.Minute, now.Add(200*time.Millisecond)), qt.IsTrue)
 	now = now.Add(200 * time.Millisecond)
 	c.Check(l.accounts["w"].used.sum(), qt.Equals, 890_000.0)
 	c.Check(l.Admit("w", 100_000, now).Admitted, qt.IsFalse)
 	c.Check(l.Counted(now), qt.Equals, time.Minute)
 	_, known = l.Uses(now)
 	c.Check(known, qt.IsTrue)
-	c.Check(l.TakeUses(map[string]Use{}, time.Hour, now), qt.IsFalse)
+	c.Check(l.TakeUses(map[string]Use{}, nil, time.Hour, now), qt.IsFalse)
 }
 
 // TestStoodStillTakesNothingFromThoseThatDid: daemons that stood still together do not take over
@@ -51,7 +51,7 @@
 	c := qt.New(t)
 	l, now := stood(c, 50_000)
 	now = now.Add(300 * time.Millisecond)
-	c.Check(l.TakeUses(map[string]Use{"w": {900_000}}, 350*time.Millisecond, now), qt.IsFalse)
+	c.Check(l.TakeUses(map[string]Use{"w": {900_000}}, nil, 350*time.Millisecond, now), qt.IsFalse)
 	c.Check(l.Admit("w", 6_000, now).Admitted, qt.IsFalse)
 	now = now.Add(catchUpRounds*150*time.Millisecond + catchUpMargin)
 	c.Check(l.Admit("w", 6_000, now).Admitted, qt.IsTrue)
@@ -62,6 +62,6 @@
 	c := qt.New(t)
 	l, now := stood(c, 50_000)
 	c.Check(l.Admit("w", 500, now).Admitted, qt.IsTrue)
-	l.TakeUses(map[string]Use{"w": {0, 0, 0, 0, 0, 0, 0, 60_000}}, time.Minute, now)
+	l.TakeUses(map[string]Use{"w": {0, 0, 0, 0, 0, 0, 0, 60_000}}, nil, time.Minute, now)
 	c.Check(l.accounts["w"].used.sum(), qt.Equals, 60_500.0)
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -44,6 +44,8 @@
 	WrittenMs int64 `json:"written_ms,omitempty"`
 	// Uses are what the workspaces have used lately.
 	Uses map[string]allowance.Use `json:"uses,omitempty"`
+	// Asked is how fast all daemons are asked, by workspace, in tokens a second.
+	Asked map[string]float64 `json:"asked"`
 	// Warmup is set when the writer of the uses had just started to count them.
 	Warmup bool `json:"warmup,omitempty"`
 	// Paces are what was learned of the engines, by service.
--- a/internal/router/allowances.go
+++ b/internal/router/allowances.go
@@ -81,6 +81,7 @@
 func (a *allowances) counted() time.Duration                 { return a.limiter.Counted(a.now()) }
 func (a *allowances) warmup() bool                           { return a.limiter.Warmup(a.now()) }
 func (a *allowances) uses() (map[string]allowance.Use, bool) { return a.limiter.Uses(a.now()) }
+func (a *allowances) asked() map[string]float64              { return a.limiter.Asked(a.now()) }
 
 // applyCatalog takes over the allowances of a configuration, and logs those that it changes.
 func (a *allowances) applyCatalog(c *catalog.Catalog) {
@@ -105,6 +106,6 @@
 }
 
 // take takes over what a daemon tells that has counted for a time.
-func (a *allowances) take(uses map[string]allowance.Use, counted time.Duration) {
-	a.limiter.TakeUses(uses, counted, a.now())
+func (a *allowances) take(uses map[string]allowance.Use, asked map[string]float64, counted time.Duration) {
+	a.limiter.TakeUses(uses, asked, counted, a.now())
 }
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -186,20 +186,28 @@
 	return windows
 }
 
-func encodeUses(uses map[string]allowance.Use) *gossippb.Uses {
+// encodeUses encodes what the workspaces have used, and how fast they ask.
+func encodeUses(uses map[string]allowance.Use, asked map[string]float64) *gossippb.Uses {
 	told := &gossippb.Uses{}
 	for workspace, use := range uses {
-		told.Use = append(told.Use, &gossippb.Use{Workspace: workspace, Spans: use[:]})
+		told.Use = append(told.Use, &gossippb.Use{Workspace: workspace, Spans: use[:], Asked: asked[workspace]})
+	}
+	for workspace, rate := range asked {
+		if _, used := uses[workspace]; !used {
+			told.Use = append(told.Use, &gossippb.Use{Workspace: workspace, Asked: rate})
+		}
 	}
 	return told
 }
 
-func decodeUses(told *gossippb.Uses) map[string]allowance.Use {
-	uses := map[string]allowance.Use{}
+// decodeUses decodes what encodeUses made.
+func decodeUses(told *gossippb.Uses) (uses map[string]allowance.Use, asked map[string]float64) {
+	uses, asked = map[string]allowance.Use{}, map[string]float64{}
 	for _, item := range told.GetUse() {
 		var use allowance.Use
 		copy(use[:], item.GetSpans())
 		uses[item.GetWorkspace()] = use
+		asked[item.GetWorkspace()] = max(0, item.GetAsked())
 	}
-	return uses
+	return uses, asked
 }
--- a/internal/router/keptuses.go
+++ b/internal/router/keptuses.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/allowance"
@@ -32,6 +33,8 @@
 // keptUses is what a lead keeps.
 type keptUses struct {
 	Uses map[string]allowance.Use `json:"uses"`
+	// Asked is how fast all daemons are asked, by workspace, in tokens a second.
+	Asked map[string]float64 `json:"asked"`
 	// Warmup is set when the lead had just started to count them.
 	Warmup bool `json:"warmup,omitempty"`
 	// WrittenMs is the time of day at which this was known, in milliseconds since 1970.
@@ -67,7 +70,9 @@
 	if !known || len(uses) == 0 {
 		return
 	}
-	err := store.Overwrite(ctx, r.objects, usesKind, r.settings.VM.Zone, keptUses{Uses: uses, Warmup: r.state.limiter.warmup(), WrittenMs: now.UnixMilli()})
+	err := store.Overwrite(ctx, r.objects, usesKind, r.settings.VM.Zone, keptUses{
+		Uses: uses, Asked: r.state.limiter.asked(), Warmup: r.state.limiter.warmup(), WrittenMs: now.UnixMilli(),
+	})
 	if err != nil {
 		r.logger.Warn("what the workspaces use is not written", "error", err)
 	}
@@ -93,7 +98,7 @@
 	}
 	latest := mergeUses(kept)
 	if latest.WrittenMs > memory.WrittenMs {
-		memory.Uses, memory.Warmup, memory.WrittenMs = latest.Uses, latest.Warmup, latest.WrittenMs
+		memory.Uses, memory.Asked, memory.Warmup, memory.WrittenMs = latest.Uses, latest.Asked, latest.Warmup, latest.WrittenMs
 	}
 	return memory, nil
 }
@@ -111,6 +116,7 @@
 			continue
 		}
 		merged.Warmup = merged.Warmup || one.Warmup
+		merged.Asked = mergeAsked(merged.Asked, one.Asked)
 		for workspace, use := range one.Uses {
 			if use.Sum() > merged.Uses[workspace].Sum() {
 				merged.Uses[workspace] = use
@@ -119,3 +125,14 @@
 	}
 	return merged
 }
+
+// mergeAsked returns the larger rate of each workspace, or nil if none is known.
+func mergeAsked(merged, asked map[string]float64) map[string]float64 {
+	if merged == nil {
+		return maps.Clone(asked)
+	}
+	for workspace, rate := range asked {
+		merged[workspace] = max(merged[workspace], rate)
+	}
+	return merged
+}
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -16,11 +16,11 @@
 	now := time.Now()
 	reach, _ := s.reach(now)
 	memory := lease.Memory{
-		Daemons: reach.Known, WrittenMs: standing.WrittenMs, Uses: standing.Uses, Warmup: standing.Warmup,
+		Daemons: reach.Known, WrittenMs: standing.WrittenMs, Uses: standing.Uses, Asked: standing.Asked, Warmup: standing.Warmup,
 		Paces: s.view.Paces(), Limits: s.limits.Usual(), Windows: s.ledger.All(windowsTold),
 	}
 	if uses, known := s.limiter.uses(); known {
-		memory.WrittenMs, memory.Uses, memory.Warmup = now.UnixMilli(), uses, s.limiter.warmup()
+		memory.WrittenMs, memory.Uses, memory.Asked, memory.Warmup = now.UnixMilli(), uses, s.limiter.asked(), s.limiter.warmup()
 	}
 	memory.Held, memory.HeldMs = s.quarantine.Remember(now), now.UnixMilli()
 	if s.router.board.Enabled() {
@@ -55,7 +55,7 @@
 // openAllowances applies what the workspaces have used: what the record tells, or nothing at the first
 // start of all daemons. It returns false if neither is the case.
 func (s *state) openAllowances(memory lease.Memory) bool {
-	opening := allowance.Opening{Uses: memory.Uses, Warmup: memory.Warmup, Age: max(0, s.started.Sub(time.UnixMilli(memory.WrittenMs)))}
+	opening := allowance.Opening{Uses: memory.Uses, Asked: memory.Asked, Warmup: memory.Warmup, Age: max(0, s.started.Sub(time.UnixMilli(memory.WrittenMs)))}
 	if memory.WrittenMs == 0 {
 		if !s.router.settings.Peers.Bootstrap {
 			return false
--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -125,7 +125,7 @@
 	if !known {
 		return nil
 	}
-	told := encodeUses(uses)
+	told := encodeUses(uses, s.limiter.asked())
 	told.KnownMs = s.limiter.counted().Milliseconds()
 	return told
 }
@@ -293,7 +293,8 @@
 		// What the same report added to the sums is part of what it tells.
 		s.useOwnSums(now)
 	}
-	s.limiter.take(decodeUses(status.GetUses()), time.Duration(status.GetUses().GetKnownMs())*time.Millisecond)
+	uses, asked := decodeUses(status.GetUses())
+	s.limiter.take(uses, asked, time.Duration(status.GetUses().GetKnownMs())*time.Millisecond)
 }
 
 // useOwnSums takes over this daemon's own sums, where it listens to no lead.
--- a/internal/router/talk_test.go
+++ b/internal/router/talk_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
 	"github.com/plankridge/plankridge/internal/rollup"
@@ -71,3 +72,12 @@
 		c.Check(reach.Heard, qt.Equals, step.want, qt.Commentf("%v after the lead's start", step.uptime))
 	}
 }
+
+// TestUsesTellDemand: what a daemon that starts is told of the workspaces' uses bears how fast all are asked, also
+// for those that used nothing.
+func TestUsesTellDemand(t *testing.T) {
+	c := qt.New(t)
+	uses, asked := decodeUses(encodeUses(map[string]allowance.Use{"a": {0, 300}}, map[string]float64{"a": 5, "b": 7}))
+	c.Check(uses["a"], qt.Equals, allowance.Use{0, 300})
+	c.Check(asked, qt.DeepEquals, map[string]float64{"a": 5, "b": 7})
+}
