Hand out room that comes free over time where callers ask for more than twice the rate

A request was admitted without a draw where all that others can be asked for until they are heard fits beside it.

Where demand is measured at more than twice the rate, room is now drawn for over the same 1.5 s of 8 s as where little is left.

TestRoomThatComesFreeIsHandedOutOverTime fails before.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -316,9 +316,18 @@
 	return l.share * min(mostUsed*tolerance, coverShare*tolerance-jump)
 }
 
+// smoothFrom is from which demand on, as a multiple of an allowance's rate, what becomes free is handed out over time:
+// callers that were refused once and come back ask for up to twice what they did.
+const smoothFrom = 2
+
 // unheard returns the most that others are taken to have admitted since they were heard.
 func (l *Limiter) unheard(a *account, now time.Time) float64 {
-	return l.asked(a, now) * l.horizon(a, now).Seconds()
+	horizon := l.horizon(a, now)
+	if a.others.measured && a.others.asked.rate > smoothFrom*a.rate {
+		// What becomes free at once would go at once, to callers that were told when to come back.
+		horizon = max(horizon, l.handOut())
+	}
+	return l.asked(a, now) * horizon.Seconds()
 }
 
 // asked returns how fast others are asked, in tokens a second. Until it is known, they are
--- a/internal/allowance/demand_test.go
+++ b/internal/allowance/demand_test.go
@@ -58,3 +58,21 @@
 	l.ApplyCatalog(limited(100_000, 100_000), start)
 	c.Check(l.Admit("w", 20_000, start).Admitted, qt.IsFalse)
 }
+
+// TestRoomThatComesFreeIsHandedOutOverTime guards against all callers that wait for room getting it in the moment in
+// which it is there.
+func TestRoomThatComesFreeIsHandedOutOverTime(t *testing.T) {
+	for times, admitted := range map[float64]bool{1.5: true, 20: false} {
+		c := qt.New(t)
+		l := starting(map[string]float64{}, func() float64 { return 0.9 })
+		now := start.Add(time.Minute)
+		for report := range 40 {
+			now = now.Add(150 * time.Millisecond)
+			refused := times * 100_000 * 0.15 * float64(report)
+			l.SetReach(77, 77, now)
+			l.Heard(Report{VM: "lead", Counters: Counters{Refused: map[string]float64{"w": refused}}, Round: 150 * time.Millisecond}, now)
+		}
+		verdict := l.Admit("w", 5_000, now)
+		c.Check(verdict.Admitted, qt.Equals, admitted, qt.Commentf("%v times the rate asked, %.0f free", times, verdict.Free))
+	}
+}
