Charge a workspace's allowance for each run of a request

A request took its cost from the allowance before its first attempt; attempts after one that may have run (repeated after a failure or a lost answer, resumed) took nothing, while their servers ran it again.

Each run is charged now. A repeat may use up to 0.65 of the tolerance, where new requests may use 0.3: it goes before them, and they are refused for it. Where even that is used up the call ends as one whose run failed. A charge whose attempt was not sent, or was declined, stays for the next one and is given back at the end.

The ruled out: time between a charge and the arrival, since the rule counts what is both sent and arrives in a window.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -96,6 +96,8 @@
 	// mostUsed is the part of the tolerance that is used on purpose: small workspaces, for
 	// which it is large, are not refused the last request of a window.
 	mostUsed = 0.3
+	// repeatShare is the part of the tolerance up to which requests that may have run are run again.
+	repeatShare = 0.65
 	// coverShare is the part of the tolerance that is left to a sudden jump of a workspace.
 	// The rest covers lost reports, cuts and starts. Were nothing held back for jumps, deaths
 	// of all and cuts beside a jump would break the rule (TestDeathOfAllWhileAWorkspaceIsHot,
@@ -240,27 +242,56 @@
 	if a.likeOwn && l.overdue(a, now) {
 		free -= a.others.missed(now)
 	}
-	unheard := l.unheard(a, now)
-	verdict := Verdict{
-		Admitted: need+unheard <= free,
-		Limit:    a.limit, Used: a.used.sum(), Free: free, Unheard: unheard, Asked: l.asked(a, now), HeardAgo: a.others.heardAgo(now),
-		Share: l.share, Opened: a.opened,
-	}
+	verdict := l.describe(a, free, now)
+	verdict.Admitted = need+verdict.Unheard <= free
 	if !verdict.Admitted {
 		verdict.Drawn = l.drawn(a, need, free, now)
 		verdict.Admitted = verdict.Drawn
 	}
 	if !verdict.Admitted {
 		a.refused += tokens
-		verdict.RetryAfter = l.wait(a, need+unheard-free, now)
+		verdict.RetryAfter = l.wait(a, need+verdict.Unheard-free, now)
 		return verdict
 	}
-	a.used.add(tokens, now)
-	a.spent += tokens
+	a.spend(tokens, now)
 	verdict.At = now
 	return verdict
 }
 
+// Repeat takes tokens for one more run of a request that was admitted and may have run. It goes before new requests,
+// which are refused for it.
+func (l *Limiter) Repeat(workspace string, tokens float64, now time.Time) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accounts[workspace]
+	if a == nil || a.rate <= 0 {
+		return Verdict{Admitted: true}
+	}
+	a.used.advance(now)
+	free := l.free(a, now) + l.share*repeatShare*l.tolerance.of(a.limit)
+	verdict := l.describe(a, free, now)
+	if min(tokens, a.limit) > free {
+		return verdict
+	}
+	a.spend(tokens, now)
+	verdict.Admitted, verdict.At = true, now
+	return verdict
+}
+
+// spend counts tokens that this daemon admits.
+func (a *account) spend(tokens float64, now time.Time) {
+	a.used.add(tokens, now)
+	a.spent += tokens
+}
+
+// describe returns a verdict with what it is made on.
+func (l *Limiter) describe(a *account, free float64, now time.Time) Verdict {
+	return Verdict{
+		Limit: a.limit, Used: a.used.sum(), Free: free, Unheard: l.unheard(a, now), Asked: l.asked(a, now),
+		HeardAgo: a.others.heardAgo(now), Share: l.share, Opened: a.opened,
+	}
+}
+
 // Verdict is a decision on a request, and what decided it. All but Admitted is zero where there is no
 // allowance.
 type Verdict struct {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -49,6 +49,7 @@
 	if err := r.step(request.StepDispatch); err != nil {
 		return result{outcome: backend.OutcomeNeutral, what: "not-allowed", done: true, err: r.giveUp(ctx, &Refusal{Reason: err.Error()})}
 	}
+	r.charged = false
 	answer, err := r.options.Backend.Send(ctx, r.attempt(choice))
 	if errors.Is(err, upstream.ErrNotSent) {
 		return r.notSent(ctx, choice, err)
@@ -81,6 +82,7 @@
 // with.
 func (r *run) ended(step request.Step, outcome backend.Outcome, what string) result {
 	_ = r.step(step)
+	r.charged = r.verdict != nil && (step == request.StepNotSent || step == request.StepDeclined)
 	return result{outcome: outcome, what: what}
 }
 
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -182,6 +182,8 @@
 type Limiter interface {
 	// Admit takes tokens from the allowance, or says when to come back.
 	Admit(workspace string, tokens float64) allowance.Verdict
+	// Repeat takes tokens for one more run of a request that may have run.
+	Repeat(workspace string, tokens float64) allowance.Verdict
 	// Refund gives tokens back for a request that was admitted at a time, which is of the
 	// limiter's clock, and has not run.
 	Refund(workspace string, tokens float64, admitted time.Time)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -125,8 +125,10 @@
 	first   time.Duration
 	status  int
 	history []attempted
-	// verdict is the decision of the call's allowance, if it has one.
+	// verdict is the last decision of the call's allowance, if it has one, and charged is set while what it
+	// admitted is for a run that has not begun.
 	verdict *allowance.Verdict
+	charged bool
 }
 
 // Forward serves a call. It returns nil when the answer of a server was passed
@@ -176,15 +178,32 @@
 	verdict := r.options.Limiter.Admit(w.Name, cost)
 	r.verdict = &verdict
 	if !verdict.Admitted {
-		return &Refusal{Status: http.StatusTooManyRequests, Reason: "workspace is above its allowance", RetryAfter: verdict.RetryAfter}
+		return &Refusal{Status: http.StatusTooManyRequests, Reason: aboveAllowance, RetryAfter: verdict.RetryAfter}
 	}
+	r.charged = true
 	err := r.attempts(ctx)
-	if !r.mayHaveRun() {
-		r.options.Limiter.Refund(w.Name, cost, verdict.At)
+	if r.charged {
+		r.options.Limiter.Refund(w.Name, cost, r.verdict.At)
 	}
 	return err
 }
 
+const aboveAllowance = "workspace is above its allowance"
+
+// chargeRepeat takes another run of the call from its workspace's allowance, if the run before may have happened.
+func (r *run) chargeRepeat() *Refusal {
+	if r.verdict == nil || r.charged {
+		return nil
+	}
+	verdict := r.options.Limiter.Repeat(r.call.Workspace, r.cost)
+	r.verdict = &verdict
+	if !verdict.Admitted {
+		return &Refusal{Reason: aboveAllowance}
+	}
+	r.charged = true
+	return nil
+}
+
 // heldBack refuses a call that ends the servers that run it.
 func (r *run) heldBack(now time.Time) *Refusal {
 	refusal := &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryHeld}
@@ -238,6 +257,9 @@
 		if refusal := cmp.Or(r.mayTry(now), r.heldBack(now)); refusal != nil {
 			return r.giveUp(ctx, refusal)
 		}
+		if refusal := r.chargeRepeat(); refusal != nil {
+			return r.giveUp(ctx, refusal)
+		}
 		if r.sends > 0 && !r.options.Budget.Take(r.call.Service, now) {
 			return r.giveUp(ctx, &Refusal{Status: http.StatusServiceUnavailable, Reason: "retry budget is spent", RetryAfter: retrySoon})
 		}
--- a/internal/router/allowances.go
+++ b/internal/router/allowances.go
@@ -62,6 +62,11 @@
 	return a.limiter.Admit(workspace, tokens, a.now())
 }
 
+// Repeat implements forward.Limiter.
+func (a *allowances) Repeat(workspace string, tokens float64) allowance.Verdict {
+	return a.limiter.Repeat(workspace, tokens, a.now())
+}
+
 // Refund implements forward.Limiter.
 func (a *allowances) Refund(workspace string, tokens float64, admitted time.Time) {
 	a.limiter.Refund(workspace, tokens, admitted)
