Keep what a workspace used while a configuration leaves it out

A configuration that lacks a workspace for a moment dropped its account; the next one that names it began with an empty window, and with counters below where others had seen them, which takes what it used before out of their windows too. The account goes on as long as anything is in its window.

TestWorkspaceThatIsNamedAgainGoesOn fails before (840 of 900 admitted twice).

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -151,10 +151,26 @@
 		l.open(w.Name, a, now)
 		next[w.Name] = a
 	}
+	l.keepUsed(next, now)
 	l.accounts = next
 	return changes
 }
 
+// keepUsed adds the accounts that a configuration does not name any more, while something was used in their window:
+// one that is named again goes on with it, and its counters only grow.
+func (l *Limiter) keepUsed(next map[string]*account, now time.Time) {
+	for name, a := range l.accounts {
+		if next[name] != nil {
+			continue
+		}
+		a.used.advance(now)
+		if a.used.sum() > 0 {
+			a.rate, a.limit = 0, 0
+			next[name] = a
+		}
+	}
+}
+
 // SetReach takes over how many of the known daemons are heard, this one
 // included. Each side of a partition uses its part of what was left, so that the
 // parts never add up to more than the whole.
--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/catalog"
 	"pgregory.net/rapid"
 
 	_ "github.com/plankridge/plankridge/internal/standin/fixedseed"
@@ -250,3 +252,19 @@
 		}
 	})
 }
+
+// TestWorkspaceThatIsNamedAgainGoesOn guards against an allowance that is there twice, and counters that start again,
+// where a configuration leaves a workspace out for a moment.
+func TestWorkspaceThatIsNamedAgainGoesOn(t *testing.T) {
+	c := qt.New(t)
+	l, now := full(100, 50)
+	c.Assert(l.Admit("w", 840, now).Admitted, qt.IsTrue)
+	l.ApplyCatalog((&catalog.Catalog{}).Build(), now)
+	now = now.Add(time.Second)
+	l.ApplyCatalog(limited(100, 50), now)
+	c.Check(l.Admit("w", 840, now).Admitted, qt.IsFalse)
+	c.Check(l.Own().Spent["w"], qt.Equals, 840.0)
+	l.ApplyCatalog((&catalog.Catalog{}).Build(), now)
+	l.ApplyCatalog((&catalog.Catalog{}).Build(), now.Add(time.Minute))
+	c.Check(l.Own().Spent, qt.HasLen, 0, qt.Commentf("a workspace is forgotten with its window"))
+}
