Do not take a lead for heard whose sums hold a report that is not remembered

A daemon whose reports are lost on the way to its lead went on as one that hears all, while it dropped what the lead told, since that cannot be compared with its own reports (16 are kept, 6.4 s at the longest): what others use stopped counting, with no share taken off and no line. Such a lead is not heard now: 1.5 s later the daemon makes its own sums and takes its part, as in a cut, and says so once.

TestLeadThatDoesNotHearThisDaemonIsNotHeard fails before.

--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -222,6 +222,11 @@
 	s.mu.Lock()
 	own, known := s.sent[status.GetTaken()]
 	before := s.lead
+	if !known && status.GetTaken() != 0 {
+		s.mu.Unlock()
+		s.noteStaleReport(status)
+		return
+	}
 	s.lead = leadAccount{
 		vm: status.GetVm(), incarnation: status.GetIncarnation(), at: now, taken: status.GetTaken(),
 		reach: reach, demand: counts.Demand, without: own.Demand,
@@ -230,11 +235,7 @@
 	s.view.Learn(counts.Paces)
 	s.told, s.toldAt = s.lead.reach.Known, now
 	s.mu.Unlock()
-	s.logLead(before, known)
-	if !known && status.GetTaken() != 0 {
-		// The lead has an older report than is remembered: the next one will do.
-		return
-	}
+	s.logLead(before)
 	s.useReach(now)
 	s.view.SetRemote(without(counts.Loads, own.Loads), now)
 	rollup.Subtract(counts.Spent, own.Spent)
@@ -248,18 +249,28 @@
 	s.hearUsed(status.GetVm(), status.GetIncarnation(), allowance.Counters{Spent: counts.Spent, Refused: counts.Refused}, first, now)
 }
 
-// logLead writes a line when the sums come from another lead than before, and when they begin or cease to
-// hold a report of this daemon that it remembers.
-func (s *state) logLead(before leadAccount, comparable bool) {
+// logLead writes a line when the sums come from another lead than before.
+func (s *state) logLead(before leadAccount) {
 	s.mu.Lock()
-	s.lead.comparable = comparable
 	now := s.lead
 	s.mu.Unlock()
-	if now.vm == before.vm && now.incarnation == before.incarnation && now.comparable == before.comparable {
+	if now.vm == before.vm && now.incarnation == before.incarnation {
 		return
 	}
 	s.router.logger.Info("sums come from another lead", "lead", now.vm, "incarnation", now.incarnation, "lead_before", before.vm,
-		"own_report", now.taken, "own_report_known", comparable, "heard", now.reach.Heard, "known", now.reach.Known)
+		"own_report", now.taken, "heard", now.reach.Heard, "known", now.reach.Known)
+}
+
+// noteStaleReport notes that a lead's sums hold a report of this daemon that it does not remember. They cannot be
+// compared, and that lead is not heard: after a while this daemon makes its own sums.
+func (s *state) noteStaleReport(status *gossippb.Status) {
+	s.mu.Lock()
+	begins := !s.lead.stale
+	s.lead.stale = true
+	s.mu.Unlock()
+	if begins {
+		s.router.logger.Info("lead does not hear this daemon", "lead", status.GetVm(), "own_report", status.GetTaken(), "sequence", status.GetSequence())
+	}
 }
 
 // startedWith reports whether this daemon and the one that tells have both just
@@ -323,9 +334,9 @@
 	at          time.Time
 	// taken is the sequence of this daemon's report that the sums hold, or zero.
 	taken uint64
-	// comparable is set while this daemon remembers that report.
-	comparable bool
-	reach      rollup.Reach
+	// stale is set once the lead has told sums that hold an older report than this daemon remembers.
+	stale bool
+	reach rollup.Reach
 	// demand is what is asked of each service, without what was asked of this daemon,
 	// which the sums also hold.
 	demand, without map[string]demand.Load
--- a/internal/router/talk_test.go
+++ b/internal/router/talk_test.go
@@ -81,3 +81,27 @@
 	c.Check(uses["a"], qt.Equals, allowance.Use{0, 300})
 	c.Check(asked, qt.DeepEquals, map[string]float64{"a": 5, "b": 7})
 }
+
+// TestLeadThatDoesNotHearThisDaemonIsNotHeard guards against a daemon whose reports are lost and that goes on as if it
+// heard what others use, while none of it counts.
+func TestLeadThatDoesNotHearThisDaemonIsNotHeard(t *testing.T) {
+	c := qt.New(t)
+	s := testRouter(t).state
+	now := time.Now()
+	s.started = now.Add(-time.Hour)
+	s.router.members.Learn("vm-0", "zone-1", "10.1.0.9:82", now)
+	s.sent[20] = rollup.NewCounts()
+	tell := func(taken uint64, at time.Time) {
+		s.heardLead(&gossippb.Status{
+			Vm: "vm-0", Incarnation: 2, UptimeMs: time.Hour.Milliseconds(), Taken: taken,
+			Reach: encodeReach(rollup.Reach{Heard: 9, Known: 9}),
+		}, encodeCounts(rollup.NewCounts()), at)
+	}
+	tell(20, now)
+	c.Assert(s.listens(now), qt.Equals, "vm-0")
+	for tick := range 20 {
+		now = now.Add(100 * time.Millisecond)
+		tell(3, now)
+		c.Check(s.listens(now) == "vm-0", qt.Equals, tick < 14, qt.Commentf("%d ms", tick*100+100))
+	}
+}
