--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -20,6 +20,8 @@
 }
 
 type usage struct {
+	// named is set while the generation in force names the workspace.
+	named    bool
 	limits   config.Limits
 	bucket   *rate.Limiter
 	inFlight int
@@ -31,7 +33,7 @@
 }
 
 // ApplyConfig takes over the limits of a new generation. What is in flight
-// stays counted.
+// stays counted, and so does what was used, also of a workspace that a generation leaves out for a while.
 func (l *Limiter) ApplyConfig(index *config.Index) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -41,13 +43,24 @@
 		if entry == nil {
 			entry = &usage{}
 		}
-		entry.limits = workspace.Limits
+		entry.named, entry.limits = true, workspace.Limits
 		entry.setRate(l.daemons, l.latest)
 		next[workspace.Name] = entry
 	}
+	for name, entry := range l.workspaces {
+		if next[name] == nil && !entry.idle(l.latest) {
+			entry.named = false
+			next[name] = entry
+		}
+	}
 	l.workspaces = next
 }
 
+// idle reports whether nothing is in flight and nothing that was used counts any more.
+func (u *usage) idle(now time.Time) bool {
+	return u.inFlight == 0 && (u.bucket == nil || u.bucket.TokensAt(now) >= float64(u.bucket.Burst()))
+}
+
 // SetDaemons sets the number of daemons that share each limit.
 func (l *Limiter) SetDaemons(count int) {
 	l.mu.Lock()
@@ -95,7 +108,7 @@
 	defer l.mu.Unlock()
 	l.latest = now
 	entry := l.workspaces[workspace]
-	if entry == nil {
+	if entry == nil || !entry.named {
 		return Verdict{Reason: "workspace is not known"}
 	}
 	sharers := l.daemons
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -39,3 +39,30 @@
 		c.Assert(l.Admit("free", false, now).Admitted, qt.IsTrue)
 	}
 }
+
+// TestWorkspaceThatIsNamedAgainGoesOn guards against limits that are there twice where a generation leaves a workspace
+// out for a moment.
+func TestWorkspaceThatIsNamedAgainGoesOn(t *testing.T) {
+	c := qt.New(t)
+	l := NewLimiter()
+	now := time.Unix(1000, 0)
+	named := config.NewIndex(&config.Deployment{Workspaces: []config.Workspace{{Name: "w", Limits: config.Limits{RequestsPerSecond: 4, InFlight: 3}}}})
+	without := config.NewIndex(&config.Deployment{})
+	l.ApplyConfig(named)
+	for range 3 {
+		c.Assert(l.Admit("w", false, now).Admitted, qt.IsTrue)
+	}
+	l.ApplyConfig(without)
+	c.Check(l.Admit("w", false, now).Reason, qt.Equals, "workspace is not known")
+	l.ApplyConfig(named)
+	c.Check(l.Admit("w", false, now).Reason, qt.Equals, "workspace has too many requests in flight")
+	for range 3 {
+		l.Release("w")
+	}
+	c.Check(l.Admit("w", false, now).Admitted, qt.IsTrue)
+	c.Check(l.Admit("w", false, now).Reason, qt.Equals, "workspace is above its rate")
+	l.Release("w")
+	c.Check(l.Admit("other", false, now.Add(time.Minute)).Admitted, qt.IsFalse)
+	l.ApplyConfig(without)
+	c.Check(l.workspaces, qt.HasLen, 0, qt.Commentf("an idle workspace is forgotten"))
+}
