--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -401,7 +401,7 @@
 // Where it is known how fast they were asked before, one request of this daemon says nothing.
 func (l *Limiter) assumed(a *account, now time.Time) float64 {
 	rate := a.own.rate(now)
-	if a.others.told {
+	if a.others.expected {
 		rate = a.own.rateAfterFirst(now)
 	}
 	return rate * float64(l.rivals())
--- a/internal/allowance/others.go
+++ b/internal/allowance/others.go
@@ -95,8 +95,8 @@
 	// so that it is known how fast they are.
 	heardAt  time.Time
 	measured bool
-	// told is set once it is known from others how fast all were asked before.
-	told bool
+	// expected is set once it is known from others how fast all were asked before.
+	expected bool
 	// backlog is set when some of them are heard again: what they tell next they have spent
 	// since long.
 	backlog bool
@@ -127,7 +127,7 @@
 // expect takes over how fast all were asked, as others knew it.
 func (o *others) expect(asked float64) {
 	if !o.measured {
-		o.told, o.asked.rate = true, asked
+		o.expected, o.asked.rate = true, asked
 	}
 }
 
