--- a/internal/router/talk.go
+++ b/internal/router/talk.go
@@ -252,13 +252,13 @@
 // logLead writes a line when the sums come from another lead than before.
 func (s *state) logLead(before leadAccount) {
 	s.mu.Lock()
-	now := s.lead
+	lead := s.lead
 	s.mu.Unlock()
-	if now.vm == before.vm && now.incarnation == before.incarnation {
+	if lead.vm == before.vm && lead.incarnation == before.incarnation {
 		return
 	}
-	s.router.logger.Info("sums come from another lead", "lead", now.vm, "incarnation", now.incarnation, "lead_before", before.vm,
-		"own_report", now.taken, "heard", now.reach.Heard, "known", now.reach.Known)
+	s.router.logger.Info("sums come from another lead", "lead", lead.vm, "incarnation", lead.incarnation, "lead_before", before.vm,
+		"own_report", lead.taken, "heard", lead.reach.Heard, "known", lead.reach.Known)
 }
 
 // noteStaleReport notes that a lead's sums hold a report of this daemon that it does not remember. They cannot be
