--- a/internal/allowance/history_test.go
+++ b/internal/allowance/history_test.go
@@ -54,7 +54,6 @@
 	// had been used, and whole makes them take themselves for all in a cut: mistakes that
 	// have to show.
 	deaf, forget, whole bool
-	debug               func(p *player)
 }
 
 // event is a trouble of the deployment.
