--- a/internal/allowance/lowered_test.go
+++ b/internal/allowance/lowered_test.go
@@ -40,7 +40,7 @@
 
 // troubles draw what else happens once a lowered allowance binds.
 var troubles = map[string]func(r *rand.Rand) []event{
-	"none":         func(r *rand.Rand) []event { return nil },
+	"none":         func(*rand.Rand) []event { return nil },
 	"death of all": func(r *rand.Rand) []event { return []event{deathOfAll(ms(r, 18_000, 26_000), ms(r, 300, 2000))} },
 	"two deaths of all": func(r *rand.Rand) []event {
 		at := ms(r, 18_000, 26_000)
