--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -364,8 +364,8 @@
 }
 
 // smoothFrom is from which demand on, as a multiple of an allowance's rate, what becomes free is handed out over time:
-// callers that were refused once and come back ask for up to twice what they did.
-const smoothFrom = 2
+// that of callers who ask for twice the rate and come back once when they are refused.
+const smoothFrom = 3
 
 // unheard returns the most that others are taken to have admitted since they were heard.
 func (l *Limiter) unheard(a *account, now time.Time) float64 {
