Share the set-up of the tests of leads, and name what the allowance plays hide

Two tests of what a lead tells had the same set-up; the play's bed hid the lock and the callers of the one it builds on. Test code alone, the checks are as they were.

--- a/internal/router/talk_test.go
+++ b/internal/router/talk_test.go
@@ -44,14 +44,28 @@
 	}
 }
 
+// followerState returns the state of a daemon that has been running for an hour and has vm-0 for its lead.
+func followerState(t *testing.T, now time.Time) *state {
+	s := testRouter(t).state
+	s.started = now.Add(-time.Hour)
+	s.router.members.Learn("vm-0", "zone-1", "10.1.0.9:82", now)
+	return s
+}
+
+// hearSums lets a daemon hear empty sums of vm-0, which holds its report of a sequence and hears some of nine daemons.
+func hearSums(s *state, uptime time.Duration, taken uint64, heard int, now time.Time) {
+	s.heardLead(&gossippb.Status{
+		Vm: "vm-0", Incarnation: 2, UptimeMs: uptime.Milliseconds(), Taken: taken,
+		Reach: encodeReach(rollup.Reach{Heard: heard, Known: 9}),
+	}, encodeCounts(rollup.NewCounts()), now)
+}
+
 // TestLeadThatHasJustStartedEndsNoTrust guards against daemons that take themselves for cut off, and forget what
 // others are asked, since their lead has started again and heard few.
 func TestLeadThatHasJustStartedEndsNoTrust(t *testing.T) {
 	c := qt.New(t)
-	s := testRouter(t).state
 	now := time.Now()
-	s.started = now.Add(-time.Hour)
-	s.router.members.Learn("vm-0", "zone-1", "10.1.0.9:82", now)
+	s := followerState(t, now)
 	s.lead = leadAccount{vm: "vm-0", incarnation: 1, at: now, taken: 3, reach: rollup.Reach{Heard: 9, Known: 9}}
 	s.sent[4] = rollup.NewCounts()
 	for _, step := range []struct {
@@ -64,10 +78,7 @@
 		{100 * time.Millisecond, 4, 5, 9},
 		{rollup.FreshFor, 4, 5, 5},
 	} {
-		s.heardLead(&gossippb.Status{
-			Vm: "vm-0", Incarnation: 2, UptimeMs: step.uptime.Milliseconds(), Taken: step.taken,
-			Reach: encodeReach(rollup.Reach{Heard: step.heard, Known: 9}),
-		}, encodeCounts(rollup.NewCounts()), now)
+		hearSums(s, step.uptime, step.taken, step.heard, now)
 		reach, _ := s.reach(now)
 		c.Check(reach.Heard, qt.Equals, step.want, qt.Commentf("%v after the lead's start", step.uptime))
 	}
@@ -86,22 +97,14 @@
 // heard what others use, while none of it counts.
 func TestLeadThatDoesNotHearThisDaemonIsNotHeard(t *testing.T) {
 	c := qt.New(t)
-	s := testRouter(t).state
 	now := time.Now()
-	s.started = now.Add(-time.Hour)
-	s.router.members.Learn("vm-0", "zone-1", "10.1.0.9:82", now)
+	s := followerState(t, now)
 	s.sent[20] = rollup.NewCounts()
-	tell := func(taken uint64, at time.Time) {
-		s.heardLead(&gossippb.Status{
-			Vm: "vm-0", Incarnation: 2, UptimeMs: time.Hour.Milliseconds(), Taken: taken,
-			Reach: encodeReach(rollup.Reach{Heard: 9, Known: 9}),
-		}, encodeCounts(rollup.NewCounts()), at)
-	}
-	tell(20, now)
+	hearSums(s, time.Hour, 20, 9, now)
 	c.Assert(s.listens(now), qt.Equals, "vm-0")
 	for tick := range 20 {
 		now = now.Add(100 * time.Millisecond)
-		tell(3, now)
+		hearSums(s, time.Hour, 3, 9, now)
 		c.Check(s.listens(now) == "vm-0", qt.Equals, tick < 14, qt.Commentf("%d ms", tick*100+100))
 	}
 }
--- a/robustness/onplatform/allowance_test.go
+++ b/robustness/onplatform/allowance_test.go
@@ -55,7 +55,8 @@
 	begun  time.Time
 	runner *fake.Runner
 
-	mu sync.Mutex
+	// counting guards what follows.
+	counting sync.Mutex
 	// modestAsked and modestRefused count the first tries of the other workspace while nothing happens.
 	modestAsked, modestRefused int
 }
@@ -98,8 +99,8 @@
 func (l *allowanceBed) serve(seed uint64) func(int, *http.Request) fake.Behaviour {
 	luck := rand.New(rand.NewPCG(seed, 42))
 	return func(int, *http.Request) fake.Behaviour {
-		l.mu.Lock()
-		defer l.mu.Unlock()
+		l.counting.Lock()
+		defer l.counting.Unlock()
 		b := fake.Behaviour{Delay: 20 * time.Millisecond}
 		if luck.Float64() < l.play.failing {
 			b.Status = http.StatusInternalServerError
@@ -141,12 +142,13 @@
 	for ctx.Err() == nil {
 		pause(ctx, time.Duration(luck.ExpFloat64()/rate*float64(time.Second)))
 		first, second := luck.IntN(len(l.ips)), luck.IntN(len(l.ips))
-		asking.Go(func() { l.ask(ctx, key, first, second) })
+		asking.Go(func() { l.askOnceMore(ctx, key, first, second) })
 	}
 	asking.Wait()
 }
 
-func (l *allowanceBed) ask(ctx context.Context, key string, first, second int) {
+// askOnceMore sends a request to a daemon, and if it is refused once more to another one.
+func (l *allowanceBed) askOnceMore(ctx context.Context, key string, first, second int) {
 	r := l.send(call{method: "GET", path: "/a/" + key, key: key, ip: l.ips[first], deadline: time.Second})
 	l.note(key, r)
 	if r.status != http.StatusTooManyRequests {
@@ -160,8 +162,8 @@
 }
 
 func (l *allowanceBed) note(key string, r reply) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+	l.counting.Lock()
+	defer l.counting.Unlock()
 	if key != otherKey {
 		return
 	}
