--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -17,6 +17,7 @@
 	listeners map[string]*listener
 	packets   map[string]*packetConn
 	cut       map[[2]string]bool
+	refused   map[[2]string]bool
 	silent    map[[2]string]bool
 	dark      map[string]bool
 	conns     map[[2]string][]*conn
@@ -29,6 +30,7 @@
 		listeners: map[string]*listener{},
 		packets:   map[string]*packetConn{},
 		cut:       map[[2]string]bool{},
+		refused:   map[[2]string]bool{},
 		silent:    map[[2]string]bool{},
 		dark:      map[string]bool{},
 		conns:     map[[2]string][]*conn{},
@@ -162,7 +164,7 @@
 func (h *Host) Dial(ctx context.Context, addr string) (net.Conn, error) {
 	ip, _, _ := strings.Cut(addr, ":")
 	h.net.mu.Lock()
-	target, cut := h.net.listeners[addr], h.net.cut[link(h.ip, ip)]
+	target, cut := h.net.listeners[addr], h.net.cut[link(h.ip, ip)] || h.net.refused[link(h.ip, ip)]
 	h.net.mu.Unlock()
 	if target == nil || cut {
 		return nil, syscall.ECONNREFUSED
