Connect to backend servers through other daemons while own links fail

Cause: a daemon had one way to a server, its own link, and took the state of the link for the state of the server: after three servers that it could not reach it refused.

Now the dial of a server is a race of two paths. The second one, through another daemon, starts when the direct one fails or takes longer than usual (mean and deviation of the connect times, bounded). Idle connections of a lost link are closed, and a retry after silence opens a new one.

After the cut all requests go directly again.

--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -225,6 +225,18 @@
 	}
 }
 
+// HasAddress reports whether a server with the given address is listed or has left recently.
+func (v *View) HasAddress(address string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, s := range v.servers {
+		if s.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Keys returns the keys of all servers.
 func (v *View) Keys() []uint32 {
 	v.mu.Lock()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -50,7 +50,7 @@
 	if err := r.step(request.StepDispatch); err != nil {
 		return result{outcome: backend.OutcomeNeutral, logLabel: "not-allowed", done: true, err: r.giveUp(ctx, &Refusal{Reason: err.Error()})}
 	}
-	r.charged = false
+	r.charged, r.via = false, ""
 	answer, err := r.options.Backend.Send(ctx, r.newAttempt(choice))
 	if errors.Is(err, upstream.ErrNotSent) {
 		return r.endNotSent(ctx, choice, err)
@@ -65,6 +65,7 @@
 		return r.endNoAnswer(ctx)
 	}
 	defer answer.Exchange.Drop()
+	r.via = answer.Via
 	r.applyAdvice(choice, answer)
 	return r.handleAnswer(ctx, choice, answer)
 }
@@ -89,6 +90,7 @@
 // endNoAnswer ends an attempt whose server sent no response header. A server that stays
 // silent until the timeout counts as a bad answer of its version.
 func (r *run) endNoAnswer(ctx context.Context) result {
+	r.unanswered = true
 	ended := r.endBroken(ctx, "no-answer")
 	if cause := context.Cause(ctx); errors.Is(cause, errSilent) || errors.Is(cause, errTimeout) {
 		ended.signal = signalBad
@@ -150,8 +152,12 @@
 	return min(lowestPriority, rank)
 }
 
-// maxIdle returns how long a reused connection for the call may have been idle.
+// maxIdle returns how long a reused connection for the call may have been idle. After an attempt
+// without an answer a new connection is opened, because the link may have failed under the idle ones.
 func (r *run) maxIdle() time.Duration {
+	if r.unanswered {
+		return 0
+	}
 	if r.call.Route.Kind == catalog.Idempotent {
 		return maxIdleIdempotent
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -130,6 +130,8 @@
 	Signed bool
 	// Advice is the load advice that the server sent with the answer.
 	Advice advice.Advice
+	// Via is the daemon through which the server was reached, or empty for a direct connection.
+	Via string
 	// IsEventStream is set when the body is a stream of server-sent events.
 	IsEventStream bool
 	// Exchange must be closed or dropped when the answer has been handled.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -124,6 +124,10 @@
 	firstAnswerAfter time.Duration
 	status           int
 	history          []attemptRecord
+	// via is the daemon through which the current attempt's server was reached, or empty.
+	via string
+	// unanswered is set once an attempt got no answer.
+	unanswered bool
 	// verdict is the latest decision of the limiter, or nil without an allowance. charged is
 	// set while the admitted tokens are for a run that has not begun.
 	verdict *allowance.Verdict
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -14,6 +14,8 @@
 	Server string `json:"server"`
 	Zone   string `json:"zone"`
 	Result string `json:"result"`
+	// Via is the daemon through which the server was reached; empty for a direct connection.
+	Via string `json:"via,omitempty"`
 	// AtMS is the start of the attempt in milliseconds since the call arrived.
 	AtMS   int64 `json:"at_ms"`
 	TookMS int64 `json:"took_ms"`
@@ -30,7 +32,7 @@
 
 func (r *run) recordAttempt(choice *backend.Choice, result string, began, ended time.Time) {
 	r.history = append(r.history, attemptRecord{
-		Server: choice.ID, Zone: choice.Zone, Result: result,
+		Server: choice.ID, Zone: choice.Zone, Result: result, Via: r.via,
 		AtMS: began.Sub(r.call.Arrived).Milliseconds(), TookMS: ended.Sub(began).Milliseconds(),
 		WaitMS: choice.Wait.Milliseconds(), IdleWaitMS: choice.IdleWait.Milliseconds(), Calibrated: choice.Calibrated, PrefillTokens: choice.PrefillTokens, Running: choice.Running,
 	})
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -113,7 +113,9 @@
 	Members     *Members
 	Source      Source
 	Sink        Sink
-	Logger      *slog.Logger
+	// Register adds further services to the gRPC server of the peer listener. It may be nil.
+	Register func(grpc.ServiceRegistrar)
+	Logger   *slog.Logger
 }
 
 // Node sends and receives gossip for one daemon.
@@ -149,6 +151,9 @@
 	}
 	n := &Node{options: options, packets: packets, server: grpc.NewServer(), trigger: make(chan struct{}, 1), alignToLeader: make(chan struct{}, 1), noticeLimiter: newNoticeLimiter(), pulls: map[string]*pullState{}}
 	gossippb.RegisterPeersServer(n.server, n)
+	if options.Register != nil {
+		options.Register(n.server)
+	}
 	return n, listener, nil
 }
 
@@ -248,6 +253,7 @@
 		VM: status.GetVm(), Zone: status.GetZone(), Address: status.GetAddress(), Incarnation: status.GetIncarnation(),
 		ConfigVersion: status.GetConfigVersion(), ServersRevision: status.GetServersRevision(),
 		CountingFor: countingDuration(status), Fence: status.GetFence(), Draining: status.GetDraining(), StoreFailing: status.GetStoreFailing(), FollowsStore: status.GetFollows(),
+		ServersUnreachable: status.GetServersUnreachable(),
 	}, status.GetSequence(), now)
 	if !fresh {
 		return
@@ -255,6 +261,7 @@
 	for _, p := range status.GetKnown() {
 		n.options.Members.Learn(p.GetVm(), p.GetZone(), p.GetAddress(), now)
 	}
+	n.options.Members.learnHelpers(status.GetHelpers(), now)
 	if newProcess {
 		n.options.Logger.Info("first report received from peer", "peer", status.GetVm(), "incarnation", status.GetIncarnation(), "config_version", status.GetConfigVersion())
 	}
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -41,6 +41,8 @@
 	StoreFailing bool
 	// FollowsStore is set while the peer follows the store on behalf of its zone.
 	FollowsStore bool
+	// ServersUnreachable is set while the peer's links to the backend servers have failed.
+	ServersUnreachable bool
 	// LastHeardAt is when the peer's last datagram arrived. LastLearnedAt is when another
 	// daemon last listed the peer.
 	LastHeardAt   time.Time
@@ -58,6 +60,8 @@
 	peers map[string]*member
 	// hints are addresses at which daemons may be found.
 	hints map[string]bool
+	// helpers are daemons of other zones that reach the backend servers, by VM.
+	helpers map[string]helper
 }
 
 type member struct {
@@ -70,7 +74,7 @@
 
 // NewMembers returns a member list that starts with only the hint addresses.
 func NewMembers(self Identity, hints []string) *Members {
-	m := &Members{self: self, peers: map[string]*member{}, hints: map[string]bool{}}
+	m := &Members{self: self, peers: map[string]*member{}, hints: map[string]bool{}, helpers: map[string]helper{}}
 	for _, address := range hints {
 		if address != self.Address {
 			m.hints[address] = true
--- a/internal/gossip/plan.go
+++ b/internal/gossip/plan.go
@@ -42,7 +42,7 @@
 }
 
 // LocalState is the state of the local daemon that its plan depends on.
-type LocalState struct{ StoreFailing, Draining, FollowsStore bool }
+type LocalState struct{ StoreFailing, Draining, FollowsStore, ServersUnreachable bool }
 
 // Plan returns the current role of the local daemon.
 func (m *Members) Plan(self LocalState, now time.Time) Plan {
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -51,6 +51,9 @@
 	}
 	if sequence%reportsPerMemberList == 1 {
 		common.Known = memberList(plan.ZonePeers, len(plan.ZonePeers), now)
+		if plan.Leader {
+			common.Helpers = n.options.Members.remoteHelpers(sequence/reportsPerMemberList, now)
+		}
 	}
 	raw, err := proto.Marshal(common)
 	if err != nil {
@@ -106,6 +109,7 @@
 	summary.Uses = n.usesFor(plan.RemoteRelays, now)
 	if sequence%reportsPerMemberList == 1 {
 		summary.Known = memberList(n.options.Members.Known(now), maxListedPerRemoteZone, now)
+		summary.Helpers = n.options.Members.zoneHelpers(n.options.Source.LocalState(), sequence/reportsPerMemberList, now)
 	}
 	n.sendToAll(summary, plan.RemoteRelays, now)
 	if hint != "" {
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -45,6 +45,7 @@
 	status.Limits = encodeLimits(s.view.Limits(status.GetSequence(), now), now)
 	status.Leaving = encodeLeavingNotices(s.view.LeavingNotices(status.GetSequence(), now), now)
 	status.Draining, status.Follows = s.router.draining.Load(), s.followsStore()
+	status.ServersUnreachable = s.router.links.AllCutOff(now)
 	status.Fence = s.ownFence()
 	status.UptimeMs = time.Since(s.started).Milliseconds()
 	status.CountingMs = max(1, s.limiter.countedFor().Milliseconds())
@@ -68,7 +69,7 @@
 
 // LocalState implements gossip.Source.
 func (s *state) LocalState() gossip.LocalState {
-	return gossip.LocalState{StoreFailing: s.storeUnavailable(), Draining: s.router.draining.Load(), FollowsStore: s.followsStore()}
+	return gossip.LocalState{StoreFailing: s.storeUnavailable(), Draining: s.router.draining.Load(), FollowsStore: s.followsStore(), ServersUnreachable: s.router.links.AllCutOff(time.Now())}
 }
 
 // OwnCounts implements gossip.Source.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -16,8 +16,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rotisserie/eris"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/detour"
 	"github.com/plankridge/plankridge/internal/duty"
 	"github.com/plankridge/plankridge/internal/forward"
 	"github.com/plankridge/plankridge/internal/gossip"
@@ -69,8 +71,13 @@
 	incarnation uint64
 	metrics     *prometheus.Registry
 
-	state          *state
-	pool           *upstream.Pool
+	state *state
+	pool  *upstream.Pool
+	// links is the state of this daemon's links to the backend servers. detours opens connections to
+	// these for other daemons, and detourPeers holds the connections to daemons that do so for this one.
+	links          *detour.Links
+	detours        *detour.Server
+	detourPeers    *detour.Peers
 	objectStore    store.Store
 	members        *gossip.Members
 	node           *gossip.Node
@@ -120,13 +127,15 @@
 		incarnation:  rand.Uint64(),
 		metrics:      prometheus.NewRegistry(),
 		peersLearned: make(chan struct{}, 1),
-		pool:         upstream.NewPool(options.Network, dialTimeout),
+		links:        detour.NewLinks(),
+		detourPeers:  detour.NewPeers(options.Network, insecure.NewCredentials()),
 		members:      gossip.NewMembers(gossip.Identity{VM: s.VM.ID, Zone: s.VM.Zone, Address: s.Listen.Peers}, s.Peers.Seeds),
 		retryBudget: retrybudget.New(retrybudget.Bounds{
 			RetryRatio: s.Bounds.RetryRatio, ExtraRetries: s.Bounds.RetryExtra, Window: s.Bounds.RetryWindow.Std(),
 		}),
 	}
 	r.metrics.MustRegister(collectors.NewGoCollector(), stateCollector{r})
+	r.pool = upstream.NewPool(r.newDialer(options.Network), dialTimeout)
 	client := &http.Client{Transport: network.Transport(options.Network, false)}
 	r.objectStore = platform.NewStore("http://"+s.Store.Address, client)
 	r.cloud = platform.NewCloud("http://"+s.Cloud.Address, client)
@@ -141,6 +150,7 @@
 		r.state.view.EnforceVersions()
 	}
 	r.pool.OnDial = r.state.view.RecordDial
+	r.detours = detour.NewServer(detour.ServerOptions{Network: options.Network, Known: r.state.view.HasAddress, Links: r.links})
 	if err := r.listen(options.Network); err != nil {
 		r.closeListeners()
 		return nil, err
@@ -171,7 +181,7 @@
 	}
 	node, peers, err := gossip.Listen(gossip.Options{
 		VM: r.settings.VM.ID, Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers, Incarnation: r.incarnation,
-		Network: n, Members: r.members, Source: r.state, Sink: r.state, Logger: r.logger,
+		Network: n, Members: r.members, Source: r.state, Sink: r.state, Register: r.detours.Register, Logger: r.logger,
 	})
 	r.node, r.peerListener = node, peers
 	return err
@@ -258,6 +268,7 @@
 		_ = server.Close()
 	}
 	r.pool.Close()
+	r.detourPeers.Close()
 	background.Wait()
 	r.logger.Info("daemon stopped")
 	return err
@@ -327,6 +338,9 @@
 	r.draining.Store(true)
 	ctx, cancel := context.WithDeadline(kill, deadline)
 	defer cancel()
+	var tunnels sync.WaitGroup
+	tunnels.Go(func() { r.detours.Drain(ctx) })
+	defer tunnels.Wait()
 	r.elector.Release(ctx)
 	r.node.TriggerReport()
 	select {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -54,8 +54,8 @@
 type Pool struct {
 	network     network.Network
 	dialTimeout time.Duration
-	// OnDial, if not nil, is called with the duration of each successful dial. It must be set
-	// before the pool is used.
+	// OnDial, if not nil, is called with the duration of each successful direct dial. It must be
+	// set before the pool is used.
 	OnDial func(address string, took time.Duration)
 
 	mu     sync.Mutex
@@ -91,7 +91,10 @@
 // conn is a connection with its read buffer.
 type conn struct {
 	net.Conn
-	address   string
+	address string
+	// via is the daemon through which the connection goes. Such a connection is used once, because
+	// whether it is still open is known to that daemon only.
+	via       string
 	reader    *bufio.Reader
 	idleSince time.Time
 	idleLimit time.Duration
@@ -230,13 +233,22 @@
 	if err != nil {
 		return nil, err
 	}
-	if p.OnDial != nil {
+	via := viaOf(raw)
+	if p.OnDial != nil && via == "" {
 		p.OnDial(address, time.Since(began))
 	}
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	return &conn{Conn: raw, address: address, via: via, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+}
+
+// viaOf returns the daemon through which a connection goes, or "" for a direct connection.
+func viaOf(c net.Conn) string {
+	if tunnel, ok := c.(interface{ Via() string }); ok {
+		return tunnel.Via()
+	}
+	return ""
 }
 
 func (p *Pool) pop(address string) *conn {
@@ -262,7 +274,7 @@
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle[c.address]) >= maxIdlePerServer {
+	if p.closed || c.via != "" || len(p.idle[c.address]) >= maxIdlePerServer {
 		_ = c.Close()
 		return
 	}
@@ -290,11 +302,25 @@
 	}
 }
 
-// CloseIdle closes the idle connections to an address whose server has restarted. A request sent
-// on one of them would be lost, and it would be unknown whether it ran.
+// CloseIdle closes the idle connections to an address whose server has restarted or cannot be
+// reached. A request sent on one of them would be lost, and it would be unknown whether it ran.
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.closeIdle(address)
+}
+
+// CloseAllIdle is CloseIdle for all addresses.
+func (p *Pool) CloseAllIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address := range p.idle {
+		p.closeIdle(address)
+	}
+}
+
+// closeIdle is CloseIdle for a caller that holds the lock.
+func (p *Pool) closeIdle(address string) {
 	for _, c := range p.idle[address] {
 		c.abort()
 	}
@@ -338,6 +364,9 @@
 	p.idle = map[string][]*conn{}
 }
 
+// Via returns the daemon through which the connection goes, or "" for a direct connection.
+func (r *Response) Via() string { return r.exchange.conn.via }
+
 // Close ends the exchange. The connection is reused if the response was read to its end, the
 // request was written completely and the server keeps the connection open.
 func (r *Response) Close() { r.exchange.end() }
