Limit what brittle servers are sent by their estimated capacity

Servers that announced that they are brittle fell over again and again where callers asked for more than fits (LIMIT): 9 to 12 falls of 3 or 4 servers in 10 s, and 450 of 3748 requests served.

Cause: a decline made a server suspect to the one daemon that saw it, for 150 ms, and ranked it behind others. With many daemons the declines of a second add up, and each request is declined by as many servers as it may try. Nothing read Server-Brittle.

A brittle server now gets an estimated limit, kept by all daemons together in the account that stated limits have: half of what its places (slots, or the memory of an engine by the size of requests) serve in a second, since the shared limiter admits up to half more at times. A declined request lowers it by 0.3, told at once; without one it rises by a tenth a second. Of two estimates made within a second the lower one counts. The daemon that was declined sends nothing there for a second. It ends with the first answer without the header, as a stated limit does.

--- a/internal/advice/advice.go
+++ b/internal/advice/advice.go
@@ -19,17 +19,20 @@
 	Limit *float64
 	// Leaving is set if the server announces that it leaves.
 	Leaving bool
+	// Brittle is set if the server may fall over when it has to decline many requests. Declined is
+	// set if such a server declined this one.
+	Brittle, Declined bool
 	// RetryAfter is how long a server that declined the request wants no others from this daemon.
 	// It is zero if the response does not say so.
 	RetryAfter time.Duration
-	// LimitError and RetryAfterError are set if the respective header is invalid. The value counts
-	// as absent then.
-	LimitError, RetryAfterError error
+	// LimitError, BrittleError and RetryAfterError are set if the respective header is invalid. The
+	// value counts as absent then.
+	LimitError, BrittleError, RetryAfterError error
 }
 
-// HeaderNames are the names of the headers that carry a limit and a leaving announcement. The name
-// of Retry-After is fixed.
-type HeaderNames struct{ Limit, Leaving string }
+// HeaderNames are the names of the headers that carry a limit, a leaving announcement and the number
+// of requests that a brittle server may decline in a second. The name of Retry-After is fixed.
+type HeaderNames struct{ Limit, Leaving, Brittle string }
 
 // ownHeaders are the header names of plankridge's own server interface.
 var ownHeaders = HeaderNames{Limit: "Plankridge-Limit", Leaving: "Plankridge-Leaving"}
@@ -42,6 +45,11 @@
 // the server declined the request; otherwise it belongs to the service's answer.
 func Parse(header http.Header, names HeaderNames, declined bool) Advice {
 	a := Advice{Leaving: strings.TrimSpace(header.Get(names.Leaving)) == leavingValue}
+	if text := header.Get(names.Brittle); text != "" {
+		_, a.BrittleError = ParseLimit(text)
+		a.Brittle = a.BrittleError == nil
+		a.Declined = a.Brittle && declined
+	}
 	if texts := header.Values(names.Limit); len(texts) > 0 {
 		rate, err := ParseLimit(texts[0])
 		if a.LimitError = err; err == nil {
@@ -88,6 +96,9 @@
 	// Rate is in requests per second. It is meaningful only if Limited is set.
 	Rate    float64
 	Limited bool
+	// Estimated is set if daemons estimate the limit of a brittle server. Otherwise the server has
+	// stated it.
+	Estimated bool
 	// ObservedAt is when the response with the limit was received. For a response without a limit
 	// it is when the request was sent. A later observation replaces an earlier one.
 	ObservedAt time.Time
@@ -106,8 +117,19 @@
 	return l.Merge(Limit{ObservedAt: sent})
 }
 
-// Merge returns the later one of two observations.
+// estimateConflict is the time within which daemons may change an estimate without knowing of each
+// other's change.
+const estimateConflict = time.Second
+
+// Merge returns the later one of two observations, and the lower one of two estimates that were made
+// at about the same time.
 func (l Limit) Merge(other Limit) Limit {
+	if l.Limited && other.Limited && l.Estimated && other.Estimated && l.ObservedAt.Sub(other.ObservedAt).Abs() < estimateConflict {
+		if other.Rate < l.Rate {
+			return other
+		}
+		return l
+	}
 	if other.ObservedAt.After(l.ObservedAt) {
 		return other
 	}
@@ -119,6 +141,15 @@
 	return l.Limited == other.Limited && (!l.Limited || l.Rate == other.Rate)
 }
 
+// IsUrgent reports whether other daemons must learn at once that the limit has replaced before. Only
+// the raise of an estimate can wait.
+func (l Limit) IsUrgent(before Limit) bool {
+	if l.Limited && before.Limited && l.Estimated {
+		return l.Rate < before.Rate
+	}
+	return !l.Equivalent(before)
+}
+
 // LimitRecord is a server's limit as daemons report it to each other.
 type LimitRecord struct {
 	// Server is the key of one incarnation of a server.
--- a/internal/advice/advice_test.go
+++ b/internal/advice/advice_test.go
@@ -80,3 +80,31 @@
 	header.Set("Plankridge-Limit", "2.5")
 	c.Check(*FromHeader(header, false).Limit, qt.Equals, 2.5)
 }
+
+func TestBrittleServers(t *testing.T) {
+	c := qt.New(t)
+	names := HeaderNames{Limit: "Limit", Leaving: "Leaving", Brittle: "Brittle"}
+	for text, want := range map[string]bool{"12": true, "0": true, "": false, "many": false, "-1": false, "NaN": false} {
+		header := http.Header{}
+		if text != "" {
+			header.Set("Brittle", text)
+		}
+		a := Parse(header, names, true)
+		c.Check(a.Brittle, qt.Equals, want, qt.Commentf("%q", text))
+		c.Check(a.BrittleError != nil, qt.Equals, text != "" && !want, qt.Commentf("%q", text))
+		c.Check(a.Declined, qt.Equals, want)
+	}
+}
+
+func TestLowerOfTwoEstimatesMadeTogetherIsKept(t *testing.T) {
+	c := qt.New(t)
+	at := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	low := Limit{Rate: 3, Limited: true, Estimated: true, ObservedAt: at}
+	high := Limit{Rate: 5, Limited: true, Estimated: true, ObservedAt: at.Add(300 * time.Millisecond)}
+	c.Check(low.Merge(high), qt.Equals, low)
+	c.Check(high.Merge(low), qt.Equals, low)
+	high.ObservedAt = at.Add(2 * time.Second)
+	c.Check(low.Merge(high), qt.Equals, high)
+	stated := Limit{Rate: 9, Limited: true, ObservedAt: at.Add(time.Millisecond)}
+	c.Check(low.Merge(stated), qt.Equals, stated)
+}
--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -150,6 +150,7 @@
 	if outcome == OutcomeServed {
 		c.learnStream()
 		took := now.Sub(c.startedAt)
+		c.recordRequestSize(took)
 		c.server.serviceTime += time.Duration(serviceTimeWeight * float64(took-c.server.serviceTime))
 	}
 }
--- a/internal/backend/limits.go
+++ b/internal/backend/limits.go
@@ -63,9 +63,15 @@
 	defer c.view.mu.Unlock()
 	s := c.server
 	change := AdviceChange{Before: s.limit, After: s.limit.Observe(a, c.startedAt, answered)}
+	if a.Brittle && a.Limit == nil {
+		change.After = c.view.estimateLimit(s, a.Declined, answered)
+	}
 	if c.view.servers[c.ID] != s {
 		return change
 	}
+	if a.Brittle && a.Declined {
+		s.backoffUntil = later(s.backoffUntil, answered.Add(brittleBackoff))
+	}
 	c.view.setLimit(s, change.After)
 	if a.RetryAfter > 0 {
 		s.backoffUntil = later(s.backoffUntil, answered.Add(a.RetryAfter))
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -31,6 +31,8 @@
 	traits  map[string]Traits
 	// connectTimes are the average connect times to the zones.
 	connectTimes map[string]connectTime
+	// requestSizes are averages over the answers of each service.
+	requestSizes map[string]requestSizes
 	// engines are the models of the engines' speed, by service.
 	engines map[string]*pace.Engine
 	// unappliedEstimates are the parameters that other daemons reported for services that are not
@@ -61,7 +63,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, connectTimes: map[string]connectTime{}, engines: map[string]*pace.Engine{}, unappliedEstimates: map[string]pace.EngineEstimates{}, readyServers: map[track][]*server{}, versions: map[string]Versions{}, changed: make(chan struct{}), drainBound: defaultDrainBound}
+	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, connectTimes: map[string]connectTime{}, requestSizes: map[string]requestSizes{}, engines: map[string]*pace.Engine{}, unappliedEstimates: map[string]pace.EngineEstimates{}, readyServers: map[track][]*server{}, versions: map[string]Versions{}, changed: make(chan struct{}), drainBound: defaultDrainBound}
 }
 
 // SetTraits sets the configured properties of all services.
--- a/internal/router/serverlimits.go
+++ b/internal/router/serverlimits.go
@@ -65,11 +65,16 @@
 // mergeLimits merges the limits that a peer reports.
 func (s *state) mergeLimits(status *gossippb.Status, now time.Time) {
 	changed := s.view.MergeLimits(decodeLimits(status.GetLimits(), now))
+	urgent := false
 	for _, c := range changed {
+		if !c.Limit.IsUrgent(c.Before) {
+			continue
+		}
+		urgent = true
 		s.router.logger.Info("server's limit changed", "server", c.ID, "service", c.Service, "zone", c.Zone,
-			"limited", c.Limit.Limited, "requests_per_second", c.Limit.Rate, "limited_before", c.Before.Limited, "requests_per_second_before", c.Before.Rate, "from", status.GetVm())
+			"limited", c.Limit.Limited, "estimated", c.Limit.Estimated, "requests_per_second", c.Limit.Rate, "limited_before", c.Before.Limited, "requests_per_second_before", c.Before.Rate, "from", status.GetVm())
 	}
-	if len(changed) > 0 {
+	if urgent {
 		s.router.node.TriggerReport()
 	}
 }
@@ -90,7 +95,7 @@
 	var limits []*gossippb.ServerLimit
 	for _, r := range records {
 		limits = append(limits, &gossippb.ServerLimit{
-			Server: r.Server, Named: r.Limited, RequestsPerSecond: r.Rate, AgeMs: now.Sub(r.ObservedAt).Milliseconds(),
+			Server: r.Server, Named: r.Limited, RequestsPerSecond: r.Rate, Estimated: r.Estimated, AgeMs: now.Sub(r.ObservedAt).Milliseconds(),
 		})
 	}
 	return limits
@@ -103,7 +108,7 @@
 		if !advice.ValidNumber(l.GetRequestsPerSecond()) {
 			continue
 		}
-		limit := advice.Limit{Rate: l.GetRequestsPerSecond(), Limited: l.GetNamed(), ObservedAt: now.Add(-millis(l.GetAgeMs()))}
+		limit := advice.Limit{Rate: l.GetRequestsPerSecond(), Limited: l.GetNamed(), Estimated: l.GetEstimated(), ObservedAt: now.Add(-millis(l.GetAgeMs()))}
 		records = append(records, advice.LimitRecord{Server: l.GetServer(), Limit: limit})
 	}
 	return records
