Order the store's revisions by its era

Cause: revisions were taken for the order of time everywhere. A list, an entry or a removal of a lower revision was ignored, a watch from a revision that was given out again left changes out, a conditional write could match other content, and the fence is the revision of a write.

The adapter now reads the store's era with each answer and combines it with the revision, so that every revision of a later era is higher; all places that compare revisions stay as they are. A watch or a condition on a revision of an earlier era is answered by the adapter (history gone, conflict), as is a list or watch that spans two eras. Without the header revisions are as before. What callers have seen does not go back: a server known to leave or to be gone is not taken back from a copy unless it has written since. Entries that the copy lacks have the grace of an outage.

--- a/internal/backend/incarnation.go
+++ b/internal/backend/incarnation.go
@@ -1,6 +1,10 @@
 package backend
 
-import "time"
+import (
+	"time"
+
+	"github.com/plankridge/plankridge/internal/store"
+)
 
 // emptyCachePeriod is how long a restarted server is not assumed to have cached the prompts that it
 // is the home of. Its cache is empty after the restart and is filled as the daemons send it their
@@ -17,6 +21,13 @@
 	return e.StartTimeMs < s.StartTimeMs || (e.StartTimeMs == s.StartTimeMs && e.Sequence < s.Sequence)
 }
 
+// hasLeftBefore reports whether the server is known to leave or to be gone, and an entry is from a copy
+// of the store that is older than this knowledge.
+func (s *server) hasLeftBefore(e Entry) bool {
+	isCopy := store.EraOf(e.Revision) > store.EraOf(s.Revision) && e.Sequence <= s.Sequence
+	return isCopy && e.StartTimeMs == s.StartTimeMs && (s.Draining || !s.listed) && !e.Draining
+}
+
 // isRestart reports whether an entry is from a later incarnation than the known one.
 func (s *server) isRestart(e Entry) bool { return s.StartTimeMs != 0 && e.StartTimeMs > s.StartTimeMs }
 
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -152,7 +152,7 @@
 func (v *View) putEntry(e Entry, seen Observation) (restarted []Entry) {
 	now := seen.ReceivedAt
 	s := v.servers[e.ID]
-	if s != nil && s.supersedes(e) {
+	if s != nil && (s.supersedes(e) || s.hasLeftBefore(e)) {
 		return nil
 	}
 	var restartedAt time.Time
--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -56,20 +56,27 @@
 
 // CallWithHeader is like Call and sends additional request headers.
 func (c *Client) CallWithHeader(ctx context.Context, method, path string, header http.Header, in, out any) error {
+	_, err := c.CallForHeader(ctx, method, path, header, in, out)
+	return err
+}
+
+// CallForHeader is like CallWithHeader and returns the response's header, which is nil if there was
+// no response.
+func (c *Client) CallForHeader(ctx context.Context, method, path string, header http.Header, in, out any) (http.Header, error) {
 	ctx, sent := traceSent(ctx)
 	req, err := c.newRequest(ctx, method, path, header, in)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	resp, err := c.httpClient().Do(req)
 	if err != nil {
 		if !sent.Load() {
-			return fmt.Errorf("%w: %w", ErrNotSent, err)
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 		}
-		return eris.Wrap(err, "call")
+		return nil, eris.Wrap(err, "call")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return decodeResponse(resp, out)
+	return resp.Header, decodeResponse(resp, out)
 }
 
 func (c *Client) newRequest(ctx context.Context, method, path string, header http.Header, in any) (*http.Request, error) {
--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -43,7 +43,7 @@
 // Replace implements store.Consumer.
 func (c serverConsumer) Replace(page store.Page, outage bool) {
 	now := time.Now()
-	if outage || c.isStoreFailing() {
+	if outage || c.isStoreFailing() || store.EraOf(page.Revision) > store.EraOf(c.serversRevision()) {
 		c.storeReturned(now)
 	}
 	c.replaceServers(page.Objects, page.Revision, sourceStore, now)
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -17,7 +17,7 @@
 	// ErrConflict means that the object is at another revision, or already exists.
 	ErrConflict = errors.New("object was changed by another writer")
 	// ErrCompacted means that the store no longer has the history since the revision
-	// from which a watch starts.
+	// from which a watch starts, or went back to an older copy since.
 	ErrCompacted = errors.New("watch history was compacted")
 	// ErrRefused means that the call had no effect: it was not sent, or the store
 	// rejected it.
@@ -31,7 +31,7 @@
 type Object struct {
 	Name string
 	// Revision is the store's revision at the object's last change. Created is the revision
-	// at its creation.
+	// at its creation. Both are qualified by the era of the answer; see QualifiedRevision.
 	Revision int64
 	Created  int64
 	Spec     json.RawMessage
@@ -64,6 +64,9 @@
 
 // Store is the client interface of the object store.
 type Store interface {
+	// Era returns the newest known era of the store. It rises each time the store goes back
+	// to an older copy.
+	Era() int64
 	// List returns all objects of a kind, at least as recent as the start of the call.
 	List(ctx context.Context, kind string) (Page, error)
 	// ListStale returns all objects of a kind, at most some seconds old. It costs a tenth of
