--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -45,6 +45,9 @@
 	CallerTimeout time.Duration
 	// LastEventID is the ID of the last stream event that the caller has received, or empty.
 	LastEventID string
+	// Resumes is the ID of the request that brought the caller the first event of the stream, or
+	// empty. It has a meaning only together with LastEventID.
+	Resumes string
 }
 
 // Prompt holds the parts of a model request that affect routing.
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -13,7 +13,9 @@
 type attemptRecord struct {
 	Server string `json:"server"`
 	Zone   string `json:"zone"`
-	Result string `json:"result"`
+	// Version is the version of the server's software.
+	Version string `json:"version"`
+	Result  string `json:"result"`
 	// Via is the daemon through which the server was reached; empty for a direct connection.
 	Via string `json:"via,omitempty"`
 	// AtMS is the start of the attempt in milliseconds since the call arrived.
@@ -32,7 +34,7 @@
 
 func (r *run) recordAttempt(choice *backend.Choice, result string, began, ended time.Time) {
 	r.history = append(r.history, attemptRecord{
-		Server: choice.ID, Zone: choice.Zone, Result: result, Via: r.via,
+		Server: choice.ID, Zone: choice.Zone, Version: choice.Version, Result: result, Via: r.via,
 		AtMS: began.Sub(r.call.Arrived).Milliseconds(), TookMS: ended.Sub(began).Milliseconds(),
 		WaitMS: choice.Wait.Milliseconds(), IdleWaitMS: choice.IdleWait.Milliseconds(), Calibrated: choice.Calibrated, PrefillTokens: choice.PrefillTokens, Running: choice.Running,
 	})
@@ -64,6 +66,9 @@
 		"attempts", r.history, "allowance_tokens", r.cost, "config_version", r.call.Catalog.Version,
 		"config_age_ms", time.Since(r.call.Catalog.AppliedAt).Milliseconds(), "servers_age_ms", serversAge.Milliseconds(), "store_failing", storeFailing,
 	}
+	if r.call.LastEventID != "" {
+		attrs = append(attrs, "resumes", r.call.Resumes, "last_event", r.call.LastEventID)
+	}
 	if v := r.verdict; v != nil {
 		attrs = append(attrs, "allowance_limit", int64(v.Limit), "allowance_used", int64(v.Used), "allowance_free", int64(v.Free),
 			"allowance_unheard", int64(v.Unreported), "allowance_asked", int64(v.OthersDemand), "allowance_heard_ms", v.ReportAge.Milliseconds(),
