--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -60,6 +60,8 @@
 	// quotaOver and quotaSlack are how far above its allowance a workspace may get, as a share of a
 	// window's allowance and in tokens.
 	quotaOver, quotaSlack float64
+	// withoutRollOuts is set if the operator allows no roll-outs.
+	withoutRollOuts bool
 }
 
 // daemon is one router with the means to end it.
@@ -134,6 +136,9 @@
 			QuotaOverShare: b.quotaOver, QuotaSlackTokens: b.quotaSlack,
 		},
 	}
+	if b.withoutRollOuts {
+		settings.Bounds.RollOutShare, settings.Bounds.RollOutSlack, settings.Bounds.RollOutStop = 0, 0, 0
+	}
 	r, err := router.New(router.Options{
 		Settings: settings, Network: b.net.Host(ip), Logger: slog.New(slog.NewTextHandler(logOutput(), nil)),
 		OnViolation: func(err error) { b.Errorf("invariant violated: %v", err) },
