Assign resumable streams to versions of their service by their ID

Callers got streams with events of two software versions: a broken stream went on at any server of its service, within one answer and over a caller's tries, and nobody but the daemon that had served the first try could have known which version began it.

The streams of a service now hash to 128 buckets by the ID of the request that brought the first event (Resumes), and each bucket has a version. The assignment is kept in the store, written under a condition by one daemon that follows it, and passed on by the gossip. A bucket moves in two steps: all daemons know of the move before a stream begins at the new version, and the earlier version counts until no daemon begins streams there and those that began have ended. So each daemon, also one that has just started after the death of all, can tell the version of a stream, or that it is ambiguous; then the stream is refused at once. Within one answer a stream goes on at the version that began it.

--- a/internal/backend/leaving.go
+++ b/internal/backend/leaving.go
@@ -149,5 +149,5 @@
 	if c.lastResort && c.server.usableAsLastResort(now) {
 		return true
 	}
-	return c.server.ready() || slices.Contains(c.view.eligibleServers(track{c.need.Service, c.Candidate}, now), c.server)
+	return c.server.ready() || slices.Contains(c.view.eligibleServers(c.need.track(c.Candidate), now), c.server)
 }
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -33,6 +33,8 @@
 	SampleSeed uint64
 	// Candidate requests a server of the candidate version of a roll-out.
 	Candidate bool
+	// Version restricts the choice to servers of one version, unless it is empty.
+	Version string
 	// ServerID restricts the choice to one server, unless it is empty.
 	ServerID string
 }
@@ -65,7 +67,7 @@
 			return choice, true
 		}
 	}
-	choice, ok := v.beginAmong(v.lastResortServers(track{need.Service, candidate}, now), candidate, need, now)
+	choice, ok := v.beginAmong(v.lastResortServers(need.track(candidate), now), candidate, need, now)
 	if ok {
 		choice.lastResort = true
 	}
@@ -149,7 +151,7 @@
 	incarnationRequired := v.reportsIncarnations(t.service)
 	versions := v.versionsOf(t.service)
 	for _, s := range v.servers {
-		if s.Service != t.service || incarnationRequired && s.StartTimeMs == 0 || !versions.allows(s.Version, t.candidate) || !matches(s) {
+		if s.Service != t.service || incarnationRequired && s.StartTimeMs == 0 || !t.matches(s.Version, versions) || !matches(s) {
 			continue
 		}
 		servers = append(servers, s)
--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -26,10 +26,20 @@
 // distinguish a bad version from one bad server.
 const maxCandidateSubset = 3
 
-// track selects the stable or the candidate servers of a service.
+// track selects the stable or the candidate servers of a service, or only those of one version if
+// version is not empty.
 type track struct {
 	service   string
 	candidate bool
+	version   string
+}
+
+// track returns the stable or the candidate track of an attempt.
+func (n *Need) track(candidate bool) track { return track{n.Service, candidate, n.Version} }
+
+// matches reports whether the track includes servers of a version.
+func (t track) matches(version string, versions Versions) bool {
+	return (t.version == "" || t.version == version) && versions.allows(version, t.candidate)
 }
 
 // SetVersions sets which versions of a service may be used.
@@ -97,15 +107,15 @@
 func (v *View) trackServers(need Need, now time.Time) (servers []*server, candidate bool) {
 	versions := v.versionsOf(need.Service)
 	if need.Candidate {
-		candidates := v.eligibleServers(track{need.Service, true}, now)
+		candidates := v.eligibleServers(need.track(true), now)
 		healthy := slices.ContainsFunc(candidates, func(s *server) bool { return s.ready() && !s.suspect(now) && !s.backingOff(now) })
 		if healthy {
 			return candidates, true
 		}
 	}
-	servers = v.eligibleServers(track{need.Service, false}, now)
+	servers = v.eligibleServers(need.track(false), now)
 	if len(servers) == 0 && versions.AllCandidates {
-		return v.eligibleServers(track{need.Service, true}, now), true
+		return v.eligibleServers(need.track(true), now), true
 	}
 	return servers, false
 }
@@ -158,3 +168,44 @@
 	})
 	return all
 }
+
+// VersionCapacity is what the servers of one version of a service can take.
+type VersionCapacity struct {
+	Service, Version string
+	// Slots is the number of requests that the ready servers run at once.
+	Slots int
+	// Leaving is set if there are servers that leave and may still be used as a last resort.
+	Leaving bool
+}
+
+// VersionCapacities returns the capacity of each version that requests may use without being assigned
+// to the candidate of a roll-out.
+func (v *View) VersionCapacities(now time.Time) []VersionCapacity {
+	type group struct{ service, version string }
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	capacities := map[group]VersionCapacity{}
+	for _, s := range v.servers {
+		ready := s.ready()
+		if !ready && !s.usableAsLastResort(now) || !v.versionsOf(s.Service).allows(s.Version, false) {
+			continue
+		}
+		g := group{s.Service, s.Version}
+		c := capacities[g]
+		c.Service, c.Version = s.Service, s.Version
+		if ready {
+			c.Slots += max(1, s.Slots)
+		} else {
+			c.Leaving = true
+		}
+		capacities[g] = c
+	}
+	var all []VersionCapacity
+	for _, c := range capacities {
+		all = append(all, c)
+	}
+	slices.SortFunc(all, func(a, b VersionCapacity) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return all
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -204,3 +204,20 @@
 func (r *Route) Retryable() bool {
 	return r.Kind == Idempotent || (r.Kind == EventStream && r.Resumable)
 }
+
+// ResumableServices returns the services that streams of resumable routes go to.
+func (c *Catalog) ResumableServices() map[string]bool {
+	services := map[string]bool{}
+	for i := range c.Routes {
+		if !c.Routes[i].ResumableStream() {
+			continue
+		}
+		for _, split := range c.Routes[i].Splits {
+			services[split.Service] = true
+		}
+	}
+	return services
+}
+
+// ResumableStream reports whether the route's answers are streams that may be resumed.
+func (r *Route) ResumableStream() bool { return r.Kind == EventStream && r.Resumable }
--- a/internal/firsttry/firsttry.go
+++ b/internal/firsttry/firsttry.go
@@ -64,6 +64,28 @@
 	return max(0, usual-timeout.Round(timeoutResolution))
 }
 
+// maxRetryShare is the share of a route's requests from which on a timeout counts as that of first
+// tries of some callers. The timeouts of retries differ from each other.
+const maxRetryShare = 0.05
+
+// AgeBound returns how long ago at most the caller of a request first tried, and false if the timeout
+// does not tell: it is that of a first try, or that of all tries of some callers. The request must
+// have been passed to Age before.
+func (c *CallerTimeouts) AgeBound(routeName string, timeout time.Duration) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.routes[routeName]
+	if r == nil || timeout <= 0 {
+		return 0, false
+	}
+	usual, known := r.usual()
+	rounded := timeout.Round(timeoutResolution)
+	if !known || rounded+timeoutResolution >= usual || r.weights[rounded] > maxRetryShare*r.totalWeight {
+		return 0, false
+	}
+	return usual - rounded + timeoutResolution, true
+}
+
 func (r *routeTimeouts) add(timeout time.Duration, weight float64) {
 	for tracked := range r.weights {
 		r.weights[tracked] *= decayFactor
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -223,6 +223,28 @@
 	RecordRequest(service string, work demand.Load, now time.Time)
 }
 
+// StreamVersions decides at which software version of a service a resumable stream runs.
+type StreamVersions interface {
+	// Begin returns the version at which a new stream begins. A roll-out may assign the stream to its
+	// candidate.
+	Begin(service, streamID string, candidate bool) (StreamVersion, error)
+	// Resume returns the version at which a stream began that did so at the given time or later.
+	Resume(service, streamID string, begunAfter time.Time) (StreamVersion, error)
+	// MayBegin reports whether a stream may still begin at a version that Begin has returned.
+	MayBegin(service, streamID, version string, now time.Time) bool
+	// Draw returns the number in [0, 1) by which a roll-out assigns the stream.
+	Draw(streamID string) float64
+}
+
+// StreamVersion is the version at which a stream runs.
+type StreamVersion struct {
+	Version string
+	// Candidate is set if it is the candidate of a roll-out.
+	Candidate bool
+	// Source says how the version was established, for logs.
+	Source string
+}
+
 // RollOuts decides which requests go to the candidate version of a service, and collects
 // the results of both versions.
 type RollOuts interface {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -67,6 +67,9 @@
 	Demand  Demand
 	// RollOuts selects the requests that go to the candidate version of a service. It may be nil.
 	RollOuts RollOuts
+	// StreamVersions selects the version at which a resumable stream runs. If it is nil, streams go on
+	// at any version.
+	StreamVersions StreamVersions
 	// Quarantine blocks requests that crash servers. Nil blocks nothing.
 	Quarantine Quarantine
 	// CallerTimeouts infers from the stated time limits how long ago a caller first tried.
@@ -106,6 +109,8 @@
 	tried          map[string]bool
 	// candidate is set while the call goes to the candidate version of a roll-out.
 	candidate bool
+	// stream is the version at which a resumable stream runs. It is final once the stream has begun.
+	stream StreamVersion
 	// lifecycle decides whether a retry is safe and which outcome may be reported.
 	lifecycle *request.Lifecycle
 	// usageCounted is set once the call is counted as usage, demandCounted once as demand.
@@ -254,7 +259,9 @@
 func (r *run) runAttempts(ctx context.Context) error {
 	ctx, cancel := context.WithDeadlineCause(ctx, r.call.Deadline(), errTimeout)
 	defer cancel()
-	r.chooseVersion()
+	if refusal := r.chooseVersion(); refusal != nil {
+		return r.giveUp(ctx, refusal)
+	}
 	for {
 		now := time.Now()
 		if refusal := cmp.Or(r.checkAttempt(now), r.checkQuarantine(now)); refusal != nil {
@@ -290,16 +297,22 @@
 			return result.err
 		}
 		r.tried[choice.ID] = true
-		r.chooseRetryVersion()
 		if ctx.Err() != nil {
 			return r.giveUp(ctx, &Refusal{Status: http.StatusGatewayTimeout, Reason: "timeout"})
 		}
+		if refusal := r.chooseRetryVersion(); refusal != nil {
+			return r.giveUp(ctx, refusal)
+		}
 	}
 }
 
 // refuseNoServer refuses a call for which no server can be picked.
 func (r *run) refuseNoServer(now time.Time) *Refusal {
 	wait, found := r.options.View.RetryAfter(r.need(), now)
+	if !found && r.resumed() {
+		// Servers of this version may never come back.
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no backend server of the stream's version is left"}
+	}
 	if !found {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "service has no backend server", RetryAfter: retryAfterNoServer}
 	}
@@ -339,7 +352,7 @@
 func (r *run) overdue() bool { return route.Overdue(r.callerAge, r.call.Route.LatencyTarget) }
 
 func (r *run) need() backend.Need {
-	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.LatencyTarget, Tried: r.tried, Candidate: r.candidate, SampleSeed: xxhash.Sum64String(r.call.ID)}
+	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.LatencyTarget, Tried: r.tried, Candidate: r.candidate, Version: r.stream.Version, SampleSeed: xxhash.Sum64String(r.call.ID)}
 	need.Final = r.sentAttempts+1 >= r.call.Route.MaxAttempts
 	if p := r.call.Prompt; p != nil {
 		need.Deferred = r.overdue()
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -66,9 +66,12 @@
 		"attempts", r.history, "allowance_tokens", r.cost, "config_version", r.call.Catalog.Version,
 		"config_age_ms", time.Since(r.call.Catalog.AppliedAt).Milliseconds(), "servers_age_ms", serversAge.Milliseconds(), "store_failing", storeFailing,
 	}
-	if r.call.LastEventID != "" {
+	if r.resumed() {
 		attrs = append(attrs, "resumes", r.call.Resumes, "last_event", r.call.LastEventID)
 	}
+	if r.stream.Source != "" {
+		attrs = append(attrs, "stream_version", r.stream.Version, "stream_version_from", r.stream.Source)
+	}
 	if v := r.verdict; v != nil {
 		attrs = append(attrs, "allowance_limit", int64(v.Limit), "allowance_used", int64(v.Used), "allowance_free", int64(v.Free),
 			"allowance_unheard", int64(v.Unreported), "allowance_asked", int64(v.OthersDemand), "allowance_heard_ms", v.ReportAge.Milliseconds(),
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -47,6 +47,9 @@
 	if errors.Is(err, errEventGap) {
 		return r.endWithStep(request.StepLost, backend.OutcomeFailed, "event-gap")
 	}
+	if errors.Is(err, errVersionMoved) {
+		return r.endWithStep(request.StepLost, backend.OutcomeNeutral, "version-moved")
+	}
 	return r.endCallerLeft()
 }
 
@@ -79,6 +82,9 @@
 			return nil
 		}
 	}
+	if !r.begunStream() && !r.mayBeginStream(choice, now) {
+		return errVersionMoved
+	}
 	r.sendHeader(answer)
 	if err := r.reply.Write(event); err != nil {
 		return errCallerLeft
@@ -86,6 +92,7 @@
 	if numbered {
 		r.lastEventID = strconv.Itoa(id)
 	}
+	r.pinVersion(choice)
 	return nil
 }
 
--- /dev/null
+++ b/internal/forward/streamversion.go
@@ -0,0 +1,84 @@
+package forward
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/streamversion"
+)
+
+// streamAgeMargin is added to the age of a stream that the timeout of its caller tells. It covers the
+// differences between the clocks of VMs.
+const streamAgeMargin = time.Second
+
+// errVersionMoved means that new streams do not begin at the version of an attempt any more.
+var errVersionMoved = errors.New("streams begin at another version now")
+
+// hasStreamVersion reports whether the call is a stream that may only go on at the version that began
+// it.
+func (r *run) hasStreamVersion() bool {
+	return r.options.StreamVersions != nil && r.call.Route.ResumableStream()
+}
+
+// resumed reports whether the caller takes up a stream.
+func (r *run) resumed() bool { return r.call.LastEventID != "" }
+
+// begunStream reports whether the caller has events of the stream.
+func (r *run) begunStream() bool { return r.resumed() || r.headerSent }
+
+// chooseStreamVersion chooses the version of a resumable stream that has not begun in this call.
+func (r *run) chooseStreamVersion() *Refusal {
+	if !r.hasStreamVersion() {
+		return nil
+	}
+	var err error
+	if r.resumed() {
+		r.stream, err = r.options.StreamVersions.Resume(r.call.Service, r.call.Resumes, r.begunAfter())
+	} else {
+		r.stream, err = r.options.StreamVersions.Begin(r.call.Service, r.call.ID, r.candidate)
+	}
+	if err != nil {
+		return streamVersionRefusal(err)
+	}
+	r.candidate = r.stream.Candidate
+	return nil
+}
+
+// streamVersionRefusal refuses a call whose version is not known. A stream whose version is not known
+// although the assignment is will not be known later either.
+func streamVersionRefusal(err error) *Refusal {
+	refusal := &Refusal{Status: http.StatusServiceUnavailable, Reason: err.Error()}
+	if !errors.Is(err, streamversion.ErrAmbiguous) {
+		refusal.RetryAfter = retryAfterTransient
+	}
+	return refusal
+}
+
+// begunAfter returns a time before the first event of the stream that the caller takes up. Callers
+// that state in each try how long they still wait tell when they first tried.
+func (r *run) begunAfter() time.Time {
+	route := r.call.Route
+	if r.options.CallerTimeouts != nil {
+		if age, known := r.options.CallerTimeouts.AgeBound(route.Name, r.call.CallerTimeout); known {
+			return r.call.Arrived.Add(-age - streamAgeMargin)
+		}
+	}
+	return r.call.Arrived.Add(-max(route.Timeout, r.call.CallerTimeout) - streamAgeMargin)
+}
+
+// mayBeginStream reports whether the stream may begin at the server of an attempt. The assignment may
+// have changed since the attempt was sent.
+func (r *run) mayBeginStream(choice *backend.Choice, now time.Time) bool {
+	return !r.hasStreamVersion() || r.options.StreamVersions.MayBegin(r.call.Service, r.call.ID, choice.Version, now)
+}
+
+// pinVersion makes the stream go on only at the version of the server that began it.
+func (r *run) pinVersion(choice *backend.Choice) {
+	if !r.hasStreamVersion() || r.stream.Version == choice.Version {
+		return
+	}
+	r.stream = StreamVersion{Version: choice.Version, Candidate: choice.Candidate, Source: "own attempt"}
+	r.candidate = choice.Candidate
+}
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -13,21 +13,33 @@
 // versionSalt makes the draw of the version independent of the draw of servers.
 const versionSalt = "version|"
 
-// chooseVersion decides whether the first attempt goes to the candidate version of a roll-out.
-func (r *run) chooseVersion() {
-	if r.options.RollOuts == nil {
-		return
+// chooseVersion chooses the version for the first attempt. It refuses a call whose version is not
+// known.
+func (r *run) chooseVersion() *Refusal {
+	if r.options.RollOuts != nil {
+		r.candidate = r.options.RollOuts.AssignRequest(r.call.Service, r.call.Route.Name, !r.call.Route.Retryable(), r.versionDraw(), time.Now())
+	}
+	return r.chooseStreamVersion()
+}
+
+// versionDraw returns the number by which a roll-out assigns the call.
+func (r *run) versionDraw() float64 {
+	if r.hasStreamVersion() {
+		return r.options.StreamVersions.Draw(r.call.ID)
 	}
-	draw := float64(xxhash.Sum64String(versionSalt+r.call.ID)) / math.MaxUint64
-	r.candidate = r.options.RollOuts.AssignRequest(r.call.Service, r.call.Route.Name, !r.call.Route.Retryable(), draw, time.Now())
+	return float64(xxhash.Sum64String(versionSalt+r.call.ID)) / math.MaxUint64
 }
 
-// chooseRetryVersion decides whether a retry goes to the candidate version. Retries use the
-// stable version unless all requests have moved to the candidate.
-func (r *run) chooseRetryVersion() {
+// chooseRetryVersion chooses the version for a retry. Retries use the stable version unless all
+// requests have moved to the candidate, and streams that have begun go on at their version.
+func (r *run) chooseRetryVersion() *Refusal {
+	if r.begunStream() && r.hasStreamVersion() {
+		return nil
+	}
 	if r.options.RollOuts != nil {
 		r.candidate = r.options.RollOuts.FullyShifted(r.call.Service, time.Now())
 	}
+	return r.chooseStreamVersion()
 }
 
 // reportToRollOut reports the result of an answer for the comparison of versions.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -253,7 +253,7 @@
 		VM: status.GetVm(), Zone: status.GetZone(), Address: status.GetAddress(), Incarnation: status.GetIncarnation(),
 		ConfigVersion: status.GetConfigVersion(), ServersRevision: status.GetServersRevision(),
 		CountingFor: countingDuration(status), Fence: status.GetFence(), Draining: status.GetDraining(), StoreFailing: status.GetStoreFailing(), FollowsStore: status.GetFollows(),
-		ServersUnreachable: status.GetServersUnreachable(),
+		ServersUnreachable: status.GetServersUnreachable(), StreamAssignment: status.GetStreamAssignment(),
 	}, status.GetSequence(), now)
 	if !fresh {
 		return
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -43,6 +43,9 @@
 	FollowsStore bool
 	// ServersUnreachable is set while the peer's links to the backend servers have failed.
 	ServersUnreachable bool
+	// StreamAssignment is one more than the serial of the assignment of streams to versions that the
+	// peer has adopted, or zero.
+	StreamAssignment int64
 	// LastHeardAt is when the peer's last datagram arrived. LastLearnedAt is when another
 	// daemon last listed the peer.
 	LastHeardAt   time.Time
--- a/internal/rollout/split.go
+++ b/internal/rollout/split.go
@@ -126,3 +126,21 @@
 	}
 	return trialFraction * share
 }
+
+// StreamTrial returns the candidate of a service, or empty. Streams that may be resumed run at it as
+// the other requests do, but only those that all daemons know may: moved is the share of all streams
+// that go there, and shared the share of those that may, which is the most that daemons send there
+// before the share rises the next time.
+func (t *Tracker) StreamTrial(service string, now time.Time) (version string, moved, shared float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.rollouts[service]
+	if s == nil || !s.servesCandidate(t.stable[service]) {
+		return "", 0, 0
+	}
+	moved = s.requestedShare(now)
+	if moved == 0 {
+		return s.order.Version, 0, maxRouteShare
+	}
+	return s.order.Version, moved, max(maxRouteShare, nextShare(moved))
+}
--- a/internal/rollup/rollup.go
+++ b/internal/rollup/rollup.go
@@ -4,6 +4,7 @@
 
 import (
 	"maps"
+	"math"
 	"sync"
 	"time"
 
@@ -44,6 +45,18 @@
 	Fence int64
 	// MaxAge is the age of the oldest summary among the zones that count as reachable.
 	MaxAge time.Duration
+	// StreamAssignment is one more than the lowest serial of the assignment of streams to versions that
+	// the reachable daemons have adopted, or zero if one has adopted none.
+	StreamAssignment int64
+}
+
+// Add adds the reachable daemons of another part of the deployment.
+func (r *Reach) Add(more Reach) {
+	r.Reachable += more.Reachable
+	r.Known += more.Known
+	r.Fence = max(r.Fence, more.Fence)
+	r.MaxAge = max(r.MaxAge, more.MaxAge)
+	r.StreamAssignment = min(r.StreamAssignment, more.StreamAssignment)
 }
 
 // process identifies one process of a daemon.
@@ -259,15 +272,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	complete = true
+	sum.StreamAssignment = math.MaxInt64
 	for _, z := range a.zones {
-		sum.Known += z.reach.Known
 		if !z.fresh(now) {
+			sum.Known += z.reach.Known
 			complete = false
 			continue
 		}
-		sum.Reachable += z.reach.Reachable
-		sum.MaxAge = max(sum.MaxAge, now.Sub(z.receivedAt))
-		sum.Fence = max(sum.Fence, z.reach.Fence)
+		reach := z.reach
+		reach.MaxAge = now.Sub(z.receivedAt)
+		sum.Add(reach)
 	}
 	return sum, complete
 }
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -15,11 +15,11 @@
 )
 
 func encodeReach(r rollup.Reach) *gossippb.Reach {
-	return &gossippb.Reach{Heard: int32(r.Reachable), Known: int32(r.Known), Fence: r.Fence, BehindMs: r.MaxAge.Milliseconds()}
+	return &gossippb.Reach{Heard: int32(r.Reachable), Known: int32(r.Known), Fence: r.Fence, BehindMs: r.MaxAge.Milliseconds(), StreamAssignment: r.StreamAssignment}
 }
 
 func decodeReach(r *gossippb.Reach) rollup.Reach {
-	return rollup.Reach{Reachable: int(r.GetHeard()), Known: int(r.GetKnown()), Fence: r.GetFence(), MaxAge: time.Duration(r.GetBehindMs()) * time.Millisecond}
+	return rollup.Reach{Reachable: int(r.GetHeard()), Known: int(r.GetKnown()), Fence: r.GetFence(), MaxAge: time.Duration(r.GetBehindMs()) * time.Millisecond, StreamAssignment: r.GetStreamAssignment()}
 }
 
 func encodeCounts(c rollup.Counts) *gossippb.Counts {
--- a/internal/router/follow.go
+++ b/internal/router/follow.go
@@ -90,6 +90,10 @@
 			r.logger.Info("store follower role changed", "following", following)
 			r.state.resetStoreAnswered()
 			r.relist()
+			select {
+			case r.followBegun <- struct{}{}:
+			default:
+			}
 			// The daemons of the zone need to know which of them follows the store.
 			r.node.TriggerReport()
 		}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -41,6 +41,7 @@
 		status.RollOuts, status.RollOutsRead = encodeRollOuts(s.router.rollOuts.Statuses(time.Now())), s.router.rollOuts.Revision()
 	}
 	status.Held = encodeHeld(s.quarantine.Reports(time.Now()))
+	status.StreamAssignment = s.streamVersions.adopted()
 	now := time.Now()
 	status.Limits = encodeLimits(s.view.Limits(status.GetSequence(), now), now)
 	status.Leaving = encodeLeavingNotices(s.view.LeavingNotices(status.GetSequence(), now), now)
--- a/internal/router/pull.go
+++ b/internal/router/pull.go
@@ -30,7 +30,7 @@
 	if status.GetConfigVersion() > version {
 		return true
 	}
-	return s.lacksServers(status, time.Now())
+	return s.lacksServers(status, time.Now()) || status.GetStreamAssignment() > s.streamVersions.adopted()
 }
 
 // lacksServers reports whether the peer's list of servers is more recent and differs. A daemon that
@@ -65,7 +65,7 @@
 
 // PullRequest implements gossip.Source.
 func (s *state) PullRequest() *gossippb.PullRequest {
-	request := &gossippb.PullRequest{}
+	request := &gossippb.PullRequest{StreamAssignment: s.streamVersions.adopted()}
 	if c := s.Catalog(); c != nil {
 		request.ConfigVersion = c.Version
 	}
@@ -79,7 +79,7 @@
 
 // AnswerPull implements gossip.Source.
 func (s *state) AnswerPull(request *gossippb.PullRequest) *gossippb.PullReply {
-	reply := &gossippb.PullReply{Vm: s.router.settings.VM.ID}
+	reply := &gossippb.PullReply{Vm: s.router.settings.VM.ID, PackedStreamAssignment: s.streamVersions.packed(request.GetStreamAssignment())}
 	if c := s.Catalog(); c != nil && c.Version > request.GetConfigVersion() {
 		reply.ConfigVersion, reply.Config = c.Version, s.packedConfig(c)
 	}
@@ -226,6 +226,7 @@
 	if len(reply.GetConfig()) > 0 {
 		s.applyPackedConfig(reply.GetConfig())
 	}
+	s.streamVersions.applyPacked(reply)
 	s.mu.Lock()
 	wanted := reply.GetServersRevision() > s.serverList.revision ||
 		(reply.GetServersRevision() == s.serverList.revision && len(reply.GetPackedServers()) > 0)
--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -8,7 +8,7 @@
 
 // zoneReach returns which daemons of this zone are reachable, including this one.
 func (s *state) zoneReach(now time.Time) rollup.Reach {
-	reach := rollup.Reach{Reachable: 1, Known: 1, Fence: s.ownFence()}
+	reach := rollup.Reach{Reachable: 1, Known: 1, Fence: s.ownFence(), StreamAssignment: s.streamVersions.adopted()}
 	zone := s.router.settings.VM.Zone
 	for _, p := range s.router.members.Known(now) {
 		if p.Zone == zone {
@@ -19,6 +19,7 @@
 		if p.Zone == zone {
 			reach.Reachable++
 			reach.Fence = max(reach.Fence, p.Fence)
+			reach.StreamAssignment = min(reach.StreamAssignment, p.StreamAssignment)
 		}
 	}
 	return reach
@@ -34,10 +35,9 @@
 	}
 	sum := s.zoneReach(now)
 	remote, complete := s.aggregator.Reach(now)
-	sum.Reachable += remote.Reachable
-	sum.Known = max(sum.Known+s.knownInOtherZones(now, remote.Known), s.recentReportedDaemons(now))
-	sum.Fence = max(sum.Fence, remote.Fence)
-	sum.MaxAge = remote.MaxAge
+	known := max(sum.Known+s.knownInOtherZones(now, remote.Known), s.recentReportedDaemons(now))
+	sum.Add(remote)
+	sum.Known = known
 	return sum, complete && sum.Reachable >= sum.Known
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -106,7 +106,9 @@
 	// ordersRefreshedFor is the newest server revision for which the orders were last listed at
 	// once.
 	ordersRefreshedFor atomic.Int64
-	draining           atomic.Bool
+	// followBegun receives a value when this daemon begins to follow the store.
+	followBegun chan struct{}
+	draining    atomic.Bool
 
 	callerListener    net.Listener
 	readinessListener net.Listener
@@ -127,6 +129,7 @@
 		incarnation:  rand.Uint64(),
 		metrics:      prometheus.NewRegistry(),
 		peersLearned: make(chan struct{}, 1),
+		followBegun:  make(chan struct{}, 1),
 		links:        detour.NewLinks(),
 		detourPeers:  detour.NewPeers(options.Network, insecure.NewCredentials()),
 		members:      gossip.NewMembers(gossip.Identity{VM: s.VM.ID, Zone: s.VM.Zone, Address: s.Listen.Peers}, s.Peers.Seeds),
@@ -208,11 +211,12 @@
 		OnLargePrompt:   r.state.sendNotice,
 		OnAdviceChanged: r.triggerReport,
 
-		RollOuts:   r.rollOuts,
-		Quarantine: r.state.quarantine,
-		Freshness:  r.state.Freshness,
-		Logger:     r.logger,
-		Metrics:    forward.NewMetrics(r.metrics),
+		RollOuts:       r.rollOuts,
+		StreamVersions: r.state.streamVersions,
+		Quarantine:     r.state.quarantine,
+		Freshness:      r.state.Freshness,
+		Logger:         r.logger,
+		Metrics:        forward.NewMetrics(r.metrics),
 
 		OnViolation: onViolation,
 	})
@@ -286,6 +290,7 @@
 		r.register,
 		r.housekeep,
 		r.exchangeHeld,
+		r.state.streamVersions.maintain,
 	}
 	if r.rollOuts.Enabled() {
 		loops = append(loops, r.orderFollower.Run, r.watchVersions, r.driveRollOuts)
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -25,6 +25,7 @@
 	ledger         *usage.Ledger
 	demand         *demand.Meter
 	firstTryLimits *firsttry.CallerTimeouts
+	streamVersions *streamVersions
 	// quarantine detects and blocks poison requests.
 	quarantine *watch.Watcher
 	catalog    atomic.Pointer[catalog.Catalog]
@@ -109,7 +110,7 @@
 	return &state{
 		router: r, view: view, limiter: limiter, ledger: newLedger(r.settings),
 		demand: demand.NewMeter(), firstTryLimits: firsttry.NewCallerTimeouts(), aggregator: rollup.New(), sentCounts: map[uint64]rollup.Counts{},
-		quarantine: r.newQuarantine(), started: now, configured: make(chan struct{}), serverList: newServerList(), differsSince: map[string]time.Time{},
+		streamVersions: newStreamVersions(r), quarantine: r.newQuarantine(), started: now, configured: make(chan struct{}), serverList: newServerList(), differsSince: map[string]time.Time{},
 	}
 }
 
--- /dev/null
+++ b/internal/router/streamversions.go
@@ -0,0 +1,322 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/forward"
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+	"github.com/plankridge/plankridge/internal/store"
+	"github.com/plankridge/plankridge/internal/streamversion"
+)
+
+const (
+	// assignmentKind and assignmentName name the object in the store that holds the assignment of
+	// streams to versions.
+	assignmentKind = "plankridge-stream-versions"
+	assignmentName = "assignment"
+	// assignmentInterval is the time between two evaluations of the assignment.
+	assignmentInterval = 100 * time.Millisecond
+	// assignmentRetryInterval is the time between two calls while the store refuses or does not answer.
+	assignmentRetryInterval = 500 * time.Millisecond
+)
+
+// streamVersions holds the assignment of resumable streams to the versions of their service. It
+// implements forward.StreamVersions.
+type streamVersions struct {
+	*Router
+
+	mu sync.Mutex
+	// assignment is the newest assignment known, or nil before it has been read.
+	assignment *streamversion.Assignment
+	// loaded is closed when the assignment is first known.
+	loaded chan struct{}
+
+	// stored is what this daemon knows of the object in the store. Only maintain uses it.
+	stored storedAssignment
+}
+
+// storedAssignment is the state of the object in the store.
+type storedAssignment struct {
+	// current is set while revision is known to be that of the object. Zero means that it does not
+	// exist.
+	current  bool
+	revision int64
+	serial   int64
+	// era is the era of the store as of the last call.
+	era      int64
+	failedAt time.Time
+}
+
+func newStreamVersions(r *Router) *streamVersions {
+	return &streamVersions{Router: r, loaded: make(chan struct{})}
+}
+
+// get returns the newest assignment known, or nil.
+func (s *streamVersions) get() *streamversion.Assignment {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.assignment
+}
+
+// adopted returns one more than the serial of the assignment that this daemon has adopted, or zero.
+func (s *streamVersions) adopted() int64 {
+	if a := s.get(); a != nil {
+		return a.Serial + 1
+	}
+	return 0
+}
+
+// adopt puts an assignment in force if it is newer than the current one.
+func (s *streamVersions) adopt(a *streamversion.Assignment, source string) {
+	s.mu.Lock()
+	before := s.assignment
+	if before != nil && a.Serial <= before.Serial {
+		s.mu.Unlock()
+		return
+	}
+	s.assignment = a
+	if before == nil {
+		close(s.loaded)
+	}
+	s.mu.Unlock()
+	s.logger.Info("assignment of streams to versions in force", "serial", a.Serial, "source", source, "buckets", a.Summary())
+	s.node.TriggerReport()
+}
+
+// Draw implements forward.StreamVersions.
+func (s *streamVersions) Draw(streamID string) float64 { return streamversion.Draw(streamID) }
+
+// Sources of a stream's version, for logs.
+const (
+	fromAssignment  = "assignment"
+	fromOnlyVersion = "only version"
+)
+
+// Begin implements forward.StreamVersions.
+func (s *streamVersions) Begin(service, streamID string, candidate bool) (forward.StreamVersion, error) {
+	a := s.get()
+	if a == nil {
+		return forward.StreamVersion{}, streamversion.ErrNotLoaded
+	}
+	bucket, found := a.Bucket(service, streamID)
+	if !found {
+		return forward.StreamVersion{}, streamversion.ErrUnassigned
+	}
+	candidateVersion := s.candidateVersion(service)
+	if candidate && candidateVersion != "" && bucket.Allows(candidateVersion) {
+		return forward.StreamVersion{Version: candidateVersion, Candidate: true, Source: fromAssignment}, nil
+	}
+	return forward.StreamVersion{Version: bucket.Version, Candidate: bucket.Version == candidateVersion, Source: fromAssignment}, nil
+}
+
+// Resume implements forward.StreamVersions.
+func (s *streamVersions) Resume(service, streamID string, begunAfter time.Time) (forward.StreamVersion, error) {
+	a := s.get()
+	if a == nil {
+		return forward.StreamVersion{}, streamversion.ErrNotLoaded
+	}
+	bucket, found := a.Bucket(service, streamID)
+	switch {
+	case !found:
+		return forward.StreamVersion{}, streamversion.ErrUnassigned
+	case streamID == "":
+		// The caller does not tell which stream it takes up.
+		versions := a.Services[service].Versions(begunAfter)
+		if len(versions) > 1 {
+			return forward.StreamVersion{}, streamversion.ErrAmbiguous
+		}
+		return forward.StreamVersion{Version: versions[0], Source: fromOnlyVersion}, nil
+	}
+	version, err := bucket.Began(begunAfter)
+	if err != nil {
+		return forward.StreamVersion{}, err
+	}
+	return forward.StreamVersion{Version: version, Candidate: version == s.candidateVersion(service), Source: fromAssignment}, nil
+}
+
+// MayBegin implements forward.StreamVersions.
+func (s *streamVersions) MayBegin(service, streamID, version string, now time.Time) bool {
+	a := s.get()
+	if a == nil {
+		return false
+	}
+	bucket, found := a.Bucket(service, streamID)
+	return found && bucket.MayHaveBegunAt(version, now)
+}
+
+// candidateVersion returns the candidate of the service's roll-out, or empty.
+func (s *streamVersions) candidateVersion(service string) string {
+	if !s.rollOuts.Enabled() {
+		return ""
+	}
+	return s.rollOuts.Versions(time.Now())[service].Candidate
+}
+
+// maintain reads the assignment from the store and, at one daemon, changes it as the versions of the
+// servers change.
+func (s *streamVersions) maintain(ctx context.Context) {
+	ticker := time.NewTicker(assignmentInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			s.evaluate(ctx, now)
+		case <-s.followBegun:
+			s.evaluate(ctx, time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *streamVersions) evaluate(ctx context.Context, now time.Time) {
+	if !s.following.Load() {
+		s.stored.current = false
+		return
+	}
+	if now.Sub(s.stored.failedAt) < assignmentRetryInterval {
+		return
+	}
+	if era := s.objectStore.Era(); era != s.stored.era {
+		s.stored.era, s.stored.current = era, false
+	}
+	assigns := s.shouldAssign(now)
+	if assigns && !s.stored.current {
+		s.read(ctx)
+	}
+	if !assigns || !s.stored.current {
+		return
+	}
+	a := s.get()
+	if next, changed := a.Plan(s.demands(now), s.adoptedByAll(a, now), now); changed || s.stored.serial < a.Serial {
+		s.write(ctx, next)
+	}
+}
+
+// shouldAssign reports whether this daemon is the first one by name among the reachable daemons that
+// follow the store. Daemons of an earlier release, which know no assignments, do not count.
+// Conditional writes keep several such daemons apart.
+func (s *streamVersions) shouldAssign(now time.Time) bool {
+	if s.state.storeUnavailable() || s.draining.Load() {
+		return false
+	}
+	justStarted := now.Sub(s.state.started) < justStartedFor
+	for _, peer := range s.members.Reachable(now) {
+		mayAssign := peer.FollowsStore && !peer.Draining && !peer.StoreFailing && (justStarted || peer.StreamAssignment > 0)
+		if mayAssign && peer.VM < s.settings.VM.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// read reads the assignment from the store.
+func (s *streamVersions) read(ctx context.Context) {
+	object, err := s.objectStore.Get(ctx, assignmentKind, assignmentName)
+	a := &streamversion.Assignment{}
+	switch {
+	case errors.Is(err, store.ErrNotFound):
+	case err != nil:
+		s.fail("failed to read the assignment of streams to versions", err)
+		return
+	default:
+		if err := json.Unmarshal(object.Spec, a); err != nil {
+			s.badObjects.record(&store.BadObject{Kind: assignmentKind, Name: assignmentName, Fault: store.FaultUnreadable}, time.Now())
+			a = &streamversion.Assignment{}
+		}
+	}
+	s.stored.current, s.stored.revision, s.stored.serial = true, object.Revision, a.Serial
+	s.adopt(a, sourceStore)
+}
+
+// write writes an assignment to the store, and puts it in force if the store has taken it.
+func (s *streamVersions) write(ctx context.Context, a *streamversion.Assignment) {
+	var object store.Object
+	var err error
+	if s.stored.revision == 0 {
+		object, err = s.objectStore.Create(ctx, assignmentKind, assignmentName, a)
+	} else {
+		object, err = s.objectStore.Replace(ctx, assignmentKind, assignmentName, s.stored.revision, a)
+	}
+	if err != nil {
+		// Another daemon may have written, or the answer was lost.
+		s.stored.current = false
+		s.fail("failed to write the assignment of streams to versions", err)
+		return
+	}
+	s.stored.revision, s.stored.serial = object.Revision, a.Serial
+	s.adopt(a, "own write")
+}
+
+func (s *streamVersions) fail(message string, err error) {
+	s.stored.failedAt = time.Now()
+	s.logger.Warn(message, "error", err)
+}
+
+// demands returns what the assignment has to follow, for the services with resumable streams.
+func (s *streamVersions) demands(now time.Time) map[string]streamversion.Demand {
+	c := s.state.Catalog()
+	if c == nil || !s.state.view.ListReceived() {
+		return nil
+	}
+	demands := map[string]streamversion.Demand{}
+	for service := range c.ResumableServices() {
+		demands[service] = streamversion.Demand{Capacity: map[string]streamversion.Capacity{}, Trial: s.trial(service, now)}
+	}
+	for _, v := range s.state.view.VersionCapacities(now) {
+		if demand, found := demands[v.Service]; found {
+			demand.Capacity[v.Version] = streamversion.Capacity{Slots: v.Slots, Leaving: v.Leaving}
+		}
+	}
+	return demands
+}
+
+// trial returns the trial of a service's roll-out.
+func (s *streamVersions) trial(service string, now time.Time) streamversion.Trial {
+	if !s.rollOuts.Enabled() {
+		return streamversion.Trial{}
+	}
+	version, moved, shared := s.rollOuts.StreamTrial(service, now)
+	return streamversion.Trial{Version: version, Moved: moved, Shared: shared}
+}
+
+// adoptedByAll reports whether all daemons of the deployment have adopted an assignment.
+func (s *streamVersions) adoptedByAll(a *streamversion.Assignment, now time.Time) bool {
+	reach, complete := s.state.reach(now)
+	return complete && reach.StreamAssignment > a.Serial
+}
+
+// packed returns the assignment for a peer that has adopted an earlier one, or nil.
+func (s *streamVersions) packed(peerAdopted int64) []byte {
+	a := s.get()
+	if a == nil || a.Serial+1 <= peerAdopted {
+		return nil
+	}
+	raw, err := json.Marshal(a)
+	if err != nil {
+		s.logger.Error("failed to encode the assignment of streams to versions", "error", err)
+		return nil
+	}
+	return pack(raw)
+}
+
+// applyPacked applies the assignment that a peer has sent.
+func (s *streamVersions) applyPacked(reply *gossippb.PullReply) {
+	if len(reply.GetPackedStreamAssignment()) == 0 {
+		return
+	}
+	raw, err := unpack(reply.GetPackedStreamAssignment())
+	a := &streamversion.Assignment{}
+	if err == nil {
+		err = json.Unmarshal(raw, a)
+	}
+	if err != nil {
+		s.logger.Error("failed to decode the assignment of streams to versions from peer", "error", err, "from", reply.GetVm())
+		return
+	}
+	s.adopt(a, reply.GetVm())
+}
