Report begun streams whose bucket moves; streams over several versions go on

Daemons now remember at which version a stream began, and reports contain the streams of moving buckets, also those that began before the move. Relays pass on those of their zone, so another daemon of the zone knows the version though the first one has died. A lost report only means that the stream is refused. The earlier version of a bucket counts for 0.5 s after all daemons know of the move, not 2 s: a daemon checks the assignment again before a first event.

--- a/internal/firsttry/firsttry_test.go
+++ b/internal/firsttry/firsttry_test.go
@@ -69,3 +69,24 @@
 	}
 	c.Check(timeouts.Age("r", usual/2-time.Second), qt.Equals, time.Second)
 }
+
+func TestAgeBoundIsUnknownForTimeoutsOfFirstTries(t *testing.T) {
+	c := qt.New(t)
+	timeouts := NewCallerTimeouts()
+	for i := range 100 {
+		timeouts.Age("route", 8*time.Second)
+		if i%10 == 0 {
+			timeouts.Age("route", 5*time.Second)
+		}
+	}
+	timeouts.Age("route", 7300*time.Millisecond)
+	bound, known := timeouts.AgeBound("route", 7300*time.Millisecond)
+	c.Check(known, qt.IsTrue)
+	c.Check(bound, qt.Equals, 700*time.Millisecond+timeoutResolution)
+	for _, timeout := range []time.Duration{0, 8 * time.Second, 9 * time.Second, 5 * time.Second} {
+		_, known = timeouts.AgeBound("route", timeout)
+		c.Check(known, qt.IsFalse, qt.Commentf("%v", timeout))
+	}
+	_, known = timeouts.AgeBound("another", 5*time.Second)
+	c.Check(known, qt.IsFalse)
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -232,6 +232,8 @@
 	Resume(service, streamID string, begunAfter time.Time) (StreamVersion, error)
 	// MayBegin reports whether a stream may still begin at a version that Begin has returned.
 	MayBegin(service, streamID, version string, now time.Time) bool
+	// Began records that the caller is about to get an event of a stream that runs at a version.
+	Began(service, streamID, version string)
 	// Draw returns the number in [0, 1) by which a roll-out assigns the stream.
 	Draw(streamID string) float64
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -85,6 +85,7 @@
 	if !r.begunStream() && !r.mayBeginStream(choice, now) {
 		return errVersionMoved
 	}
+	r.recordBegun(choice)
 	r.sendHeader(answer)
 	if err := r.reply.Write(event); err != nil {
 		return errCallerLeft
@@ -92,7 +93,6 @@
 	if numbered {
 		r.lastEventID = strconv.Itoa(id)
 	}
-	r.pinVersion(choice)
 	return nil
 }
 
--- a/internal/forward/streamversion.go
+++ b/internal/forward/streamversion.go
@@ -28,6 +28,13 @@
 // begunStream reports whether the caller has events of the stream.
 func (r *run) begunStream() bool { return r.resumed() || r.headerSent }
 
+// recordBegun records the version of a stream before its first event of this call.
+func (r *run) recordBegun(choice *backend.Choice) {
+	if r.hasStreamVersion() && !r.headerSent && r.streamID() != "" {
+		r.options.StreamVersions.Began(r.call.Service, r.streamID(), choice.Version)
+	}
+}
+
 // chooseStreamVersion chooses the version of a resumable stream that has not begun in this call.
 func (r *run) chooseStreamVersion() *Refusal {
 	if !r.hasStreamVersion() {
@@ -74,11 +81,10 @@
 	return !r.hasStreamVersion() || r.options.StreamVersions.MayBegin(r.call.Service, r.call.ID, choice.Version, now)
 }
 
-// pinVersion makes the stream go on only at the version of the server that began it.
-func (r *run) pinVersion(choice *backend.Choice) {
-	if !r.hasStreamVersion() || r.stream.Version == choice.Version {
-		return
+// streamID returns the ID of the request that brought the first event of the stream.
+func (r *run) streamID() string {
+	if r.resumed() {
+		return r.call.Resumes
 	}
-	r.stream = StreamVersion{Version: choice.Version, Candidate: choice.Candidate, Source: "own attempt"}
-	r.candidate = choice.Candidate
+	return r.call.ID
 }
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -42,6 +42,7 @@
 	}
 	status.Held = encodeHeld(s.quarantine.Reports(time.Now()))
 	status.StreamAssignment = s.streamVersions.adopted()
+	status.Begun = s.streamVersions.report(status.GetSequence(), time.Now())
 	now := time.Now()
 	status.Limits = encodeLimits(s.view.Limits(status.GetSequence(), now), now)
 	status.Leaving = encodeLeavingNotices(s.view.LeavingNotices(status.GetSequence(), now), now)
@@ -157,6 +158,7 @@
 	s.quarantine.Merge(decodeHeld(status.GetHeld()), 0, now)
 	s.mergeLimits(status, now)
 	s.mergeLeavingNotices(status, now)
+	s.streamVersions.mergeReport(status, now)
 	if own := status.GetOwn(); own != nil && status.GetZone() == s.router.settings.VM.Zone {
 		s.addMemberReport(status, own, now)
 	}
--- a/internal/router/streamversions.go
+++ b/internal/router/streamversions.go
@@ -34,6 +34,8 @@
 	assignment *streamversion.Assignment
 	// loaded is closed when the assignment is first known.
 	loaded chan struct{}
+	// begun holds the versions of streams that have begun lately.
+	begun *streamversion.Begun
 
 	// stored is what this daemon knows of the object in the store. Only maintain uses it.
 	stored storedAssignment
@@ -52,7 +54,7 @@
 }
 
 func newStreamVersions(r *Router) *streamVersions {
-	return &streamVersions{Router: r, loaded: make(chan struct{})}
+	return &streamVersions{Router: r, loaded: make(chan struct{}), begun: streamversion.NewBegun()}
 }
 
 // get returns the newest assignment known, or nil.
@@ -94,6 +96,7 @@
 const (
 	fromAssignment  = "assignment"
 	fromOnlyVersion = "only version"
+	fromReport      = "report of the daemon that began it"
 )
 
 // Begin implements forward.StreamVersions.
@@ -132,10 +135,53 @@
 		return forward.StreamVersion{Version: versions[0], Source: fromOnlyVersion}, nil
 	}
 	version, err := bucket.Began(begunAfter)
+	source := fromAssignment
 	if err != nil {
-		return forward.StreamVersion{}, err
+		if version, found = s.begun.Version(service, streamID, time.Now()); !found {
+			return forward.StreamVersion{}, err
+		}
+		source = fromReport
+	}
+	return forward.StreamVersion{Version: version, Candidate: version == s.candidateVersion(service), Source: source}, nil
+}
+
+// Began implements forward.StreamVersions.
+func (s *streamVersions) Began(service, streamID, version string) {
+	s.begun.Record(service, streamID, version, time.Now())
+}
+
+// report returns the streams for this daemon's report of a sequence number.
+func (s *streamVersions) report(sequence uint64, now time.Time) []*gossippb.BegunStreams {
+	a := s.get()
+	if a == nil {
+		return nil
+	}
+	var encoded []*gossippb.BegunStreams
+	for _, r := range s.begun.Report(a, sequence, now) {
+		begun := &gossippb.BegunStreams{Service: r.Service, Version: r.Version}
+		for _, key := range r.Streams {
+			begun.Streams = append(begun.Streams, uint64(key))
+		}
+		encoded = append(encoded, begun)
+	}
+	return encoded
+}
+
+// mergeReport adds the streams that a peer reports. Relays pass on those of their zone.
+func (s *streamVersions) mergeReport(status *gossippb.Status, now time.Time) {
+	if len(status.GetBegun()) == 0 {
+		return
+	}
+	var reports []streamversion.Report
+	for _, begun := range status.GetBegun() {
+		r := streamversion.Report{Service: begun.GetService(), Version: begun.GetVersion()}
+		for _, key := range begun.GetStreams() {
+			r.Streams = append(r.Streams, streamversion.Key(key))
+		}
+		reports = append(reports, r)
 	}
-	return forward.StreamVersion{Version: version, Candidate: version == s.candidateVersion(service), Source: fromAssignment}, nil
+	forward := status.GetOwn() != nil && status.GetZone() == s.settings.VM.Zone && s.plan(now).Relay
+	s.begun.Merge(reports, forward, now)
 }
 
 // MayBegin implements forward.StreamVersions.
--- a/internal/streamversion/assignment.go
+++ b/internal/streamversion/assignment.go
@@ -15,8 +15,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // BucketCount is the number of buckets of a service. One bucket is less than a hundredth of the
@@ -71,9 +69,7 @@
 const bucketSalt = "stream|"
 
 // BucketOf returns the bucket of a stream by the ID of the request that brought its first event.
-func BucketOf(streamID string) int {
-	return int(xxhash.Sum64String(bucketSalt+streamID) % BucketCount)
-}
+func BucketOf(streamID string) int { return KeyOf(streamID).bucket() }
 
 // Draw returns a number in [0, 1) that orders streams as their buckets are ordered.
 func Draw(streamID string) float64 { return (float64(BucketOf(streamID)) + 0.5) / BucketCount }
--- a/internal/streamversion/plan.go
+++ b/internal/streamversion/plan.go
@@ -9,7 +9,7 @@
 const (
 	// beginDelay is how long after all daemons know that a bucket has moved a request that was
 	// admitted before may still begin its stream at the earlier version.
-	beginDelay = 2 * time.Second
+	beginDelay = 500 * time.Millisecond
 	// earlierRetention is how long an earlier version is kept at least. No caller waits longer for a
 	// stream.
 	earlierRetention = 2 * time.Minute
--- a/robustness/onplatform/versions_test.go
+++ b/robustness/onplatform/versions_test.go
@@ -439,3 +439,73 @@
 		}
 	}
 }
+
+// twoVersionsServe runs a test with three daemons and two servers of each of two versions.
+func twoVersionsServe(t *testing.T, behave func(n int, r *http.Request) fake.Behaviour, test func(b *bed, servers map[string][]*fake.Server)) {
+	servers := map[string][]*fake.Server{}
+	run(t, 3, func(b *bed) {
+		b.withoutRollOuts = true
+		for i, version := range []string{"v1", "v1", "v2", "v2"} {
+			id := fmt.Sprintf("i-%d", i)
+			servers[version] = append(servers[version], b.startServer(id, &fake.Server{EventCount: 12, Version: version, Behave: behave}))
+			b.listVersion(id, model, version, "ready")
+		}
+		b.configure(routes{streamRoute("/s/", true, 3)})
+	}, func(b *bed) { test(b, servers) })
+}
+
+func streamCall(to int, header map[string]string) call {
+	return call{method: "POST", path: "/s/x", key: testKey, to: to, tokens: "150,60", header: header}
+}
+
+func TestStreamThatNobodyNamesIsNotJoinedToAnotherVersion(t *testing.T) {
+	twoVersionsServe(t, nil, func(b *bed, servers map[string][]*fake.Server) {
+		got := b.send(streamCall(0, map[string]string{"Last-Event-Id": "7"}))
+		b.Check(got.status, qt.Equals, http.StatusServiceUnavailable)
+		b.Check(got.header.Get("Retry-After"), qt.Equals, "")
+		for _, s := range append(servers["v1"], servers["v2"]...) {
+			b.Check(s.Arrivals(), qt.HasLen, 0)
+		}
+	})
+}
+
+func TestTryWithoutEventsBeginsAStreamOfItsOwn(t *testing.T) {
+	twoVersionsServe(t, nil, func(b *bed, _ map[string][]*fake.Server) {
+		for i := range 20 {
+			first := b.send(streamCall(i%3, map[string]string{"Resumes": "of-another-workspace"}))
+			b.Assert(first.status, qt.Equals, http.StatusOK)
+			version := streamEvent.FindStringSubmatch(first.body)[2]
+			rest := b.send(streamCall((i+1)%3, map[string]string{"Resumes": first.id, "Last-Event-Id": "5"}))
+			b.Check(rest.status, qt.Equals, http.StatusOK)
+			b.Check(streamEvent.FindStringSubmatch(rest.body)[2], qt.Equals, version)
+		}
+	})
+}
+
+func TestStreamOfVersionWithoutServersIsRefusedAtOnce(t *testing.T) {
+	twoVersionsServe(t, nil, func(b *bed, _ map[string][]*fake.Server) {
+		var begun []reply
+		for i := range 20 {
+			begun = append(begun, b.send(streamCall(i%3, nil)))
+		}
+		for i := range 2 {
+			b.listVersion(fmt.Sprintf("i-%d", i), model, "v1", "draining")
+		}
+		time.Sleep(leavingBound + time.Second)
+		refused := 0
+		for i, first := range begun {
+			version := streamEvent.FindStringSubmatch(first.body)[2]
+			rest := b.send(streamCall((i+1)%3, map[string]string{"Resumes": first.id, "Last-Event-Id": "5"}))
+			if version == "v2" {
+				b.Check(rest.status, qt.Equals, http.StatusOK)
+				continue
+			}
+			refused++
+			b.Check(rest.status, qt.Equals, http.StatusServiceUnavailable)
+			b.Check(rest.header.Get("Retry-After"), qt.Equals, "")
+			b.Check(rest.took < 100*time.Millisecond, qt.IsTrue)
+		}
+		b.Check(refused > 0, qt.IsTrue)
+		b.Check(b.send(streamCall(0, nil)).status, qt.Equals, http.StatusOK)
+	})
+}
