Serve versions without an order where roll-outs are allowed

A daemon used only the stable version and the candidate of an order, and took any other version for one that must not run.

A version is admitted if no order has named it and the orders are known up to the store's revision of its newest server: the servers of an ordered version start after their order was written. A version that was rolled back, and the servers that a completed roll-out has replaced, still get nothing.

--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -9,10 +9,12 @@
 // Versions says which versions of a service's servers may be used. The zero value allows all of
 // them.
 type Versions struct {
-	// Enforced is set if only servers of the stable and the candidate version may be used.
+	// Enforced is set if only servers of the versions named here may be used.
 	Enforced bool
 	// Stable is the version that requests use, or empty while it is unknown.
 	Stable string
+	// Unordered are versions that requests use as well as the stable one.
+	Unordered []string
 	// Candidate is the version under roll-out, or empty. Attempts use it only if they request it,
 	// or if the stable version has no server and AllCandidates is set.
 	Candidate string
@@ -46,7 +48,7 @@
 func (v *View) SetVersions(service string, versions Versions) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.versions[service] == versions {
+	if v.versions[service].equal(versions) {
 		return
 	}
 	v.versions[service] = versions
@@ -69,6 +71,11 @@
 	return Versions{Enforced: v.enforceVersions}
 }
 
+func (v Versions) equal(other Versions) bool {
+	return v.Enforced == other.Enforced && v.Stable == other.Stable && slices.Equal(v.Unordered, other.Unordered) &&
+		v.Candidate == other.Candidate && v.AllCandidates == other.AllCandidates
+}
+
 // allows reports whether servers of a version may be used on one track.
 func (v Versions) allows(version string, candidate bool) bool {
 	switch {
@@ -77,7 +84,7 @@
 	case candidate:
 		return v.Candidate != "" && version == v.Candidate
 	}
-	return v.Stable != "" && version == v.Stable
+	return v.Stable != "" && (version == v.Stable || slices.Contains(v.Unordered, version))
 }
 
 // versionAllowed reports whether the server's version may be used on any track. The caller holds
@@ -120,16 +127,30 @@
 	return servers, false
 }
 
-// NewestRevision returns the highest store revision of the listed servers of the selected services.
-func (v *View) NewestRevision(selects func(service string) bool) (revision int64) {
+// UnusedVersion is a version of a service whose servers may not be used.
+type UnusedVersion struct {
+	Service, Version string
+	// Newest is the highest store revision of its ready servers.
+	Newest int64
+}
+
+// UnusedVersions returns the versions with ready servers that may not be used.
+func (v *View) UnusedVersions() []UnusedVersion {
+	type group struct{ service, version string }
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	newest := map[group]int64{}
 	for _, s := range v.servers {
-		if s.listed && selects(s.Service) {
-			revision = max(revision, s.Revision)
+		if s.ready() && !v.versionAllowed(s) {
+			g := group{s.Service, s.Version}
+			newest[g] = max(newest[g], s.Revision)
 		}
 	}
-	return revision
+	var all []UnusedVersion
+	for g, revision := range newest {
+		all = append(all, UnusedVersion{g.service, g.version, revision})
+	}
+	return all
 }
 
 // VersionCount is the number of ready servers of one version of a service, and the number of
--- a/internal/rollout/status.go
+++ b/internal/rollout/status.go
@@ -104,6 +104,7 @@
 		s := t.rollouts[saved.Service]
 		if s == nil {
 			s = &rolloutState{order: Order{Service: saved.Service, Version: saved.Version, Created: saved.Created}, startedAt: now, detector: newDetector()}
+			t.versionsOf(saved.Service).barred[saved.Version] = true
 			t.rollouts[saved.Service] = s
 		}
 		if s.order.Version != saved.Version || s.order.Created != saved.Created {
--- a/internal/rollout/tracker.go
+++ b/internal/rollout/tracker.go
@@ -15,6 +15,8 @@
 	rollouts map[string]*rolloutState
 	// stable holds the stable version of each service.
 	stable map[string]string
+	// versions holds what is known of the other versions of each service.
+	versions map[string]*knownVersions
 	// revision is the store's revision up to which all orders are known.
 	revision int64
 	// localTallies are the answers and requests that this daemon has counted since each order.
@@ -26,7 +28,7 @@
 // New returns a Tracker without orders.
 func New(bounds Bounds) *Tracker {
 	return &Tracker{
-		bounds: bounds, rollouts: map[string]*rolloutState{}, stable: map[string]string{}, localTallies: NewTallies(),
+		bounds: bounds, rollouts: map[string]*rolloutState{}, stable: map[string]string{}, versions: map[string]*knownVersions{}, localTallies: NewTallies(),
 		rates: map[string]map[string]*requestRate{},
 	}
 }
@@ -54,6 +56,7 @@
 	}
 	changed := s.order.State != order.State || s.order.Revision == 0
 	s.order = order
+	t.recordOrder(order, t.stable[order.Service])
 	if order.State == StateCompleted {
 		t.stable[order.Service] = order.Version
 	}
@@ -162,6 +165,8 @@
 // Versions are the versions of a service that may get requests.
 type Versions struct {
 	Stable string
+	// Unordered are further versions that serve without an order.
+	Unordered []string
 	// Candidate is empty where there is none.
 	Candidate string
 	// AllServers is set once all servers of the candidate are used, and not only a few.
@@ -174,7 +179,7 @@
 	defer t.mu.Unlock()
 	all := make(map[string]Versions, len(t.stable))
 	for service, stable := range t.stable {
-		versions := Versions{Stable: stable}
+		versions := Versions{Stable: stable, Unordered: t.unordered(service)}
 		if s := t.rollouts[service]; s != nil && s.servesCandidate(stable) {
 			versions.Candidate = s.order.Version
 			versions.AllServers = s.requestedShare(now) > 0
--- a/internal/router/consume.go
+++ b/internal/router/consume.go
@@ -93,6 +93,7 @@
 		s.router.badObjects.record(err, now)
 	}
 	s.handleRestarts(restarted)
+	s.router.versionsUnused.Store(true)
 	s.router.applyVersions(now)
 	s.router.logger.Info("servers listed", "servers", len(entries), "from", from, "revision_before", before, "revision", revision)
 	s.router.node.TriggerReport()
@@ -123,6 +124,7 @@
 		s.router.badObjects.record(err, now)
 	}
 	s.handleRestarts(restarted)
+	s.router.versionsUnused.Store(true)
 	s.router.applyVersions(now)
 	for _, entry := range entries {
 		s.checkService(entry, now)
--- a/internal/router/rollouts.go
+++ b/internal/router/rollouts.go
@@ -40,6 +40,7 @@
 		orders = append(orders, order)
 	}
 	c.rollOuts.ReplaceOrders(orders, invalid, page.Revision, now)
+	c.versionsUnused.Store(true)
 	c.applyVersions(now)
 }
 
@@ -59,6 +60,7 @@
 		}
 		c.applyOrder(order, "store", now)
 	}
+	c.versionsUnused.Store(true)
 	c.applyVersions(now)
 	c.node.TriggerReport()
 }
@@ -107,8 +109,31 @@
 		return
 	}
 	r.initStableVersions(now)
+	r.setVersions(now)
+	if r.state.Catalog() != nil && r.versionsUnused.Swap(false) {
+		r.admitVersions(now)
+	}
+}
+
+func (r *Router) setVersions(now time.Time) {
 	for service, v := range r.rollOuts.Versions(now) {
-		r.state.view.SetVersions(service, backend.Versions{Enforced: true, Stable: v.Stable, Candidate: v.Candidate, AllCandidates: v.AllServers})
+		r.state.view.SetVersions(service, backend.Versions{Enforced: true, Stable: v.Stable, Unordered: v.Unordered, Candidate: v.Candidate, AllCandidates: v.AllServers})
+	}
+}
+
+// admitVersions allows requests to versions whose servers serve without an order.
+func (r *Router) admitVersions(now time.Time) {
+	newest := int64(0)
+	for _, unused := range r.state.view.UnusedVersions() {
+		if r.rollOuts.Admit(unused.Service, unused.Version, unused.Newest) {
+			r.logger.Info("version serves without an order", "service", unused.Service, "version", unused.Version, "revision", unused.Newest)
+		}
+		newest = max(newest, unused.Newest)
+	}
+	r.setVersions(now)
+	if newest > r.rollOuts.Revision() {
+		r.versionsUnused.Store(true)
+		r.refreshOrders(newest)
 	}
 }
 
@@ -136,13 +161,11 @@
 	for service, servers := range withoutStable {
 		r.rollOuts.SetInitialStable(service, servers)
 	}
-	r.refreshOrders(withoutStable)
 }
 
-// refreshOrders lists the roll-outs at once if servers of services without a stable version are
-// newer than the known orders. The watch reports only at its end that there are no other orders.
-func (r *Router) refreshOrders(withoutStable map[string]map[string]int) {
-	newest := r.state.view.NewestRevision(func(service string) bool { return withoutStable[service] != nil })
+// refreshOrders lists the roll-outs at once if servers that may not be used are newer than the known
+// orders, up to the given revision. The watch reports only at its end that there are no other orders.
+func (r *Router) refreshOrders(newest int64) {
 	refreshedFor := r.ordersRefreshedFor.Load()
 	if newest <= max(refreshedFor, r.rollOuts.Revision()) || !r.following.Load() {
 		return
@@ -211,18 +234,18 @@
 	}
 }
 
-// fleetAt returns a function that counts the servers and requests in flight of a service by
-// version.
+// fleetAt returns a function that counts the servers of the candidate and the requests in flight at
+// all others.
 func (r *Router) fleetAt(now time.Time) rollout.FleetFunc {
-	return func(service, stable, candidate string) rollout.Fleet {
+	return func(service, _, candidate string) rollout.Fleet {
 		var fleet rollout.Fleet
 		for _, count := range r.state.view.CountVersions(math.MaxInt64, now) {
 			switch {
 			case count.Service != service:
 			case count.Version == candidate:
 				fleet.CandidateServers = count.Servers
-			case count.Version == stable:
-				fleet.StableInFlight = count.Running
+			default:
+				fleet.StableInFlight += count.Running
 			}
 		}
 		return fleet
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -106,6 +106,8 @@
 	// ordersRefreshedFor is the newest server revision for which the orders were last listed at
 	// once.
 	ordersRefreshedFor atomic.Int64
+	// versionsUnused is set if versions may have servers that may not be used.
+	versionsUnused atomic.Bool
 	// followBegun receives a value when this daemon begins to follow the store.
 	followBegun chan struct{}
 	draining    atomic.Bool
