Take a stream up at the service that began it

Where a route's traffic is split, each request drew its service at random, also one that takes a stream up: of 20 streams taken up at another daemon about half went to the other service, which has not begun them. The test fails before.

The service now follows from the ID of the request that brought the first event, or the request's own. A split whose weights change between two tries can still lead elsewhere.

--- a/internal/catalog/admit.go
+++ b/internal/catalog/admit.go
@@ -1,6 +1,12 @@
 package catalog
 
-import "errors"
+import (
+	"errors"
+	"math"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Errors that Admit returns.
 var (
@@ -21,6 +27,18 @@
 	Rank int
 }
 
+// drawSalt makes the draw of a service independent of other draws by the ID of a request.
+const drawSalt = "service|"
+
+// Draw returns the number in [0, 1) that selects a service for a request, by the request's ID. All
+// daemons draw the same number. Requests without an ID get a random one.
+func Draw(requestID string) float64 {
+	if requestID == "" {
+		return rand.Float64()
+	}
+	return float64(xxhash.Sum64String(drawSalt+requestID)>>11) / (math.MaxUint64>>11 + 1)
+}
+
 // Admit returns the route of a request, the service selected from its splits, and the workspace
 // that the key belongs to. point is uniform in [0, 1) and selects the service. Admit returns
 // ErrNoRoute or ErrUnknownKey if the request is not admitted.
--- a/internal/catalog/admit_test.go
+++ b/internal/catalog/admit_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -26,3 +27,17 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(a.Workspace, qt.Equals, "", qt.Commentf("a public route needs no key"))
 }
+
+func TestDrawIsUniformAndTheSameForAnID(t *testing.T) {
+	c := qt.New(t)
+	low := 0
+	for i := range 1000 {
+		draw := Draw(fmt.Sprint(i))
+		c.Assert(draw >= 0 && draw < 1, qt.IsTrue)
+		c.Assert(draw, qt.Equals, Draw(fmt.Sprint(i)))
+		if draw < 0.25 {
+			low++
+		}
+	}
+	c.Check(low > 200 && low < 300, qt.IsTrue, qt.Commentf("%d of 1000 below a quarter", low))
+}
--- a/robustness/onplatform/versions_test.go
+++ b/robustness/onplatform/versions_test.go
@@ -509,3 +509,27 @@
 		b.Check(b.send(streamCall(0, nil)).status, qt.Equals, http.StatusOK)
 	})
 }
+
+func TestStreamIsTakenUpAtTheServiceThatBeganIt(t *testing.T) {
+	run(t, 3, func(b *bed) {
+		for i, service := range []string{model, model, plain, plain} {
+			id := fmt.Sprintf("i-%d", i)
+			b.addServer(id, service, &fake.Server{EventCount: 12, Version: service})
+		}
+		route := streamRoute("/s/", true, 3)
+		route["trafficSplit"] = []map[string]any{{"service": model, "weight": 1}, {"service": plain, "weight": 1}}
+		b.configure(routes{route})
+	}, func(b *bed) {
+		services := map[string]bool{}
+		for i := range 20 {
+			first := b.send(streamCall(i%3, nil))
+			b.Assert(first.status, qt.Equals, http.StatusOK)
+			service := streamEvent.FindStringSubmatch(first.body)[2]
+			services[service] = true
+			rest := b.send(streamCall((i+1)%3, map[string]string{"Resumes": first.id, "Last-Event-Id": "5"}))
+			b.Check(rest.status, qt.Equals, http.StatusOK)
+			b.Check(streamEvent.FindStringSubmatch(rest.body)[2], qt.Equals, service)
+		}
+		b.Check(services, qt.HasLen, 2)
+	})
+}
