Copy cached prompt parts only between servers of one version

A server was told to copy parts of a prompt from whichever server had most of them, also from one of another software version. What two versions write does not fit together. Read, not seen at callers; the unit test fails before (it copies from the home of the prompt, which runs another version).

--- a/internal/backend/placement.go
+++ b/internal/backend/placement.go
@@ -69,9 +69,9 @@
 
 // fetchSource returns the address of the server that s should copy parts from, or an empty string.
 // A home server that this daemon has not used may be new, and then copies the parts from its
-// predecessor.
+// predecessor. What servers of another version have cached does not fit.
 func (p *placement) fetchSource(s *server) string {
-	if !p.canFetch || p.bestSource == nil || p.bestSource == s || p.cachedTokens(p.bestSource)-p.sentTokens[s] < minFetchTokens {
+	if !p.canFetch || p.bestSource == nil || p.bestSource == s || p.bestSource.Version != s.Version || p.cachedTokens(p.bestSource)-p.sentTokens[s] < minFetchTokens {
 		return ""
 	}
 	return p.bestSource.Address
--- a/internal/backend/placement_test.go
+++ b/internal/backend/placement_test.go
@@ -81,3 +81,21 @@
 	c.Check(again.FetchFrom, qt.Equals, "")
 	c.Check(again.PrefillTokens, qt.Equals, 2000)
 }
+
+func TestNothingIsCopiedFromAServerOfAnotherVersion(t *testing.T) {
+	c := qt.New(t)
+	v := engineView(124_000, "a", "b", "c")
+	home := loadWithSession(v, "session", 1)[0]
+	for _, id := range []string{"a", "b", "c"} {
+		if id == home.ID {
+			continue
+		}
+		e := v.servers[id].Entry
+		e.Version = "v2"
+		v.Put(e, start)
+	}
+	other := beginPrompt(v, "session", "B")
+	c.Assert(other.ID, qt.Not(qt.Equals), home.ID)
+	c.Check(other.FetchFrom, qt.Equals, "")
+	c.Check(other.PrefillTokens, qt.Equals, 8500)
+}
