Play streams during roll-outs

A roll-out with streams that break and are taken up again: calm, beside deaths of half and of all daemons, and with a candidate that is stopped.

--- a/robustness/onplatform/versions_test.go
+++ b/robustness/onplatform/versions_test.go
@@ -50,6 +50,8 @@
 	// fixedTimeout makes callers state the same timeout in each try.
 	fixedTimeout bool
 	rollOuts     bool
+	// badCandidate makes servers of v2 fail half of the requests.
+	badCandidate bool
 	// changes lets servers come and go, trouble happens to daemons and the store.
 	changes func(s *streamsBed)
 	trouble func(l *leavingBed)
@@ -132,7 +134,7 @@
 	s.mu.Lock()
 	s.started++
 	n := s.started
-	server := &versionedServer{Server: &fake.Server{EventCount: streamEvents, Version: version, Behave: s.behave(n)}, start: time.Now()}
+	server := &versionedServer{Server: &fake.Server{EventCount: streamEvents, Version: version, Behave: s.behave(n, version)}, start: time.Now()}
 	s.servers[version] = append(s.servers[version], server)
 	id := fmt.Sprintf("i-%04d", n)
 	s.places[id] = fmt.Sprintf("10.5.0.%d:80", n)
@@ -170,13 +172,16 @@
 	})
 }
 
-func (s *streamsBed) behave(server int) func(int, *http.Request) fake.Behaviour {
+func (s *streamsBed) behave(server int, version string) func(int, *http.Request) fake.Behaviour {
 	random := rand.New(rand.NewPCG(s.seed, uint64(100+server)))
 	var mu sync.Mutex
 	return func(int, *http.Request) fake.Behaviour {
 		mu.Lock()
 		defer mu.Unlock()
 		b := fake.Behaviour{Delay: eventInterval}
+		if s.play.badCandidate && version == "v2" && random.Float64() < 0.5 {
+			b.Status = http.StatusInternalServerError
+		}
 		if random.Float64() < s.play.breaks {
 			b.BreakAfter = 1 + random.IntN(streamEvents/2)
 		}
@@ -376,6 +381,47 @@
 	}
 }
 
+// rollOut orders the second version, whose servers start beside the old ones, and does what the
+// platform does at the end.
+func rollOut(s *streamsBed) {
+	time.Sleep(time.Second)
+	old := s.play.versions[0]
+	s.store.Put("rollouts", model, map[string]any{"service": model, "to": "v2", "durationS": rollOutFor.Seconds()})
+	for range serversPerVersion {
+		s.addVersion("v2")
+	}
+	for range int(streamsPlay / (100 * time.Millisecond)) {
+		time.Sleep(100 * time.Millisecond)
+		var status struct{ State string }
+		if raw := s.store.Status("rollouts", model); raw != nil {
+			s.decode(raw, &status)
+		}
+		switch status.State {
+		case "completed":
+			s.stopVersion(old)
+			return
+		case "rolled_back":
+			time.Sleep(2 * time.Second)
+			s.drainVersion("v2", serversPerVersion, 0)
+			return
+		}
+	}
+}
+
+// stopVersion stops the servers of a version at once.
+func (s *streamsBed) stopVersion(version string) {
+	for _, server := range s.ready(version, time.Now()) {
+		s.mu.Lock()
+		server.drains = time.Now()
+		s.mu.Unlock()
+		s.store.Remove("servers", server.ID)
+		ip, _, _ := strings.Cut(s.serverAddress(server.ID), ":")
+		for _, daemon := range s.ips {
+			s.net.Cut(daemon, ip)
+		}
+	}
+}
+
 // bothTroubles combines two troubles, one after the other.
 func bothTroubles(first, second func(l *leavingBed)) func(l *leavingBed) {
 	return func(l *leavingBed) {
@@ -422,6 +468,21 @@
 	}
 }
 
+// TestStreamsDuringARollOut guards against streams that hold events of the stable version and of the
+// candidate, whether the roll-out is completed or not.
+func TestStreamsDuringARollOut(t *testing.T) {
+	for name, p := range map[string]streamsPlayed{
+		"calm":                     {},
+		"servers break streams":    {breaks: 0.2},
+		"half of the daemons die":  {breaks: 0.1, trouble: someDie(0.5, 4*time.Second, 8*time.Second, 10500*time.Millisecond)},
+		"all daemons die":          {breaks: 0.1, trouble: someDie(1, 5*time.Second, 10*time.Second)},
+		"the candidate is stopped": {breaks: 0.1, badCandidate: true, trouble: someDie(0.5, 4*time.Second, 7*time.Second)},
+	} {
+		p.daemons, p.rollOuts, p.versions, p.changes = 6, true, []string{"v1"}, rollOut
+		t.Run(name, p.run)
+	}
+}
+
 // streamPlaysAtSize are those that are played with many daemons.
 var streamPlaysAtSize = []string{"servers break streams", "half die as a version is replaced", "all die as versions come and go"}
 
