Continue answers of models at the version that began them, on our own interface

The VM list may tell the version of a backend server's software. A request remembers the version that produced its first token, its copies at other daemons bear it, and it goes on only there. If no server of that version is left it fails at once. A platform that tells no versions is served as before.

--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -55,6 +55,13 @@
 	plainServers []*plainservice.Server
 }
 
+// EnginesByVM returns the model engines started so far by the IDs of their VMs.
+func (s *StandIns) EnginesByVM() map[string]*modelengine.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.engines)
+}
+
 // Engines returns the model engines started so far.
 func (s *StandIns) Engines() []*modelengine.Server {
 	s.mu.Lock()
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -367,6 +367,7 @@
 		ID:               s.vm.ID,
 		Zone:             s.vm.Zone,
 		Address:          s.vm.Address,
+		Version:          s.vm.Version,
 		PricePerHour:     r.index.Price(s.vm.Class, s.vm.Zone, config.Market(s.vm.Market)),
 		Leaving:          !s.acceptsRequests(now) || s.admissionWait(now) > 0,
 		Suspect:          now.Before(s.suspectUntil),
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -70,7 +70,7 @@
 	silence := time.AfterFunc(d.options.Limits.AttemptIdleTimeout.Std(), func() { cancel(errSilent) })
 	defer silence.Stop()
 
-	stream := &modelStream{dispatcher: d, flight: flight, slot: slot, predicted: choice.Wait, attempt: flight.attempts()}
+	stream := &modelStream{dispatcher: d, flight: flight, slot: slot, predicted: choice.Wait, attempt: flight.attempts(), version: choice.Server.Version}
 	attempt := d.engineAttempt(flight)
 	attempt.OnAdvice = d.adviceHandler(choice.Server)
 	err := d.options.Engine.Generate(ctx, choice.Server.Address, attempt, func(event engine.Event) error {
@@ -149,8 +149,10 @@
 	slot       *discovery.Slot
 	predicted  time.Duration
 	attempt    int
-	lastToken  time.Time
-	finish     *request.Finish
+	// version is the version of the server's software.
+	version   string
+	lastToken time.Time
+	finish    *request.Finish
 }
 
 // matches checks the identity of an event. An event of another request or attempt is
@@ -170,7 +172,7 @@
 	if event.FinishReason != "" {
 		return s.setFinish(event)
 	}
-	first, err := s.flight.addToken(event.Index, event.Token)
+	first, err := s.flight.addToken(event.Index, event.Token, s.version)
 	if err != nil {
 		return err
 	}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -183,8 +183,15 @@
 
 // pick picks a server for a request.
 func (d *Dispatcher) pick(spec *request.Spec, tried map[string]bool, now time.Time) (route.Choice, bool) {
-	need := route.Need{Zone: d.options.Zone, Tried: tried, Target: spec.Route.Targets.FirstToken.Std()}
-	return route.Pick(d.options.Registry.Candidates(spec.Service, promptTokens(spec), now), need)
+	return d.pickAmong(d.candidates(spec, now), spec, tried)
+}
+
+func (d *Dispatcher) candidates(spec *request.Spec, now time.Time) []route.Server {
+	return d.options.Registry.Candidates(spec.Service, promptTokens(spec), now)
+}
+
+func (d *Dispatcher) pickAmong(servers []route.Server, spec *request.Spec, tried map[string]bool) (route.Choice, bool) {
+	return route.Pick(servers, route.Need{Zone: d.options.Zone, Tried: tried, Target: spec.Route.Targets.FirstToken.Std()})
 }
 
 func promptTokens(spec *request.Spec) int {
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -18,5 +18,6 @@
 	errWorkTooLong  = errors.New("request took longer than the daemon allows")
 	errEndsServers  = errors.New("request ends the servers that run it")
 	errServersEnded = errors.New("servers ended under requests like this one")
+	errVersionGone  = errors.New("no server of the version that began the answer is left")
 	errStopped      = errors.New("dispatcher was stopped")
 )
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -60,6 +60,8 @@
 	mu        sync.Mutex
 	lifecycle *request.Lifecycle
 	tokens    []string
+	// version is the software version of the server that produced the first token.
+	version   string
 	lastEvent *Event
 	changed   chan struct{}
 	endedAt   time.Time
@@ -82,6 +84,7 @@
 	return &Flight{
 		spec:      spec,
 		digest:    DigestOf(&spec),
+		version:   spec.Version,
 		lifecycle: request.NewLifecycle(spec.Idempotent()),
 		changed:   make(chan struct{}),
 		done:      make(chan struct{}),
@@ -282,9 +285,25 @@
 	return f.tokens[:len(f.tokens):len(f.tokens)]
 }
 
+// begunVersion returns the software version at which the answer has begun, and false if it has not.
+func (f *Flight) begunVersion() (string, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.version, len(f.tokens) > 0
+}
+
+// versionedSpec returns the specification with the version at which the answer has begun.
+func (f *Flight) versionedSpec() request.Spec {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	spec := f.spec
+	spec.Version = f.version
+	return spec
+}
+
 // addToken appends the token with the given index. A duplicate is dropped; a gap is an
 // error of the stream.
-func (f *Flight) addToken(index int, token string) (first bool, err error) {
+func (f *Flight) addToken(index int, token, version string) (first bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if index < len(f.tokens) {
@@ -296,6 +315,9 @@
 	if err := f.lifecycle.Apply(request.StepToken); err != nil {
 		return false, err
 	}
+	if len(f.tokens) == 0 {
+		f.version = version
+	}
 	f.tokens = append(f.tokens, token)
 	f.notifyReaders()
 	return len(f.tokens) == 1, nil
--- a/internal/dispatch/replicate.go
+++ b/internal/dispatch/replicate.go
@@ -69,14 +69,15 @@
 	defer cancel()
 	tokens := flight.producedTokens()
 	backup, copied := flight.copyState()
-	if backup != "" {
+	// An update holds no specification, and so not the version at which the answer has begun.
+	if copyHasVersion := copied > 0 || len(tokens) == 0; backup != "" && copyHasVersion {
 		update := Copy{Spec: flight.spec, Offset: copied, Tokens: tokens[copied:]}
 		if len(update.Tokens) == 0 || d.options.Replicator.Extend(ctx, backup, update) == nil {
 			flight.setCopyState(backup, len(tokens))
 			return
 		}
 	}
-	backup, err := d.options.Replicator.Copy(ctx, Copy{Spec: flight.spec, Tokens: tokens})
+	backup, err := d.options.Replicator.Copy(ctx, Copy{Spec: flight.versionedSpec(), Tokens: tokens})
 	if err != nil {
 		d.metrics.uncopied.Inc()
 		d.log(flight).Warn("cannot copy request to a backup daemon", "error", err)
@@ -180,7 +181,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(d.ctx), copyTimeout)
 	defer cancel()
 	backup, _ := flight.copyState()
-	err := d.options.Replicator.TakeOver(ctx, backup, Copy{Spec: flight.spec, Tokens: flight.producedTokens()})
+	err := d.options.Replicator.TakeOver(ctx, backup, Copy{Spec: flight.versionedSpec(), Tokens: flight.producedTokens()})
 	if err == nil {
 		flight.close(Event{Moved: true}, time.Now())
 		return
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/burn"
@@ -51,7 +52,11 @@
 			d.giveUp(flight, err)
 			return
 		}
-		choice, slot, ok := d.acquireServer(flight, tried)
+		choice, slot, ok, err := d.acquireServer(flight, tried)
+		if err != nil {
+			d.giveUp(flight, err)
+			return
+		}
 		if !ok {
 			d.awaitServerChange(ctx, round)
 			continue
@@ -80,15 +85,23 @@
 	return f.lifecycle.MayDispatch()
 }
 
-// acquireServer picks a server and acquires a slot on it.
-func (d *Dispatcher) acquireServer(flight *Flight, tried map[string]bool) (route.Choice, *discovery.Slot, bool) {
+// acquireServer picks a server and acquires a slot on it. It fails if no server can go on with the
+// answer.
+func (d *Dispatcher) acquireServer(flight *Flight, tried map[string]bool) (route.Choice, *discovery.Slot, bool, error) {
 	now := time.Now()
-	choice, ok := d.pick(&flight.spec, tried, now)
+	servers := d.candidates(&flight.spec, now)
+	if version, begun := flight.begunVersion(); begun && len(servers) > 0 {
+		servers = slices.DeleteFunc(servers, func(s route.Server) bool { return s.Version != version })
+		if len(servers) == 0 {
+			return route.Choice{}, nil, false, errVersionGone
+		}
+	}
+	choice, ok := d.pickAmong(servers, &flight.spec, tried)
 	if !ok {
-		return choice, nil, false
+		return choice, nil, false, nil
 	}
 	slot, ok := d.options.Registry.Acquire(choice.Server.ID, promptTokens(&flight.spec), now)
-	return choice, slot, ok
+	return choice, slot, ok, nil
 }
 
 // awaitServerChange waits until the servers have changed, or for the backoff of the round.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -11,6 +11,8 @@
 	ID      string
 	Zone    string
 	Address string
+	// Version is the version of the server's software, or empty if it is not known.
+	Version string
 	// PricePerHour is the price of the server's VM.
 	PricePerHour float64
 	// Leaving is set for servers that must get no new work: they leave, back off or are at their
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -36,6 +36,8 @@
 	notices []cloud.Notice
 	changed chan struct{}
 	nextID  int
+	// versionOf returns the software version of a backend server. It may be nil.
+	versionOf func(vm vmlist.VM) string
 }
 
 type member struct {
@@ -76,8 +78,21 @@
 	f.record(vm, 0)
 }
 
+// SetVersions sets the software version of each backend server, also of those that start later.
+func (f *Fleet) SetVersions(versionOf func(vm vmlist.VM) string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.versionOf = versionOf
+	for _, m := range f.members {
+		f.record(m.vm, f.lag)
+	}
+}
+
 // record appends a change; the caller holds the lock.
 func (f *Fleet) record(vm vmlist.VM, lag time.Duration) {
+	if f.versionOf != nil && vm.Role == vmlist.RoleBackend {
+		vm.Version = f.versionOf(vm)
+	}
 	f.changes = append(f.changes, change{vm: vm, visible: time.Now().Add(lag)})
 	f.wake()
 }
--- a/internal/standin/modelengine/modelengine.go
+++ b/internal/standin/modelengine/modelengine.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -55,6 +56,7 @@
 	cache       *prefixCache
 	running     map[string]run
 	started     int
+	produced    map[string]int
 	declined    []Decline
 	reports     []timedLoad
 	fence       int64
@@ -79,6 +81,8 @@
 		slots:   slotQueue{free: config.MaxBatch},
 		cache:   newPrefixCache(config.CacheBlocks),
 		running: map[string]run{},
+
+		produced: map[string]int{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /generate", s.generate)
@@ -211,6 +215,19 @@
 	}
 }
 
+func (s *Server) countToken(requestID string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.produced[requestID]++
+}
+
+// Produced returns the number of tokens that the engine has produced, by request.
+func (s *Server) Produced() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.produced)
+}
+
 func (s *Server) decode(ctx context.Context, out *json.Encoder, flusher http.Flusher, attempt engine.Attempt, cached int) {
 	answer := NewAnswer(attempt.Prompt, attempt.MaxTokens)
 	event := engine.Event{RequestID: attempt.RequestID, Number: attempt.Number}
@@ -226,6 +243,7 @@
 			return
 		}
 		flusher.Flush()
+		s.countToken(attempt.RequestID)
 	}
 	event.Token, event.Index = "", answer.Len()
 	event.FinishReason = answer.FinishReason()
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -36,6 +36,9 @@
 	Zone    string `json:"zone"`
 	Role    Role   `json:"role"`
 	Service string `json:"service,omitempty"`
+	// Version is the version of the software that the backend server runs. It is empty if the
+	// platform does not tell.
+	Version string `json:"version,omitempty"`
 	Class   string `json:"class"`
 	// Market is the platform's name of the market that the VM was bought in.
 	Market string  `json:"market,omitempty"`
