Read the assignment only before it is changed, and list orders once at a start

Each daemon that follows the store for a moment read the assignment, and lists of roll-outs that were under way were asked for again.

The assignment is read by the daemon that assigns, where a route has resumable streams, and before a change.

--- a/internal/router/rollouts.go
+++ b/internal/router/rollouts.go
@@ -167,7 +167,12 @@
 // orders, up to the given revision. The watch reports only at its end that there are no other orders.
 func (r *Router) refreshOrders(newest int64) {
 	refreshedFor := r.ordersRefreshedFor.Load()
-	if newest <= max(refreshedFor, r.rollOuts.Revision()) || !r.following.Load() {
+	known := r.rollOuts.Revision()
+	if newest <= max(refreshedFor, known) || !r.following.Load() {
+		return
+	}
+	if known == 0 {
+		// The first list is under way.
 		return
 	}
 	if r.ordersRefreshedFor.CompareAndSwap(refreshedFor, newest) {
--- a/internal/router/streamversions.go
+++ b/internal/router/streamversions.go
@@ -220,25 +220,36 @@
 }
 
 func (s *streamVersions) evaluate(ctx context.Context, now time.Time) {
-	if !s.following.Load() {
-		s.stored.current = false
+	if !s.following.Load() || now.Sub(s.stored.failedAt) < assignmentRetryInterval || !s.shouldAssign(now) {
 		return
 	}
-	if now.Sub(s.stored.failedAt) < assignmentRetryInterval {
+	demands := s.demands(now)
+	if len(demands) == 0 {
 		return
 	}
-	if era := s.objectStore.Era(); era != s.stored.era {
-		s.stored.era, s.stored.current = era, false
+	wentBack := s.objectStore.Era() != s.stored.era
+	if wentBack {
+		s.stored.era, s.stored.current = s.objectStore.Era(), false
 	}
-	assigns := s.shouldAssign(now)
-	if assigns && !s.stored.current {
+	if s.get() == nil || wentBack {
 		s.read(ctx)
 	}
-	if !assigns || !s.stored.current {
+	if a := s.get(); a != nil {
+		s.change(ctx, a, demands, now)
+	}
+}
+
+// change writes the assignment that follows, if it differs or the store holds an older one. Calls to
+// the store cost money, so its object is read only then.
+func (s *streamVersions) change(ctx context.Context, a *streamversion.Assignment, demands map[string]streamversion.Demand, now time.Time) {
+	next, changed := a.Plan(demands, s.adoptedByAll(a, now), now)
+	if !changed && (!s.stored.current || s.stored.serial >= a.Serial) {
 		return
 	}
-	a := s.get()
-	if next, changed := a.Plan(s.demands(now), s.adoptedByAll(a, now), now); changed || s.stored.serial < a.Serial {
+	if !s.stored.current {
+		s.read(ctx)
+	}
+	if s.stored.current && s.get() == a {
 		s.write(ctx, next)
 	}
 }
