--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -63,11 +63,11 @@
 	Key *Key `json:"key,omitempty"`
 	// Run is the number of the answer's current run, and RunBase the number of tokens that all runs
 	// have in common.
-	Run     int `json:"run,omitempty"`
+	Run int `json:"run,omitempty"`
 	// Version is the software version of the server that produced the first token of a model's
 	// answer. It is empty before, and if servers do not tell their version.
 	Version string `json:"version,omitempty"`
-	RunBase int `json:"run_base,omitempty"`
+	RunBase int    `json:"run_base,omitempty"`
 	// ResumeGrace is how long the request continues to run without a reader.
 	ResumeGrace time.Duration `json:"resume_grace"`
 	Model       *ModelRequest `json:"model,omitempty"`
