Name the causes of refused streams, and wait for the assignment at a start

explain names why a stream that a caller takes up was refused; metrics count those streams by how their version was established, and the buckets by version. A daemon that has just started keeps a request for up to 100 ms until it has the assignment, as it does for the configuration and the list of servers.

--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -21,6 +21,9 @@
 	CauseAboveAllowance  Cause = "the workspace was above its allowance"
 	CauseEndsServers     Cause = "the request ended the servers that ran it and is held back"
 	CauseNoServer        Cause = "the service had no backend server"
+	CauseVersionGone     Cause = "no server of the version that began the stream was left"
+	CauseVersionUnknown  Cause = "the version that began the stream was not known"
+	CauseNotAssigned     Cause = "the daemon did not know yet at which version streams begin"
 	CauseServersAtLimits Cause = "all servers of the service had asked for a pause or were at their own limits"
 	CauseOverload        Cause = "the servers were too busy to answer in time"
 	CauseRequestSize     Cause = "the request was predicted to be late because of its own size"
@@ -80,6 +83,12 @@
 		return CauseAboveAllowance
 	case "request ends the servers that run it":
 		return CauseEndsServers
+	case "no backend server of the stream's version is left":
+		return CauseVersionGone
+	case "version that began the stream is not known":
+		return CauseVersionUnknown
+	case "versions of streams are not known yet", "streams of the service are not assigned to versions yet":
+		return CauseNotAssigned
 	case "service has no backend server":
 		return CauseNoServer
 	case reasonAtLimits:
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -11,6 +11,8 @@
 	calls       *prometheus.CounterVec
 	duration    *prometheus.HistogramVec
 	firstAnswer *prometheus.HistogramVec
+	// resumed counts the streams that callers take up.
+	resumed *prometheus.CounterVec
 	// violations counts violated invariants. Any violation is a bug in this program.
 	violations prometheus.Counter
 }
@@ -31,11 +33,14 @@
 		firstAnswer: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "plankridge_call_first_answer_seconds", Help: "Time from the arrival of a call to its first answer or event.", Buckets: latencyBuckets,
 		}, []string{"service"}),
+		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "plankridge_streams_taken_up_total", Help: "Streams that callers take up, by how the version that began them was established; empty if it was not.",
+		}, []string{"service", "version_from"}),
 		violations: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "plankridge_call_invariant_violations_total", Help: "Steps that the life of a call does not have.",
 		}),
 	}
-	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.violations)
+	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.violations)
 	return m
 }
 
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -67,6 +67,9 @@
 		"config_age_ms", time.Since(r.call.Catalog.AppliedAt).Milliseconds(), "servers_age_ms", serversAge.Milliseconds(), "store_failing", storeFailing,
 	}
 	if r.resumed() {
+		if r.hasStreamVersion() {
+			r.options.Metrics.resumed.WithLabelValues(r.call.Service, r.stream.Source).Inc()
+		}
 		attrs = append(attrs, "resumes", r.call.Resumes, "last_event", r.call.LastEventID)
 	}
 	if r.stream.Source != "" {
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -79,34 +79,45 @@
 	}
 }
 
-// startupWait is how long a request waits at a daemon that has just started for the configuration and
-// the list of servers. The store or a peer provided them 10 to 60 ms after the start. A caller with
-// a target of 100 ms, the shortest in use, would miss it after a longer wait and had better be sent
-// elsewhere.
+// startupWait is how long a request waits at a daemon that has just started for the configuration, the
+// list of servers and the assignment of streams. The store or a peer provided them 10 to 60 ms after the
+// start. A caller with a target of 100 ms, the shortest in use, would miss it after a longer wait and
+// had better be sent elsewhere.
 const startupWait = 100 * time.Millisecond
 
 // awaitCatalog returns the configuration in force. At a daemon that has just started it waits up to
-// startupWait for the configuration and the list of servers.
+// startupWait until the daemon can serve.
 func (s *state) awaitCatalog(ctx context.Context) *catalog.Catalog {
-	if c := s.Catalog(); c != nil && s.view.ListReceived() {
-		return c
+	if s.canServe() {
+		return s.Catalog()
 	}
 	ctx, cancel := context.WithTimeout(ctx, startupWait)
 	defer cancel()
-	select {
-	case <-s.configured:
-	case <-ctx.Done():
-		return s.Catalog()
-	}
+	configured, loaded := s.configured, s.streamVersions.loaded
 	for {
 		changed := s.view.Changed()
-		if s.view.ListReceived() {
+		if s.canServe() {
 			return s.Catalog()
 		}
+		// A closed channel is waited for once.
 		select {
+		case <-configured:
+			configured = nil
+		case <-loaded:
+			loaded = nil
 		case <-changed:
 		case <-ctx.Done():
 			return s.Catalog()
 		}
 	}
 }
+
+// canServe reports whether the daemon has the configuration, the list of servers and, if routes have
+// resumable streams, their assignment to versions.
+func (s *state) canServe() bool {
+	c := s.Catalog()
+	if c == nil || !s.view.ListReceived() {
+		return false
+	}
+	return s.streamVersions.get() != nil || len(c.ResumableServices()) == 0
+}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -33,6 +33,8 @@
 	daemonCount      = describe("daemons", "Daemons of the deployment, this one included.", "state")
 	requestsHeldBack = describe("requests_held_back", "What requests ask that ended the servers that ran them and is held back.")
 	daemonRole       = describe("role", "1 while the daemon has the role.", "role")
+	streamSerial     = describe("stream_assignment_serial", "Serial of the assignment of streams to versions in force; -1 before it is known.")
+	streamBuckets    = describe("stream_buckets", "Buckets of streams by the version at which they begin, and those that move to another.", "service", "version", "state")
 	rollOutState     = describe("rollout", "1 for the state that the store has of the order to move a service to a version.", "service", "version", "state")
 	rollOutHalted    = describe("rollout_halted", "1 once the version was found to be bad and gets nothing more.", "service", "version")
 	rollOutShare     = describe("rollout_share", "Share of all requests that the holder of the lease asks to be sent to the version; 0 for the share that each daemon keeps by itself.", "service", "version")
@@ -45,7 +47,7 @@
 
 // Describe implements prometheus.Collector.
 func (sc stateCollector) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
+	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, streamSerial, streamBuckets, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
 		descs <- d
 	}
 }
@@ -77,9 +79,23 @@
 	gauge(daemonRole, boolValue(plan.Leader), "lead")
 	gauge(daemonRole, boolValue(sc.following.Load()), "follows_store")
 	gauge(daemonRole, boolValue(sc.sentinel.Load()), "sentinel")
+	sc.collectStreamVersions(gauge)
 	sc.collectRollOuts(gauge, now)
 }
 
+// collectStreamVersions exports the assignment of streams to versions.
+func (sc stateCollector) collectStreamVersions(gauge func(d *prometheus.Desc, value float64, labels ...string)) {
+	gauge(streamSerial, float64(sc.state.streamVersions.adopted()-1))
+	a := sc.state.streamVersions.get()
+	if a == nil {
+		return
+	}
+	for _, count := range a.Counts() {
+		gauge(streamBuckets, float64(count.Settled), count.Service, count.Version, "settled")
+		gauge(streamBuckets, float64(count.Moving), count.Service, count.Version, "moving")
+	}
+}
+
 // collectRollOuts exports the progress of the roll-outs. There is at most one per service.
 func (sc stateCollector) collectRollOuts(gauge func(d *prometheus.Desc, value float64, labels ...string), now time.Time) {
 	sums := sc.state.versionSums(now)
--- a/internal/streamversion/assignment.go
+++ b/internal/streamversion/assignment.go
@@ -129,24 +129,40 @@
 	return slices.Compact(versions)
 }
 
-// Summary returns the number of buckets by service and version, and of those that move, for logs.
-func (a *Assignment) Summary() string {
-	var parts []string
+// Count is the number of buckets of one version of a service, by whether they are about to move.
+type Count struct {
+	Service, Version string
+	Settled, Moving  int
+}
+
+// Counts returns the number of buckets by service and version, for logs and metrics.
+func (a *Assignment) Counts() []Count {
+	var all []Count
 	for _, service := range slices.Sorted(maps.Keys(a.Services)) {
-		counts, moving := map[string]int{}, 0
+		counts := map[string]Count{}
 		for _, b := range a.Services[service].Buckets {
-			counts[b.Version]++
-			if b.Next != "" {
-				moving++
+			c := counts[b.Version]
+			c.Service, c.Version = service, b.Version
+			if b.Next == "" {
+				c.Settled++
+			} else {
+				c.Moving++
 			}
+			counts[b.Version] = c
 		}
 		for _, version := range slices.Sorted(maps.Keys(counts)) {
-			parts = append(parts, fmt.Sprintf("%s/%s=%d", service, version, counts[version]))
-		}
-		if moving > 0 {
-			parts = append(parts, fmt.Sprintf("%s/moving=%d", service, moving))
+			all = append(all, counts[version])
 		}
 	}
+	return all
+}
+
+// Summary returns the counts as text, for logs.
+func (a *Assignment) Summary() string {
+	var parts []string
+	for _, c := range a.Counts() {
+		parts = append(parts, fmt.Sprintf("%s/%s=%d+%d", c.Service, c.Version, c.Settled, c.Moving))
+	}
 	return strings.Join(parts, " ")
 }
 
