--- a/internal/gossip/plan.go
+++ b/internal/gossip/plan.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -43,11 +42,7 @@
 }
 
 // LocalState is the state of the local daemon that its plan depends on.
-type LocalState struct {
-	StoreFailing, Draining, FollowsStore, ServersUnreachable bool
-	// StartedAt is when the process started.
-	StartedAt time.Time
-}
+type LocalState struct{ StoreFailing, Draining, FollowsStore, ServersUnreachable bool }
 
 // Plan returns the current role of the local daemon.
 func (m *Members) Plan(self LocalState, now time.Time) Plan {
@@ -56,7 +51,7 @@
 	zones := m.candidates(self, now)
 	relays := map[string][]Peer{}
 	for name, daemons := range zones {
-		sortForRelays(daemons, now)
+		slices.SortFunc(daemons, compareByVM)
 		relays[name] = pickRelays(daemons)
 	}
 	var plan Plan
@@ -101,7 +96,7 @@
 			add(p.Peer)
 		}
 	}
-	add(Peer{VM: m.self.VM, Zone: m.self.Zone, StoreFailing: self.StoreFailing, Draining: self.Draining, StartedAt: self.StartedAt})
+	add(Peer{VM: m.self.VM, Zone: m.self.Zone, StoreFailing: self.StoreFailing, Draining: self.Draining})
 	for name, daemons := range draining {
 		if len(staying[name]) == 0 {
 			staying[name] = daemons
@@ -136,40 +131,6 @@
 	return targets
 }
 
-// relayWarmup is how long a daemon must have run to relay in place of one that has run for longer. Until
-// then its sums lack daemons that it has not received reports of.
-const relayWarmup = unreachableAfter
-
-// sortForRelays sorts the daemons of a zone by their preference as relays: by name, but those that have
-// just started after those that have run for longer. Daemons that started together keep their order,
-// so that the roles do not change as they warm up one after the other.
-func sortForRelays(daemons []Peer, now time.Time) {
-	oldest := now
-	for _, p := range daemons {
-		if !p.StartedAt.IsZero() && p.StartedAt.Before(oldest) {
-			oldest = p.StartedAt
-		}
-	}
-	slices.SortFunc(daemons, func(a, b Peer) int {
-		return cmp.Or(compareBool(a.warmsUp(oldest, now), b.warmsUp(oldest, now)), compareByVM(a, b))
-	})
-}
-
-// warmsUp reports whether the peer has just started while the oldest daemon of its zone has not.
-func (p *Peer) warmsUp(oldest, now time.Time) bool {
-	return now.Sub(p.StartedAt) < relayWarmup && p.StartedAt.Sub(oldest) >= relayWarmup
-}
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // pickRelays returns the first daemons of a zone, plus one more for each that the store
 // does not answer.
 func pickRelays(daemons []Peer) []Peer {
