Revert "Count what peers admit while their reports are overdue"

What a limit of few requests a second needs differs from what a workspace needs; they share the limiter.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -82,10 +82,10 @@
 	// spentAtResume is the value of spent at the last stall.
 	spentAtResume float64
 	peers         peerActivity
-	// ownDemand is the demand at this daemon.
-	ownDemand demandMeter
-	// sinceReport sums up the decisions since the last report of peers.
-	sinceReport admissions
+	// ownDemand is the demand at this daemon. spentAtReport is the value of spent at the last
+	// report of peers.
+	ownDemand     demandMeter
+	spentAtReport float64
 	// restored is set once the usage before the start of this process is known. adopted is set once
 	// it has been received from a daemon that has been running for longer.
 	restored, adopted bool
@@ -242,18 +242,15 @@
 	// A request larger than the whole allowance is admitted to an empty window.
 	need := min(tokens, a.limit)
 	free := l.free(a, now) + l.toleranceMargin(a, now)
-	if l.reportOverdue(a, now) && !l.catchingUp(now) {
-		free -= l.overdueSpend(a, now)
+	if a.assumeOwnDemand && l.reportOverdue(a, now) {
+		free -= a.peers.unreportedSpend(now)
 	}
 	verdict := l.newVerdict(a, free, now)
-	probability := 1.0
 	verdict.Admitted = need+verdict.Unreported <= free
 	if !verdict.Admitted {
-		probability = l.admissionProbability(a, need, free, now)
-		verdict.ByChance = probability > 0 && l.random() < probability
+		verdict.ByChance = l.admitByChance(a, need, free, now)
 		verdict.Admitted = verdict.ByChance
 	}
-	a.sinceReport.add(tokens, min(1, probability))
 	if !verdict.Admitted {
 		a.refused += tokens
 		verdict.RetryAfter = l.retryAfter(a, need+verdict.Unreported-free, now)
@@ -320,10 +317,10 @@
 	return l.reachableShare * min(plannedToleranceShare*tolerance, jumpToleranceShare*tolerance-jump)
 }
 
-// admissionProbability returns the probability with which a request gets a part of the free tokens.
-func (l *Limiter) admissionProbability(a *account, need, free float64, now time.Time) float64 {
+// admitByChance decides at random whether a request gets a part of the free tokens.
+func (l *Limiter) admitByChance(a *account, need, free float64, now time.Time) bool {
 	if free <= 0 || l.random == nil {
-		return 0
+		return false
 	}
 	demand := l.othersDemand(a, now)
 	if a.assumeOwnDemand {
@@ -333,9 +330,9 @@
 	}
 	competing := demand * max(l.distributionTime(), l.reportAge+l.reportInterval, l.unreportedTime(a, now)).Seconds()
 	if competing == 0 && l.reachableShare >= 1 {
-		return 0
+		return false
 	}
-	return free / max(competing, need)
+	return l.random() < free/max(competing, need)
 }
 
 // distributionTime is the time over which free tokens are distributed when demand exceeds them.
@@ -421,14 +418,16 @@
 	for name, a := range l.accounts {
 		a.used.advance(now)
 		if r.Baseline {
-			// No report covers the time between two sources. Without an estimate, while all leaders
-			// were dead, a workspace whose demand had jumped used a quarter of its allowance
-			// unreported.
+			// No report covers the time between two sources. Peers are assumed to have spent at
+			// their last rate or, if that is more, as much as this daemon each. Without this, while
+			// all leaders were dead, a workspace whose demand had jumped used a quarter of its
+			// allowance unreported.
 			if l.alone {
 				continue
 			}
-			a.used.add(l.overdueSpend(a, now), now)
-			a.peers.reportedAt, a.peers.changedAt, a.sinceReport = now, now, admissions{}
+			ownSpending := (a.spent - a.spentAtReport) * float64(l.reachablePeers)
+			a.used.add(max(a.peers.unreportedSpend(now), ownSpending), now)
+			a.peers.reportedAt, a.peers.changedAt, a.spentAtReport = now, now, a.spent
 			continue
 		}
 		spent := r.Counters.Spent[name] - before.Spent[name]
@@ -440,7 +439,7 @@
 		}
 		if !l.alone {
 			a.peers.observe(spent, refused, l.reachablePeerShare(), now)
-			a.sinceReport = admissions{}
+			a.spentAtReport = a.spent
 		}
 	}
 	if !known {
--- a/internal/allowance/demand.go
+++ b/internal/allowance/demand.go
@@ -85,32 +85,6 @@
 	return !a.peers.reportedAt.IsZero() && now.Sub(a.peers.reportedAt) > reportOverdueAfter
 }
 
-// overdueSpend returns what peers are assumed to have spent since their last report, which is overdue.
-// What leaves the window would otherwise count as free at each daemon. They go on at their last rate
-// or, if that is more, admit the same share of their demand as this daemon.
-func (l *Limiter) overdueSpend(a *account, now time.Time) float64 {
-	elapsed := min(maxExtrapolation, a.peers.reportAge(now))
-	return max(a.peers.unreportedSpend(now), a.sinceReport.admittedShare()*l.othersDemand(a, now)*elapsed.Seconds())
-}
-
-// admissions sums up this daemon's decisions. It holds probabilities rather than outcomes: with few
-// requests in each of many daemons, the outcomes of one daemon say little about the others.
-type admissions struct{ asked, expected float64 }
-
-// add adds a decision on a request that was admitted with a probability.
-func (d *admissions) add(tokens, probability float64) {
-	d.asked += tokens
-	d.expected += tokens * probability
-}
-
-// admittedShare returns the expected share of the requested tokens that were admitted.
-func (d admissions) admittedShare() float64 {
-	if d.asked == 0 {
-		return 0
-	}
-	return d.expected / d.asked
-}
-
 // unreportedTime returns the time that the last report does not cover, at most maxExtrapolation.
 func (l *Limiter) unreportedTime(a *account, now time.Time) time.Duration {
 	reportedAt := a.peers.reportedAt
