Log the parts of the prompts of requests that were not served

The logs of an incident in which servers crashed one after the other could not tell whether the requests under which they did shared anything: a line bears a digest of the whole content and nothing of the prompt's parts. Lines of requests that are not served now have the digests of all parts but the last, so that requests with different contents and one part in common can be found. No decision depends on them yet.

--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -95,6 +95,18 @@
 	return quarantine.DigestOf(c.Workspace, c.Method, c.Host, c.Target, c.Body)
 }
 
+// partDigests returns the digests by which the quarantine recognizes the parts of the prompt.
+func (c *Call) partDigests() []quarantine.Digest {
+	if c.Prompt == nil {
+		return nil
+	}
+	var ids []string
+	for _, part := range c.Prompt.Parts {
+		ids = append(ids, part.ID)
+	}
+	return quarantine.PartDigests(c.Service, c.Workspace, ids)
+}
+
 // Attempt is one attempt to run a call on one server.
 type Attempt struct {
 	Call   *Call
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/quarantine"
 )
 
 // attemptRecord is the log entry of an attempt, with the data that the routing was based on.
@@ -81,7 +82,7 @@
 			"allowance_drawn", v.ByChance, "allowance_share", v.ReachableShare, "allowance_opened", v.Restored)
 	}
 	if err != nil {
-		attrs = append(attrs, "reason", err.Error())
+		attrs = append(attrs, "reason", err.Error(), "parts", quarantine.FormatDigests(r.call.partDigests()))
 		level = slog.LevelWarn
 	}
 	r.options.Logger.Log(context.WithoutCancel(ctx), level, "request ended", attrs...)
--- a/internal/quarantine/digest_test.go
+++ b/internal/quarantine/digest_test.go
@@ -24,3 +24,20 @@
 		c.Check(other, qt.Not(qt.Equals), base)
 	}
 }
+
+// TestPartDigestsLeaveOutTheLastPart checks that the last part of a prompt has no digest, and that
+// the same part ID has other digests for another service, and one other for another workspace.
+func TestPartDigestsLeaveOutTheLastPart(t *testing.T) {
+	c := qt.New(t)
+	c.Check(PartDigests("llm", "quarry", nil), qt.HasLen, 0)
+	c.Check(PartDigests("llm", "quarry", []string{"a"}), qt.HasLen, 0)
+	base := PartDigests("llm", "quarry", []string{"a", "b"})
+	c.Check(base, qt.HasLen, 2)
+	c.Check(PartDigests("llm", "quarry", []string{"a", "c"}), qt.DeepEquals, base)
+	yard := PartDigests("llm", "yard", []string{"a", "b"})
+	c.Check(yard[0], qt.Equals, base[0])
+	c.Check(yard[1], qt.Not(qt.Equals), base[1])
+	for _, other := range PartDigests("other", "quarry", []string{"a", "b"}) {
+		c.Check(base, qt.Not(qt.Contains), other)
+	}
+}
