--- a/robustness/onplatform/crash_test.go
+++ b/robustness/onplatform/crash_test.go
@@ -1,6 +1,7 @@
 package onplatform
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -35,6 +36,8 @@
 	eventEvery = 60 * time.Millisecond
 	// heldBack is what callers of a request are told that ends servers.
 	heldBack = "request ends the servers that run it"
+	// partHeldBack is what callers are told of a part of their prompts that ends servers.
+	partHeldBack = "part of the prompt ends the servers that run it"
 )
 
 // crashServers are backend servers that end under some requests.
@@ -42,12 +45,34 @@
 	b       *bed
 	servers []*crashServer
 
+	// causeOf returns what in a request ends the server that runs it, or nothing. Without it,
+	// bodies that begin with poison do.
+	causeOf func(r *http.Request, body string) string
+	// lastWords writes what a server still writes before it ends. It may be nil.
+	lastWords func(w http.ResponseWriter, r *http.Request)
+	// endsWithConnection reports whether the answer to a request has neither a length nor chunks.
+	// Without it, none has.
+	endsWithConnection func(r *http.Request) bool
+
 	mu sync.Mutex
 	// reached are the times at which a request reached servers, ended at which servers ended
-	// under it, by the request's body.
+	// under it, by what ends them.
 	reached, ended map[string][]time.Time
 }
 
+// newCrashServers returns a set without servers.
+func newCrashServers() *crashServers {
+	return &crashServers{reached: map[string][]time.Time{}, ended: map[string][]time.Time{}}
+}
+
+// bodyIsPoison is the cause in a request whose whole content ends servers.
+func bodyIsPoison(_ *http.Request, body string) string {
+	if strings.HasPrefix(body, poison) {
+		return body
+	}
+	return ""
+}
+
 // crashServer is one place for a server, which gets a new ID at each start.
 type crashServer struct {
 	*crashServers
@@ -57,6 +82,8 @@
 	starts int
 	id     string
 	server *http.Server
+	// open are the answers in progress that end with their connection.
+	open map[*fake.ConnectionEnded]bool
 }
 
 // addCrashServers starts servers of a service, spread over the zones.
@@ -95,22 +122,35 @@
 
 func (s *crashServer) ip() string { ip, _, _ := strings.Cut(s.b.serverAddress(s.name), ":"); return ip }
 
-// crashOn returns a handler that ends the server under requests that are poison.
+// crashOn returns a handler that ends the server under requests that have a cause.
 func (s *crashServer) crashOn(runner *fake.Server) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
 		}
-		if !strings.HasPrefix(string(body), poison) {
+		if s.endsWithConnection != nil && s.endsWithConnection(r) {
+			raw := s.openRaw(w)
+			defer s.closeRaw(raw)
+			w = raw
+		}
+		causeOf := bodyIsPoison
+		if s.causeOf != nil {
+			causeOf = s.causeOf
+		}
+		cause := causeOf(r, string(body))
+		if cause == "" {
 			r.Body = io.NopCloser(strings.NewReader(string(body)))
 			runner.ServeHTTP(w, r)
 			return
 		}
-		s.note(s.reached, string(body))
+		s.note(s.reached, cause)
 		time.Sleep(crashAfter)
+		if s.lastWords != nil {
+			s.lastWords(w, r)
+		}
 		if s.end(runner.ID) {
-			s.note(s.ended, string(body))
+			s.note(s.ended, cause)
 			go s.back(backAfter, runner.ID)
 		}
 		panic(http.ErrAbortHandler)
@@ -132,9 +172,32 @@
 	}
 	_ = s.server.Close()
 	s.server = nil
+	for raw := range s.open {
+		raw.Close()
+	}
+	s.open = nil
 	return true
 }
 
+// openRaw makes the answer end with its connection, which ends with the server.
+func (s *crashServer) openRaw(w http.ResponseWriter) *fake.ConnectionEnded {
+	raw := fake.NewConnectionEnded(w)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = map[*fake.ConnectionEnded]bool{}
+	}
+	s.open[raw] = true
+	return raw
+}
+
+func (s *crashServer) closeRaw(raw *fake.ConnectionEnded) {
+	s.mu.Lock()
+	delete(s.open, raw)
+	s.mu.Unlock()
+	raw.Close()
+}
+
 // crash ends the server as it runs now and brings it back.
 func (s *crashServer) crash(down time.Duration) {
 	s.mu.Lock()
@@ -155,17 +218,21 @@
 
 // tooMany returns how often a request reached servers after its third had ended and
 // daemons had the time to learn of it.
-func (m *crashServers) tooMany(body string) int {
+func (m *crashServers) tooMany(body string) int { return m.lateAfter(body, 3) }
+
+// lateAfter returns how often requests with a cause reached servers after so many had ended and
+// daemons had the time to learn of it.
+func (m *crashServers) lateAfter(cause string, endings int) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	ended := m.ended[body]
-	if len(ended) < 3 {
+	ended := m.ended[cause]
+	if len(ended) < endings {
 		return 0
 	}
 	slices.SortFunc(ended, time.Time.Compare)
-	from := ended[2].Add(contact)
+	from := ended[endings-1].Add(contact)
 	late := 0
-	for _, at := range m.reached[body] {
+	for _, at := range m.reached[cause] {
 		if at.After(from) {
 			late++
 		}
@@ -184,11 +251,20 @@
 
 	mu   sync.Mutex
 	seen map[string][]reply
+	// first are the first tries of each kind of caller.
+	first map[string][]timedTry
+}
+
+// timedTry is a request as its caller sent it first.
+type timedTry struct {
+	at time.Time
+	// begun is set if the answer began.
+	begun bool
 }
 
 func newCallers(b *bed, seed uint64) (*callersOf, context.Context) {
 	ctx, stop := context.WithCancel(context.Background())
-	c := &callersOf{b: b, random: rand.New(rand.NewPCG(seed, 1)), stop: stop, seen: map[string][]reply{}}
+	c := &callersOf{b: b, random: rand.New(rand.NewPCG(seed, 1)), stop: stop, seen: map[string][]reply{}, first: map[string][]timedTry{}}
 	for _, d := range b.daemons {
 		c.daemons = append(c.daemons, d.ip)
 	}
@@ -198,9 +274,14 @@
 // keep sends requests until the context ends: each to some daemon, and once more to another
 // one when it fails. kind names the caller, bodyOf its n-th body.
 func (c *callersOf) keep(ctx context.Context, kind string, every time.Duration, bodyOf func(n int) string) {
+	c.keepCalls(ctx, kind, every, func(n int) call { return call{body: bodyOf(n)} })
+}
+
+// keepCalls is keep for calls that have more than a body.
+func (c *callersOf) keepCalls(ctx context.Context, kind string, every time.Duration, callOf func(n int) call) {
 	c.all.Go(func() {
 		for n := 0; ctx.Err() == nil; n++ {
-			c.all.Go(func() { c.ask(kind, bodyOf(n)) })
+			c.all.Go(func() { c.ask(kind, callOf(n)) })
 			c.mu.Lock()
 			pause := every/2 + time.Duration(c.random.Int64N(int64(every)))
 			c.mu.Unlock()
@@ -213,14 +294,20 @@
 }
 
 // ask sends a request and, where it fails, sends it once more.
-func (c *callersOf) ask(kind, body string) {
-	for range 2 {
+func (c *callersOf) ask(kind string, what call) {
+	what.method, what.path, what.tokens, what.deadline = "POST", "/s/"+kind, "150,24", 8*time.Second
+	what.key = cmp.Or(what.key, testKey)
+	for try := range 2 {
 		c.mu.Lock()
-		daemon := c.daemons[c.random.IntN(len(c.daemons))]
+		what.ip = c.daemons[c.random.IntN(len(c.daemons))]
 		c.mu.Unlock()
-		got := c.b.send(call{method: "POST", path: "/s/" + kind, key: testKey, body: body, tokens: "150,24", deadline: 8 * time.Second, ip: daemon})
+		at := time.Now()
+		got := c.b.send(what)
 		c.mu.Lock()
 		c.seen[kind] = append(c.seen[kind], got)
+		if try == 0 {
+			c.first[kind] = append(c.first[kind], timedTry{at: at, begun: got.status == http.StatusOK})
+		}
 		c.mu.Unlock()
 		if got.status == http.StatusOK && !got.cut {
 			return
@@ -234,6 +321,24 @@
 	c.all.Wait()
 }
 
+// begunShare returns the share of the first tries of a kind of caller between two moments whose
+// answer began, and their number.
+func (c *callersOf) begunShare(kind string, from, to time.Time) (share float64, tries int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	begun := 0
+	for _, try := range c.first[kind] {
+		if try.at.Before(from) || try.at.After(to) {
+			continue
+		}
+		tries++
+		if try.begun {
+			begun++
+		}
+	}
+	return float64(begun) / float64(max(1, tries)), tries
+}
+
 // counted returns how many replies of a kind of caller were whole answers, and how many said
 // that the request ends servers.
 func (c *callersOf) counted(kind string) (served, held int) {
@@ -243,7 +348,7 @@
 		switch {
 		case r.status == http.StatusOK && !r.cut:
 			served++
-		case strings.Contains(r.body, heldBack):
+		case strings.Contains(r.body, heldBack), strings.Contains(r.body, partHeldBack):
 			held++
 		}
 	}
--- a/robustness/onplatform/quarantine_test.go
+++ b/robustness/onplatform/quarantine_test.go
@@ -49,7 +49,7 @@
 }
 
 func (p poisonPlay) playSeed(t *testing.T, seed uint64) {
-	m := &crashServers{reached: map[string][]time.Time{}, ended: map[string][]time.Time{}}
+	m := newCrashServers()
 	runAlone(t, p.daemons, func(b *bed) {
 		m.b = b
 		m.addCrashServers(model, 9)
