--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -48,9 +48,9 @@
 // readers attach and detach.
 type Flight struct {
 	spec request.Spec
-	// digest is the identity by which the quarantine recognizes identical requests.
-	digest quarantine.Digest
-	done   chan struct{}
+	// fingerprint is what the quarantine recognizes the request by.
+	fingerprint quarantine.Fingerprint
+	done        chan struct{}
 	// firstToken is the time from acceptance to the first token. Only the goroutine of the
 	// running attempt uses it.
 	firstToken time.Duration
@@ -82,12 +82,12 @@
 
 func newFlight(spec request.Spec) *Flight {
 	return &Flight{
-		spec:      spec,
-		digest:    DigestOf(&spec),
-		version:   spec.Version,
-		lifecycle: request.NewLifecycle(spec.Idempotent()),
-		changed:   make(chan struct{}),
-		done:      make(chan struct{}),
+		spec:        spec,
+		fingerprint: FingerprintOf(&spec),
+		version:     spec.Version,
+		lifecycle:   request.NewLifecycle(spec.Idempotent()),
+		changed:     make(chan struct{}),
+		done:        make(chan struct{}),
 	}
 }
 
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -21,34 +21,44 @@
 // operators time to look into it.
 const quarantineRetryAfter = 30 * time.Second
 
-// DigestOf returns the identity by which the quarantine recognizes identical requests.
-func DigestOf(spec *request.Spec) quarantine.Digest {
+// FingerprintOf returns what the quarantine recognizes a request by.
+func FingerprintOf(spec *request.Spec) quarantine.Fingerprint {
 	if spec.Plain != nil {
-		return quarantine.DigestOf(spec.Workspace, spec.Plain.Method, spec.Service, spec.Plain.Path, spec.Plain.Body)
+		return quarantine.Fingerprint{Content: quarantine.DigestOf(spec.Workspace, spec.Plain.Method, spec.Service, spec.Plain.Path, spec.Plain.Body)}
 	}
 	encoded, err := json.Marshal(spec.Model)
 	if err != nil {
 		// Strings, numbers and bytes can always be encoded.
 		panic(err)
 	}
-	return quarantine.DigestOf(spec.Workspace, string(spec.Kind), spec.Service, "", encoded)
+	return quarantine.Fingerprint{Content: quarantine.DigestOf(spec.Workspace, string(spec.Kind), spec.Service, "", encoded)}
 }
 
 // refuseQuarantined refuses a request that the quarantine blocks.
 func (d *Dispatcher) refuseQuarantined(spec *request.Spec, now time.Time) *Refusal {
-	if !d.options.Quarantine.Blocked(DigestOf(spec), now) {
+	block, blocked := d.options.Quarantine.Blocked(FingerprintOf(spec), now)
+	if !blocked {
 		return nil
 	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Detail: errEndsServers.Error(), RetryAfter: quarantineRetryAfter}
+	return &Refusal{Status: http.StatusServiceUnavailable, Detail: blockError(block).Error(), RetryAfter: quarantineRetryAfter}
+}
+
+// blockError returns the error for callers of a blocked request.
+func blockError(block quarantine.Block) error {
+	if block.IsPart {
+		return errPromptEndsServers
+	}
+	return errEndsServers
 }
 
 // checkQuarantine returns an error if the quarantine forbids the next attempt. A retry
 // after a broken attempt is held to a stricter rule than a first attempt.
 func (d *Dispatcher) checkQuarantine(flight *Flight, now time.Time) error {
+	block, blocked := d.options.Quarantine.Blocked(flight.fingerprint, now)
 	switch {
-	case d.options.Quarantine.Blocked(flight.digest, now):
-		return errEndsServers
-	case flight.attempts() > 0 && d.options.Quarantine.Suspected(flight.digest):
+	case blocked:
+		return blockError(block)
+	case flight.attempts() > 0 && d.options.Quarantine.Suspected(flight.fingerprint):
 		return errServersEnded
 	}
 	return nil
@@ -60,7 +70,7 @@
 	d.options.Quarantine.RecordBrokenAttempt(watch.Server{
 		Key: serverEndKey(server.ID, at), ID: server.ID, Service: flight.spec.Service,
 		Exited: func(ctx context.Context) bool { return d.serverEnded(ctx, server.Address) },
-	}, quarantine.LostRequest{Digest: flight.digest, SentAt: sent}, false, at)
+	}, quarantine.LostRequest{Fingerprint: flight.fingerprint, SentAt: sent}, false, at)
 }
 
 // serverEndKey identifies one end of a server's process. A restarted process keeps the ID of
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -164,7 +164,7 @@
 func (d *Dispatcher) completeAttempt(flight *Flight, choice route.Choice, outcome result) bool {
 	now := time.Now()
 	if outcome.step == request.StepAnswer {
-		d.options.Quarantine.RecordAnswer(flight.digest, now)
+		d.options.Quarantine.RecordAnswer(flight.fingerprint, true, now)
 		if err := flight.end(request.StepAnswer, outcome.last, now); err != nil {
 			d.violated(flight, err)
 		}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -20,6 +20,7 @@
 	CauseBadRequest      Cause = "the request itself was invalid"
 	CauseAboveAllowance  Cause = "the workspace was above its allowance"
 	CauseEndsServers     Cause = "the request ended the servers that ran it and is held back"
+	CausePartEndsServers Cause = "requests with a part of this prompt ended the servers that ran them and are held back"
 	CauseNoServer        Cause = "the service had no backend server"
 	CauseVersionGone     Cause = "no server of the version that began the stream was left"
 	CauseVersionUnknown  Cause = "the version that began the stream was not known"
@@ -83,6 +84,8 @@
 		return CauseAboveAllowance
 	case "request ends the servers that run it":
 		return CauseEndsServers
+	case "a part of the prompt ends the servers that run it":
+		return CausePartEndsServers
 	case "no backend server of the stream's version is left":
 		return CauseVersionGone
 	case "version that began the stream is not known":
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -66,8 +66,13 @@
 	Reason    string    `json:"reason"`
 	// Content identifies the content of a request and is equal for requests with the same
 	// content. Contents holds the contents of several requests, separated by spaces.
-	Content       string    `json:"content"`
-	Contents      string    `json:"contents"`
+	Content  string `json:"content"`
+	Contents string `json:"contents"`
+	// Parts holds digests of parts of prompts. Blocked is the digest for which a request was refused.
+	Parts   string `json:"parts"`
+	Blocked string `json:"blocked"`
+	// Part is set on lines about a part of prompts.
+	Part          bool      `json:"part"`
 	TookMS        int64     `json:"took_ms"`
 	FirstMS       int64     `json:"first_ms"`
 	Attempts      []Attempt `json:"attempts"`
@@ -192,11 +197,11 @@
 		case msgStoreLost, msgStoreBack:
 			keep("store", l)
 		case msgHeldBack:
-			if l.Content == end.Content && end.Content != "" {
+			if l.Content != "" && (l.Content == end.Content || l.Content == end.Blocked) {
 				keep(l.Message, l)
 			}
 		case msgServerEnded:
-			if slices.Contains(strings.Fields(l.Contents), end.Content) {
+			if slices.Contains(strings.Fields(l.Contents), end.Content) || slices.Contains(strings.Fields(l.Parts), end.Blocked) {
 				keep("end of "+l.Server, l)
 			}
 		case msgServerListed, msgServerGone, msgServerRestarted:
@@ -268,8 +273,11 @@
 	case msgServerGone:
 		return fmt.Sprintf("server %s left the list", l.Server)
 	case msgServerEnded:
-		return fmt.Sprintf("server %s ended while it had this request or one with the same content", l.Server)
+		return fmt.Sprintf("server %s ended while it had this request or one with the same content or part of the prompt", l.Server)
 	case msgHeldBack:
+		if l.Part {
+			return "requests with a part of this request's prompt are held back from now on"
+		}
 		return "requests with this content are held back from now on"
 	case msgServerLimit:
 		if !l.Limited {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -81,6 +81,24 @@
 	c.Check(Summary(lines), qt.DeepEquals, []CauseCount{{CauseAnswerLost, 1}, {CauseUnknownKey, 1}})
 }
 
+// TestTimelineOfHeldBackPart checks that the timeline of a request that was refused for a part of its
+// prompt includes the servers that ended under other requests with that part.
+func TestTimelineOfHeldBackPart(t *testing.T) {
+	c := qt.New(t)
+	lines, _, err := Read(strings.NewReader(`{"time":"2000-01-01T00:00:03Z","msg":"server has ended under requests","vm":"a","server":"s1","contents":"0b","parts":"77 88"}
+{"time":"2000-01-01T00:00:04Z","msg":"request is held back","vm":"a","content":"88","part":true}
+{"time":"2000-01-01T00:00:05Z","msg":"request ended","vm":"a","request_id":"r","content":"0a","outcome":"refused","status":503,"reason":"a part of the prompt ends the servers that run it","blocked":"88"}
+`))
+	c.Assert(err, qt.IsNil)
+	timeline, found := BuildTimeline(lines, "r")
+	c.Assert(found, qt.IsTrue)
+	c.Check(timeline.Cause, qt.Equals, CausePartEndsServers)
+	var out strings.Builder
+	c.Assert(timeline.Print(&out), qt.IsNil)
+	c.Check(out.String(), qt.Contains, "server s1 ended")
+	c.Check(out.String(), qt.Contains, "requests with a part of this request's prompt are held back from now on")
+}
+
 // TestTimelineOfHeldBackRequest checks that the timeline includes the servers that ended
 // while they had requests with the same content, as logged by the same daemon.
 func TestTimelineOfHeldBackRequest(t *testing.T) {
@@ -106,9 +124,10 @@
 func TestCauses(t *testing.T) {
 	c := qt.New(t)
 	for want, l := range map[Cause]Line{
-		CauseAboveAllowance: {Outcome: "refused", Status: 429, Reason: "workspace is above its allowance"},
-		CauseEndsServers:    {Outcome: "refused", Status: 503, Reason: "request ends the servers that run it"},
-		CauseOverload:       {Outcome: "refused", Status: 503, Reason: "predicted wait is too long"},
+		CauseAboveAllowance:  {Outcome: "refused", Status: 429, Reason: "workspace is above its allowance"},
+		CausePartEndsServers: {Outcome: "refused", Status: 503, Reason: "a part of the prompt ends the servers that run it"},
+		CauseEndsServers:     {Outcome: "refused", Status: 503, Reason: "request ends the servers that run it"},
+		CauseOverload:        {Outcome: "refused", Status: 503, Reason: "predicted wait is too long"},
 		CauseRequestSize: {
 			Outcome: "refused", Status: 503, Reason: "predicted wait is too long", Attempts: []Attempt{{Result: "not-tried", PredictedMS: 900, IdleWaitMS: 700}},
 		},
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -27,7 +27,7 @@
 	}
 	r.countUsage(time.Now())
 	if len(buffered) <= maxBufferedAnswer {
-		r.reportCompleted(time.Now())
+		r.reportCompleted(answer.Status, answer.Status == http.StatusOK, time.Now())
 	}
 	if r.shouldRetry(answer.Status) {
 		answer.Exchange.Close()
@@ -45,7 +45,7 @@
 			_ = r.step(request.StepCancel)
 			return result{outcome: backend.OutcomeNeutral, logLabel: "cut", done: true, err: err}
 		}
-		r.reportCompleted(time.Now())
+		r.reportCompleted(answer.Status, answer.Status == http.StatusOK, time.Now())
 	}
 	answer.Exchange.Close()
 	_ = r.step(request.StepAnswer)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -90,9 +90,12 @@
 	return float64(c.Prompt.Tokens + c.Prompt.MaxOutput)
 }
 
-// digest returns the identity by which the quarantine recognizes identical requests.
-func (c *Call) digest() quarantine.Digest {
-	return quarantine.DigestOf(c.Workspace, c.Method, c.Host, c.Target, c.Body)
+// fingerprint returns what the quarantine recognizes the request by.
+func (c *Call) fingerprint() quarantine.Fingerprint {
+	return quarantine.Fingerprint{
+		Content: quarantine.DigestOf(c.Workspace, c.Method, c.Host, c.Target, c.Body),
+		Parts:   c.partDigests(),
+	}
 }
 
 // partDigests returns the digests by which the quarantine recognizes the parts of the prompt.
@@ -220,12 +223,15 @@
 
 // Quarantine blocks requests that crash the servers that run them.
 type Quarantine interface {
-	// Blocked reports whether a request is blocked.
-	Blocked(content quarantine.Digest, now time.Time) bool
+	// Blocked reports whether a request is blocked, and why.
+	Blocked(request quarantine.Fingerprint, now time.Time) (quarantine.Block, bool)
 	// Suspected reports whether a request whose attempt broke should not be retried on another server.
-	Suspected(content quarantine.Digest) bool
-	// RecordAnswer records that a server has run a request to completion.
-	RecordAnswer(content quarantine.Digest, now time.Time)
+	Suspected(request quarantine.Fingerprint) bool
+	// RecordAnswer records that a server has run a request to completion. generated is set if it
+	// also generated the answer to a prompt.
+	RecordAnswer(request quarantine.Fingerprint, generated bool, now time.Time)
+	// RecordProgress records that a server has been generating the answer to a prompt for some time.
+	RecordProgress(request quarantine.Fingerprint, now time.Time)
 	// RecordBrokenAttempt records that an attempt broke at a server. certain is set if the server is known to have ended.
 	RecordBrokenAttempt(server watch.Server, lost quarantine.LostRequest, certain bool, at time.Time)
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -124,8 +124,10 @@
 	cost float64
 	// callerAge is the time from the caller's first try to this request.
 	callerAge time.Duration
-	// digest is the identity by which the quarantine recognizes identical requests.
-	digest           quarantine.Digest
+	// fingerprint is what the quarantine recognizes the request by.
+	fingerprint quarantine.Fingerprint
+	// blockedBy is what of the call the quarantine blocks, or nil.
+	blockedBy        *quarantine.Block
 	firstAnswerAfter time.Duration
 	status           int
 	history          []attemptRecord
@@ -145,7 +147,7 @@
 func (f *Forwarder) Forward(ctx context.Context, call *Call, reply Reply) error {
 	r := &run{
 		Forwarder: f, call: call, reply: reply, tried: map[string]bool{}, lastEventID: call.LastEventID,
-		lifecycle: request.NewLifecycle(call.Route.Retryable()), digest: call.digest(),
+		lifecycle: request.NewLifecycle(call.Route.Retryable()), fingerprint: call.fingerprint(),
 	}
 	if f.options.CallerTimeouts != nil {
 		r.callerAge = f.options.CallerTimeouts.Age(call.Route.Name, call.CallerTimeout)
@@ -214,13 +216,16 @@
 
 // checkQuarantine refuses a call that crashes the servers that run it.
 func (r *run) checkQuarantine(now time.Time) *Refusal {
+	if r.options.Quarantine == nil {
+		return nil
+	}
 	refusal := &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterQuarantine}
+	block, blocked := r.options.Quarantine.Blocked(r.fingerprint, now)
 	switch {
-	case r.options.Quarantine == nil:
-		return nil
-	case r.options.Quarantine.Blocked(r.digest, now):
-		refusal.Reason = "request ends the servers that run it"
-	case r.sentAttempts > 0 && r.options.Quarantine.Suspected(r.digest):
+	case blocked:
+		refusal.Reason = blockReason(block)
+		r.blockedBy = &block
+	case r.sentAttempts > 0 && r.options.Quarantine.Suspected(r.fingerprint):
 		refusal.Reason = "servers ended under requests like this one"
 	default:
 		return nil
@@ -228,10 +233,26 @@
 	return refusal
 }
 
-// reportCompleted reports to the quarantine that a server has run the call to completion.
-func (r *run) reportCompleted(now time.Time) {
+func blockReason(block quarantine.Block) string {
+	if block.IsPart {
+		return "a part of the prompt ends the servers that run it"
+	}
+	return "request ends the servers that run it"
+}
+
+// reportCompleted reports to the quarantine that a server has run the call to completion, and whether
+// it generated the answer. An internal error of the server proves nothing: the next attempt may get
+// further.
+func (r *run) reportCompleted(status int, generated bool, now time.Time) {
+	if r.options.Quarantine != nil && status < http.StatusInternalServerError {
+		r.options.Quarantine.RecordAnswer(r.fingerprint, generated, now)
+	}
+}
+
+// reportProgress reports to the quarantine that a server generates the answer.
+func (r *run) reportProgress(now time.Time) {
 	if r.options.Quarantine != nil {
-		r.options.Quarantine.RecordAnswer(r.digest, now)
+		r.options.Quarantine.RecordProgress(r.fingerprint, now)
 	}
 }
 
@@ -243,7 +264,7 @@
 	r.options.Quarantine.RecordBrokenAttempt(watch.Server{
 		Key: quarantine.ServerInstance(backend.KeyOf(server)), ID: server.ID, Service: server.Service, StartedMs: server.StartTimeMs,
 		Exited: func(ctx context.Context) bool { return r.options.Backend.Ended(ctx, server) },
-	}, quarantine.LostRequest{Digest: r.digest, SentAt: sent}, result.serverRestarted, at)
+	}, quarantine.LostRequest{Fingerprint: r.fingerprint, SentAt: sent}, result.serverRestarted, at)
 }
 
 func (r *run) workspace() *catalog.Workspace {
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -63,7 +63,7 @@
 	serversAge, storeFailing := r.options.Freshness()
 	attrs := []any{
 		"request_id", r.call.ID, "route", r.call.Route.Name, "service", r.call.Service, "workspace", r.call.Workspace,
-		"content", r.digest.String(), "outcome", outcome, "status", status, "took_ms", took.Milliseconds(), "first_ms", r.firstAnswerAfter.Milliseconds(), "age_ms", r.callerAge.Milliseconds(),
+		"content", r.fingerprint.Content.String(), "outcome", outcome, "status", status, "took_ms", took.Milliseconds(), "first_ms", r.firstAnswerAfter.Milliseconds(), "age_ms", r.callerAge.Milliseconds(),
 		"attempts", r.history, "allowance_tokens", r.cost, "config_version", r.call.Catalog.Version,
 		"config_age_ms", time.Since(r.call.Catalog.AppliedAt).Milliseconds(), "servers_age_ms", serversAge.Milliseconds(), "store_failing", storeFailing,
 	}
@@ -76,13 +76,16 @@
 	if r.stream.Source != "" {
 		attrs = append(attrs, "stream_version", r.stream.Version, "stream_version_from", r.stream.Source)
 	}
+	if b := r.blockedBy; b != nil {
+		attrs = append(attrs, "blocked", b.Digest.String(), "blocked_servers", b.Servers, "blocked_ms", time.Since(b.Since).Milliseconds())
+	}
 	if v := r.verdict; v != nil {
 		attrs = append(attrs, "allowance_limit", int64(v.Limit), "allowance_used", int64(v.Used), "allowance_free", int64(v.Free),
 			"allowance_unheard", int64(v.Unreported), "allowance_asked", int64(v.OthersDemand), "allowance_heard_ms", v.ReportAge.Milliseconds(),
 			"allowance_drawn", v.ByChance, "allowance_share", v.ReachableShare, "allowance_opened", v.Restored)
 	}
 	if err != nil {
-		attrs = append(attrs, "reason", err.Error(), "parts", quarantine.FormatDigests(r.call.partDigests()))
+		attrs = append(attrs, "reason", err.Error(), "parts", quarantine.FormatDigests(r.fingerprint.Parts))
 		level = slog.LevelWarn
 	}
 	r.options.Logger.Log(context.WithoutCancel(ctx), level, "request ended", attrs...)
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -17,6 +17,9 @@
 	// eventBufferSize is the initial size in bytes of the buffer for events, which have
 	// about 100 bytes each.
 	eventBufferSize = 4 << 10
+	// harmlessAfter is how long a server must have written events of an answer to show that the parts
+	// of the prompt do not crash it. Those that do crash it as it begins.
+	harmlessAfter = time.Second
 	// maxEventSize is the maximum size of one event in bytes.
 	maxEventSize = 1 << 20
 )
@@ -28,10 +31,11 @@
 // another server can resume the stream after the last one.
 func (r *run) forwardStream(ctx context.Context, choice *backend.Choice, answer *Answer) result {
 	events := newEventReader(answer.Body)
+	var progress streamProgress
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return r.endStream(answer)
+			return r.endStream(answer, progress.begun())
 		}
 		if err != nil {
 			return r.endBroken(ctx, "broken-stream")
@@ -39,7 +43,32 @@
 		if err := r.forwardEvent(choice, answer, event); err != nil {
 			return r.endEventRejected(err)
 		}
+		if progress.provesHarmless(time.Now()) {
+			r.reportProgress(time.Now())
+		}
+	}
+}
+
+// streamProgress is how far an attempt's stream has got.
+type streamProgress struct {
+	firstEventAt time.Time
+	reported     bool
+}
+
+// begun reports whether the server has written an event.
+func (p *streamProgress) begun() bool { return !p.firstEventAt.IsZero() }
+
+// provesHarmless records an event and reports once that the server has written events for long
+// enough.
+func (p *streamProgress) provesHarmless(now time.Time) bool {
+	if !p.begun() {
+		p.firstEventAt = now
+	}
+	if p.reported || now.Sub(p.firstEventAt) < harmlessAfter {
+		return false
 	}
+	p.reported = true
+	return true
 }
 
 // endEventRejected ends an attempt whose event could not be forwarded.
@@ -53,10 +82,11 @@
 	return r.endCallerLeft()
 }
 
-func (r *run) endStream(answer *Answer) result {
+// endStream ends a stream that is complete. begun is set if this attempt's server wrote any of it.
+func (r *run) endStream(answer *Answer, begun bool) result {
 	r.sendHeader(answer)
 	answer.Exchange.Close()
-	r.reportCompleted(time.Now())
+	r.reportCompleted(answer.Status, begun, time.Now())
 	_ = r.step(request.StepAnswer)
 	return result{outcome: backend.OutcomeServed, signal: signalGood, logLabel: strconv.Itoa(answer.Status), done: true}
 }
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -1,6 +1,8 @@
 // Package quarantine detects poison requests, which terminate every backend server that runs
 // them, and blocks them. A poison request may be sent again with another ID to any daemon, so
-// it is identified by its content. The package does no I/O; the time is passed in.
+// it is identified by its content. What terminates servers may also be one part of a prompt that
+// many different requests share, so that the parts are evaluated as well. The package does no I/O;
+// the time is passed in.
 package quarantine
 
 import (
@@ -9,13 +11,28 @@
 	"fmt"
 	"hash"
 	"io"
+	"slices"
 	"strings"
 )
 
-// Digest identifies the content of a request and the workspace that sent it. Requests with the
-// same digest have the same effect on a server.
+// Digest identifies the content of a request and the workspace that sent it, or a part of its
+// prompt. Requests with the same content digest have the same effect on a server.
 type Digest uint64
 
+// Fingerprint is what a request is recognized by: the digest of its content and those of the parts
+// of its prompt.
+type Fingerprint struct {
+	Content Digest
+	Parts   []Digest
+}
+
+// digests returns all digests, that of the content first.
+func (f Fingerprint) digests() []Digest { return append([]Digest{f.Content}, f.Parts...) }
+
+func (f Fingerprint) contains(digest Digest) bool {
+	return digest == f.Content || slices.Contains(f.Parts, digest)
+}
+
 // String returns the digest in the form used in logs.
 func (d Digest) String() string { return fmt.Sprintf("%016x", uint64(d)) }
 
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -9,6 +10,10 @@
 // Verdict describes a request that has just been blocked, with the evidence against it.
 type Verdict struct {
 	Digest Digest
+	// IsPart is set for a part of a prompt. Companions is the number of digests that a request
+	// must have as well to be refused.
+	IsPart     bool
+	Companions int
 	// Servers is the number of servers that exited while they ran the request. Consecutive is
 	// how often it was sent and the server exited before it was sent again. UnrelatedExits is
 	// the number of servers that exited in the same period under no known request.
@@ -26,10 +31,19 @@
 // there by chance, or that were retried because the servers of earlier attempts had exited,
 // lost fewer servers than the cause. Copies in flight at once when a rack is lost or a zone is
 // reclaimed count once.
+//
+// The same holds for the parts of prompts. Those that lost exactly the same servers cannot be
+// distinguished. They are blocked together, and a request is refused only if it has all of them.
 func (q *Quarantine) Evaluate(now time.Time, settle time.Duration) (blocked []Verdict, retryIn time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.changeCount == q.evaluatedCount && !q.hasSuspects {
+		return nil, 0
+	}
+	q.evaluatedCount = q.changeCount
+	q.dropCompanions(now)
 	suspects := q.findSuspects(now)
+	q.hasSuspects = len(suspects) > 0
 	if len(suspects) == 0 {
 		return nil, 0
 	}
@@ -37,7 +51,8 @@
 	for i, s := range suspects {
 		r := q.records[s.digest]
 		r.suspectedSince = conditionSince(r.suspectedSince, q.possibleCause(i, suspects), now)
-		verdict := q.evaluateSuspect(i, suspects, explained)
+		companions := q.indistinguishable(i, suspects, now.Add(-settle))
+		verdict := q.evaluateSuspect(s, suspects, companions, explained)
 		r.blockPendingSince = conditionSince(r.blockPendingSince, verdict != nil, now)
 		if verdict == nil {
 			continue
@@ -47,12 +62,105 @@
 			continue
 		}
 		r.blockedAt = now
+		r.setCompanions(companions)
+		verdict.IsPart, verdict.Companions = r.isPart, len(r.companions)
 		q.recordChange(r, now)
 		blocked = append(blocked, *verdict)
 	}
 	return blocked, retryIn
 }
 
+// maxCompanions bounds the companions of a digest, which each report of it lists.
+const maxCompanions = 8
+
+// setCompanions sets the digests that a request must have as well to be refused.
+func (r *record) setCompanions(digests []Digest) {
+	r.companions = map[Digest]bool{}
+	for _, digest := range digests[:min(len(digests), maxCompanions)] {
+		r.companions[digest] = true
+	}
+}
+
+// indistinguishable returns the other suspects that lost the same servers as a suspect, and that one
+// request can have together with it. It returns the parts of a content, and the other parts and the
+// content of a part. Which of several contents with one part is the cause is not known. Exits after
+// settled are left out, which some daemons may have reported and others not yet.
+func (q *Quarantine) indistinguishable(index int, suspects []suspect, settled time.Time) []Digest {
+	var parts, contents []Digest
+	own := q.exitedBy(suspects[index], settled)
+	for i, other := range suspects {
+		if i == index || !slices.Equal(q.exitedBy(other, settled), own) {
+			continue
+		}
+		if other.isPart {
+			parts = append(parts, other.digest)
+		} else {
+			contents = append(contents, other.digest)
+		}
+	}
+	if suspects[index].isPart && len(contents) == 1 {
+		return append(contents, parts...)
+	}
+	return parts
+}
+
+// exitedBy returns the servers of a suspect that exited up to a time.
+func (q *Quarantine) exitedBy(s suspect, until time.Time) []ServerInstance {
+	later := slices.IndexFunc(s.servers, func(server ServerInstance) bool { return q.exitedAt[server].After(until) })
+	if later < 0 {
+		return s.servers
+	}
+	return s.servers[:later]
+}
+
+// minSeparateExits is how many consecutive sends under a blocked digest, but not under a companion,
+// must end with the exit of the server before requests without the companion are refused, too. One
+// server may exit by chance. A content is the likelier cause than a part that other requests share,
+// so that the part then needs as many exits as any suspect.
+const minSeparateExits = 2
+
+// dropCompanions removes the companions that blocked digests have been distinguished from.
+func (q *Quarantine) dropCompanions(now time.Time) {
+	for digest, r := range q.records {
+		if len(r.companions) == 0 || !r.blocked(now) {
+			continue
+		}
+		known := len(r.companions)
+		maps.DeleteFunc(r.companions, func(companion Digest, _ bool) bool {
+			return q.exitsWithout(digest, companion, now)
+		})
+		if len(r.companions) < known {
+			q.recordChange(r, now)
+		}
+	}
+}
+
+// exitsWithout reports whether a blocked digest terminates servers without a companion.
+func (q *Quarantine) exitsWithout(digest, companion Digest, now time.Time) bool {
+	other := q.records[companion]
+	if other == nil {
+		return false
+	}
+	separate := suspect{digest: digest}
+	for server := range q.records[digest].exits {
+		if _, shared := other.exits[server]; !shared {
+			separate.servers = append(separate.servers, server)
+		}
+	}
+	if len(separate.servers) == 0 {
+		return false
+	}
+	q.sortByExit(separate.servers)
+	required := minSeparateExits
+	if !other.isPart {
+		required = minConsecutiveExits
+	}
+	if q.unrelatedExits(separate, nil, q.explainedExits(now)) >= len(separate.servers) {
+		required++
+	}
+	return q.consecutiveExits(separate) >= required
+}
+
 // conditionSince returns the time since which a condition has been met without interruption, or
 // zero while it is not met.
 func conditionSince(before time.Time, met bool, now time.Time) time.Time {
@@ -83,6 +191,7 @@
 // exits.
 type suspect struct {
 	digest  Digest
+	isPart  bool
 	servers []ServerInstance
 }
 
@@ -94,14 +203,14 @@
 		if len(r.exits) < minConsecutiveExits || r.blocked(now) || r.recentlyAnswered(now) {
 			continue
 		}
-		s := suspect{digest: digest}
+		s := suspect{digest: digest, isPart: r.isPart}
 		for server := range r.exits {
 			if q.exitedAt[server].After(r.answeredAt) {
 				s.servers = append(s.servers, server)
 			}
 		}
 		if len(s.servers) >= minConsecutiveExits {
-			slices.SortFunc(s.servers, func(a, b ServerInstance) int { return q.exitedAt[a].Compare(q.exitedAt[b]) })
+			q.sortByExit(s.servers)
 			suspects = append(suspects, s)
 		}
 	}
@@ -111,6 +220,13 @@
 	return suspects[:min(len(suspects), maxSuspects)]
 }
 
+// sortByExit sorts servers by the times of their exits.
+func (q *Quarantine) sortByExit(servers []ServerInstance) {
+	slices.SortFunc(servers, func(a, b ServerInstance) int {
+		return cmp.Or(q.exitedAt[a].Compare(q.exitedAt[b]), cmp.Compare(a, b))
+	})
+}
+
 // explainedExits returns the servers that exited under blocked requests.
 func (q *Quarantine) explainedExits(now time.Time) map[ServerInstance]bool {
 	servers := map[ServerInstance]bool{}
@@ -124,26 +240,55 @@
 	return servers
 }
 
-// evaluateSuspect returns the verdict on a request, or nil while it does not meet the criteria.
-func (q *Quarantine) evaluateSuspect(index int, suspects []suspect, explained map[ServerInstance]bool) *Verdict {
-	s := suspects[index]
+// evaluateSuspect returns the verdict on a request or a part, or nil while it does not meet the
+// criteria.
+func (q *Quarantine) evaluateSuspect(s suspect, suspects []suspect, companions []Digest, explained map[ServerInstance]bool) *Verdict {
 	exclusive := 0
 	for _, server := range s.servers {
-		if !explained[server] && !s.sharedWithStrongerSuspect(server, index, suspects) {
+		if !explained[server] && !s.sharedWithStrongerSuspect(server, suspects, companions) {
 			exclusive++
 		}
 	}
 	verdict := Verdict{Digest: s.digest, Servers: len(s.servers), Consecutive: q.consecutiveExits(s), UnrelatedExits: q.unrelatedExits(s, suspects, explained)}
+	if exclusive < minExclusiveExits {
+		return nil
+	}
 	required := minConsecutiveExits
 	if verdict.UnrelatedExits >= verdict.Servers || exclusive < verdict.Servers {
 		required = minConsecutiveExitsAmbiguous
 	}
-	if verdict.Consecutive < required || exclusive < minExclusiveExits {
+	if verdict.Consecutive < required && !q.isSoleCause(s, verdict, exclusive) {
 		return nil
 	}
 	return &verdict
 }
 
+const (
+	// minExitMoments is how many servers must exit one after the other under requests with a part
+	// that were sent before the first of them exited. Servers that queue requests have several
+	// at once, so that few sends are consecutive.
+	minExitMoments = 3
+	// exitMoment is how long the servers of a rack take to exit.
+	exitMoment = 200 * time.Millisecond
+)
+
+// isSoleCause reports whether servers exited one after the other under requests with a part of a
+// prompt, and hardly any other server meanwhile.
+func (q *Quarantine) isSoleCause(s suspect, verdict Verdict, exclusive int) bool {
+	if !s.isPart || exclusive < verdict.Servers || 2*verdict.UnrelatedExits > verdict.Servers {
+		return false
+	}
+	moments := 0
+	var last time.Time
+	for _, server := range s.servers {
+		if at := q.exitedAt[server]; moments == 0 || at.Sub(last) >= exitMoment {
+			moments++
+			last = at
+		}
+	}
+	return moments >= minExitMoments
+}
+
 // possibleCause reports whether a request may be the cause: it has enough consecutive exits,
 // and no suspect with more exits shares a server with it.
 func (q *Quarantine) possibleCause(index int, suspects []suspect) bool {
@@ -156,11 +301,14 @@
 	return q.consecutiveExits(s) >= minConsecutiveExits
 }
 
-// sharedWithStrongerSuspect reports whether another suspect with at least as many exits also
-// ran on the server when it exited.
-func (s suspect) sharedWithStrongerSuspect(server ServerInstance, index int, suspects []suspect) bool {
-	for i, other := range suspects {
-		if i != index && len(other.servers) >= len(s.servers) && slices.Contains(other.servers, server) {
+// sharedWithStrongerSuspect reports whether another suspect with at least as many exits, apart from
+// the companions, also ran on the server when it exited.
+func (s suspect) sharedWithStrongerSuspect(server ServerInstance, suspects []suspect, companions []Digest) bool {
+	for _, other := range suspects {
+		if other.digest == s.digest || slices.Contains(companions, other.digest) {
+			continue
+		}
+		if len(other.servers) >= len(s.servers) && slices.Contains(other.servers, server) {
 			return true
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -33,17 +33,18 @@
 	// exitRetention is how long the exit of a server under a request is stored.
 	exitRetention = 10 * time.Minute
 	// blockDuration is how long a request stays blocked. By then the fault in the server may be
-	// fixed. If it is not, the request terminates three more servers.
-	blockDuration = 30 * time.Minute
-	// maxRecords and maxExitedServers bound the stored requests and servers, and
-	// maxExitsPerRequest the servers of one request. The loss of a rack of 40 servers leaves
-	// about 1,000 requests.
-	maxRecords         = 4096
+	// fixed. probationDuration is how long after that one exit renews the block.
+	blockDuration     = 30 * time.Minute
+	probationDuration = 30 * time.Minute
+	// maxRecords and maxExitedServers bound the stored digests and servers, and
+	// maxExitsPerRequest the servers of one digest. The loss of a rack of 40 servers leaves
+	// about 1,000 requests, each with its content and some parts of its prompt.
+	maxRecords         = 8192
 	maxExitedServers   = 1024
 	maxExitsPerRequest = 64
-	// maxAnsweredRequests bounds the stored digests of answered requests. It covers five
-	// minutes at 27 requests a second and takes about 600 KB.
-	maxAnsweredRequests = 8192
+	// maxAnsweredDigests bounds the stored digests of answered requests. It covers a minute at
+	// 27 requests a second with ten digests each, and takes about 1.2 MB.
+	maxAnsweredDigests = 16384
 	// maxSuspects bounds the requests that are compared with each other in one evaluation.
 	maxSuspects = 64
 )
@@ -51,8 +52,11 @@
 // ServerInstance identifies one start (incarnation) of a backend server.
 type ServerInstance uint32
 
-// record holds the exits and answers known for one request.
+// record holds the exits and answers known for one request, or for the requests with one part of
+// a prompt.
 type record struct {
+	// isPart is set for a part of a prompt.
+	isPart bool
 	// exits maps each server that exited while it ran the request to the time at which the
 	// request was last sent there.
 	exits map[ServerInstance]time.Time
@@ -62,6 +66,9 @@
 	// blockPendingSince is when the request first met the criteria for a block without
 	// interruption, blockedAt when it was blocked. Both are zero where that does not apply.
 	blockPendingSince, blockedAt time.Time
+	// companions are the digests that could not be distinguished from this one when it was
+	// blocked. Only requests that have all of them are refused, except those proved harmless since.
+	companions map[Digest]bool
 	// suspectedSince is when the request reached minConsecutiveExits while no request that
 	// shares a server with it had lost more servers. It is the cause, or not yet
 	// distinguishable from it.
@@ -79,13 +86,15 @@
 	answered *simplelru.LRU[Digest, time.Time]
 	// prunedAt is when prune last scanned the records.
 	prunedAt time.Time
-	// changeCount is the number of changes that peers should receive.
-	changeCount int
+	// changeCount is the number of changes that peers should receive, evaluatedCount its value at
+	// the last evaluation, and hasSuspects whether that evaluation left any suspects.
+	changeCount, evaluatedCount int
+	hasSuspects                 bool
 }
 
 // New returns a Quarantine that blocks no request.
 func New() *Quarantine {
-	answered, err := simplelru.NewLRU[Digest, time.Time](maxAnsweredRequests, nil)
+	answered, err := simplelru.NewLRU[Digest, time.Time](maxAnsweredDigests, nil)
 	if err != nil {
 		// NewLRU fails only for a size that is not positive.
 		panic(err)
@@ -93,21 +102,53 @@
 	return &Quarantine{records: map[Digest]*record{}, exitedAt: map[ServerInstance]time.Time{}, answered: answered}
 }
 
-// Blocked reports whether a request is blocked.
-func (q *Quarantine) Blocked(digest Digest, now time.Time) bool {
+// Block describes why a request is refused.
+type Block struct {
+	Digest Digest
+	// IsPart is set if a part of the prompt is blocked, and not the content of the request.
+	IsPart bool
+	// Servers is the number of servers known to have exited under it, Since when it was blocked.
+	Servers int
+	Since   time.Time
+}
+
+// Blocked reports whether a request is blocked, and why.
+func (q *Quarantine) Blocked(f Fingerprint, now time.Time) (Block, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.records[digest]
-	return r != nil && r.blocked(now)
+	if len(q.records) == 0 {
+		return Block{}, false
+	}
+	for _, digest := range f.digests() {
+		r := q.records[digest]
+		if r != nil && r.blocked(now) && q.hasCompanions(r, f, now) {
+			return Block{Digest: digest, IsPart: r.isPart, Servers: len(r.exits), Since: r.blockedAt}, true
+		}
+	}
+	return Block{}, false
+}
+
+// hasCompanions reports whether a request has all companions of a blocked digest that are not
+// proved harmless.
+func (q *Quarantine) hasCompanions(r *record, f Fingerprint, now time.Time) bool {
+	for companion := range r.companions {
+		known := q.records[companion]
+		if !f.contains(companion) && (known == nil || !known.recentlyAnswered(now)) {
+			return false
+		}
+	}
+	return true
 }
 
 // Suspected reports whether a request whose attempt failed must not be retried at another
 // server, because it may be the cause. Reports still under way from peers are not waited for.
-func (q *Quarantine) Suspected(digest Digest) bool {
+func (q *Quarantine) Suspected(f Fingerprint) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	r := q.records[digest]
-	return r != nil && !r.suspectedSince.IsZero()
+	return slices.ContainsFunc(f.digests(), func(digest Digest) bool {
+		r := q.records[digest]
+		return r != nil && !r.suspectedSince.IsZero()
+	})
 }
 
 // ChangeCount returns a counter that increases with each change that peers should receive.
@@ -136,11 +177,33 @@
 	return count
 }
 
-// RecordAnswer records that a server completed a request, which proves the request harmless. It
-// reports whether the answer should be sent to peers at once.
-func (q *Quarantine) RecordAnswer(digest Digest, now time.Time) (propagate bool) {
+// RecordAnswer records that a server completed a request, which proves its content harmless, and
+// the parts of its prompt if the server also generated the answer. It reports whether the answer
+// should be sent to peers at once.
+func (q *Quarantine) RecordAnswer(f Fingerprint, generated bool, now time.Time) (propagate bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	propagate = q.recordDigestAnswer(f.Content, now)
+	return generated && q.recordPartAnswers(f, now) || propagate
+}
+
+// RecordProgress records that a server has been generating the answer to a request for some time,
+// which proves the parts of its prompt harmless. A content may still terminate the server later. It
+// reports whether that should be sent to peers at once.
+func (q *Quarantine) RecordProgress(f Fingerprint, now time.Time) (propagate bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	return q.recordPartAnswers(f, now)
+}
+
+func (q *Quarantine) recordPartAnswers(f Fingerprint, now time.Time) (propagate bool) {
+	for _, part := range f.Parts {
+		propagate = q.recordDigestAnswer(part, now) || propagate
+	}
+	return propagate
+}
+
+func (q *Quarantine) recordDigestAnswer(digest Digest, now time.Time) (propagate bool) {
 	q.answered.Add(digest, now)
 	r := q.records[digest]
 	if r == nil {
@@ -158,12 +221,13 @@
 // applyAnswer records a complete answer and clears all suspicion against the request.
 func (r *record) applyAnswer(at time.Time) {
 	r.answeredAt, r.blockPendingSince, r.blockedAt, r.suspectedSince = at, time.Time{}, time.Time{}, time.Time{}
+	r.companions = nil
 }
 
 // LostRequest is a request that a server was running when it exited, with the time at which it
 // was sent there.
 type LostRequest struct {
-	Digest Digest
+	Fingerprint
 	SentAt time.Time
 }
 
@@ -174,7 +238,12 @@
 	defer q.mu.Unlock()
 	q.recordExitTime(server, at)
 	for _, l := range lost {
-		propagate = q.recordRequestExit(l.Digest, server, l.SentAt, now) || propagate
+		propagate = q.recordDigestExit(l.Content, false, server, l.SentAt, now) || propagate
+		for _, part := range l.Parts {
+			if !q.recentlyAnswered(part, now) {
+				propagate = q.recordDigestExit(part, true, server, l.SentAt, now) || propagate
+			}
+		}
 	}
 	q.prune(now)
 	return propagate
@@ -187,10 +256,20 @@
 	}
 }
 
-// recordRequestExit records that a server exited while it ran a request sent there at sentAt.
-// It reports whether the exit is new and not the first one of the request.
-func (q *Quarantine) recordRequestExit(digest Digest, server ServerInstance, sentAt, now time.Time) (repeated bool) {
+// recentlyAnswered reports whether a complete answer to a request with the digest came recently.
+func (q *Quarantine) recentlyAnswered(digest Digest, now time.Time) bool {
+	if r := q.records[digest]; r != nil {
+		return r.recentlyAnswered(now)
+	}
+	at, ok := q.answered.Peek(digest)
+	return ok && now.Sub(at) < answerTrustDuration
+}
+
+// recordDigestExit records that a server exited while it ran a request with a digest, sent there at
+// sentAt. It reports whether the exit is new and not the first one under the digest.
+func (q *Quarantine) recordDigestExit(digest Digest, isPart bool, server ServerInstance, sentAt, now time.Time) (repeated bool) {
 	r := q.getOrCreateRecord(digest)
+	r.isPart = r.isPart || isPart
 	known, met := r.exits[server]
 	switch {
 	case met:
@@ -205,6 +284,9 @@
 	}
 	r.exits[server] = sentAt
 	q.recordChange(r, now)
+	if r.onProbation(now) {
+		r.blockedAt = now
+	}
 	return len(r.exits) > 1
 }
 
@@ -229,6 +311,12 @@
 	return !r.blockedAt.IsZero() && now.Sub(r.blockedAt) < blockDuration && !r.recentlyAnswered(now)
 }
 
+// onProbation reports whether a block has ended and no answer has proved the request harmless
+// since. One more exit renews the block.
+func (r *record) onProbation(now time.Time) bool {
+	return !r.blockedAt.IsZero() && now.Sub(r.blockedAt) >= blockDuration && now.Sub(r.blockedAt) < blockDuration+probationDuration
+}
+
 // pruneInterval is the least time between two scans of all records, because a leader receives 275
 // reports a second.
 const pruneInterval = time.Second
@@ -242,7 +330,7 @@
 	maps.DeleteFunc(q.exitedAt, func(_ ServerInstance, at time.Time) bool { return now.Sub(at) >= exitRetention })
 	for digest, r := range q.records {
 		maps.DeleteFunc(r.exits, func(s ServerInstance, _ time.Time) bool { _, kept := q.exitedAt[s]; return !kept })
-		if len(r.exits) == 0 && !r.blocked(now) && !r.recentlyAnswered(now) {
+		if len(r.exits) == 0 && !r.blocked(now) && !r.onProbation(now) && !r.recentlyAnswered(now) {
 			delete(q.records, digest)
 		}
 	}
--- a/internal/quarantine/report.go
+++ b/internal/quarantine/report.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -19,16 +20,20 @@
 	minSnapshotExits = 2
 )
 
-// Report is what daemons send each other about one request. Merging reports is commutative and
+// Report is what daemons send each other about one request or one part of prompts. Merging reports is commutative and
 // idempotent: neither their order nor duplicates change the result. Ages are relative to the
 // time of sending.
 type Report struct {
 	Digest Digest `json:"content"`
+	// IsPart is set for a part of a prompt.
+	IsPart bool `json:"part,omitempty"`
 	// Exits are the servers that exited while they ran the request.
 	Exits []ServerExit `json:"endings,omitempty"`
 	// Blocked is set while the request is blocked, Answered where a complete answer is known.
-	Blocked     bool          `json:"barred,omitempty"`
-	BlockedAge  time.Duration `json:"barred_age,omitempty"`
+	Blocked    bool          `json:"barred,omitempty"`
+	BlockedAge time.Duration `json:"barred_age,omitempty"`
+	// Companions are the digests that a request must have as well to be refused.
+	Companions  []Digest      `json:"with,omitempty"`
 	Answered    bool          `json:"answered,omitempty"`
 	AnsweredAge time.Duration `json:"answered_age,omitempty"`
 }
@@ -80,7 +85,7 @@
 // them.
 func (q *Quarantine) buildReport(digest Digest, maxExits int, now time.Time) Report {
 	r := q.records[digest]
-	report := Report{Digest: digest}
+	report := Report{Digest: digest, IsPart: r.isPart}
 	for server, sentAt := range r.exits {
 		exitedAt := q.exitedAt[server]
 		report.Exits = append(report.Exits, ServerExit{Server: server, Age: now.Sub(exitedAt), SentBefore: exitedAt.Sub(sentAt)})
@@ -89,6 +94,7 @@
 	report.Exits = report.Exits[:min(len(report.Exits), maxExits)]
 	if r.blocked(now) {
 		report.Blocked, report.BlockedAge = true, now.Sub(r.blockedAt)
+		report.Companions = slices.Sorted(maps.Keys(r.companions))
 	}
 	if !r.answeredAt.IsZero() {
 		report.Answered, report.AnsweredAge = true, now.Sub(r.answeredAt)
@@ -131,14 +137,14 @@
 		if age := e.Age + transit; age < exitRetention {
 			exitedAt := now.Add(-age)
 			q.recordExitTime(e.Server, exitedAt)
-			propagate = q.recordRequestExit(report.Digest, e.Server, exitedAt.Add(-e.SentBefore), now) || propagate
+			propagate = q.recordDigestExit(report.Digest, report.IsPart, e.Server, exitedAt.Add(-e.SentBefore), now) || propagate
 		}
 	}
 	if report.Answered && report.AnsweredAge+transit < answerTrustDuration {
 		propagate = q.mergeAnswer(report.Digest, now.Add(-report.AnsweredAge-transit), now) || propagate
 	}
 	if report.Blocked && report.BlockedAge+transit < blockDuration {
-		newlyBlocked = q.mergeBlock(report.Digest, now.Add(-report.BlockedAge-transit), now)
+		newlyBlocked = q.mergeBlock(report, now.Add(-report.BlockedAge-transit), now)
 	}
 	return propagate || newlyBlocked, newlyBlocked
 }
@@ -156,16 +162,25 @@
 }
 
 // mergeBlock records that another daemon blocked a request. A request recently answered here
-// stays unblocked, and the peers receive that answer in a report.
-func (q *Quarantine) mergeBlock(digest Digest, since, now time.Time) (newlyBlocked bool) {
-	r := q.getOrCreateRecord(digest)
+// stays unblocked, and the peers receive that answer in a report. A digest that either daemon has
+// distinguished from this one is no companion any more.
+func (q *Quarantine) mergeBlock(report Report, since, now time.Time) (newlyBlocked bool) {
+	r := q.getOrCreateRecord(report.Digest)
 	if r.recentlyAnswered(now) {
 		return false
 	}
+	r.isPart = r.isPart || report.IsPart
 	wasBlocked := r.blocked(now)
 	if r.blockedAt.IsZero() || now.Sub(r.blockedAt) >= blockDuration {
 		r.blockedAt = since
+		r.setCompanions(report.Companions)
+		q.recordChange(r, now)
+		return !wasBlocked && r.blocked(now)
+	}
+	known := len(r.companions)
+	maps.DeleteFunc(r.companions, func(digest Digest, _ bool) bool { return !slices.Contains(report.Companions, digest) })
+	if len(r.companions) < known {
 		q.recordChange(r, now)
 	}
-	return !wasBlocked && r.blocked(now)
+	return false
 }
--- a/internal/quarantine/simulation_test.go
+++ b/internal/quarantine/simulation_test.go
@@ -143,13 +143,13 @@
 
 func (sim *simulation) sendFrom(daemon int, digest Digest, tries int, now time.Time, retry bool) {
 	q := sim.daemons[daemon].q
-	if q.Blocked(digest, now) {
+	if isBlocked(q, digest, now) {
 		if !isPoison(digest) {
 			sim.falsePositives++
 		}
 		return
 	}
-	if retry && q.Suspected(digest) {
+	if retry && q.Suspected(content(digest)) {
 		return
 	}
 	server := sim.rng.IntN(len(sim.servers))
@@ -182,7 +182,7 @@
 			sim.crashServer(a.server, now)
 			continue
 		}
-		sim.daemons[a.daemon].q.RecordAnswer(a.digest, now)
+		sim.daemons[a.daemon].q.RecordAnswer(content(a.digest), true, now)
 		sim.inFlight = slices.DeleteFunc(sim.inFlight, func(b attempt) bool { return b == a })
 	}
 }
@@ -197,7 +197,7 @@
 			return false
 		}
 		broken = append(broken, a)
-		lost[a.daemon] = append(lost[a.daemon], LostRequest{Digest: a.digest, SentAt: a.sentAt})
+		lost[a.daemon] = append(lost[a.daemon], LostRequest{Fingerprint: content(a.digest), SentAt: a.sentAt})
 		return true
 	})
 	sim.nextInstance++
--- a/internal/quarantine/watch/probe.go
+++ b/internal/quarantine/watch/probe.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"log/slog"
-	"strings"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +18,6 @@
 	// where a packet is lost. A server behind a network partition does not answer, which proves
 	// nothing.
 	probeTimeout = 400 * time.Millisecond
-	// maxLoggedRequests bounds the digests in one log line.
-	maxLoggedRequests = 8
 )
 
 // Server is a backend server at which an attempt broke.
@@ -82,10 +80,12 @@
 }
 
 func (e *suspectedExit) log(logger *slog.Logger) {
-	var digests []string
-	for _, lost := range e.lost[:min(maxLoggedRequests, len(e.lost))] {
-		digests = append(digests, lost.Digest.String())
+	var contents, parts []quarantine.Digest
+	for _, lost := range e.lost {
+		contents = append(contents, lost.Content)
+		parts = append(parts, lost.Parts...)
 	}
+	slices.Sort(parts)
 	logger.Warn("server has ended under requests", "server", e.server.ID, "service", e.server.Service,
-		"born_ms", e.server.StartedMs, "requests", len(e.lost), "contents", strings.Join(digests, " "))
+		"born_ms", e.server.StartedMs, "requests", len(e.lost), "contents", quarantine.FormatDigests(contents), "parts", quarantine.FormatDigests(slices.Compact(parts)))
 }
--- a/internal/quarantine/watch/probe_test.go
+++ b/internal/quarantine/watch/probe_test.go
@@ -43,10 +43,10 @@
 		brokeAt := time.Now()
 		for digest := range quarantine.Digest(5) {
 			at := brokeAt.Add(time.Duration(digest) * time.Millisecond)
-			w.RecordBrokenAttempt(servers.server(1, "dead"), quarantine.LostRequest{Digest: digest, SentAt: brokeAt}, false, at)
+			w.RecordBrokenAttempt(servers.server(1, "dead"), quarantine.LostRequest{Fingerprint: quarantine.Fingerprint{Content: digest}, SentAt: brokeAt}, false, at)
 		}
-		w.RecordBrokenAttempt(servers.server(2, "alive"), quarantine.LostRequest{Digest: 9, SentAt: brokeAt}, false, brokeAt)
-		w.RecordBrokenAttempt(servers.server(3, "again"), quarantine.LostRequest{Digest: 10, SentAt: brokeAt}, true, brokeAt)
+		w.RecordBrokenAttempt(servers.server(2, "alive"), quarantine.LostRequest{Fingerprint: quarantine.Fingerprint{Content: 9}, SentAt: brokeAt}, false, brokeAt)
+		w.RecordBrokenAttempt(servers.server(3, "again"), quarantine.LostRequest{Fingerprint: quarantine.Fingerprint{Content: 10}, SentAt: brokeAt}, true, brokeAt)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		reported := map[quarantine.Digest]quarantine.ServerInstance{}
--- a/internal/quarantine/watch/watch.go
+++ b/internal/quarantine/watch/watch.go
@@ -53,18 +53,26 @@
 	return &Watcher{options: options, quarantine: quarantine.New(), probes: pendingProbes{byServer: map[quarantine.ServerInstance]*suspectedExit{}}}
 }
 
-// Blocked reports whether a request is blocked.
-func (w *Watcher) Blocked(digest quarantine.Digest, now time.Time) bool {
-	return w.quarantine.Blocked(digest, now)
+// Blocked reports whether a request is blocked, and why.
+func (w *Watcher) Blocked(f quarantine.Fingerprint, now time.Time) (quarantine.Block, bool) {
+	return w.quarantine.Blocked(f, now)
 }
 
 // Suspected reports whether a request whose attempt failed must not be retried at another
 // server.
-func (w *Watcher) Suspected(digest quarantine.Digest) bool { return w.quarantine.Suspected(digest) }
+func (w *Watcher) Suspected(f quarantine.Fingerprint) bool { return w.quarantine.Suspected(f) }
 
-// RecordAnswer records that a server completed a request.
-func (w *Watcher) RecordAnswer(digest quarantine.Digest, now time.Time) {
-	if w.quarantine.RecordAnswer(digest, now) {
+// RecordAnswer records that a server completed a request. generated is set if it also generated
+// the answer to a prompt.
+func (w *Watcher) RecordAnswer(f quarantine.Fingerprint, generated bool, now time.Time) {
+	if w.quarantine.RecordAnswer(f, generated, now) {
+		w.notifyPeers(now)
+	}
+}
+
+// RecordProgress records that a server has been generating the answer to a prompt for some time.
+func (w *Watcher) RecordProgress(f quarantine.Fingerprint, now time.Time) {
+	if w.quarantine.RecordProgress(f, now) {
 		w.notifyPeers(now)
 	}
 }
@@ -113,7 +121,7 @@
 	verdicts, retryIn := w.quarantine.Evaluate(now, 2*w.options.ReportInterval(now)+settleMargin)
 	for _, verdict := range verdicts {
 		w.options.Logger.Warn("request is held back", "content", verdict.Digest.String(), "source", "own",
-			"servers", verdict.Servers, "in_a_row", verdict.Consecutive, "besides", verdict.UnrelatedExits)
+			"part", verdict.IsPart, "servers", verdict.Servers, "in_a_row", verdict.Consecutive, "besides", verdict.UnrelatedExits, "only_with", verdict.Companions)
 	}
 	if len(verdicts) > 0 {
 		w.notifyPeers(now)
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -133,7 +133,10 @@
 	for _, r := range reports {
 		held := &gossippb.Held{
 			Content: uint64(r.Digest), Barred: r.Blocked, BarredMs: r.BlockedAge.Milliseconds(),
-			Answered: r.Answered, AnsweredMs: r.AnsweredAge.Milliseconds(),
+			Answered: r.Answered, AnsweredMs: r.AnsweredAge.Milliseconds(), Part: r.IsPart,
+		}
+		for _, companion := range r.Companions {
+			held.With = append(held.With, uint64(companion))
 		}
 		for _, e := range r.Exits {
 			held.Servers = append(held.Servers, uint32(e.Server))
@@ -151,7 +154,10 @@
 	for _, held := range encoded {
 		report := quarantine.Report{
 			Digest: quarantine.Digest(held.GetContent()), Blocked: held.GetBarred(), BlockedAge: millis(held.GetBarredMs()),
-			Answered: held.GetAnswered(), AnsweredAge: millis(held.GetAnsweredMs()),
+			Answered: held.GetAnswered(), AnsweredAge: millis(held.GetAnsweredMs()), IsPart: held.GetPart(),
+		}
+		for _, companion := range held.GetWith() {
+			report.Companions = append(report.Companions, quarantine.Digest(companion))
 		}
 		for i, server := range held.GetServers() {
 			if i < len(held.GetEndedUs()) && i < len(held.GetAfterUs()) {
--- a/robustness/onplatform/crash_test.go
+++ b/robustness/onplatform/crash_test.go
@@ -48,6 +48,10 @@
 	// causeOf returns what in a request ends the server that runs it, or nothing. Without it,
 	// bodies that begin with poison do.
 	causeOf func(r *http.Request, body string) string
+	// events is the number of events of each answer.
+	events int
+	// crashAfter is how long servers have a request that ends them.
+	crashAfter time.Duration
 	// lastWords writes what a server still writes before it ends. It may be nil.
 	lastWords func(w http.ResponseWriter, r *http.Request)
 	// endsWithConnection reports whether the answer to a request has neither a length nor chunks.
@@ -62,7 +66,7 @@
 
 // newCrashServers returns a set without servers.
 func newCrashServers() *crashServers {
-	return &crashServers{reached: map[string][]time.Time{}, ended: map[string][]time.Time{}}
+	return &crashServers{events: eventsEach, crashAfter: crashAfter, reached: map[string][]time.Time{}, ended: map[string][]time.Time{}}
 }
 
 // bodyIsPoison is the cause in a request whose whole content ends servers.
@@ -106,7 +110,7 @@
 	runner := &fake.Server{ID: s.id}
 	runner.Behave = func(int, *http.Request) fake.Behaviour { return fake.Behaviour{Delay: eventEvery} }
 	if s.service == model {
-		runner.EventCount = eventsEach
+		runner.EventCount = s.events
 	}
 	s.server = &http.Server{Handler: s.crashOn(runner), ReadHeaderTimeout: time.Minute, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelInfo)}
 	go func(server *http.Server) { _ = server.Serve(listener) }(s.server)
@@ -145,7 +149,7 @@
 			return
 		}
 		s.note(s.reached, cause)
-		time.Sleep(crashAfter)
+		time.Sleep(s.crashAfter)
 		if s.lastWords != nil {
 			s.lastWords(w, r)
 		}
--- a/robustness/onplatform/parts_test.go
+++ b/robustness/onplatform/parts_test.go
@@ -1,6 +1,7 @@
 package onplatform
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"maps"
@@ -44,6 +45,10 @@
 	// those that begin together with the bad ones.
 	sound, young map[string][]string
 	length       time.Duration
+	// events is the number of events of each answer, if it is not the usual one.
+	events int
+	// queued is how long servers have a bad request before they begin its answer.
+	queued time.Duration
 	// lastWords is what a server writes before it ends, raw whether all answers end with their
 	// connections.
 	lastWords func(w http.ResponseWriter, r *http.Request)
@@ -68,6 +73,8 @@
 func (p partPlay) playSeed(t *testing.T, seed uint64) {
 	m := newCrashServers()
 	m.causeOf, m.lastWords = p.causeOf, p.lastWords
+	m.crashAfter += p.queued
+	m.events = cmp.Or(p.events, m.events)
 	m.endsWithConnection = func(*http.Request) bool { return p.raw }
 	runAlone(t, p.daemons, func(b *bed) {
 		m.b = b
@@ -218,10 +225,12 @@
 const often, seldom = 100 * time.Millisecond, 4 * time.Second
 
 var partPlays = map[string]partPlay{
-	"the part is first": {daemons: 8, bad: []string{"bad"}, every: 400 * time.Millisecond, length: 20 * time.Second, prompt: func(bad string, _ int) []string { return []string{bad, "wide"} }},
-	"seldom":            {daemons: 8, bad: []string{"bad"}, every: seldom, length: 60 * time.Second},
-	"often":             {daemons: 8, bad: []string{"bad"}, every: often, length: 15 * time.Second},
-	"two parts":         {daemons: 8, bad: []string{"bad", "worse"}, every: 700 * time.Millisecond, length: 25 * time.Second},
+	"the part is first":           {daemons: 8, bad: []string{"bad"}, every: 400 * time.Millisecond, length: 20 * time.Second, prompt: func(bad string, _ int) []string { return []string{bad, "wide"} }},
+	"seldom":                      {daemons: 8, bad: []string{"bad"}, every: seldom, length: 60 * time.Second},
+	"often":                       {daemons: 8, bad: []string{"bad"}, every: often, length: 15 * time.Second},
+	"servers queue them":          {daemons: 8, bad: []string{"bad"}, every: 200 * time.Millisecond, length: 20 * time.Second, queued: time.Second},
+	"servers queue them for long": {daemons: 8, bad: []string{"bad"}, every: 200 * time.Millisecond, length: 25 * time.Second, queued: 2 * time.Second},
+	"two parts":                   {daemons: 8, bad: []string{"bad", "worse"}, every: 700 * time.Millisecond, length: 25 * time.Second},
 	"a part that always comes with it": {daemons: 8, bad: []string{"bad"}, every: 400 * time.Millisecond, length: 25 * time.Second,
 		prompt: func(bad string, _ int) []string { return []string{"wide", "companion", bad} }, sound: map[string][]string{"companion": {"wide", "companion"}}},
 	"a part as new as the bad one": {daemons: 8, bad: []string{"bad"}, every: 400 * time.Millisecond, length: 25 * time.Second,
@@ -248,9 +257,23 @@
 	"servers flap":                               {daemons: 8, bad: []string{"bad"}, every: 2 * time.Second, length: 30 * time.Second, trouble: serversFlap},
 	"store is down":                              {daemons: 8, bad: []string{"bad"}, every: 400 * time.Millisecond, length: 25 * time.Second, trouble: storeIsDown},
 	// Nobody sends such a request: nobody is held back.
-	"racks are lost, no such part": {daemons: 8, length: 30 * time.Second, trouble: racksAreLost},
-	"servers flap, no such part":   {daemons: 8, length: 30 * time.Second, trouble: serversFlap},
-	"reclaims, no such part":       {daemons: 8, length: 30 * time.Second, trouble: zonesAreReclaimed},
+	"racks are lost, no such part":                 {daemons: 8, length: 30 * time.Second, trouble: racksAreLost},
+	"servers flap, no such part":                   {daemons: 8, length: 30 * time.Second, trouble: serversFlap},
+	"servers flap, a new part with long answers":   {daemons: 8, length: 20 * time.Second, events: 60, young: map[string][]string{"new": {"new"}}, trouble: serversFlap},
+	"racks are lost, a new part with long answers": {daemons: 8, length: 20 * time.Second, events: 120, young: map[string][]string{"new": {"new"}}, trouble: racksAreLostAtOnce},
+	"reclaims, no such part":                       {daemons: 8, length: 30 * time.Second, trouble: zonesAreReclaimed},
+}
+
+// racksAreLostAtOnce ends a third of the servers after the other, half a second apart.
+func racksAreLostAtOnce(_ *bed, m *crashServers) {
+	for i := range 12 {
+		time.Sleep(500 * time.Millisecond)
+		for n, s := range m.servers {
+			if n%6 == i%6 {
+				s.crash(time.Second)
+			}
+		}
+	}
 }
 
 // eitherKey is the key of one of two workspaces.
