Check that a server is alive where an answer ends with its connection

An answer with neither a length nor chunks ends in the same way when it is complete and when its server exits between two events or in the middle of a plain answer. Callers got half of a plain answer as complete, and a stream that stopped too early.

If nobody listens the attempt is a broken one: resumed, sent again or cut, as its kind allows. If there is no reply the answer is complete for the caller, as the protocol says, and proves nothing. The connection of a probe is kept for later requests.

TestAnswerThatServersEndCutIsNotComplete failed before for both kinds of routes.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -27,7 +27,11 @@
 	}
 	r.countUsage(time.Now())
 	if len(buffered) <= maxBufferedAnswer {
-		r.reportCompleted(answer.Status, answer.Status == http.StatusOK, time.Now())
+		end := r.checkEnd(ctx, choice, answer)
+		if end == endServerExited {
+			return r.endBroken(ctx, "server-ended")
+		}
+		r.reportCompleted(end, answer.Status, answer.Status == http.StatusOK, time.Now())
 	}
 	if r.shouldRetry(answer.Status) {
 		answer.Exchange.Close()
@@ -41,11 +45,16 @@
 		return r.endCallerLeft()
 	}
 	if len(buffered) > maxBufferedAnswer {
-		if err := r.copyRest(answer); err != nil {
+		err := r.copyRest(answer)
+		end := r.checkEnd(ctx, choice, answer)
+		if err == nil && end == endServerExited {
+			err = ErrTruncated
+		}
+		if err != nil {
 			_ = r.step(request.StepCancel)
 			return result{outcome: backend.OutcomeNeutral, logLabel: "cut", done: true, err: err}
 		}
-		r.reportCompleted(answer.Status, answer.Status == http.StatusOK, time.Now())
+		r.reportCompleted(end, answer.Status, answer.Status == http.StatusOK, time.Now())
 	}
 	answer.Exchange.Close()
 	_ = r.step(request.StepAnswer)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -18,6 +18,7 @@
 	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
 	"github.com/plankridge/plankridge/internal/rollout"
+	"github.com/plankridge/plankridge/internal/upstream"
 )
 
 // Call is a decoded request.
@@ -152,6 +153,9 @@
 	Via string
 	// IsEventStream is set when the body is a stream of server-sent events.
 	IsEventStream bool
+	// EndsWithConnection is set when the answer has neither a length nor chunks, so that it ends in
+	// the same way if the server's process does.
+	EndsWithConnection bool
 	// Exchange must be closed or dropped when the answer has been handled.
 	Exchange Exchange
 }
@@ -167,9 +171,8 @@
 // Backend sends attempts. Send fails with upstream.ErrNotSent or upstream.ErrNoAnswer.
 type Backend interface {
 	Send(ctx context.Context, attempt Attempt) (*Answer, error)
-	// Ended reports whether a server's process has ended, and false if that cannot be
-	// determined.
-	Ended(ctx context.Context, server backend.Entry) bool
+	// Probe checks whether a server's process accepts connections.
+	Probe(ctx context.Context, server backend.Entry) upstream.Liveness
 }
 
 // Reply writes the answer to the caller.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
 	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/route"
+	"github.com/plankridge/plankridge/internal/upstream"
 )
 
 const (
@@ -241,10 +242,10 @@
 }
 
 // reportCompleted reports to the quarantine that a server has run the call to completion, and whether
-// it generated the answer. An internal error of the server proves nothing: the next attempt may get
-// further.
-func (r *run) reportCompleted(status int, generated bool, now time.Time) {
-	if r.options.Quarantine != nil && status < http.StatusInternalServerError {
+// it generated the answer. An internal error of the server proves nothing, since the next attempt may
+// get further, nor does an answer whose server may have exited.
+func (r *run) reportCompleted(end answerEnd, status int, generated bool, now time.Time) {
+	if r.options.Quarantine != nil && end == endComplete && status < http.StatusInternalServerError {
 		r.options.Quarantine.RecordAnswer(r.fingerprint, generated, now)
 	}
 }
@@ -263,7 +264,7 @@
 	}
 	r.options.Quarantine.RecordBrokenAttempt(watch.Server{
 		Key: quarantine.ServerInstance(backend.KeyOf(server)), ID: server.ID, Service: server.Service, StartedMs: server.StartTimeMs,
-		Exited: func(ctx context.Context) bool { return r.options.Backend.Ended(ctx, server) },
+		Exited: func(ctx context.Context) bool { return r.options.Backend.Probe(ctx, server) == upstream.NotListening },
 	}, quarantine.LostRequest{Fingerprint: r.fingerprint, SentAt: sent}, result.serverRestarted, at)
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -35,7 +35,7 @@
 	for {
 		event, err := events.next()
 		if errors.Is(err, io.EOF) {
-			return r.endStream(answer, progress.begun())
+			return r.endStream(ctx, choice, answer, progress.begun())
 		}
 		if err != nil {
 			return r.endBroken(ctx, "broken-stream")
@@ -82,11 +82,15 @@
 	return r.endCallerLeft()
 }
 
-// endStream ends a stream that is complete. begun is set if this attempt's server wrote any of it.
-func (r *run) endStream(answer *Answer, begun bool) result {
+// endStream ends a stream at the end of its answer. begun is set if this attempt's server wrote any of it.
+func (r *run) endStream(ctx context.Context, choice *backend.Choice, answer *Answer, begun bool) result {
+	end := r.checkEnd(ctx, choice, answer)
+	if end == endServerExited {
+		return r.endBroken(ctx, "server-ended")
+	}
 	r.sendHeader(answer)
 	answer.Exchange.Close()
-	r.reportCompleted(answer.Status, begun, time.Now())
+	r.reportCompleted(end, answer.Status, begun, time.Now())
 	_ = r.step(request.StepAnswer)
 	return result{outcome: backend.OutcomeServed, signal: signalGood, logLabel: strconv.Itoa(answer.Status), done: true}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -327,21 +327,35 @@
 	delete(p.idle, address)
 }
 
-// ConnectionRefused dials an address and reports whether the connection is refused or reset. An
-// address that does not answer counts as not refused. A successful connection is kept for reuse.
-func (p *Pool) ConnectionRefused(ctx context.Context, address string) bool {
+// Liveness is what a probe of a server showed.
+type Liveness int
+
+const (
+	// LivenessUnknown means that the server did not answer in time.
+	LivenessUnknown Liveness = iota
+	// Listening means that the server accepts connections.
+	Listening
+	// NotListening means that no process listens at the server's address.
+	NotListening
+)
+
+// Probe opens a connection to a server, which is kept for later requests.
+func (p *Pool) Probe(ctx context.Context, address string) Liveness {
 	p.mu.Lock()
 	closed := p.closed
 	p.mu.Unlock()
 	if closed {
-		return false
+		return LivenessUnknown
 	}
 	c, err := p.dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	switch {
+	case err == nil:
+		p.putUnused(c)
+		return Listening
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNRESET):
+		return NotListening
 	}
-	p.putUnused(c)
-	return false
+	return LivenessUnknown
 }
 
 // Opened returns the number of connections opened so far.
--- /dev/null
+++ b/robustness/onplatform/answers_test.go
@@ -0,0 +1,76 @@
+package onplatform
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// plainServers starts servers of the plain service whose answers end with their connection.
+func plainServers(b *bed) *crashServers {
+	m := newCrashServers()
+	m.b = b
+	m.endsWithConnection = func(*http.Request) bool { return true }
+	m.addCrashServers(plain, 3)
+	return m
+}
+
+// TestAnswerThatServersEndCutIsNotComplete guards against passing on, as complete, the beginning of
+// an answer without length or chunks whose server has exited.
+func TestAnswerThatServersEndCutIsNotComplete(t *testing.T) {
+	for _, kind := range []string{"idempotent", "non_idempotent"} {
+		t.Run(kind, func(t *testing.T) {
+			var m *crashServers
+			run(t, 3, func(b *bed) {
+				m = plainServers(b)
+				var begun atomic.Bool
+				m.causeOf = func(_ *http.Request, body string) string {
+					if body == "cut" && begun.CompareAndSwap(false, true) {
+						return body
+					}
+					return ""
+				}
+				m.lastWords = func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+					w.Header().Set("Response-Stamp", "stamp")
+					_, _ = fmt.Fprint(w, "answer ")
+				}
+				b.configure(routes{plainRoute("/p/", kind, 2)})
+			}, func(b *bed) {
+				got := b.send(call{method: "POST", path: "/p/x", key: testKey, body: "cut", deadline: time.Second})
+				if kind == "idempotent" {
+					b.Check(got.status, qt.Equals, http.StatusOK)
+					b.Check(got.body, qt.Equals, "answer to "+got.id)
+				} else {
+					b.Check(got.status, qt.Equals, http.StatusBadGateway)
+				}
+				m.endAll()
+			})
+		})
+	}
+}
+
+// TestAnswersThatEndWithTheirConnectionAreServed checks that sound answers without length or chunks
+// are passed on whole, streams too.
+func TestAnswersThatEndWithTheirConnectionAreServed(t *testing.T) {
+	var m *crashServers
+	run(t, 3, func(b *bed) {
+		m = plainServers(b)
+		m.addCrashServers(model, 3)
+		b.configure(routes{plainRoute("/p/", "idempotent", 2), streamRoute("/s/", true, 2)})
+	}, func(b *bed) {
+		got := b.send(call{method: "POST", path: "/p/x", key: testKey, body: "a", deadline: time.Second})
+		b.Check(got.status, qt.Equals, http.StatusOK)
+		b.Check(got.cut, qt.IsFalse)
+		b.Check(got.body, qt.Equals, "answer to "+got.id)
+		got = b.send(call{method: "POST", path: "/s/x", key: testKey, body: "a", tokens: "150,24", deadline: 8 * time.Second})
+		b.Check(got.status, qt.Equals, http.StatusOK)
+		b.Check(got.cut, qt.IsFalse)
+		b.Check(got.body, qt.Equals, events(1, eventsEach))
+		m.endAll()
+	})
+}
--- a/robustness/onplatform/crash_test.go
+++ b/robustness/onplatform/crash_test.go
@@ -212,6 +212,17 @@
 	}
 }
 
+// endAll ends all servers once those that have ended are back.
+func (m *crashServers) endAll() {
+	time.Sleep(entryLasts + time.Second)
+	for _, s := range m.servers {
+		s.mu.Lock()
+		id := s.id
+		s.mu.Unlock()
+		s.end(id)
+	}
+}
+
 // back starts the server again after a while; the entry of the earlier start goes later.
 func (s *crashServer) back(after time.Duration, id string) {
 	time.Sleep(after)
--- a/robustness/onplatform/parts_test.go
+++ b/robustness/onplatform/parts_test.go
@@ -99,14 +99,8 @@
 		time.Sleep(max(0, p.length-time.Since(begun)))
 		ended := time.Now()
 		callers.end()
-		time.Sleep(entryLasts + time.Second)
 		p.check(t, m, callers, seed, begun, ended)
-		for _, s := range m.servers {
-			s.mu.Lock()
-			id := s.id
-			s.mu.Unlock()
-			s.end(id)
-		}
+		m.endAll()
 	})
 }
 
--- a/robustness/onplatform/quarantine_test.go
+++ b/robustness/onplatform/quarantine_test.go
@@ -68,15 +68,8 @@
 		}
 		time.Sleep(max(0, p.length-time.Since(begun)))
 		callers.end()
-		// Servers that have just ended come back.
-		time.Sleep(entryLasts + time.Second)
 		p.check(t, m, callers)
-		for _, s := range m.servers {
-			s.mu.Lock()
-			id := s.id
-			s.mu.Unlock()
-			s.end(id)
-		}
+		m.endAll()
 	})
 }
 
