Refuse prompts with a beginning that ends servers on our own interface

Callers of our own interface do not name the parts of their prompts, but prompts with a part in common begin alike up to its end. 40 prompts with one bad beginning, no two alike, reached servers 123 times, 113 of them later than 3 s after the third had ended: the same cause as on the platform, a request known by its whole content only.

The quarantine now gets digests of the beginnings of a prompt, at each block of 64 tokens up to eight and then at lengths that grow by a quarter, 22 at most, salted by service and workspace. A server that has generated tokens for a second proves them harmless. The same prompts reach servers 5 times, none late, and the sound ones, which share the part before the bad one, are served (TestPromptsWithABeginningThatEndsServersAreRefused, which failed before).

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/plankridge/plankridge/internal/discovery"
 	"github.com/plankridge/plankridge/internal/engine"
 	"github.com/plankridge/plankridge/internal/plain"
+	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/route"
 )
@@ -153,6 +154,9 @@
 	version   string
 	lastToken time.Time
 	finish    *request.Finish
+	// firstTokenAt is when this attempt's first token arrived.
+	firstTokenAt     time.Time
+	progressReported bool
 }
 
 // matches checks the identity of an event. An event of another request or attempt is
@@ -177,9 +181,22 @@
 		return err
 	}
 	s.observeLatency(first, now)
+	s.reportProgress(now)
 	return nil
 }
 
+// reportProgress reports once to the quarantine that the server has been generating the answer for
+// some time, so that no part of the prompt ends it.
+func (s *modelStream) reportProgress(now time.Time) {
+	if s.firstTokenAt.IsZero() {
+		s.firstTokenAt = now
+	}
+	if !s.progressReported && now.Sub(s.firstTokenAt) >= quarantine.HarmlessAfter {
+		s.progressReported = true
+		s.dispatcher.options.Quarantine.RecordProgress(s.flight.fingerprint, now)
+	}
+}
+
 func (s *modelStream) observeLatency(first bool, now time.Time) {
 	if first {
 		took := now.Sub(s.flight.spec.Accepted)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"syscall"
@@ -11,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/plankridge/plankridge/internal/prefix"
 	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
 	"github.com/plankridge/plankridge/internal/request"
@@ -31,7 +33,36 @@
 		// Strings, numbers and bytes can always be encoded.
 		panic(err)
 	}
-	return quarantine.Fingerprint{Content: quarantine.DigestOf(spec.Workspace, string(spec.Kind), spec.Service, "", encoded)}
+	return quarantine.Fingerprint{
+		Content: quarantine.DigestOf(spec.Workspace, string(spec.Kind), spec.Service, "", encoded),
+		Parts:   beginnings(spec),
+	}
+}
+
+const (
+	// denseBeginnings is the number of blocks up to which each beginning of a prompt has a digest.
+	// Beyond it the next one is longer by the fraction beginningGrowth. A part that ends servers is
+	// found if it is as long as that.
+	denseBeginnings = 8
+	beginningGrowth = 0.25
+	// maxBeginnings bounds the digests of a prompt. They cover about 9,700 tokens.
+	maxBeginnings = 22
+)
+
+// beginnings returns the digests of the beginnings of a prompt. Callers of this interface do not name
+// the parts of their prompts, but prompts with a common part begin alike up to its end.
+func beginnings(spec *request.Spec) []quarantine.Digest {
+	blocks := prefix.Blocks(fmt.Sprintf("%q %q", spec.Service, spec.Workspace), spec.Model.Prompt)
+	var digests []quarantine.Digest
+	for length := 1; length <= len(blocks) && len(digests) < maxBeginnings; {
+		digests = append(digests, quarantine.Digest(blocks[length-1]))
+		if length < denseBeginnings {
+			length++
+		} else {
+			length += int(float64(length) * beginningGrowth)
+		}
+	}
+	return digests
 }
 
 // refuseQuarantined refuses a request that the quarantine blocks.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/request"
 )
 
@@ -17,9 +18,6 @@
 	// eventBufferSize is the initial size in bytes of the buffer for events, which have
 	// about 100 bytes each.
 	eventBufferSize = 4 << 10
-	// harmlessAfter is how long a server must have written events of an answer to show that the parts
-	// of the prompt do not crash it. Those that do crash it as it begins.
-	harmlessAfter = time.Second
 	// maxEventSize is the maximum size of one event in bytes.
 	maxEventSize = 1 << 20
 )
@@ -64,7 +62,7 @@
 	if !p.begun() {
 		p.firstEventAt = now
 	}
-	if p.reported || now.Sub(p.firstEventAt) < harmlessAfter {
+	if p.reported || now.Sub(p.firstEventAt) < quarantine.HarmlessAfter {
 		return false
 	}
 	p.reported = true
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -10,6 +10,10 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
+// HarmlessAfter is how long a server must have generated an answer to show that the parts of the
+// prompt do not terminate it. Those that do terminate it when it begins to.
+const HarmlessAfter = time.Second
+
 const (
 	// minConsecutiveExits is how many consecutive sends of a request must end with the exit of
 	// the server before the request is blocked. The two attempts of one call can make a
--- a/robustness/ending_test.go
+++ b/robustness/ending_test.go
@@ -62,14 +62,17 @@
 	return len(slices.DeleteFunc(slices.Clone(r.all), func(at time.Time) bool { return !at.After(known) }))
 }
 
+// askModel asks a model and returns the status, the body and Retry-After.
+func askModel(b *bed, text string) (int, string, string) {
+	resp, body := b.call(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", fmt.Sprintf(`{"model":"modele-devis","messages":[{"role":"user","content":%q}],"max_tokens":8}`, text))
+	return resp.StatusCode, body, resp.Header.Get("Retry-After")
+}
+
 // TestRequestThatEndsServersIsRefused: by every daemon, with when to come again, and nobody else
 // is refused for it.
 func TestRequestThatEndsServersIsRefused(t *testing.T) {
 	for name, ask := range map[string]func(b *bed, text string) (int, string, string){
-		"model": func(b *bed, text string) (int, string, string) {
-			resp, body := b.call(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", fmt.Sprintf(`{"model":"modele-devis","messages":[{"role":"user","content":%q}],"max_tokens":8}`, text))
-			return resp.StatusCode, body, resp.Header.Get("Retry-After")
-		},
+		"model": askModel,
 		"plain service": func(b *bed, text string) (int, string, string) {
 			resp, body := b.call(http.MethodPost, balancerURL+"/services/app-carriere/weighings", "pesee", fmt.Sprintf("{%q: 1}", text))
 			return resp.StatusCode, body, resp.Header.Get("Retry-After")
@@ -83,7 +86,7 @@
 					Example: "ndiaye", Logger: slog.New(slog.NewTextHandler(logOutput(), nil)), ListLag: time.Second, CrashesOn: reached.ends,
 					OnViolation: func(err error) { t.Errorf("invariant violated: %v", err) },
 				})
-				playEnding(b, ask)
+				playEnding(b, ask, endingTexts{bad: func(int) string { return endsServers }, sound: func(n int) string { return fmt.Sprintf("question %d", n/2) }})
 				t.Logf("reached servers %d times, %d of them late", len(reached.all), reached.late())
 				b.Check(reached.late() <= lateOnes, qt.IsTrue, qt.Commentf("reached servers %d times after its third had ended", reached.late()))
 			})
@@ -91,13 +94,36 @@
 	}
 }
 
-// playEnding sends the request again and again beside others, and checks what callers are told.
-func playEnding(b *bed, ask func(b *bed, text string) (int, string, string)) {
+// TestPromptsWithABeginningThatEndsServersAreRefused guards against prompts of which no two are alike,
+// and whose common beginning ends each server: by every daemon, and nobody else is refused for it.
+func TestPromptsWithABeginningThatEndsServersAreRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reached := &reaches{}
+		b := startWith(t, dev.Options{
+			Example: "ndiaye", Logger: slog.New(slog.NewTextHandler(logOutput(), nil)), ListLag: time.Second, CrashesOn: reached.ends,
+			OnViolation: func(err error) { t.Errorf("invariant violated: %v", err) },
+		})
+		wide := strings.Repeat("the terms of the quarry ", 30)
+		bad := wide + strings.Repeat(endsServers+" ", 40)
+		playEnding(b, askModel, endingTexts{
+			bad:   func(n int) string { return fmt.Sprintf("%s question %d", bad, n) },
+			sound: func(n int) string { return fmt.Sprintf("%s question %d", wide, n) },
+		})
+		t.Logf("reached servers %d times, %d of them late", len(reached.all), reached.late())
+		b.Check(reached.late() <= lateOnes, qt.IsTrue, qt.Commentf("reached servers %d times after its third had ended", reached.late()))
+	})
+}
+
+// endingTexts are what callers ask: bad requests end servers.
+type endingTexts struct{ bad, sound func(n int) string }
+
+// playEnding sends bad requests again and again beside others, and checks what callers are told.
+func playEnding(b *bed, ask func(b *bed, text string) (int, string, string), texts endingTexts) {
 	var all sync.WaitGroup
 	served := 0
 	all.Go(func() {
 		for n := range 4 * endingCopies {
-			status, body, _ := ask(b, fmt.Sprintf("question %d", n/2))
+			status, body, _ := ask(b, texts.sound(n))
 			b.Check(body, qt.Not(qt.Contains), "ends the servers that run it")
 			if status == http.StatusOK {
 				served++
@@ -105,14 +131,14 @@
 			time.Sleep(endingPause / 4)
 		}
 	})
-	for range endingCopies {
-		all.Go(func() { ask(b, endsServers) })
+	for n := range endingCopies {
+		all.Go(func() { ask(b, texts.bad(n)) })
 		time.Sleep(endingPause)
 	}
 	all.Wait()
 	b.Check(served > 2*endingCopies, qt.IsTrue, qt.Commentf("%d served", served))
-	for range b.d.Nodes {
-		status, body, retryAfter := ask(b, endsServers)
+	for n := range b.d.Nodes {
+		status, body, retryAfter := ask(b, texts.bad(endingCopies+n))
 		b.Check(status, qt.Equals, http.StatusServiceUnavailable)
 		b.Check(body, qt.Contains, "ends the servers that run it")
 		b.Check(body, qt.Contains, "not-run")
