Send a part of prompts that ends servers in the soak

Half of the requests that end servers in the soak are now recognizable by one part of their prompts only; each has a body of its own. At the end each daemon has to hold both kinds back, and no other request may be refused for them.

--- a/robustness/soak/callers_test.go
+++ b/robustness/soak/callers_test.go
@@ -14,8 +14,8 @@
 // call is a request of a caller.
 type call struct {
 	id, path, key string
-	// body stands in place of the usual one.
-	body string
+	// body stands in place of the usual one, part is a further part of the prompt.
+	body, part string
 }
 
 // outcome is what a caller saw of one request.
@@ -52,7 +52,7 @@
 	// endingEvery is the time between two copies of the request that ends servers, heldBack
 	// what its caller is told.
 	endingEvery = 800 * time.Millisecond
-	heldBack    = "request ends the servers that run it"
+	heldBack    = "ends the servers that run it"
 	pause       = 60 * time.Millisecond
 )
 
@@ -69,7 +69,8 @@
 	return c
 }
 
-// runEnding sends a request that ends the servers that run it, again and again.
+// runEnding sends requests that end the servers that run them, again and again: by their content or
+// by a part of their prompts.
 func (c *callers) runEnding(r *rand.Rand) {
 	for {
 		select {
@@ -77,16 +78,21 @@
 			return
 		case <-time.After(endingEvery/2 + time.Duration(r.Int64N(int64(endingEvery)))):
 		}
-		c.sendEnding(one(r, c.d.daemons))
+		c.sendEnding(one(r, c.d.daemons), r.IntN(2) == 0)
 	}
 }
 
-// sendEnding sends it once and reports whether it was held back.
-func (c *callers) sendEnding(to *process) bool {
+// sendEnding sends it once and reports whether it was held back. By its part, it has a body that no
+// other has.
+func (c *callers) sendEnding(to *process, byPart bool) bool {
 	c.mu.Lock()
 	id := fmt.Sprintf("ffff%012x", len(c.ending))
 	c.mu.Unlock()
-	seen := c.send(call{id: id, path: "/c/x", key: lastingKey, body: poison}, to)
+	ending := call{id: id, path: "/c/x", key: lastingKey, body: poison}
+	if byPart {
+		ending.body, ending.part = "", badPart
+	}
+	seen := c.send(ending, to)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ending = append(c.ending, seen)
@@ -99,11 +105,11 @@
 const mostEnding = 40
 
 // heldBackEverywhere sends the request to each daemon until it is held back there.
-func (c *callers) heldBackEverywhere() bool {
+func (c *callers) heldBackEverywhere(byPart bool) bool {
 	for _, p := range c.d.daemons {
 		held := false
 		for try := 0; try < mostEnding && !held; try++ {
-			if held = c.sendEnding(p); !held {
+			if held = c.sendEnding(p, byPart); !held {
 				time.Sleep(endingEvery / 4)
 			}
 		}
@@ -154,7 +160,11 @@
 	req.Header.Set("Deadline-Ms", fmt.Sprint(callerLimit.Milliseconds()))
 	if call.path == "/c/x" {
 		req.Header.Set("Token-Counts", "100,36")
-		req.Header.Set("Prefix-Hash", "aa:60,"+call.id+":40")
+		prompt := "aa:60,"
+		if call.part != "" {
+			prompt += call.part + ":20,"
+		}
+		req.Header.Set("Prefix-Hash", prompt+call.id+":40")
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
--- a/robustness/soak/deployment_test.go
+++ b/robustness/soak/deployment_test.go
@@ -33,9 +33,10 @@
 	host       = "calls.example"
 	// drainTime is what a stopping daemon has until it would be killed.
 	drainTime = 8 * time.Second
-	// poison is the body of a request that ends each server that runs it, awayFor how long a
-	// server is away then.
+	// poison is the body of a request that ends each server that runs it, badPart a part of
+	// prompts that does, and awayFor how long a server is away then.
 	poison  = "poison"
+	badPart = "bad"
 	awayFor = 1500 * time.Millisecond
 	// daemonsInSubnet is the number of daemons in each subnet of loopback addresses.
 	daemonsInSubnet = 250
@@ -188,7 +189,7 @@
 	return s
 }
 
-// crashOn returns a handler that ends the server under poison: its link refuses all for a while,
+// crashOn returns a handler that ends the server under poison or a bad part: its link refuses all for a while,
 // and it is back under another ID.
 func (d *deployment) crashOn(s *server) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -197,7 +198,7 @@
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
-		if string(body) != poison {
+		if string(body) != poison && !strings.Contains(r.Header.Get("Prefix-Hash"), badPart+":") {
 			s.runner.ServeHTTP(w, r)
 			return
 		}
--- a/robustness/soak/soak_test.go
+++ b/robustness/soak/soak_test.go
@@ -46,7 +46,8 @@
 	}
 	counts := d.trouble(seed, *length)
 	c.Check(d.ready(), qt.IsTrue, qt.Commentf("not all daemons came back"))
-	c.Check(callers.heldBackEverywhere(), qt.IsTrue, qt.Commentf("a request that ends servers is not held back"))
+	c.Check(callers.heldBackEverywhere(false), qt.IsTrue, qt.Commentf("a request that ends servers is not held back"))
+	c.Check(callers.heldBackEverywhere(true), qt.IsTrue, qt.Commentf("a part that ends servers is not held back"))
 	callers.end()
 	broken := callers.broken()
 	c.Check(broken, qt.HasLen, 0)
