Check on our own interface that a server is alive where an answer ends with its connection

A plain answer without length or chunks whose server exits ends as a complete one does. The caller of our own interface got its beginning as the whole answer, and the quarantine took the request for harmless. As on the platform, the server is asked 30 ms later whether it still listens; if nobody does, the attempt is lost. TestPlainAnswerThatItsServersEndCutIsNotComplete failed before.

--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -48,6 +48,9 @@
 	// CrashesOn, if not nil, reports whether a backend server of the service crashes
 	// when it runs a request with the body. A crashed server is replaced.
 	CrashesOn func(service string, body []byte) bool
+	// CrashText is what a server still writes before it crashes, in an answer without length or
+	// chunks.
+	CrashText string
 	// OnViolation is called when a daemon violates an invariant.
 	OnViolation func(error)
 }
--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -197,11 +197,29 @@
 			return
 		}
 		time.Sleep(crashDelay)
+		if s.options.CrashText != "" {
+			s.writeAndCrash(w, vm)
+			return
+		}
 		go s.replaceServer(vm)
 		panic(http.ErrAbortHandler)
 	})
 }
 
+// writeAndCrash begins an answer that ends with its connection, and crashes the server.
+func (s *StandIns) writeAndCrash(w http.ResponseWriter, vm vmlist.VM) {
+	conn, out, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.options.Logger.Error("cannot take a connection over", "server", vm.ID, "error", err)
+		return
+	}
+	_, _ = out.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + s.options.CrashText)
+	_ = out.Flush()
+	s.Fleet.Kill(vm.ID)
+	_ = conn.Close()
+	go s.replaceServer(vm)
+}
+
 // replaceServer kills a server and starts a replacement after replacementBootTime.
 func (s *StandIns) replaceServer(vm vmlist.VM) {
 	s.Fleet.Kill(vm.ID)
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -38,6 +38,8 @@
 		OnAdvice:   d.adviceHandler(choice.Server),
 	})
 	switch {
+	case err == nil && answer.EndsWithConnection && d.exitedAtEnd(ctx, choice.Server.Address):
+		return result{step: request.StepLost, connBroken: true}
 	case err == nil:
 		slot.FirstToken(choice.Wait+choice.Server.ServiceTime, time.Now())
 		return result{step: request.StepAnswer, last: Event{Plain: &request.PlainAnswer{
@@ -55,6 +57,26 @@
 	return result{step: request.StepLost, connBroken: ctx.Err() == nil}
 }
 
+const (
+	// endProbeDelay is the time from the end of a connection to the probe of its server. A process
+	// that exits closes its connections one after the other, its listener among them.
+	endProbeDelay = 30 * time.Millisecond
+	// endProbeTimeout bounds the probe, for which the end of an answer is held up.
+	endProbeTimeout = 100 * time.Millisecond
+)
+
+// exitedAtEnd reports whether an answer that ended with its connection did so because the server
+// exited. Such an answer ends in the same way when it is complete.
+func (d *Dispatcher) exitedAtEnd(ctx context.Context, address string) bool {
+	ctx, stop := context.WithTimeout(ctx, endProbeDelay+endProbeTimeout)
+	defer stop()
+	select {
+	case <-time.After(endProbeDelay):
+	case <-ctx.Done():
+	}
+	return d.serverEnded(ctx, address)
+}
+
 // cancelOnEvacuate cancels an attempt when its server must be evacuated.
 func cancelOnEvacuate(ctx context.Context, evacuate <-chan struct{}, cancel context.CancelCauseFunc) {
 	select {
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -61,6 +61,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// EndsWithConnection is set when the answer has neither a length nor chunks, so that it ends in
+	// the same way if the server's process does.
+	EndsWithConnection bool
 }
 
 // Service is a plain service, reached by its address (IP:port).
@@ -148,5 +151,8 @@
 	if len(body) > c.maxAnswer {
 		return Answer{}, ErrAnswerTooLarge
 	}
-	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+	return Answer{
+		Status: resp.StatusCode, Header: resp.Header, Body: body,
+		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed,
+	}, nil
 }
--- a/robustness/ending_test.go
+++ b/robustness/ending_test.go
@@ -145,3 +145,21 @@
 		b.Check(retryAfter, qt.Equals, "30")
 	}
 }
+
+// TestPlainAnswerThatItsServersEndCutIsNotComplete guards against passing on, as complete, the
+// beginning of an answer without length or chunks whose server has exited.
+func TestPlainAnswerThatItsServersEndCutIsNotComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reached := &reaches{}
+		b := startWith(t, dev.Options{
+			Example: "ndiaye", Logger: slog.New(slog.NewTextHandler(logOutput(), nil)), CrashesOn: reached.ends, CrashText: "half of an answer",
+			OnViolation: func(err error) { t.Errorf("invariant violated: %v", err) },
+		})
+		resp, body := b.call(http.MethodPost, balancerURL+"/services/app-carriere/weighings", "pesee", fmt.Sprintf("{%q: 1}", endsServers))
+		b.Check(reached.all, qt.Not(qt.HasLen), 0)
+		b.Check(resp.StatusCode, qt.Not(qt.Equals), http.StatusOK)
+		b.Check(body, qt.Not(qt.Contains), "half of an answer")
+		// The server's replacement starts.
+		time.Sleep(5 * time.Second)
+	})
+}
