Tell a bad part from the content that always came with it by one exit

A caller comes back with the same request after it failed, so that the first bad request costs four servers before another one with the part does. Content and part then lost the same servers and were blocked together, and three more servers had to exit under the part alone. If no other server has exited since the block, one exit under the part without its companion is now enough; else three, as for any suspect. Attempts of requests with a part of a block are not sent on to another server.

Tried and not kept: refusing new requests with a part while it is in doubt.

--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -41,11 +41,15 @@
 		return nil, 0
 	}
 	q.evaluatedCount = q.changeCount
-	q.dropCompanions(now)
+	resettle := time.Duration(resettleFraction * float64(settle))
+	unsettled := q.dropCompanions(now.Add(-resettle), now)
 	suspects := q.findSuspects(now)
-	q.hasSuspects = len(suspects) > 0
+	q.hasSuspects = unsettled || len(suspects) > 0
+	if unsettled {
+		retryIn = resettle
+	}
 	if len(suspects) == 0 {
-		return nil, 0
+		return nil, retryIn
 	}
 	explained := q.explainedExits(now)
 	for i, s := range suspects {
@@ -113,54 +117,80 @@
 	return s.servers[:later]
 }
 
-// minSeparateExits is how many consecutive sends under a blocked digest, but not under a companion,
-// must end with the exit of the server before requests without the companion are refused, too. One
-// server may exit by chance. A content is the likelier cause than a part that other requests share,
-// so that the part then needs as many exits as any suspect.
-const minSeparateExits = 2
+const (
+	// minSeparateExits is how many consecutive sends under a blocked digest, but not under a
+	// companion, must end with the exit of the server before requests without the companion are
+	// refused, too. minSeparateExitsAmbiguous replaces it where other servers have exited since
+	// the block.
+	minSeparateExits          = 1
+	minSeparateExitsAmbiguous = minConsecutiveExits
+)
 
-// dropCompanions removes the companions that blocked digests have been distinguished from.
-func (q *Quarantine) dropCompanions(now time.Time) {
+// dropCompanions removes the companions that blocked digests have been distinguished from. Exits
+// after settled do not count yet, which some daemons may have reported and others not. It reports
+// whether there are such exits.
+func (q *Quarantine) dropCompanions(settled, now time.Time) (unsettled bool) {
 	for digest, r := range q.records {
 		if len(r.companions) == 0 || !r.blocked(now) {
 			continue
 		}
 		known := len(r.companions)
 		maps.DeleteFunc(r.companions, func(companion Digest, _ bool) bool {
-			return q.exitsWithout(digest, companion, now)
+			separate := q.separateExits(digest, companion)
+			counted := q.exitedBy(separate, settled)
+			unsettled = unsettled || len(counted) < len(separate.servers)
+			separate.servers = counted
+			return q.exitsWithout(separate, now)
 		})
 		if len(r.companions) < known {
 			q.recordChange(r, now)
 		}
 	}
+	return unsettled
 }
 
-// exitsWithout reports whether a blocked digest terminates servers without a companion.
-func (q *Quarantine) exitsWithout(digest, companion Digest, now time.Time) bool {
+// separateExits returns the servers that exited under a digest, but not under a companion. There are
+// none if nothing is known of the companion.
+func (q *Quarantine) separateExits(digest, companion Digest) suspect {
+	separate := suspect{digest: digest}
 	other := q.records[companion]
 	if other == nil {
-		return false
+		return separate
 	}
-	separate := suspect{digest: digest}
 	for server := range q.records[digest].exits {
 		if _, shared := other.exits[server]; !shared {
 			separate.servers = append(separate.servers, server)
 		}
 	}
+	q.sortByExit(separate.servers)
+	return separate
+}
+
+// exitsWithout reports whether a blocked digest terminates servers without a companion.
+func (q *Quarantine) exitsWithout(separate suspect, now time.Time) bool {
 	if len(separate.servers) == 0 {
 		return false
 	}
-	q.sortByExit(separate.servers)
 	required := minSeparateExits
-	if !other.isPart {
-		required = minConsecutiveExits
-	}
-	if q.unrelatedExits(separate, nil, q.explainedExits(now)) >= len(separate.servers) {
-		required++
+	if q.unexplainedExitsSince(q.records[separate.digest].blockedAt, now) > 0 {
+		required = minSeparateExitsAmbiguous
 	}
 	return q.consecutiveExits(separate) >= required
 }
 
+// unexplainedExitsSince returns the number of servers that have exited since a time, but under no
+// blocked digest.
+func (q *Quarantine) unexplainedExitsSince(since, now time.Time) int {
+	explained := q.explainedExits(now)
+	count := 0
+	for server, at := range q.exitedAt {
+		if at.After(since) && !explained[server] {
+			count++
+		}
+	}
+	return count
+}
+
 // conditionSince returns the time since which a condition has been met without interruption, or
 // zero while it is not met.
 func conditionSince(before time.Time, met bool, now time.Time) time.Time {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -145,13 +145,14 @@
 }
 
 // Suspected reports whether a request whose attempt failed must not be retried at another
-// server, because it may be the cause. Reports still under way from peers are not waited for.
+// server, because it may be the cause, or has some of the digests that are only blocked together.
+// Reports still under way from peers are not waited for.
 func (q *Quarantine) Suspected(f Fingerprint) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return slices.ContainsFunc(f.digests(), func(digest Digest) bool {
 		r := q.records[digest]
-		return r != nil && !r.suspectedSince.IsZero()
+		return r != nil && !(r.suspectedSince.IsZero() && r.blockedAt.IsZero())
 	})
 }
 
