--- a/internal/quarantine/companions.go
+++ b/internal/quarantine/companions.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 )
 
@@ -17,38 +16,6 @@
 	}
 }
 
-// indistinguishable returns the other suspects that lost the same servers as a suspect, and that one
-// request can have together with it. It returns the parts of a content, and the other parts and the
-// content of a part. Which of several contents with one part is the cause is not known. Exits after
-// settled are left out, which some daemons may have reported and others not yet.
-func (q *Quarantine) indistinguishable(index int, suspects []suspect, settled time.Time) []Digest {
-	var parts, contents []Digest
-	own := q.exitedBy(suspects[index], settled)
-	for i, other := range suspects {
-		if i == index || !slices.Equal(q.exitedBy(other, settled), own) {
-			continue
-		}
-		if other.isPart {
-			parts = append(parts, other.digest)
-		} else {
-			contents = append(contents, other.digest)
-		}
-	}
-	if suspects[index].isPart && len(contents) == 1 {
-		return append(contents, parts...)
-	}
-	return parts
-}
-
-// exitedBy returns the servers of a suspect that exited up to a time.
-func (q *Quarantine) exitedBy(s suspect, until time.Time) []ServerInstance {
-	later := slices.IndexFunc(s.servers, func(server ServerInstance) bool { return q.exitedAt[server].After(until) })
-	if later < 0 {
-		return s.servers
-	}
-	return s.servers[:later]
-}
-
 const (
 	// minSeparateExits is how many consecutive sends under a blocked digest, but not under a
 	// companion, must end with the exit of the server before requests without the companion are
@@ -69,7 +36,7 @@
 		known := len(r.companions)
 		maps.DeleteFunc(r.companions, func(companion Digest, _ bool) bool {
 			separate := q.separateExits(digest, companion)
-			counted := q.exitedBy(separate, settled)
+			counted := q.exitedBy(separate.servers, settled)
 			unsettled = unsettled || len(counted) < len(separate.servers)
 			separate.servers = counted
 			return q.exitsWithout(separate, now)
--- a/internal/quarantine/evaluate.go
+++ b/internal/quarantine/evaluate.go
@@ -36,32 +36,30 @@
 func (q *Quarantine) Evaluate(now time.Time, settle time.Duration) (blocked []Verdict, retryIn time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.changeCount == q.evaluatedCount && !q.hasSuspects {
-		return nil, 0
+	if q.changeCount == q.evaluatedCount && (q.evaluateAt.IsZero() || now.Before(q.evaluateAt)) {
+		return nil, max(0, q.evaluateAt.Sub(now))
 	}
-	q.evaluatedCount = q.changeCount
+	q.evaluatedCount, q.evaluateAt = q.changeCount, time.Time{}
 	resettle := time.Duration(resettleFraction * float64(settle))
-	unsettled := q.dropCompanions(now.Add(-resettle), now)
-	suspects := q.findSuspects(now)
-	q.hasSuspects = unsettled || len(suspects) > 0
-	if unsettled {
-		retryIn = resettle
+	if q.dropCompanions(now.Add(-resettle), now) {
+		q.scheduleEvaluation(now.Add(resettle))
 	}
-	if len(suspects) == 0 {
-		return nil, retryIn
+	suspects := q.findSuspects(now.Add(-settle), now)
+	if len(suspects.all) > 0 {
+		q.scheduleEvaluation(now.Add(settle))
 	}
 	explained := q.explainedExits(now)
-	for i, s := range suspects {
+	for _, s := range suspects.all {
 		r := q.records[s.digest]
-		r.suspectedSince = conditionSince(r.suspectedSince, q.possibleCause(i, suspects), now)
-		companions := q.indistinguishable(i, suspects, now.Add(-settle))
+		r.suspectedSince = conditionSince(r.suspectedSince, q.possibleCause(s, suspects), now)
+		companions := suspects.indistinguishable(s)
 		verdict := q.evaluateSuspect(s, suspects, companions, explained)
 		r.blockPendingSince = conditionSince(r.blockPendingSince, verdict != nil, now)
 		if verdict == nil {
 			continue
 		}
-		if left := r.settleTime(settle) - now.Sub(r.blockPendingSince); left > 0 {
-			retryIn = left
+		if settledAt := r.blockPendingSince.Add(r.settleTime(settle)); now.Before(settledAt) {
+			q.scheduleEvaluation(settledAt)
 			continue
 		}
 		r.blockedAt = now
@@ -70,7 +68,14 @@
 		q.recordChange(r, now)
 		blocked = append(blocked, *verdict)
 	}
-	return blocked, retryIn
+	return blocked, max(0, q.evaluateAt.Sub(now))
+}
+
+// scheduleEvaluation sets when the next evaluation is due if nothing changes until then.
+func (q *Quarantine) scheduleEvaluation(at time.Time) {
+	if q.evaluateAt.IsZero() || at.Before(q.evaluateAt) {
+		q.evaluateAt = at
+	}
 }
 
 // conditionSince returns the time since which a condition has been met without interruption, or
@@ -99,39 +104,6 @@
 	return settle
 }
 
-// suspect is a request with the servers that exited while they ran it, in the order of their
-// exits.
-type suspect struct {
-	digest  Digest
-	isPart  bool
-	servers []ServerInstance
-}
-
-// findSuspects returns the requests with enough exits to be considered for a block, those with
-// the most servers first.
-func (q *Quarantine) findSuspects(now time.Time) []suspect {
-	var suspects []suspect
-	for digest, r := range q.records {
-		if len(r.exits) < minConsecutiveExits || r.blocked(now) || r.recentlyAnswered(now) {
-			continue
-		}
-		s := suspect{digest: digest, isPart: r.isPart}
-		for server := range r.exits {
-			if q.exitedAt[server].After(r.answeredAt) {
-				s.servers = append(s.servers, server)
-			}
-		}
-		if len(s.servers) >= minConsecutiveExits {
-			q.sortByExit(s.servers)
-			suspects = append(suspects, s)
-		}
-	}
-	slices.SortFunc(suspects, func(a, b suspect) int {
-		return cmp.Or(cmp.Compare(len(b.servers), len(a.servers)), cmp.Compare(a.digest, b.digest))
-	})
-	return suspects[:min(len(suspects), maxSuspects)]
-}
-
 // sortByExit sorts servers by the times of their exits.
 func (q *Quarantine) sortByExit(servers []ServerInstance) {
 	slices.SortFunc(servers, func(a, b ServerInstance) int {
@@ -154,10 +126,10 @@
 
 // evaluateSuspect returns the verdict on a request or a part, or nil while it does not meet the
 // criteria.
-func (q *Quarantine) evaluateSuspect(s suspect, suspects []suspect, companions []Digest, explained map[ServerInstance]bool) *Verdict {
+func (q *Quarantine) evaluateSuspect(s suspect, suspects suspectSet, companions []Digest, explained map[ServerInstance]bool) *Verdict {
 	exclusive := 0
 	for _, server := range s.servers {
-		if !explained[server] && !s.sharedWithStrongerSuspect(server, suspects, companions) {
+		if !explained[server] && !suspects.hasStronger(server, s, companions) {
 			exclusive++
 		}
 	}
@@ -203,30 +175,15 @@
 
 // possibleCause reports whether a request may be the cause: it has enough consecutive exits,
 // and no suspect with more exits shares a server with it.
-func (q *Quarantine) possibleCause(index int, suspects []suspect) bool {
-	s := suspects[index]
-	for _, other := range suspects {
-		if len(other.servers) > len(s.servers) && slices.ContainsFunc(s.servers, func(server ServerInstance) bool { return slices.Contains(other.servers, server) }) {
+func (q *Quarantine) possibleCause(s suspect, suspects suspectSet) bool {
+	for _, server := range s.servers {
+		if strongest := suspects.byServer[server][0]; len(strongest.servers) > len(s.servers) {
 			return false
 		}
 	}
 	return q.consecutiveExits(s) >= minConsecutiveExits
 }
 
-// sharedWithStrongerSuspect reports whether another suspect with at least as many exits, apart from
-// the companions, also ran on the server when it exited.
-func (s suspect) sharedWithStrongerSuspect(server ServerInstance, suspects []suspect, companions []Digest) bool {
-	for _, other := range suspects {
-		if other.digest == s.digest || slices.Contains(companions, other.digest) {
-			continue
-		}
-		if len(other.servers) >= len(s.servers) && slices.Contains(other.servers, server) {
-			return true
-		}
-	}
-	return false
-}
-
 // consecutiveExits returns how often the request was sent and the server exited before the
 // request was sent again.
 func (q *Quarantine) consecutiveExits(s suspect) int {
@@ -243,12 +200,12 @@
 
 // unrelatedExits returns the number of servers that exited between the first and the last exit
 // of the request, but under no blocked request and no suspect.
-func (q *Quarantine) unrelatedExits(s suspect, suspects []suspect, explained map[ServerInstance]bool) int {
+func (q *Quarantine) unrelatedExits(s suspect, suspects suspectSet, explained map[ServerInstance]bool) int {
 	first, last := q.exitedAt[s.servers[0]], q.exitedAt[s.servers[len(s.servers)-1]]
 	count := 0
 	for server, at := range q.exitedAt {
 		during := !at.Before(first) && !at.After(last)
-		if during && !explained[server] && !slices.ContainsFunc(suspects, func(other suspect) bool { return slices.Contains(other.servers, server) }) {
+		if during && !explained[server] && len(suspects.byServer[server]) == 0 {
 			count++
 		}
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -91,9 +91,10 @@
 	// prunedAt is when prune last scanned the records.
 	prunedAt time.Time
 	// changeCount is the number of changes that peers should receive, evaluatedCount its value at
-	// the last evaluation, and hasSuspects whether that evaluation left any suspects.
+	// the last evaluation. evaluateAt is when the next one is due if nothing changes until then, or
+	// zero.
 	changeCount, evaluatedCount int
-	hasSuspects                 bool
+	evaluateAt                  time.Time
 }
 
 // New returns a Quarantine that blocks no request.
