Serve the last answer of a server that leaves

A server that leaves may close its listener before its last answers end, and exits right after them. Since answers that end with their connection are checked, a complete one of such a server was taken for a broken one: an order that had run was answered 502. A server that is draining, has announced that it leaves, or is no longer listed may exit after a complete answer, so that its answer is passed on and proves nothing about the request. On our own interface the same holds for a VM that is leaving.

TestLastAnswerOfAServerThatLeavesIsServed failed before.

--- a/internal/backend/leaving.go
+++ b/internal/backend/leaving.go
@@ -151,3 +151,11 @@
 	}
 	return c.server.ready() || slices.Contains(c.view.eligibleServers(c.need.track(c.Candidate), now), c.server)
 }
+
+// Leaving reports whether the server has left or is about to, so that its process may exit once it
+// has answered.
+func (c *Choice) Leaving() bool {
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	return c.view.servers[c.ID] != c.server || !c.server.ready()
+}
--- a/internal/discovery/slot.go
+++ b/internal/discovery/slot.go
@@ -46,6 +46,14 @@
 	})
 }
 
+// Leaving reports whether the server is leaving or gone, so that its process may exit once it has
+// answered.
+func (slot *Slot) Leaving(now time.Time) bool {
+	slot.registry.mu.Lock()
+	defer slot.registry.mu.Unlock()
+	return !slot.server.acceptsRequests(now)
+}
+
 // Release ends the attempt. It records a failure, or the service time if the attempt succeeded.
 func (slot *Slot) Release(failed bool, now time.Time) {
 	slot.releaseOnce.Do(func() {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -38,7 +38,7 @@
 		OnAdvice:   d.adviceHandler(choice.Server),
 	})
 	switch {
-	case err == nil && answer.EndsWithConnection && d.exitedAtEnd(ctx, choice.Server.Address):
+	case err == nil && answer.EndsWithConnection && d.exitedAtEnd(ctx, choice.Server.Address, slot):
 		return result{step: request.StepLost, connBroken: true}
 	case err == nil:
 		slot.FirstToken(choice.Wait+choice.Server.ServiceTime, time.Now())
@@ -66,15 +66,16 @@
 )
 
 // exitedAtEnd reports whether an answer that ended with its connection did so because the server
-// exited. Such an answer ends in the same way when it is complete.
-func (d *Dispatcher) exitedAtEnd(ctx context.Context, address string) bool {
+// exited. Such an answer ends in the same way when it is complete. A server that leaves may exit
+// after a complete one.
+func (d *Dispatcher) exitedAtEnd(ctx context.Context, address string, slot *discovery.Slot) bool {
 	ctx, stop := context.WithTimeout(ctx, endProbeDelay+endProbeTimeout)
 	defer stop()
 	select {
 	case <-time.After(endProbeDelay):
 	case <-ctx.Done():
 	}
-	return d.serverEnded(ctx, address)
+	return d.serverEnded(ctx, address) && !slot.Leaving(time.Now())
 }
 
 // cancelOnEvacuate cancels an attempt when its server must be evacuated.
--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -24,7 +24,7 @@
 	// endComplete means that the answer is complete.
 	endComplete answerEnd = iota
 	// endUnconfirmed means that the answer ended with its connection, as a complete one does, and
-	// that the server does not answer a probe.
+	// that the server does not answer a probe, or leaves and may have exited after it.
 	endUnconfirmed
 	// endServerExited means that the answer ended with its connection because the server exited.
 	endServerExited
@@ -44,10 +44,12 @@
 	}
 	liveness := r.options.Backend.Probe(ctx, choice.Entry)
 	switch {
-	case liveness == upstream.NotListening, errors.Is(context.Cause(ctx), errRestarted):
-		return endServerExited
 	case liveness == upstream.Listening:
 		return endComplete
+	case errors.Is(context.Cause(ctx), errRestarted):
+		return endServerExited
+	case liveness == upstream.NotListening && !choice.Leaving():
+		return endServerExited
 	}
 	return endUnconfirmed
 }
--- a/robustness/onplatform/answers_test.go
+++ b/robustness/onplatform/answers_test.go
@@ -74,3 +74,26 @@
 		m.endAll()
 	})
 }
+
+// TestLastAnswerOfAServerThatLeavesIsServed guards against discarding a complete answer without
+// length or chunks whose server, which has announced that it leaves, exits right after it.
+func TestLastAnswerOfAServerThatLeavesIsServed(t *testing.T) {
+	var m *crashServers
+	run(t, 3, func(b *bed) {
+		m = plainServers(b)
+		m.causeOf = func(_ *http.Request, body string) string { return body }
+		m.lastWords = func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+			w.Header().Set("Response-Stamp", "stamp")
+			w.Header().Set("Server-Leaving", "1")
+			_, _ = fmt.Fprint(w, "answer to "+r.Header.Get("Request-Id"))
+		}
+		b.configure(routes{plainRoute("/p/", "non_idempotent", 2)})
+	}, func(b *bed) {
+		got := b.send(call{method: "POST", path: "/p/x", key: testKey, body: "last", deadline: time.Second})
+		b.Check(got.status, qt.Equals, http.StatusOK)
+		b.Check(got.body, qt.Equals, "answer to "+got.id)
+		b.Check(got.cut, qt.IsFalse)
+		m.endAll()
+	})
+}
