Log and export how much of the retry budget is allowed and spent

A line about a refused retry did not say how much was allowed or spent, by how many daemons the extra was divided, or for how long the process had counted, and no metric did. Nothing is decided differently. In a play of daemons that start in series the new fields show processes 0 to 250 ms old that have spent nothing, beside eight known daemons throughout.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -82,6 +82,10 @@
 	ConfigAgeMS  int64 `json:"config_age_ms"`
 	ServersAgeMS int64 `json:"servers_age_ms"`
 	StoreFailing bool  `json:"store_failing"`
+	// RetriesAllowed and RetriesSpent are the retries of the service in a window that the daemon
+	// allowed and counted. They are zero if the request needed no retry.
+	RetriesAllowed float64 `json:"retries_allowed"`
+	RetriesSpent   float64 `json:"retries_spent"`
 	Draining     bool  `json:"draining"`
 	// Limited, RequestsPerSecond and RestMS are the rate limit and the pause that a server
 	// has announced.
@@ -258,6 +262,9 @@
 		if l.StoreFailing {
 			text += ", the store did not answer"
 		}
+		if l.RetriesAllowed > 0 {
+			text += fmt.Sprintf(", %.1f of %.1f retries spent", l.RetriesSpent, l.RetriesAllowed)
+		}
 		text += ")"
 		return text
 	case msgRejected:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -158,3 +158,14 @@
 		}
 	})
 }
+
+func TestTimelineShowsRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	lines, _, err := Read(strings.NewReader(`{"time":"2026-01-01T00:00:00Z","msg":"request ended","vm":"vm-1","request_id":"r","outcome":"failed","status":502,"reason":"retry budget is spent","retries_allowed":4.8,"retries_spent":4}`))
+	c.Assert(err, qt.IsNil)
+	timeline, found := BuildTimeline(lines, "r")
+	c.Assert(found, qt.IsTrue)
+	var out strings.Builder
+	c.Assert(timeline.Print(&out), qt.IsNil)
+	c.Check(out.String(), qt.Contains, "4.0 of 4.8 retries spent")
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -17,6 +17,7 @@
 	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
+	"github.com/plankridge/plankridge/internal/retrybudget"
 	"github.com/plankridge/plankridge/internal/rollout"
 	"github.com/plankridge/plankridge/internal/upstream"
 )
@@ -215,8 +216,8 @@
 type Budget interface {
 	// CountRequest counts the first attempt of a request.
 	CountRequest(service string, now time.Time)
-	// TryRetry reports whether another attempt is within the budget, and counts it.
-	TryRetry(service string, now time.Time) bool
+	// TryRetry decides whether another attempt is within the budget, and counts it if so.
+	TryRetry(service string, now time.Time) retrybudget.Verdict
 }
 
 // Usage counts the requests that servers began to run.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,6 +18,7 @@
 	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/retrybudget"
 	"github.com/plankridge/plankridge/internal/route"
 	"github.com/plankridge/plankridge/internal/upstream"
 )
@@ -140,6 +141,8 @@
 	// set while the admitted tokens are for a run that has not begun.
 	verdict *allowance.Verdict
 	charged bool
+	// retryVerdict is the latest decision of the retry budget, or nil if none was needed.
+	retryVerdict *retrybudget.Verdict
 }
 
 // Forward serves a call. It returns nil when a server's answer was forwarded completely, a
@@ -292,8 +295,8 @@
 		if refusal := r.chargeRepeat(); refusal != nil {
 			return r.giveUp(ctx, refusal)
 		}
-		if r.sentAttempts > 0 && !r.options.Budget.TryRetry(r.call.Service, now) {
-			return r.giveUp(ctx, &Refusal{Status: http.StatusServiceUnavailable, Reason: "retry budget is spent", RetryAfter: retryAfterTransient})
+		if refusal := r.spendRetry(now); refusal != nil {
+			return r.giveUp(ctx, refusal)
 		}
 		choice, ok := r.options.View.Begin(r.need(), now)
 		if !ok {
@@ -328,6 +331,19 @@
 	}
 }
 
+// spendRetry takes a retry from the budget if the call has been sent before.
+func (r *run) spendRetry(now time.Time) *Refusal {
+	if r.sentAttempts == 0 {
+		return nil
+	}
+	verdict := r.options.Budget.TryRetry(r.call.Service, now)
+	r.retryVerdict = &verdict
+	if verdict.Admitted {
+		return nil
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "retry budget is spent", RetryAfter: retryAfterTransient}
+}
+
 // refuseNoServer refuses a call for which no server can be picked.
 func (r *run) refuseNoServer(now time.Time) *Refusal {
 	wait, found := r.options.View.RetryAfter(r.need(), now)
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -84,6 +84,9 @@
 			"allowance_unheard", int64(v.Unreported), "allowance_asked", int64(v.OthersDemand), "allowance_heard_ms", v.ReportAge.Milliseconds(),
 			"allowance_drawn", v.ByChance, "allowance_share", v.ReachableShare, "allowance_opened", v.Restored)
 	}
+	if v := r.retryVerdict; v != nil {
+		attrs = append(attrs, "retries_allowed", v.Allowed, "retries_spent", v.Spent, "retries_daemons", v.Daemons, "retries_counted_ms", v.CountedFor.Milliseconds())
+	}
 	if err != nil {
 		attrs = append(attrs, "reason", err.Error(), "parts", quarantine.FormatDigests(r.fingerprint.Parts))
 		level = slog.LevelWarn
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -72,20 +72,50 @@
 	b.service(name).requests.add(b.sliceAt(now))
 }
 
-// TryRetry reports whether the budget allows another retry, and counts it if so.
-func (b *Budget) TryRetry(name string, now time.Time) bool {
+// Verdict is the decision on a retry, with the values that it is based on.
+type Verdict struct {
+	Admitted bool
+	// Allowed is the number of retries that this daemon may send in a window, and Spent the number
+	// that it has sent in the last one.
+	Allowed, Spent float64
+	// Daemons is the number of daemons that share the extra retries.
+	Daemons int
+	// CountedFor is how long this process has counted.
+	CountedFor time.Duration
+}
+
+// TryRetry decides whether the budget allows another retry, and counts it if so.
+func (b *Budget) TryRetry(name string, now time.Time) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(name)
 	slice := b.sliceAt(now)
+	verdict := b.state(s, slice)
+	verdict.CountedFor = now.Sub(b.origin)
+	verdict.Admitted = verdict.Spent+1 <= verdict.Allowed
+	if verdict.Admitted {
+		s.retries.add(slice)
+	}
+	return verdict
+}
+
+func (b *Budget) state(s *service, slice int64) Verdict {
 	requests := float64(s.requests.sum(slice))
-	retries := float64(s.retries.sum(slice))
-	allowed := usableShare * (b.bounds.RetryRatio*requests + b.bounds.ExtraRetries/float64(b.daemons))
-	if retries+1 > allowed {
-		return false
+	return Verdict{
+		Allowed: usableShare * (b.bounds.RetryRatio*requests + b.bounds.ExtraRetries/float64(b.daemons)),
+		Spent:   float64(s.retries.sum(slice)), Daemons: b.daemons,
+	}
+}
+
+// States returns what is allowed and spent, by service.
+func (b *Budget) States(now time.Time) map[string]Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	states := make(map[string]Verdict, len(b.services))
+	for name, s := range b.services {
+		states[name] = b.state(s, b.sliceAt(now))
 	}
-	s.retries.add(slice)
-	return true
+	return states
 }
 
 // sliceAt returns the number of the slice that contains a time.
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -20,7 +20,7 @@
 	for range daemons {
 		b := New(testBounds)
 		b.SetDaemons(daemons)
-		for b.TryRetry("s", now) {
+		for b.TryRetry("s", now).Admitted {
 			total++
 		}
 	}
@@ -32,11 +32,11 @@
 	c := qt.New(t)
 	now := time.Unix(1000, 0)
 	b := New(testBounds)
-	for b.TryRetry("s", now) {
+	for b.TryRetry("s", now).Admitted {
 		continue
 	}
-	c.Check(b.TryRetry("s", now.Add(9*time.Second)), qt.IsFalse)
-	c.Check(b.TryRetry("s", now.Add(11*time.Second)), qt.IsTrue)
+	c.Check(b.TryRetry("s", now.Add(9*time.Second)).Admitted, qt.IsFalse)
+	c.Check(b.TryRetry("s", now.Add(11*time.Second)).Admitted, qt.IsTrue)
 }
 
 // TestNoWindowHoldsMore checks that no window contains more retries than the bounds allow, for
@@ -51,7 +51,7 @@
 			if rapid.Bool().Draw(t, "request") {
 				b.CountRequest("s", now)
 				requests = append(requests, now)
-			} else if b.TryRetry("s", now) {
+			} else if b.TryRetry("s", now).Admitted {
 				retries = append(retries, now)
 			}
 		}
@@ -78,5 +78,5 @@
 	c := qt.New(t)
 	b := New(Bounds{})
 	b.CountRequest("s", time.Unix(1000, 0))
-	c.Check(b.TryRetry("s", time.Unix(1000, 0)), qt.IsFalse)
+	c.Check(b.TryRetry("s", time.Unix(1000, 0)).Admitted, qt.IsFalse)
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -35,6 +35,8 @@
 	daemonRole       = describe("role", "1 while the daemon has the role.", "role")
 	streamSerial     = describe("stream_assignment_serial", "Serial of the assignment of streams to versions in force; -1 before it is known.")
 	streamBuckets    = describe("stream_buckets", "Buckets of streams by the version at which they begin, and those that move to another.", "service", "version", "state")
+	retriesAllowed   = describe("retries_allowed", "Retries that this daemon may send in a window.", "service")
+	retriesSpent     = describe("retries_spent", "Retries of the last window that count against those that are allowed.", "service")
 	rollOutState     = describe("rollout", "1 for the state that the store has of the order to move a service to a version.", "service", "version", "state")
 	rollOutHalted    = describe("rollout_halted", "1 once the version was found to be bad and gets nothing more.", "service", "version")
 	rollOutShare     = describe("rollout_share", "Share of all requests that the holder of the lease asks to be sent to the version; 0 for the share that each daemon keeps by itself.", "service", "version")
@@ -47,7 +49,7 @@
 
 // Describe implements prometheus.Collector.
 func (sc stateCollector) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, streamSerial, streamBuckets, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
+	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, streamSerial, streamBuckets, retriesAllowed, retriesSpent, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
 		descs <- d
 	}
 }
@@ -79,6 +81,10 @@
 	gauge(daemonRole, boolValue(plan.Leader), "lead")
 	gauge(daemonRole, boolValue(sc.following.Load()), "follows_store")
 	gauge(daemonRole, boolValue(sc.sentinel.Load()), "sentinel")
+	for service, budget := range sc.retryBudget.States(now) {
+		gauge(retriesAllowed, budget.Allowed, service)
+		gauge(retriesSpent, budget.Spent, service)
+	}
 	sc.collectStreamVersions(gauge)
 	sc.collectRollOuts(gauge, now)
 }
