Report within two intervals however often the leader sends digests

Cause: each digest of the leader set the timer of the next report anew, to 40 ms before the leader's next digest as this daemon expects it. A leader that sends digests more often, since it knows fewer daemons or has something urgent, puts the report off each time. The leader never hears the daemon, so that nothing changes until it is forgotten. Evidence: the daemons that the leaders had not heard had sent fewer than 25 reports in 8 s, the leaders 50 to 75. The test fails before (heard 39 of 40, 40 to 54 of 60, 49 to 55 of 77, 54 to 61 of 100) and passes now. Why it works: digests may move the next report only within two intervals after the last one, less than the time after which a silent daemon counts as unreachable.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -194,7 +194,7 @@
 			timer.Reset(max(0, minSendInterval-time.Since(sent)))
 		case <-n.alignToLeader:
 			if !triggered {
-				timer.Reset(n.ReportInterval(time.Now()) - ReportLeadTime)
+				timer.Reset(alignedDelay(n.ReportInterval(time.Now()), time.Since(sent)))
 			}
 		case <-ctx.Done():
 			// Sends the last counts before shutdown.
@@ -204,6 +204,17 @@
 	}
 }
 
+// maxAlignedIntervals is the number of report intervals after the last report by which the next one is
+// sent, however often the leader's digests move it.
+const maxAlignedIntervals = 2
+
+// alignedDelay returns the time until the next report when a digest of the leader arrives: ReportLeadTime
+// before the leader's next digest. A leader that sends digests more often than this daemon sends reports
+// must not delay them forever.
+func alignedDelay(interval, sinceSent time.Duration) time.Duration {
+	return max(0, min(interval-ReportLeadTime, maxAlignedIntervals*interval-sinceSent))
+}
+
 // ReportInterval returns the current time between two reports.
 func (n *Node) ReportInterval(now time.Time) time.Duration {
 	daemons := 1 + len(n.options.Members.Known(now))
--- a/robustness/onplatform/relay_test.go
+++ b/robustness/onplatform/relay_test.go
@@ -1,6 +1,7 @@
 package onplatform
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -227,6 +228,31 @@
 	})
 }
 
+// TestDaemonsThatStartTogetherHearEachOther guards against daemons whose reports are put off by each digest of a
+// leader that sends digests more often.
+func TestDaemonsThatStartTogetherHearEachOther(t *testing.T) {
+	sizes := []int{20, 40}
+	if !raceDetector {
+		sizes = append(sizes, 60, 77, 100)
+	}
+	for _, daemons := range sizes {
+		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
+			runAlone(t, daemons, func(b *bed) {
+				b.store.SetPageSize(500)
+				b.configure(routes{plainRoute("/a/", "idempotent", 1)})
+			}, func(b *bed) {
+				for range 3 {
+					time.Sleep(2 * time.Second)
+					for _, d := range b.daemons {
+						line := fmt.Sprintf(`plankridge_daemons{state="heard"} %d`, daemons)
+						b.Check(strings.Contains(b.metrics(d), line+"\n"), qt.IsTrue, qt.Commentf("%s: %s", d.ip, line))
+					}
+				}
+			})
+		})
+	}
+}
+
 // kill ends a daemon at once.
 func (b *bed) kill(i int) {
 	b.daemons[i].kill()
