Share the retry budget by what all daemons have sent

Cause: each daemon kept its share of the extra retries, and what it had spent, in the memory of its process. A daemon that started had its whole share again within the same window. And a share of 1/300 is less than one retry, so that it was never used. Now daemons report retries and requests with their other counters, follow the sums over a sliding window, and a daemon that starts takes them from the record or a daemon that has counted for longer, as allowances do. A daemon that knows nothing yet uses its part of what is left; a retry that was not sent is returned. Costs: after the death of all, what may have been spent unseen counts as spent. The other tests keep their checks on the new type.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -48,6 +48,8 @@
 	// partitionedAt is when it fell below one, or zero while all are reachable.
 	reachableShare float64
 	partitionedAt  time.Time
+	// reachKnown is set once it is known which daemons are reachable.
+	reachKnown bool
 	// alone is set while no other daemon is reachable, once the limiter is settled.
 	alone bool
 	// reachablePeers and knownPeers are the numbers of reachable and of known other daemons.
@@ -92,6 +94,12 @@
 	// assumeOwnDemand is set if other daemons are assumed to have the same demand as this one until
 	// theirs has been measured.
 	assumeOwnDemand bool
+	// counter is set if the account only counts and has no limit. discrete is set if it counts single
+	// requests, of which a daemon's share may be less than one.
+	counter, discrete bool
+	// fractionNeeded is the fraction of a request that must be free for the next one to be admitted
+	// by chance, or zero if it has yet to be drawn.
+	fractionNeeded float64
 }
 
 const (
@@ -188,6 +196,7 @@
 	if known > 0 {
 		reachableShare = min(1, float64(reachable)/float64(known))
 	}
+	l.reachKnown = true
 	l.settled = l.settled || reachableShare >= 1 || now.Sub(l.started) >= settleTimeout
 	l.alone = l.settled && reachable <= 1
 	previous := l.reachablePeerShare()
@@ -298,11 +307,12 @@
 		return unknownUsageShare*l.tolerance.tokensFor(a.limit)/float64(l.reachablePeers+1) - (a.spent - a.spentAtResume)
 	}
 	used := a.used.sum()
-	if l.partitionedAt.IsZero() {
+	begin := l.partitionBegin(a)
+	if begin.IsZero() {
 		return a.limit - used
 	}
-	usedBefore := a.used.sumBefore(l.partitionedAt)
-	return l.reachableShare*(a.limit-usedBefore) - (used - usedBefore)
+	usedBefore := a.used.sumBefore(begin)
+	return l.shareOf(a)*(a.limit-usedBefore) - (used - usedBefore)
 }
 
 // toleranceMargin returns the part of the tolerance that is used on purpose. A negative value is
@@ -311,10 +321,13 @@
 func (l *Limiter) toleranceMargin(a *account, now time.Time) float64 {
 	tolerance := l.tolerance.tokensFor(a.limit)
 	jump := max(0, assumedDemandFactor*a.rate-l.othersDemand(a, now)) * (l.reportAge + l.reportInterval).Seconds()
+	if l.alone && a.discrete {
+		return 0
+	}
 	if l.alone {
 		jump = 0
 	}
-	return l.reachableShare * min(plannedToleranceShare*tolerance, jumpToleranceShare*tolerance-jump)
+	return l.shareOf(a) * min(plannedToleranceShare*tolerance, jumpToleranceShare*tolerance-jump)
 }
 
 // admitByChance decides at random whether a request gets a part of the free tokens.
@@ -332,6 +345,9 @@
 	if competing == 0 && l.reachableShare >= 1 {
 		return false
 	}
+	if a.discrete && competing < need {
+		return l.admitFraction(a, free/need)
+	}
 	return l.random() < free/max(competing, need)
 }
 
@@ -417,6 +433,10 @@
 	before, known := l.lastCounters[key]
 	for name, a := range l.accounts {
 		a.used.advance(now)
+		if a.counter {
+			l.applyCounterReport(a, name, r, before, now)
+			continue
+		}
 		if r.Baseline {
 			// No report covers the time between two sources. Peers are assumed to have spent at
 			// their last rate or, if that is more, as much as this daemon each. Without this, while
--- a/internal/allowance/snapshot.go
+++ b/internal/allowance/snapshot.go
@@ -75,16 +75,34 @@
 	if l.snapshot.Demand != nil {
 		a.peers.restoreDemand(l.snapshot.Demand[name])
 	}
+	if a.counter {
+		a.used.spreadUsage(l.snapshot.Usage[name], l.started.Add(-l.snapshot.Age))
+		return
+	}
 	if l.snapshot.Unrecorded {
 		a.used.add(l.usedWithoutSnapshot(a), l.started)
 		return
 	}
 	usage, known := l.snapshot.Usage[name]
-	if !known && !l.snapshot.Warmup {
+	if !known && !l.snapshot.Warmup && !a.discrete {
 		return
 	}
 	a.used.addUsage(usage, l.started.Add(-l.snapshot.Age))
-	a.used.add(max(0, min(l.usedSinceSnapshot(a, usage), a.limit-a.used.sum())), l.started)
+	since := l.usedSinceSnapshot(a, usage)
+	if a.discrete {
+		since = l.spentSinceSnapshot(a, usage, l.snapshot.Demand[name])
+	}
+	a.used.add(max(0, min(since, a.limit-a.used.sum())), l.started)
+}
+
+// spentSinceSnapshot returns what an account of single requests may have used after the snapshot was
+// written: until the next one would have been, all that was asked for, and the rate of the last span over
+// the rest of the time. After a longer time the demand may have jumped.
+func (l *Limiter) spentSinceSnapshot(a *account, usage Usage, demand float64) float64 {
+	rate := usage[spanCount-1] / (a.used.length().Seconds() / spanCount)
+	unrecorded := min(l.snapshot.Age, snapshotInterval+snapshotWriteDelay)
+	used := max(rate, demand)*unrecorded.Seconds() + rate*(l.snapshot.Age-unrecorded).Seconds()
+	return used + assumedDemandFactor*a.rate*max(0, l.snapshot.Age-usualSnapshotAge).Seconds()
 }
 
 // usedSinceSnapshot returns what a workspace may have used after the snapshot was written: the rate
@@ -125,7 +143,9 @@
 	for name, a := range l.accounts {
 		a.used.advance(now)
 		recent := a.used.usage()
-		recent[spanCount-1] += max(0, min(l.unreported(a, now), a.limit-a.used.sum()))
+		if !a.counter {
+			recent[spanCount-1] += max(0, min(l.unreported(a, now), a.limit-a.used.sum()))
+		}
 		known = known && (a.restored || now.Sub(l.started) >= l.tolerance.Window)
 		if recent != (Usage{}) {
 			usage[name] = recent
@@ -165,9 +185,13 @@
 		if demand != nil {
 			a.peers.restoreDemand(demand[name])
 		}
-		a.used = newWindow(l.tolerance.Window, l.started)
+		a.used = newWindow(a.used.length(), l.started)
 		a.used.advance(now)
-		a.used.addUsage(workspaceUsage, now)
+		if a.counter {
+			a.used.spreadUsage(workspaceUsage, now)
+		} else {
+			a.used.addUsage(workspaceUsage, now)
+		}
 		// The peer may not have counted what this daemon has admitted.
 		a.used.add(a.spent-a.spentAtResume, now)
 	}
--- a/internal/allowance/window.go
+++ b/internal/allowance/window.go
@@ -32,6 +32,8 @@
 	return w
 }
 
+func (w *window) length() time.Duration { return w.slotWidth * slotCount }
+
 func (w *window) slotNumber(at time.Time) int64 { return int64(at.Sub(w.origin) / w.slotWidth) }
 
 // advance drops the slots that are older than the window.
@@ -140,3 +142,14 @@
 		w.add(tokens, reportedAt.Add(-age))
 	}
 }
+
+// spreadUsage counts usage that was reported at a time, evenly over each span.
+func (w *window) spreadUsage(usage Usage, reportedAt time.Time) {
+	const slotsPerSpan = slotCount / spanCount
+	for span, tokens := range usage {
+		for slot := range slotsPerSpan {
+			age := time.Duration((spanCount-1-span)*slotsPerSpan+slot) * w.slotWidth
+			w.add(tokens/slotsPerSpan, reportedAt.Add(-age))
+		}
+	}
+}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -86,7 +86,7 @@
 	// allowed and counted. They are zero if the request needed no retry.
 	RetriesAllowed float64 `json:"retries_allowed"`
 	RetriesSpent   float64 `json:"retries_spent"`
-	Draining     bool  `json:"draining"`
+	Draining       bool    `json:"draining"`
 	// Limited, RequestsPerSecond and RestMS are the rate limit and the pause that a server
 	// has announced.
 	Limited           bool    `json:"limited"`
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -55,8 +55,9 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		return r.endNotSent(ctx, choice, err)
 	}
+	r.retryUnused = false
 	if r.sentAttempts++; r.sentAttempts == 1 {
-		r.options.Budget.CountRequest(r.call.Service, time.Now())
+		r.options.Budget.CountRequest(r.call.Service)
 	}
 	if choice.Candidate && r.options.RollOuts != nil {
 		r.options.RollOuts.RecordExposure(r.call.Service)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -17,7 +17,6 @@
 	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
-	"github.com/plankridge/plankridge/internal/retrybudget"
 	"github.com/plankridge/plankridge/internal/rollout"
 	"github.com/plankridge/plankridge/internal/upstream"
 )
@@ -215,9 +214,12 @@
 // Budget bounds the retries, which are all attempts of a request beyond its first.
 type Budget interface {
 	// CountRequest counts the first attempt of a request.
-	CountRequest(service string, now time.Time)
+	CountRequest(service string)
 	// TryRetry decides whether another attempt is within the budget, and counts it if so.
-	TryRetry(service string, now time.Time) retrybudget.Verdict
+	TryRetry(service string) allowance.Verdict
+	// Refund returns a retry that was not sent. admitted is the time of its admission by the
+	// budget's clock.
+	Refund(service string, admitted time.Time)
 }
 
 // Usage counts the requests that servers began to run.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -18,7 +18,6 @@
 	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
 	"github.com/plankridge/plankridge/internal/request"
-	"github.com/plankridge/plankridge/internal/retrybudget"
 	"github.com/plankridge/plankridge/internal/route"
 	"github.com/plankridge/plankridge/internal/upstream"
 )
@@ -141,8 +140,10 @@
 	// set while the admitted tokens are for a run that has not begun.
 	verdict *allowance.Verdict
 	charged bool
-	// retryVerdict is the latest decision of the retry budget, or nil if none was needed.
-	retryVerdict *retrybudget.Verdict
+	// retryVerdict is the latest decision of the retry budget, or nil if none was needed. retryUnused
+	// is set while the admitted retry has not been sent.
+	retryVerdict *allowance.Verdict
+	retryUnused  bool
 }
 
 // Forward serves a call. It returns nil when a server's answer was forwarded completely, a
@@ -157,6 +158,7 @@
 		r.callerAge = f.options.CallerTimeouts.Age(call.Route.Name, call.CallerTimeout)
 	}
 	err := r.runWithinAllowance(ctx)
+	r.refundRetry()
 	r.recordCall(ctx, err)
 	return err
 }
@@ -295,7 +297,7 @@
 		if refusal := r.chargeRepeat(); refusal != nil {
 			return r.giveUp(ctx, refusal)
 		}
-		if refusal := r.spendRetry(now); refusal != nil {
+		if refusal := r.spendRetry(); refusal != nil {
 			return r.giveUp(ctx, refusal)
 		}
 		choice, ok := r.options.View.Begin(r.need(), now)
@@ -331,19 +333,27 @@
 	}
 }
 
-// spendRetry takes a retry from the budget if the call has been sent before.
-func (r *run) spendRetry(now time.Time) *Refusal {
-	if r.sentAttempts == 0 {
+// spendRetry takes a retry from the budget if the call has been sent before, unless the retry taken
+// last was not sent.
+func (r *run) spendRetry() *Refusal {
+	if r.sentAttempts == 0 || r.retryUnused {
 		return nil
 	}
-	verdict := r.options.Budget.TryRetry(r.call.Service, now)
-	r.retryVerdict = &verdict
+	verdict := r.options.Budget.TryRetry(r.call.Service)
+	r.retryVerdict, r.retryUnused = &verdict, verdict.Admitted
 	if verdict.Admitted {
 		return nil
 	}
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "retry budget is spent", RetryAfter: retryAfterTransient}
 }
 
+// refundRetry returns a retry that was not sent to the budget.
+func (r *run) refundRetry() {
+	if r.retryUnused {
+		r.options.Budget.Refund(r.call.Service, r.retryVerdict.At)
+	}
+}
+
 // refuseNoServer refuses a call for which no server can be picked.
 func (r *run) refuseNoServer(now time.Time) *Refusal {
 	wait, found := r.options.View.RetryAfter(r.need(), now)
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -85,7 +85,8 @@
 			"allowance_drawn", v.ByChance, "allowance_share", v.ReachableShare, "allowance_opened", v.Restored)
 	}
 	if v := r.retryVerdict; v != nil {
-		attrs = append(attrs, "retries_allowed", v.Allowed, "retries_spent", v.Spent, "retries_daemons", v.Daemons, "retries_counted_ms", v.CountedFor.Milliseconds())
+		attrs = append(attrs, "retries_allowed", v.Limit, "retries_spent", v.Used, "retries_free", v.Free, "retries_unreported", v.Unreported,
+			"retries_others_rate", v.OthersDemand, "retries_report_ms", v.ReportAge.Milliseconds(), "retries_drawn", v.ByChance, "retries_reach", v.ReachableShare, "retries_known", v.Restored)
 	}
 	if err != nil {
 		attrs = append(attrs, "reason", err.Error(), "parts", quarantine.FormatDigests(r.fingerprint.Parts))
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -1,11 +1,14 @@
-// Package retrybudget limits how many requests are retried, over all daemons together. Each daemon
-// enforces its own share, and the shares add up to the whole budget. It does no I/O, and callers
-// pass in the current time.
+// Package retrybudget limits how many requests are retried, over all daemons together. Daemons report
+// to each other how many requests and retries they send and follow the sums over a sliding window, so
+// that a daemon may use what others leave, and one that starts learns what was spent before. It does no
+// I/O, and callers pass in the current time and the source of randomness.
 package retrybudget
 
 import (
-	"sync"
+	"strings"
 	"time"
+
+	"github.com/plankridge/plankridge/internal/allowance"
 )
 
 // Bounds is the retry budget of the whole deployment.
@@ -17,143 +20,156 @@
 	Window       time.Duration
 }
 
-// usableShare is the share of the budget that may be used. The rest covers windows that are not
-// aligned with the slices, and daemons that are not known yet.
-const usableShare = 0.75
+const (
+	// usableShare is the share of the budget that daemons use on purpose. The rest covers what they
+	// send before they learn of each other's retries, and retries that arrive later than they are
+	// counted.
+	usableShare = 0.9
+	// toleranceFraction is the rest of the budget, as a share of what is used on purpose.
+	toleranceFraction = 1/usableShare - 1
+)
+
+// Names of accounts in reports and records. The name of the service follows.
+const (
+	retriesPrefix  = "retries/"
+	requestsPrefix = allowance.CounterPrefix + "requests/"
+)
 
-// Budget is one daemon's share of the retry budget. It is safe for concurrent use.
+// Budget is the retry budget as seen by one daemon. It is safe for concurrent use. Peers' reports,
+// partitions and stalls are passed to the embedded limiter.
 type Budget struct {
+	*allowance.Limiter
 	bounds Bounds
-
-	mu sync.Mutex
-	// origin is the first time passed in. Slices are numbered from it, so that a step of the wall
-	// clock has no effect.
-	origin   time.Time
-	daemons  int
-	services map[string]*service
-}
-
-type service struct {
-	requests counter
-	retries  counter
 }
 
 // defaultWindow is used if Bounds.Window is not set.
 const defaultWindow = 10 * time.Second
 
-// New returns a Budget for a single daemon.
-func New(bounds Bounds) *Budget {
+// New returns a Budget. Until it learns what was spent before now, it admits hardly any retries. The
+// function random returns a random number between zero and one.
+func New(bounds Bounds, now time.Time, random func() float64) *Budget {
 	if bounds.Window <= 0 {
 		bounds.Window = defaultWindow
 	}
-	return &Budget{bounds: bounds, daemons: 1, services: map[string]*service{}}
+	tolerance := allowance.Tolerance{Window: bounds.Window, Fraction: toleranceFraction}
+	return &Budget{bounds: bounds, Limiter: allowance.NewLimiter(tolerance, now, random)}
 }
 
-// SetDaemons sets the number of daemons that share ExtraRetries.
-func (b *Budget) SetDaemons(count int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.daemons = max(1, count)
+// AddService makes the budget follow what is reported about a service.
+func (b *Budget) AddService(service string, now time.Time) { b.updateLimit(service, now) }
+
+// updateLimit sets the limit of a service by the requests of the last window, and returns it.
+func (b *Budget) updateLimit(service string, now time.Time) float64 {
+	return b.setLimit(service, b.requests(service, now), now)
 }
 
-func (b *Budget) service(name string) *service {
-	s := b.services[name]
-	if s == nil {
-		s = &service{}
-		b.services[name] = s
+// requests returns the number of requests that justify the retries of the last window. The bound holds
+// for windows that begin at any time and compares their retries with the requests of the same window, of
+// the one before or of the one half a window earlier. Where the rate of requests has changed, all of
+// these may contain fewer requests than the last window.
+func (b *Budget) requests(service string, now time.Time) float64 {
+	counted := func(from, to time.Duration) float64 {
+		return b.Counted(requestsPrefix+service, now.Add(-from), now.Add(-to), now)
+	}
+	window := b.bounds.Window
+	requests := counted(window, 0)
+	for begin := window / requestSteps; begin < window; begin += window / requestSteps {
+		requests = min(requests, max(counted(begin, 0), counted(begin+window/2, max(0, begin-window/2)), counted(begin+window, begin)))
 	}
-	return s
+	return requests
 }
 
-// CountRequest counts the first attempt of a request.
-func (b *Budget) CountRequest(name string, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.service(name).requests.add(b.sliceAt(now))
-}
+// requestSteps is the number of times within a window at which others may begin that are compared.
+const requestSteps = 4
 
-// Verdict is the decision on a retry, with the values that it is based on.
-type Verdict struct {
-	Admitted bool
-	// Allowed is the number of retries that this daemon may send in a window, and Spent the number
-	// that it has sent in the last one.
-	Allowed, Spent float64
-	// Daemons is the number of daemons that share the extra retries.
-	Daemons int
-	// CountedFor is how long this process has counted.
-	CountedFor time.Duration
+func (b *Budget) setLimit(service string, requests float64, now time.Time) float64 {
+	limit := usableShare * (b.bounds.RetryRatio*requests + b.bounds.ExtraRetries)
+	b.SetLimit(retriesPrefix+service, limit, now)
+	return limit
 }
 
-// TryRetry decides whether the budget allows another retry, and counts it if so.
-func (b *Budget) TryRetry(name string, now time.Time) Verdict {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.service(name)
-	slice := b.sliceAt(now)
-	verdict := b.state(s, slice)
-	verdict.CountedFor = now.Sub(b.origin)
-	verdict.Admitted = verdict.Spent+1 <= verdict.Allowed
-	if verdict.Admitted {
-		s.retries.add(slice)
-	}
-	return verdict
-}
+// CountRequest counts the first attempt of a request.
+func (b *Budget) CountRequest(service string, now time.Time) { b.Count(requestsPrefix+service, 1, now) }
 
-func (b *Budget) state(s *service, slice int64) Verdict {
-	requests := float64(s.requests.sum(slice))
-	return Verdict{
-		Allowed: usableShare * (b.bounds.RetryRatio*requests + b.bounds.ExtraRetries/float64(b.daemons)),
-		Spent:   float64(s.retries.sum(slice)), Daemons: b.daemons,
+// TryRetry decides whether the budget allows another retry, and counts it if so.
+func (b *Budget) TryRetry(service string, now time.Time) allowance.Verdict {
+	if limit := b.updateLimit(service, now); limit < 1 {
+		return allowance.Verdict{Limit: limit}
 	}
-}
-
-// States returns what is allowed and spent, by service.
-func (b *Budget) States(now time.Time) map[string]Verdict {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	states := make(map[string]Verdict, len(b.services))
-	for name, s := range b.services {
-		states[name] = b.state(s, b.sliceAt(now))
+	return b.Admit(retriesPrefix+service, 1, now)
+}
+
+// Refund returns a retry that was admitted at the given time and has not been sent.
+func (b *Budget) Refund(service string, admitted time.Time) {
+	b.Limiter.Refund(retriesPrefix+service, 1, admitted)
+}
+
+// Restore sets what was spent before the start. Only the first call has an effect.
+func (b *Budget) Restore(snapshot allowance.Snapshot, now time.Time) {
+	b.addReported(snapshot.Usage, now)
+	snapshot.Demand = b.demandBefore(snapshot)
+	b.Limiter.Restore(snapshot, now)
+}
+
+// maxRetryDemand is the number of retries per request that are assumed to be asked for when servers have
+// just begun to fail: those of routes with three attempts.
+const maxRetryDemand = 2
+
+// demandBefore returns how many retries per second may have been asked for after a snapshot was written.
+// What was recorded is only valid if retries were sent for some time before. Otherwise servers may have
+// begun to fail since.
+func (b *Budget) demandBefore(snapshot allowance.Snapshot) map[string]float64 {
+	demand := map[string]float64{}
+	for account, usage := range snapshot.Usage {
+		service, found := strings.CutPrefix(account, requestsPrefix)
+		if !found {
+			continue
+		}
+		retries := retriesPrefix + service
+		demand[retries] = snapshot.Demand[retries]
+		if earlier := len(usage) - 2; snapshot.Usage[retries][earlier] == 0 {
+			span := allowance.CounterWindows * b.bounds.Window.Seconds() / float64(len(usage))
+			demand[retries] = max(demand[retries], maxRetryDemand*max(usage[earlier], usage[earlier+1])/span)
+		}
 	}
-	return states
+	return demand
 }
 
-// sliceAt returns the number of the slice that contains a time.
-func (b *Budget) sliceAt(now time.Time) int64 {
-	if b.origin.IsZero() {
-		b.origin = now
+// AdoptFromPeer adopts what a peer has counted that has done so for longer.
+func (b *Budget) AdoptFromPeer(usage map[string]allowance.Usage, demand map[string]float64, counted time.Duration, now time.Time) bool {
+	if counted <= b.CountedFor(now) {
+		return false
 	}
-	return int64(now.Sub(b.origin) / (b.bounds.Window / slicesPerWindow))
-}
-
-// slicesPerWindow is the number of slices that a window is divided into.
-const slicesPerWindow = 20
-
-// counter counts events over a sliding window.
-type counter struct {
-	counts    [slicesPerWindow + 1]int
-	lastSlice int64
-}
-
-// sum returns the number of events in the window, which is rounded up to a whole slice.
-func (c *counter) sum(slice int64) int {
-	c.advance(slice)
-	total := 0
-	for _, n := range c.counts {
-		total += n
+	b.addReported(usage, now)
+	return b.Limiter.AdoptFromPeer(usage, demand, counted, now)
+}
+
+// addReported adds the services of which usage is reported, with the limits that follow from it.
+func (b *Budget) addReported(usage map[string]allowance.Usage, now time.Time) {
+	for account := range usage {
+		if service, found := strings.CutPrefix(account, retriesPrefix); found {
+			b.setLimit(service, usage[requestsPrefix+service].Sum(), now)
+		}
+		if service, found := strings.CutPrefix(account, requestsPrefix); found {
+			b.updateLimit(service, now)
+		}
 	}
-	return total
 }
 
-func (c *counter) add(slice int64) {
-	c.advance(slice)
-	c.counts[c.lastSlice%int64(len(c.counts))]++
+// State is the budget of one service.
+type State struct {
+	// Allowed is the number of retries that all daemons may send in a window, and Spent the number
+	// that they have sent in the last one, as far as known.
+	Allowed, Spent float64
 }
 
-func (c *counter) advance(slice int64) {
-	for steps := 0; c.lastSlice < slice && steps < len(c.counts); steps++ {
-		c.lastSlice++
-		c.counts[c.lastSlice%int64(len(c.counts))] = 0
+// States returns the budgets by service.
+func (b *Budget) States(now time.Time) map[string]State {
+	states := map[string]State{}
+	for _, account := range b.Names() {
+		if service, found := strings.CutPrefix(account, retriesPrefix); found {
+			states[service] = State{Allowed: b.updateLimit(service, now), Spent: b.Used(account, now)}
+		}
 	}
-	c.lastSlice = max(c.lastSlice, slice)
+	return states
 }
--- a/internal/router/limiters_test.go
+++ b/internal/router/limiters_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/catalog"
+	"github.com/plankridge/plankridge/internal/retrybudget"
 )
 
 // TestProcessThatStoodStillAsksOthers checks that a stall is detected whatever the process does
@@ -24,7 +25,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				stalls := 0
-				a := newLimiters(allowance.Tolerance{}, slog.New(slog.DiscardHandler), func() { stalls++ })
+				a := newLimiters(allowance.Tolerance{}, retrybudget.Bounds{}, slog.New(slog.DiscardHandler), func() { stalls++ })
 				a.applyCatalog((&catalog.Catalog{Workspaces: []catalog.Workspace{{Name: "w", RatePerSecond: 1000, Burst: 1000}}}).Build())
 				for range 100 {
 					time.Sleep(allowance.StallThreshold / 3)
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -49,7 +49,7 @@
 		s.reportedDaemons, s.reportedDaemonsAt = daemons, now
 	}
 	s.mu.Unlock()
-	s.router.logger.Info("state from before the start restored", "daemons", daemons, "listed", listed, "workspaces", len(snapshot.RecentUses), "services", len(snapshot.EngineEstimates))
+	s.router.logger.Info("state from before the start restored", "daemons", daemons, "listed", listed, "accounts", len(snapshot.RecentUses), "services", len(snapshot.EngineEstimates))
 	return restored
 }
 
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -35,8 +35,8 @@
 	daemonRole       = describe("role", "1 while the daemon has the role.", "role")
 	streamSerial     = describe("stream_assignment_serial", "Serial of the assignment of streams to versions in force; -1 before it is known.")
 	streamBuckets    = describe("stream_buckets", "Buckets of streams by the version at which they begin, and those that move to another.", "service", "version", "state")
-	retriesAllowed   = describe("retries_allowed", "Retries that this daemon may send in a window.", "service")
-	retriesSpent     = describe("retries_spent", "Retries of the last window that count against those that are allowed.", "service")
+	retriesAllowed   = describe("retries_allowed", "Retries that all daemons may send in a window, as far as this one knows.", "service")
+	retriesSpent     = describe("retries_spent", "Retries that all daemons have sent in the last window, as far as this one knows.", "service")
 	rollOutState     = describe("rollout", "1 for the state that the store has of the order to move a service to a version.", "service", "version", "state")
 	rollOutHalted    = describe("rollout_halted", "1 once the version was found to be bad and gets nothing more.", "service", "version")
 	rollOutShare     = describe("rollout_share", "Share of all requests that the holder of the lease asks to be sent to the version; 0 for the share that each daemon keeps by itself.", "service", "version")
@@ -81,7 +81,7 @@
 	gauge(daemonRole, boolValue(plan.Leader), "lead")
 	gauge(daemonRole, boolValue(sc.following.Load()), "follows_store")
 	gauge(daemonRole, boolValue(sc.sentinel.Load()), "sentinel")
-	for service, budget := range sc.retryBudget.States(now) {
+	for service, budget := range sc.state.limiter.retryStates() {
 		gauge(retriesAllowed, budget.Allowed, service)
 		gauge(retriesSpent, budget.Spent, service)
 	}
--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -49,7 +49,6 @@
 		return
 	}
 	s.limiter.setReachable(reach.Reachable, reach.Known)
-	s.router.retryBudget.SetDaemons(reach.Known)
 }
 
 // reportedDaemonsFor is how long the number of daemons that a leader reported is used: as long as a
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,7 +24,6 @@
 	"github.com/plankridge/plankridge/internal/forward"
 	"github.com/plankridge/plankridge/internal/gossip"
 	"github.com/plankridge/plankridge/internal/network"
-	"github.com/plankridge/plankridge/internal/retrybudget"
 	"github.com/plankridge/plankridge/internal/rollout"
 	"github.com/plankridge/plankridge/internal/steady"
 	"github.com/plankridge/plankridge/internal/store"
@@ -95,7 +94,6 @@
 	// unfollowedSince is since when no daemon of the zone is known to follow the store, or zero. It
 	// is used only by watchRole.
 	unfollowedSince time.Time
-	retryBudget     *retrybudget.Budget
 	badObjects      *badObjects
 	// listsDiffer counts the received lists of servers after which the own list still differed from
 	// the peer's.
@@ -135,9 +133,6 @@
 		links:        detour.NewLinks(),
 		detourPeers:  detour.NewPeers(options.Network, insecure.NewCredentials()),
 		members:      gossip.NewMembers(gossip.Identity{VM: s.VM.ID, Zone: s.VM.Zone, Address: s.Listen.Peers}, s.Peers.Seeds),
-		retryBudget: retrybudget.New(retrybudget.Bounds{
-			RetryRatio: s.Bounds.RetryRatio, ExtraRetries: s.Bounds.RetryExtra, Window: s.Bounds.RetryWindow.Std(),
-		}),
 	}
 	r.metrics.MustRegister(collectors.NewGoCollector(), stateCollector{r})
 	r.pool = upstream.NewPool(r.newDialer(options.Network), dialTimeout)
@@ -206,7 +201,7 @@
 		View:            r.state.view,
 		Backend:         platform.NewBackendClient(r.pool),
 		Limiter:         r.state.limiter,
-		Budget:          r.retryBudget,
+		Budget:          retryBudget{r.state.limiter},
 		Usage:           r.state.ledger,
 		Demand:          r.state.demand,
 		CallerTimeouts:  r.state.firstTryLimits,
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -12,6 +12,7 @@
 	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/firsttry"
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
+	"github.com/plankridge/plankridge/internal/retrybudget"
 	"github.com/plankridge/plankridge/internal/rollup"
 	"github.com/plankridge/plankridge/internal/usage"
 	"github.com/plankridge/plankridge/platform"
@@ -105,7 +106,7 @@
 	now := time.Now()
 	view := backend.NewView()
 	view.SetDrainBound(r.settings.Bounds.EffectiveDrainBound())
-	limiter := newLimiters(toleranceOf(r.settings.Bounds), r.logger, r.triggerReport)
+	limiter := newLimiters(toleranceOf(r.settings.Bounds), retryBounds(r.settings.Bounds), r.logger, r.triggerReport)
 	view.SetLimiter(serverLimits{limiter})
 	return &state{
 		router: r, view: view, limiter: limiter, ledger: newLedger(r.settings),
@@ -118,6 +119,10 @@
 	return allowance.Tolerance{Window: b.QuotaWindow.Std(), Fraction: b.QuotaOverShare, Tokens: b.QuotaSlackTokens}
 }
 
+func retryBounds(b config.RouterBounds) retrybudget.Bounds {
+	return retrybudget.Bounds{RetryRatio: b.RetryRatio, ExtraRetries: b.RetryExtra, Window: b.RetryWindow.Std()}
+}
+
 // Catalog returns the configuration in force, or nil.
 func (s *state) Catalog() *catalog.Catalog { return s.catalog.Load() }
 
