--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -48,8 +48,8 @@
 	// partitionedAt is when it fell below one, or zero while all are reachable.
 	reachableShare float64
 	partitionedAt  time.Time
-	// reachKnown is set once it is known which daemons are reachable.
-	reachKnown bool
+	// reachKnown is set once it is known which daemons are reachable, reachedAll once all were.
+	reachKnown, reachedAll bool
 	// alone is set while no other daemon is reachable, once the limiter is settled.
 	alone bool
 	// reachablePeers and knownPeers are the numbers of reachable and of known other daemons.
@@ -94,6 +94,12 @@
 	// assumeOwnDemand is set if other daemons are assumed to have the same demand as this one until
 	// theirs has been measured.
 	assumeOwnDemand bool
+	// assumedSpent is what peers that became reachable again are assumed to have spent before.
+	assumedSpent float64
+	// ownAtReport is the demand at this daemon as of the last report of peers. asked is the total of
+	// all requests at this daemon, and askedAtReport its value then.
+	ownAtReport          smoothedRate
+	asked, askedAtReport float64
 	// counter is set if the account only counts and has no limit. discrete is set if it counts single
 	// requests, of which a daemon's share may be less than one.
 	counter, discrete bool
@@ -196,21 +202,21 @@
 	if known > 0 {
 		reachableShare = min(1, float64(reachable)/float64(known))
 	}
-	l.reachKnown = true
 	l.settled = l.settled || reachableShare >= 1 || now.Sub(l.started) >= settleTimeout
 	l.alone = l.settled && reachable <= 1
 	previous := l.reachablePeerShare()
 	l.reachablePeers, l.knownPeers = max(0, reachable-1), max(0, known-1)
+	for _, a := range l.accounts {
+		l.updateReachable(a, reachableShare, previous-l.reachablePeerShare(), now)
+	}
 	switch {
 	case reachableShare >= 1:
 		l.partitionedAt = time.Time{}
 	case l.settled && l.partitionedAt.IsZero():
 		l.partitionedAt = now
 	}
-	for _, a := range l.accounts {
-		l.updateReachable(a, reachableShare, previous-l.reachablePeerShare(), now)
-	}
 	l.reachableShare = reachableShare
+	l.reachKnown, l.reachedAll = true, l.reachedAll || reachableShare >= 1
 }
 
 // updateReachable updates an account after the share of reachable daemons has changed; lost is the
@@ -225,13 +231,23 @@
 	}
 	if reachableShare > l.reachableShare {
 		a.peers.backlog = true
+		l.assumeSpentByRegained(a, reachableShare, now)
 	}
 	if lost > 0 {
 		a.used.advance(now)
-		a.used.add(a.peers.spending.perSecond*lost*l.reportAge.Seconds(), now)
+		a.used.add(l.unseenSpend(a)*lost, now)
 	}
 }
 
+// unseenSpend returns what all peers may have spent since their last report when they become unreachable.
+// Single requests are asked for in jumps, so that their last rate says little.
+func (l *Limiter) unseenSpend(a *account) float64 {
+	if a.discrete {
+		return a.peers.demand.perSecond * maxExtrapolation.Seconds()
+	}
+	return a.peers.spending.perSecond * l.reportAge.Seconds()
+}
+
 // Admit takes tokens from a workspace's allowance, or returns when enough of them may be available.
 //
 // If the free tokens cover the request and everything that peers may have admitted since their last
@@ -248,6 +264,7 @@
 	}
 	a.used.advance(now)
 	a.ownDemand.add(tokens, now)
+	a.asked += tokens
 	// A request larger than the whole allowance is admitted to an empty window.
 	need := min(tokens, a.limit)
 	free := l.free(a, now) + l.toleranceMargin(a, now)
@@ -255,8 +272,9 @@
 		free -= a.peers.unreportedSpend(now)
 	}
 	verdict := l.newVerdict(a, free, now)
-	verdict.Admitted = need+verdict.Unreported <= free
-	if !verdict.Admitted {
+	exceeds := l.exceedsReportShare(a, free)
+	verdict.Admitted = need+verdict.Unreported <= free && !exceeds
+	if !verdict.Admitted && !exceeds {
 		verdict.ByChance = l.admitByChance(a, need, free, now)
 		verdict.Admitted = verdict.ByChance
 	}
@@ -450,13 +468,14 @@
 			a.peers.reportedAt, a.peers.changedAt, a.spentAtReport = now, now, a.spent
 			continue
 		}
-		spent := r.Counters.Spent[name] - before.Spent[name]
+		spent := a.unassumed(r.Counters.Spent[name] - before.Spent[name])
 		refused := r.Counters.Refused[name] - before.Refused[name]
 		if spent < 0 {
 			a.used.removeNewest(-spent)
 		} else {
 			a.used.add(spent, now)
 		}
+		a.observeOwn(now)
 		if !l.alone {
 			a.peers.observe(spent, refused, l.reachablePeerShare(), now)
 			a.spentAtReport = a.spent
--- a/internal/allowance/counter.go
+++ b/internal/allowance/counter.go
@@ -102,12 +102,46 @@
 // requests counts a process as partitioned until it reaches all daemons: another one that it does not
 // reach yet may use the same requests.
 func (l *Limiter) partitionBegin(a *account) time.Time {
-	if l.partitionedAt.IsZero() && (a.discrete || a.counter) && !l.settled {
+	if (a.discrete || a.counter) && !l.reachedAll {
 		return l.started
 	}
 	return l.partitionedAt
 }
 
+// spentByUnreachable returns what daemons may have used since a partition began that are not reachable:
+// as much as the reachable ones.
+func (l *Limiter) spentByUnreachable(a *account) float64 {
+	begin := l.partitionBegin(a)
+	if begin.IsZero() {
+		return 0
+	}
+	share, usedBefore := l.shareOf(a), a.used.sumBefore(begin)
+	atMost := (1 - share) * max(0, a.limit-usedBefore)
+	return min(atMost, (1/share-1)*(a.used.sum()-usedBefore))
+}
+
+// assumeSpentByRegained counts what daemons may have used that this process reaches for the first time.
+// Their reports do not include it, because they only say what is used from then on.
+func (l *Limiter) assumeSpentByRegained(a *account, reachableShare float64, now time.Time) {
+	if !a.discrete || !l.reachKnown || l.reachedAll {
+		return
+	}
+	a.used.advance(now)
+	regained := (reachableShare - l.reachableShare) / (1 - l.reachableShare)
+	a.assumedSpent = regained * l.spentByUnreachable(a)
+	a.used.add(a.assumedSpent, now)
+}
+
+// unassumed returns the part of reported spending that was not assumed before.
+func (a *account) unassumed(spent float64) float64 {
+	if a.assumedSpent == 0 || spent < 0 {
+		return spent
+	}
+	rest := max(0, spent-a.assumedSpent)
+	a.assumedSpent = 0
+	return rest
+}
+
 // shareOf returns this side's share of an account during a partition. Until it is known which daemons
 // are reachable, the largest deployment is assumed.
 func (l *Limiter) shareOf(a *account) float64 {
--- a/internal/allowance/demand.go
+++ b/internal/allowance/demand.go
@@ -93,3 +93,29 @@
 	}
 	return min(maxExtrapolation, l.reportAge+now.Sub(reportedAt))
 }
+
+// observeOwn averages the demand at this daemon as that of peers is averaged. It must be called with each
+// report, before the time of the report is recorded.
+func (a *account) observeOwn(now time.Time) {
+	if elapsed := now.Sub(a.peers.reportedAt); elapsed > 0 && !a.peers.reportedAt.IsZero() {
+		a.ownAtReport.observe(a.asked-a.askedAtReport, elapsed)
+	}
+	a.askedAtReport = a.asked
+}
+
+// exceedsReportShare reports whether another request would exceed what this daemon may use of the free
+// requests before the next report: a part by its earlier share of the demand, over the time for which
+// others do not learn of it. When servers begin to fail, the demand for retries jumps at all daemons at
+// once, and their earlier shares add up to one. A part of less than one request is left to chance.
+func (l *Limiter) exceedsReportShare(a *account, free float64) bool {
+	if !a.discrete || l.alone {
+		return false
+	}
+	share := 1 / float64(l.competingPeers()+1)
+	if total := a.ownAtReport.perSecond + a.peers.demand.perSecond; total > 0 {
+		share = max(share, a.ownAtReport.perSecond/total)
+	}
+	spent := a.spent - a.spentAtReport
+	part := share * (free + spent) * l.reportInterval.Seconds() / (l.reportAge + l.reportInterval).Seconds()
+	return part >= 1 && spent+1 > part
+}
--- a/internal/allowance/snapshot.go
+++ b/internal/allowance/snapshot.go
@@ -143,6 +143,9 @@
 	for name, a := range l.accounts {
 		a.used.advance(now)
 		recent := a.used.usage()
+		if a.discrete {
+			recent[spanCount-1] += l.spentByUnreachable(a)
+		}
 		if !a.counter {
 			recent[spanCount-1] += max(0, min(l.unreported(a, now), a.limit-a.used.sum()))
 		}
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -24,7 +24,7 @@
 	// usableShare is the share of the budget that daemons use on purpose. The rest covers what they
 	// send before they learn of each other's retries, and retries that arrive later than they are
 	// counted.
-	usableShare = 0.9
+	usableShare = 0.92
 	// toleranceFraction is the rest of the budget, as a share of what is used on purpose.
 	toleranceFraction = 1/usableShare - 1
 )
