--- a/robustness/soak/callers_test.go
+++ b/robustness/soak/callers_test.go
@@ -42,6 +42,8 @@
 	ending []outcome
 	// worstWindow is the most that a window got of the allowance, as a share of what it may get.
 	worstWindow float64
+	// worstRetries is the largest share of a retry budget that a window has used.
+	worstRetries float64
 }
 
 const (
@@ -210,6 +212,7 @@
 		found = append(found, o.broken(runs[o.id])...)
 	}
 	found = append(found, c.overAllowance()...)
+	found = append(found, c.overRetryBudget()...)
 	return append(found, c.d.cloud.Violations()...)
 }
 
--- a/robustness/soak/faults_test.go
+++ b/robustness/soak/faults_test.go
@@ -96,6 +96,7 @@
 		time.Sleep(awayFor)
 		d.comeBack(s)
 	}},
+	{"servers lose answers", func(d *deployment, r *rand.Rand, lasts time.Duration) { d.loseAnswers(r, lasts) }},
 	{"configuration changes", func(d *deployment, _ *rand.Rand, lasts time.Duration) {
 		d.configure(false)
 		time.Sleep(lasts)
--- a/robustness/soak/soak_test.go
+++ b/robustness/soak/soak_test.go
@@ -58,8 +58,8 @@
 		}
 	}
 	c.Check(served > 0, qt.IsTrue)
-	t.Logf("seed %d: %d requests, %d served whole, %d broken promises, %.3f of the allowance in the worst window",
-		seed, len(callers.outcomes), served, len(broken), callers.worstWindow)
+	t.Logf("seed %d: %d requests, %d served whole, %d broken promises, %.3f of the allowance and %.3f of the retry budget in the worst windows",
+		seed, len(callers.outcomes), served, len(broken), callers.worstWindow, callers.worstRetries)
 	for _, name := range slices.Sorted(maps.Keys(counts)) {
 		t.Logf("  %2d x %s", counts[name], name)
 	}
