Restore the retry budget the same way whatever the order of the record's accounts

The limit that bounds what is assumed after a record was set from the requests of the record or from those counted so far, none, depending on which account of the map came first.

--- a/internal/allowance/counter.go
+++ b/internal/allowance/counter.go
@@ -40,6 +40,13 @@
 	return slices.Sorted(maps.Keys(l.accounts))
 }
 
+// Open creates an account that is not part of the configuration, so that the limiter follows its usage.
+func (l *Limiter) Open(name string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.account(name, now)
+}
+
 // Used returns the tokens that an account has used in the last window, as far as known.
 func (l *Limiter) Used(name string, now time.Time) float64 {
 	l.mu.Lock()
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -147,11 +147,13 @@
 // addReported adds the services of which usage is reported, with the limits that follow from it.
 func (b *Budget) addReported(usage map[string]allowance.Usage, now time.Time) {
 	for account := range usage {
-		if service, found := strings.CutPrefix(account, retriesPrefix); found {
-			b.setLimit(service, usage[requestsPrefix+service].Sum(), now)
+		service, found := strings.CutPrefix(account, retriesPrefix)
+		if !found {
+			service, found = strings.CutPrefix(account, requestsPrefix)
 		}
-		if service, found := strings.CutPrefix(account, requestsPrefix); found {
-			b.updateLimit(service, now)
+		if found {
+			b.Open(requestsPrefix+service, now)
+			b.setLimit(service, usage[requestsPrefix+service].Sum(), now)
 		}
 	}
 }
