--- a/robustness/onplatform/retries_test.go
+++ b/robustness/onplatform/retries_test.go
@@ -303,6 +303,9 @@
 	},
 }
 
+// retryTroublesWithRace are those that are played under the race detector too.
+var retryTroublesWithRace = []string{"all die three times", "24 starts in series"}
+
 // acrossAll does something to each pair of daemons.
 func (l *leavingBed) acrossAll(do func(one, other string)) {
 	for i, one := range l.daemons {
@@ -339,6 +342,9 @@
 // TestRetryBudgetBesideStartsAndDeaths guards against daemons that start with a retry budget that others have spent.
 func TestRetryBudgetBesideStartsAndDeaths(t *testing.T) {
 	for name, trouble := range retryTroubles {
+		if raceDetector && !slices.Contains(retryTroublesWithRace, name) {
+			continue
+		}
 		for _, rate := range []float64{16, 50} {
 			p := retryPlay{daemons: 8, rate: rate, trouble: trouble}
 			t.Run(fmt.Sprintf("%s, %v a second", name, rate), p.run)
