--- /dev/null
+++ b/internal/forward/charge.go
@@ -0,0 +1,80 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/catalog"
+)
+
+// runWithinAllowance runs the call if its workspace's allowance admits it.
+func (r *run) runWithinAllowance(ctx context.Context) error {
+	if refusal := r.checkQuarantine(time.Now()); refusal != nil {
+		return r.giveUp(ctx, refusal)
+	}
+	w := r.workspace()
+	if w == nil || w.RatePerSecond == 0 {
+		return r.runAttempts(ctx)
+	}
+	cost := r.call.tokenCost(w)
+	r.cost = cost
+	verdict := r.options.Limiter.Admit(w.Name, cost)
+	r.verdict = &verdict
+	if !verdict.Admitted {
+		return &Refusal{Status: http.StatusTooManyRequests, Reason: reasonAboveAllowance, RetryAfter: verdict.RetryAfter}
+	}
+	r.charged = true
+	err := r.runAttempts(ctx)
+	if r.charged {
+		r.options.Limiter.Refund(w.Name, cost, r.verdict.At)
+	}
+	return err
+}
+
+const reasonAboveAllowance = "workspace is above its allowance"
+
+// chargeRepeat charges another run of the call to its workspace's allowance, unless the
+// previous charge is still unused.
+func (r *run) chargeRepeat() *Refusal {
+	if r.verdict == nil || r.charged {
+		return nil
+	}
+	verdict := r.options.Limiter.AdmitRetry(r.call.Workspace, r.cost)
+	r.verdict = &verdict
+	if !verdict.Admitted {
+		return &Refusal{Reason: reasonAboveAllowance}
+	}
+	r.charged = true
+	return nil
+}
+
+// spendRetry takes a retry from the budget if the call has been sent before, unless the retry taken
+// last was not sent.
+func (r *run) spendRetry() *Refusal {
+	if r.sentAttempts == 0 || r.retryUnused {
+		return nil
+	}
+	verdict := r.options.Budget.TryRetry(r.call.Service)
+	r.retryVerdict, r.retryUnused = &verdict, verdict.Admitted
+	if verdict.Admitted {
+		return nil
+	}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "retry budget is spent", RetryAfter: retryAfterTransient}
+}
+
+// refundRetry returns a retry that was not sent to the budget.
+func (r *run) refundRetry() {
+	if r.retryUnused {
+		r.options.Budget.Refund(r.call.Service, r.retryVerdict.At)
+	}
+}
+
+func (r *run) workspace() *catalog.Workspace {
+	for i := range r.call.Catalog.Workspaces {
+		if w := &r.call.Catalog.Workspaces[i]; w.Name == r.call.Workspace {
+			return w
+		}
+	}
+	return nil
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,7 +12,6 @@
 
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
-	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/firsttry"
 	"github.com/plankridge/plankridge/internal/pace"
 	"github.com/plankridge/plankridge/internal/quarantine"
@@ -179,47 +178,6 @@
 // mayHaveRun reports whether any attempt may have run.
 func (r *run) mayHaveRun() bool { return r.lifecycle.Outcome() != request.OutcomeNotRun }
 
-// runWithinAllowance runs the call if its workspace's allowance admits it.
-func (r *run) runWithinAllowance(ctx context.Context) error {
-	if refusal := r.checkQuarantine(time.Now()); refusal != nil {
-		return r.giveUp(ctx, refusal)
-	}
-	w := r.workspace()
-	if w == nil || w.RatePerSecond == 0 {
-		return r.runAttempts(ctx)
-	}
-	cost := r.call.tokenCost(w)
-	r.cost = cost
-	verdict := r.options.Limiter.Admit(w.Name, cost)
-	r.verdict = &verdict
-	if !verdict.Admitted {
-		return &Refusal{Status: http.StatusTooManyRequests, Reason: reasonAboveAllowance, RetryAfter: verdict.RetryAfter}
-	}
-	r.charged = true
-	err := r.runAttempts(ctx)
-	if r.charged {
-		r.options.Limiter.Refund(w.Name, cost, r.verdict.At)
-	}
-	return err
-}
-
-const reasonAboveAllowance = "workspace is above its allowance"
-
-// chargeRepeat charges another run of the call to its workspace's allowance, unless the
-// previous charge is still unused.
-func (r *run) chargeRepeat() *Refusal {
-	if r.verdict == nil || r.charged {
-		return nil
-	}
-	verdict := r.options.Limiter.AdmitRetry(r.call.Workspace, r.cost)
-	r.verdict = &verdict
-	if !verdict.Admitted {
-		return &Refusal{Reason: reasonAboveAllowance}
-	}
-	r.charged = true
-	return nil
-}
-
 // checkQuarantine refuses a call that crashes the servers that run it.
 func (r *run) checkQuarantine(now time.Time) *Refusal {
 	if r.options.Quarantine == nil {
@@ -273,15 +231,6 @@
 	}, quarantine.LostRequest{Fingerprint: r.fingerprint, SentAt: sent}, result.serverRestarted, at)
 }
 
-func (r *run) workspace() *catalog.Workspace {
-	for i := range r.call.Catalog.Workspaces {
-		if w := &r.call.Catalog.Workspaces[i]; w.Name == r.call.Workspace {
-			return w
-		}
-	}
-	return nil
-}
-
 // runAttempts makes attempts until the call has an answer or must be given up.
 func (r *run) runAttempts(ctx context.Context) error {
 	ctx, cancel := context.WithDeadlineCause(ctx, r.call.Deadline(), errTimeout)
@@ -333,27 +282,6 @@
 	}
 }
 
-// spendRetry takes a retry from the budget if the call has been sent before, unless the retry taken
-// last was not sent.
-func (r *run) spendRetry() *Refusal {
-	if r.sentAttempts == 0 || r.retryUnused {
-		return nil
-	}
-	verdict := r.options.Budget.TryRetry(r.call.Service)
-	r.retryVerdict, r.retryUnused = &verdict, verdict.Admitted
-	if verdict.Admitted {
-		return nil
-	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "retry budget is spent", RetryAfter: retryAfterTransient}
-}
-
-// refundRetry returns a retry that was not sent to the budget.
-func (r *run) refundRetry() {
-	if r.retryUnused {
-		r.options.Budget.Refund(r.call.Service, r.retryVerdict.At)
-	}
-}
-
 // refuseNoServer refuses a call for which no server can be picked.
 func (r *run) refuseNoServer(now time.Time) *Refusal {
 	wait, found := r.options.View.RetryAfter(r.need(), now)
