--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -343,7 +343,7 @@
 	switch {
 	case r.sentAttempts == 0 && r.unsentAttempts < maxUnreachable:
 		return nil
-	case r.sentAttempts == 0:
+	case r.unsentAttempts >= maxUnreachable:
 		refusal.Reason = "no backend server could be reached"
 	case errors.Is(r.lifecycle.MayDispatch(), request.ErrMayHaveRun):
 		refusal.Reason = "an earlier attempt may have run"
