Watch again from before revisions that came without changes

The daemons' lines: all six hold a list of servers that left 8 s ago and refuse every request of that service ("service has no backend server"). Cause: watches that time out while they hear nothing return a later revision without its changes. The sentinel, which waits 0.4 to 1 s, then watched from there: the changes were lost, and because its revision is always the latest the other daemons replaced their right lists by its own. Now a revision without changes is watched from once it has been known for 5 s, so the next watch returns what was missed, or learns that the history is gone. No call is added. TestServersBehindDeafWatches (all 6 daemons used the removed server for good) and TestChangesDuringDeafWatchesAreApplied failed first.

--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -15,6 +15,9 @@
 	maxRetryDelay = time.Second
 	// maxAnswerDelay is the assumed upper bound for the transit time of a watch's answer.
 	maxAnswerDelay = 100 * time.Millisecond
+	// watchOverlap is how long a revision that came without changes has to be known before watches begin
+	// there. A watch that hears nothing may miss the changes before the revision that it returns.
+	watchOverlap = 5 * time.Second
 )
 
 // Consumer receives the objects of a kind and their changes.
@@ -37,7 +40,9 @@
 	consumer Consumer
 	logger   *slog.Logger
 	// next is the revision to watch from; zero asks for a list.
-	next   int64
+	next int64
+	// quiet is a later revision that a watch has returned without changes.
+	quiet  quietRevision
 	failed bool
 	// asOf is the earliest time at which the store can have produced the last answer.
 	asOf time.Time
@@ -145,6 +150,7 @@
 	if f.next == 0 {
 		return f.list(ctx)
 	}
+	begun := time.Now()
 	changes, err := f.store.Watch(watchCtx, f.kind, f.next, f.options.WatchTimeout())
 	switch {
 	case errors.Is(err, ErrCompacted):
@@ -160,10 +166,13 @@
 		return err
 	}
 	f.asOf = time.Now().Add(-maxAnswerDelay)
-	if len(changes.Events) > 0 {
+	f.changed = len(changes.Events) > 0
+	if f.changed {
 		f.consumer.Apply(changes.Events, changes.Revision)
+		f.next, f.quiet = changes.Revision, quietRevision{}
+	} else {
+		f.advanceQuietly(changes.Revision, begun, time.Now())
 	}
-	f.next, f.changed = changes.Revision, len(changes.Events) > 0
 	if changes.SkippedEvents > 0 {
 		// The list shows which objects are affected: they are missing there.
 		f.logger.Warn("watch events cannot be decoded, listing again", "kind", f.kind, "events", changes.SkippedEvents, "revision", f.next)
@@ -172,6 +181,28 @@
 	return nil
 }
 
+// quietRevision is a revision of the store that a watch has returned without changes, and when.
+type quietRevision struct {
+	revision int64
+	at       time.Time
+}
+
+// advanceQuietly advances the revision to watch from after a watch that has returned no changes.
+func (f *Follower) advanceQuietly(revision int64, begun, now time.Time) {
+	if now.Sub(begun) >= watchOverlap {
+		// An overlap that is added to a long watch would reach beyond the history of the store.
+		f.next, f.quiet = revision, quietRevision{}
+		return
+	}
+	if f.quiet.at.IsZero() {
+		f.quiet = quietRevision{revision: revision, at: now}
+		return
+	}
+	if now.Sub(f.quiet.at) >= watchOverlap {
+		f.next, f.quiet = f.quiet.revision, quietRevision{revision: revision, at: now}
+	}
+}
+
 // delayNextPoll waits for BatchDelay after changes, so that the next watch returns
 // several at once. The consumer has already received the earlier ones.
 func (f *Follower) delayNextPoll(ctx context.Context) {
@@ -197,7 +228,7 @@
 		f.logger.Warn("list objects cannot be decoded", "kind", f.kind, "objects", page.SkippedObjects, "revision", page.Revision)
 	}
 	f.consumer.Replace(page, f.failed)
-	f.next, f.asOf = page.Revision, start
+	f.next, f.quiet, f.asOf = page.Revision, quietRevision{}, start
 	return nil
 }
 
--- a/internal/store/follow_test.go
+++ b/internal/store/follow_test.go
@@ -112,3 +112,43 @@
 		})
 	}
 }
+
+// deafStore has one change at revision 2. Its watches do not return it before they hear again.
+type deafStore struct {
+	Store
+	hearsAt  time.Time
+	watched  []int64
+	revision int64
+}
+
+func (s *deafStore) List(context.Context, string) (Page, error) {
+	return Page{Revision: 1}, nil
+}
+
+func (s *deafStore) Watch(_ context.Context, _ string, after int64, wait time.Duration) (Changes, error) {
+	s.watched = append(s.watched, after)
+	if after < 2 && !time.Now().Before(s.hearsAt) {
+		return Changes{Events: []Event{{Object: Object{Name: "a", Revision: 2}}}, Revision: s.revision}, nil
+	}
+	time.Sleep(wait)
+	s.revision++
+	return Changes{Revision: s.revision}, nil
+}
+
+// TestChangesDuringDeafWatchesAreApplied guards against changes that are lost because watches return none of
+// them and a later revision.
+func TestChangesDuringDeafWatchesAreApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		deaf := &deafStore{hearsAt: time.Now().Add(3 * time.Second), revision: 2}
+		consumer := &recordingConsumer{}
+		f := NewFollower(deaf, "kind", consumer, slog.New(slog.DiscardHandler), FollowOptions{
+			WatchTimeout: func() time.Duration { return 400 * time.Millisecond }, OnCompacted: func() {},
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		f.Run(ctx)
+		c.Check(consumer.applied, qt.HasLen, 1)
+		c.Check(deaf.watched[len(deaf.watched)-1] > 50, qt.IsTrue, qt.Commentf("the revision does not advance: %v", deaf.watched))
+	})
+}
--- a/robustness/onplatform/store_test.go
+++ b/robustness/onplatform/store_test.go
@@ -45,6 +45,36 @@
 	})
 }
 
+// writeOthers writes an object of another kind again and again, so that the revision advances.
+func (b *bed) writeOthers(lasts time.Duration) {
+	const every = 50 * time.Millisecond
+	for n := range int(lasts / every) {
+		b.store.Put("others", "a", n)
+		time.Sleep(every)
+	}
+}
+
+// TestServersBehindDeafWatches guards against servers that stay unknown because the watches of some daemons
+// ended without the change while the store's revision advanced.
+func TestServersBehindDeafWatches(t *testing.T) {
+	for _, deaf := range []time.Duration{time.Second, 3 * time.Second} {
+		t.Run(deaf.String(), func(t *testing.T) {
+			run(t, 6, twoKeys, func(b *bed) {
+				b.store.BlockWatches(true)
+				added := b.addServer("i-2", plain, &fake.Server{})
+				b.store.Remove("servers", "i-1")
+				b.writeOthers(deaf)
+				b.store.BlockWatches(false)
+				b.writeOthers(inForce)
+				for i := range b.daemons {
+					b.Check(b.send(call{method: "GET", path: "/a/x", key: testKey, to: i}).status, qt.Equals, 200, qt.Commentf("daemon %d", i))
+				}
+				b.Check(added.Arrivals(), qt.HasLen, len(b.daemons), qt.Commentf("a daemon uses the server that is gone"))
+			})
+		})
+	}
+}
+
 // TestRevokedKeyWhereStoreRefuses: a daemon that the store does not answer
 // learns of a revoked key from its peers.
 func TestRevokedKeyWhereStoreRefuses(t *testing.T) {
