Give our own interface a retry budget over all daemons

What callers saw: where engines decline, each daemon sent a request again until its time was over. Cause: attempts were bounded for each request only. Now each daemon uses a part that adds up by construction (retrybudget.Share): the ratio of its own requests, as retries that last a second, and an equal part of the extra, earned over two windows. What is not allowed waits, since the request is accepted; what leaving servers and daemons move counts and is not held back.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -102,6 +102,29 @@
 	c.Check(err, qt.ErrorMatches, `(?s)s.yaml:1:1: peers: set tls.*s.yaml:4:42: platform.token: file and env contradict.*s.yaml:5:10: limits.body_bytes: must be.*`)
 }
 
+// TestSettingsOfTheRetryBudget guards against budgets that mean nothing.
+func TestSettingsOfTheRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	valid := `
+daemon: {id: a, zone: z}
+listen: {callers: "127.0.0.1:1", peers: "127.0.0.1:2", operators: "127.0.0.1:3"}
+platform: {objects: u, vms: u, cloud: u}
+peers: {plaintext: true}
+`
+	settings, err := ParseSettings("s.yaml", []byte(valid+"limits: {retry_ratio: 0, extra_retries: 0, retry_window: 1s}\n"))
+	c.Assert(err, qt.IsNil)
+	c.Check(settings.Limits.ExtraRetries, qt.Equals, 0.0)
+	for limits, fault := range map[string]string{
+		"retry_ratio: -0.1": "limits.retry_ratio: must not be negative",
+		"extra_retries: -1": "limits.extra_retries: must not be negative",
+		"retry_ratio: .nan": "limits.retry_ratio: want a number",
+		"retry_window: 0s":  "limits.retry_window: must be between 1s and 10m0s",
+	} {
+		_, err := ParseSettings("s.yaml", []byte(valid+"limits: {"+limits+"}\n"))
+		c.Check(err, qt.ErrorMatches, "(?s)s.yaml:6:.*"+fault+".*")
+	}
+}
+
 // TestEditedSampleNeverPanics loads a sample file with random single-byte edits.
 func TestEditedSampleNeverPanics(t *testing.T) {
 	sample, err := os.ReadFile("../../examples/ndiaye/services.yaml")
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -72,6 +72,9 @@
 			MaxRequestTime:      Duration(10 * time.Minute),
 			AttemptIdleTimeout:  Duration(60 * time.Second),
 			PlainAttemptTimeout: Duration(30 * time.Second),
+			RetryRatio:          0.2,
+			ExtraRetries:        50,
+			RetryWindow:         Duration(10 * time.Second),
 		},
 		Drain: Drain{Delay: Duration(3 * time.Second)},
 	}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"strings"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -112,6 +113,11 @@
 	AttemptIdleTimeout Duration `yaml:"try_timeout"`
 	// PlainAttemptTimeout is the longest duration of one attempt at a plain service.
 	PlainAttemptTimeout Duration `yaml:"plain_try_limit"`
+	// RetryRatio and ExtraRetries are how often the requests of a service may be retried by all daemons
+	// together in each RetryWindow: RetryRatio for each request, and ExtraRetries more.
+	RetryRatio   float64  `yaml:"retry_ratio"`
+	ExtraRetries float64  `yaml:"extra_retries"`
+	RetryWindow  Duration `yaml:"retry_window"`
 }
 
 // Drain configures how a daemon shuts down.
@@ -168,4 +174,22 @@
 			findings.Addf(source.Place(path), "%s: must be greater than zero", path)
 		}
 	}
+	s.Limits.checkRetries(source, findings)
+}
+
+// minRetryWindow and maxRetryWindow bound the window of the retry budget.
+const (
+	minRetryWindow = time.Second
+	maxRetryWindow = 10 * time.Minute
+)
+
+func (l *RequestLimits) checkRetries(source *strictyaml.Source, findings *finding.List) {
+	for path, number := range map[string]float64{"limits.retry_ratio": l.RetryRatio, "limits.extra_retries": l.ExtraRetries} {
+		if number < 0 {
+			findings.Addf(source.Place(path), "%s: must not be negative", path)
+		}
+	}
+	if window := l.RetryWindow.Std(); window < minRetryWindow || window > maxRetryWindow {
+		findings.Addf(source.Place("limits.retry_window"), "limits.retry_window: must be between %s and %s", minRetryWindow, maxRetryWindow)
+	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -33,6 +34,8 @@
 	"github.com/plankridge/plankridge/internal/plain"
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/retrybudget"
+	"github.com/plankridge/plankridge/internal/steady"
 	"github.com/plankridge/plankridge/internal/store"
 	"github.com/plankridge/plankridge/internal/vmlist"
 	"github.com/plankridge/plankridge/platform"
@@ -58,6 +61,7 @@
 	cloud       *cloud.Client
 	registry    *discovery.Registry
 	limiter     *limit.Limiter
+	retries     *retrybudget.Share
 	follower    *generation.Follower
 	dispatcher  *dispatch.Dispatcher
 	burn        *burn.Recorder
@@ -86,6 +90,10 @@
 		limiter:  limit.NewLimiter(),
 		burn:     burn.NewRecorder(),
 	}
+	limits := options.Settings.Limits
+	d.retries = retrybudget.NewShare(retrybudget.Bounds{
+		RetryRatio: limits.RetryRatio, ExtraRetries: limits.ExtraRetries, Window: limits.RetryWindow.Std(),
+	}, steady.Now(), rand.Float64)
 	d.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	if err := d.listen(options.Network); err != nil {
 		d.closeListeners()
@@ -171,6 +179,7 @@
 		Replicator:      d.mesh,
 		Burn:            d.burn,
 		Quarantine:      d.quarantine,
+		Retries:         d.retries,
 		Dial:            options.Network.Dial,
 		OnAdviceChanged: func() { d.mesh.TriggerHeartbeats() },
 		Logger:          d.logger,
@@ -196,6 +205,7 @@
 	d.registry.OnDaemonsChange(func(daemons []vmlist.VM, revision int64) {
 		d.mesh.SetDaemons(daemons, revision)
 		d.limiter.SetDaemons(len(daemons))
+		d.retries.SetDaemons(len(daemons), steady.Now())
 	})
 	d.buildServers(operatorToken)
 	return nil
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -54,7 +54,7 @@
 	case errors.Is(err, plain.ErrForeignAnswer):
 		d.metrics.mismatched.Inc()
 	}
-	return result{step: request.StepLost, connBroken: ctx.Err() == nil}
+	return result{step: request.StepLost, connBroken: ctx.Err() == nil, evacuated: isEvacuated(ctx)}
 }
 
 const (
@@ -87,6 +87,9 @@
 	}
 }
 
+// isEvacuated reports whether an attempt was cancelled because its server must be evacuated.
+func isEvacuated(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEvacuated) }
+
 func (d *Dispatcher) tryModel(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -115,6 +118,7 @@
 	}
 	failure := modelFailure(err)
 	failure.connBroken = failure.step == request.StepLost && ctx.Err() == nil
+	failure.evacuated = isEvacuated(ctx)
 	return failure
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -24,6 +24,7 @@
 	"github.com/plankridge/plankridge/internal/prefix"
 	"github.com/plankridge/plankridge/internal/quarantine/watch"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/retrybudget"
 	"github.com/plankridge/plankridge/internal/route"
 )
 
@@ -41,6 +42,8 @@
 	// Quarantine blocks requests that crash servers. If nil, the dispatcher uses its own,
 	// which receives no reports from other daemons.
 	Quarantine *watch.Watcher
+	// Retries is this daemon's share of the retry budgets of the services.
+	Retries *retrybudget.Share
 	// Dial opens a connection to a server, to check whether a process listens there.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnAdviceChanged is called when advice in an answer has changed a server's state. It may be nil.
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -54,6 +54,9 @@
 	// firstToken is the time from acceptance to the first token. Only the goroutine of the
 	// running attempt uses it.
 	firstToken time.Duration
+	// retries is what the attempts mean for the retry budget. Only the goroutine of the running
+	// attempt uses it.
+	retries retryHistory
 	// prepare runs before the first attempt.
 	prepare func(context.Context) error
 
--- a/internal/dispatch/metrics.go
+++ b/internal/dispatch/metrics.go
@@ -17,6 +17,8 @@
 	violations    prometheus.Counter
 	heldBytes     prometheus.Gauge
 	uncopied      prometheus.Counter
+	// delayedRetries counts the times that a retry had to wait for the retry budget.
+	delayedRetries *prometheus.CounterVec
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -54,7 +56,10 @@
 	m.uncopied = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "plankridge_uncopied_requests_total", Help: "Times that no daemon took the copy of a request.",
 	})
-	registerer.MustRegister(m.uncopied, m.requests, m.attempts, m.inFlight, m.firstToken, m.betweenTokens,
+	m.delayedRetries = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "plankridge_delayed_retries_total", Help: "Times that a retry had to wait for the retry budget, by service.",
+	}, []string{"service"})
+	registerer.MustRegister(m.uncopied, m.delayedRetries, m.requests, m.attempts, m.inFlight, m.firstToken, m.betweenTokens,
 		m.promptTokens, m.mismatched, m.violations, m.heldBytes)
 	return m
 }
--- a/internal/dispatch/replicate.go
+++ b/internal/dispatch/replicate.go
@@ -206,11 +206,21 @@
 	}
 }
 
-// Adopt makes this daemon the owner of a request that another daemon accepted. Adopting a
-// request again has no effect.
+// Adopt makes this daemon the owner of a request of a daemon that is dead. Adopting a request again
+// has no effect.
 func (d *Dispatcher) Adopt(spec request.Spec, tokens []string) error {
+	return d.own(spec, tokens, retryHistory{counted: true, sent: true})
+}
+
+// TakeOver is like Adopt, for a request of a daemon that leaves.
+func (d *Dispatcher) TakeOver(spec request.Spec, tokens []string) error {
+	return d.own(spec, tokens, retryHistory{counted: true, sent: true, moving: true})
+}
+
+// own makes this daemon the owner of a request that another daemon accepted.
+func (d *Dispatcher) own(spec request.Spec, tokens []string, retries retryHistory) error {
 	flight := newFlight(spec)
-	flight.tokens = tokens
+	flight.tokens, flight.retries = tokens, retries
 	if spec.Key != nil && d.options.PrepareKeyed != nil {
 		flight.prepare = d.options.PrepareKeyed(spec)
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -13,6 +13,7 @@
 	"github.com/plankridge/plankridge/internal/discovery"
 	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/route"
+	"github.com/plankridge/plankridge/internal/steady"
 )
 
 const (
@@ -30,6 +31,8 @@
 	connBroken bool
 	// last is the last event of the answer if step is StepAnswer.
 	last Event
+	// evacuated is set if the attempt was cancelled because its server leaves.
+	evacuated bool
 	// fatal is set if no further attempt can succeed.
 	fatal *request.Failure
 }
@@ -61,7 +64,13 @@
 			d.awaitServerChange(ctx, round)
 			continue
 		}
-		if d.attempt(ctx, flight, choice, slot) {
+		charge, allowed := d.chargeAttempt(flight, steady.Now())
+		if !allowed {
+			slot.Release(false, time.Now())
+			d.waitBackoff(ctx, round)
+			continue
+		}
+		if d.attempt(ctx, flight, choice, slot, charge) {
 			return
 		}
 		tried[choice.Server.ID] = true
@@ -129,16 +138,18 @@
 }
 
 // attempt makes one attempt and reports whether the request has ended.
-func (d *Dispatcher) attempt(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) bool {
+func (d *Dispatcher) attempt(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot, charge attemptCharge) bool {
 	if !flight.spec.Idempotent() {
 		d.permit(ctx, flight)
 	}
 	if ctx.Err() != nil {
 		slot.Release(false, time.Now())
+		d.refundCharge(flight, charge)
 		return false
 	}
 	if err := flight.step(request.StepDispatch); err != nil {
 		slot.Release(false, time.Now())
+		d.refundCharge(flight, charge)
 		d.violated(flight, err)
 		d.giveUp(flight, err)
 		return true
@@ -153,6 +164,7 @@
 	failed := outcome.step != request.StepAnswer && ctx.Err() == nil
 	ended := time.Now()
 	slot.Release(failed, ended)
+	d.settleCharge(flight, charge, outcome)
 	if outcome.connBroken {
 		d.reportBroken(flight, choice.Server, sent, ended)
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -162,7 +162,7 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
-	if err := s.dispatcher.Adopt(spec, in.GetTokens()); err != nil {
+	if err := s.dispatcher.TakeOver(spec, in.GetTokens()); err != nil {
 		return nil, status.Error(codes.FailedPrecondition, err.Error())
 	}
 	s.mesh.copies.Release(spec.ID)
--- a/robustness/advice_test.go
+++ b/robustness/advice_test.go
@@ -211,6 +211,12 @@
 			asking.Go(func() { b.chat() })
 			time.Sleep(adviceEach)
 		}
+		// Each engine declines a request of each daemon, so that all of them rest.
+		for range 2 * len(engines) * len(b.d.Nodes) {
+			b.client.CloseIdleConnections()
+			asking.Go(func() { b.chat() })
+			time.Sleep(adviceEach / 20)
+		}
 		for _, engine := range engines {
 			early := withinRests(engine.Declined(), 3*time.Second)
 			b.Check(early <= 2, qt.IsTrue, qt.Commentf("%d of %d requests within rests", early, len(engine.Declined())))
--- a/robustness/bed_test.go
+++ b/robustness/bed_test.go
@@ -110,9 +110,7 @@
 
 // call sends a request and returns the answer with its whole body.
 func (b *bed) call(method, url, workspace, body string, header ...string) (*http.Response, string) {
-	req, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewBufferString(body))
-	b.Assert(err, qt.IsNil)
-	req.Header.Set("Authorization", "Bearer "+examples.SampleKey(workspace))
+	req := b.request(method, url, workspace, body)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
@@ -124,6 +122,14 @@
 	return resp, string(raw)
 }
 
+// request returns a request of a workspace.
+func (b *bed) request(method, url, workspace, body string) *http.Request {
+	req, err := http.NewRequestWithContext(context.Background(), method, url, bytes.NewBufferString(body))
+	b.Assert(err, qt.IsNil)
+	req.Header.Set("Authorization", "Bearer "+examples.SampleKey(workspace))
+	return req
+}
+
 // replayDay replays a recorded day; meanwhile faults may happen.
 func (b *bed) replayDay(name string, meanwhile func()) *replay.Summary {
 	file, err := os.Open("../testdata/traces/" + name + ".jsonl")
