Count what peers of a workspace admit when their reports do not arrive

Cause: daemons that hear nothing for up to 1.5 s take what leaves the window for free; what two leaders leave out between them was estimated from a rate that lags, or from what one daemon had happened to admit. Now peers are taken to admit the same share of their demand as this daemon, by the probabilities of its decisions, from the time at which their report was due. Accounts of servers and retries keep their own estimates.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -88,6 +88,8 @@
 	// report of peers.
 	ownDemand     demandMeter
 	spentAtReport float64
+	// sinceReport sums up the decisions since the last report of peers.
+	sinceReport admissions
 	// restored is set once the usage before the start of this process is known. adopted is set once
 	// it has been received from a daemon that has been running for longer.
 	restored, adopted bool
@@ -212,16 +214,12 @@
 	// A request larger than the whole allowance is admitted to an empty window.
 	need := min(tokens, a.limit)
 	free := l.free(a, now) + l.toleranceMargin(a, now)
-	if a.assumeOwnDemand && l.reportOverdue(a, now) {
-		free -= a.peers.unreportedSpend(now)
-	}
+	free -= l.spentInSilence(a, now)
 	verdict := l.newVerdict(a, free, now)
-	exceeds := l.exceedsReportShare(a, free)
-	verdict.Admitted = need+verdict.Unreported <= free && !exceeds
-	if !verdict.Admitted && !exceeds {
-		verdict.ByChance = l.admitByChance(a, need, free, now)
-		verdict.Admitted = verdict.ByChance
-	}
+	probability := l.admissionProbability(a, need, free, verdict.Unreported, now)
+	verdict.Admitted = probability >= 1 || probability > 0 && l.random() < probability
+	verdict.ByChance = verdict.Admitted && need+verdict.Unreported > free
+	a.sinceReport.add(tokens, probability)
 	if !verdict.Admitted {
 		a.refused += tokens
 		verdict.RetryAfter = l.retryAfter(a, need+verdict.Unreported-free, now)
@@ -292,10 +290,16 @@
 	return l.shareOf(a) * min(plannedToleranceShare*tolerance, jumpToleranceShare*tolerance-jump)
 }
 
-// admitByChance decides at random whether a request gets a part of the free tokens.
-func (l *Limiter) admitByChance(a *account, need, free float64, now time.Time) bool {
-	if free <= 0 || l.random == nil {
-		return false
+// admissionProbability returns the probability with which a request is admitted. A probability below one
+// lets it get a part of the free tokens.
+func (l *Limiter) admissionProbability(a *account, need, free, unreported float64, now time.Time) float64 {
+	switch {
+	case l.exceedsReportShare(a, free):
+		return 0
+	case need+unreported <= free:
+		return 1
+	case free <= 0 || l.random == nil:
+		return 0
 	}
 	demand := l.othersDemand(a, now)
 	if a.assumeOwnDemand {
@@ -305,12 +309,12 @@
 	}
 	competing := demand * max(l.distributionTime(), l.reportAge+l.reportInterval, l.unreportedTime(a, now)).Seconds()
 	if competing == 0 && l.reachableShare >= 1 {
-		return false
+		return 0
 	}
 	if a.discrete && competing < need {
 		return l.admitFraction(a, free/need)
 	}
-	return l.random() < free/max(competing, need)
+	return min(1, free/max(competing, need))
 }
 
 // distributionTime is the time over which free tokens are distributed when demand exceeds them.
@@ -400,16 +404,14 @@
 			continue
 		}
 		if r.Baseline {
-			// No report covers the time between two sources. Peers are assumed to have spent at
-			// their last rate or, if that is more, as much as this daemon each. Without this, while
-			// all leaders were dead, a workspace whose demand had jumped used a quarter of its
-			// allowance unreported.
+			// No report covers the time between two sources. Without an estimate, while all leaders
+			// were dead, a workspace whose demand had jumped used a quarter of its allowance
+			// unreported.
 			if l.alone {
 				continue
 			}
-			ownSpending := (a.spent - a.spentAtReport) * float64(l.reachablePeers)
-			a.used.add(max(a.peers.unreportedSpend(now), ownSpending), now)
-			a.peers.reportedAt, a.peers.changedAt, a.spentAtReport = now, now, a.spent
+			a.used.add(l.spentBetweenSources(a, now), now)
+			a.peers.reportedAt, a.peers.changedAt, a.spentAtReport, a.sinceReport = now, now, a.spent, admissions{}
 			continue
 		}
 		spent := a.unassumed(r.Counters.Spent[name] - before.Spent[name])
@@ -422,7 +424,7 @@
 		a.observeOwn(now)
 		if !l.alone {
 			a.peers.observe(spent, refused, l.reachablePeerShare(), now)
-			a.spentAtReport = a.spent
+			a.spentAtReport, a.sinceReport = a.spent, admissions{}
 		}
 	}
 	if !known {
--- a/internal/allowance/counter.go
+++ b/internal/allowance/counter.go
@@ -175,16 +175,16 @@
 // deviations from the mean over daemons that know nothing of each other.
 const fractionShare = 0.7
 
-// admitFraction decides whether the free fraction of a request admits one. The fraction that is needed is
-// drawn once for each admitted request. If it were drawn for each attempt, callers who ask often would
-// get more than the fraction on average.
-func (l *Limiter) admitFraction(a *account, fraction float64) bool {
+// admitFraction returns one if the free fraction of a request admits one, and zero otherwise. The fraction
+// that is needed is drawn once for each admitted request. If it were drawn for each attempt, callers who
+// ask often would get more than the fraction on average.
+func (l *Limiter) admitFraction(a *account, fraction float64) float64 {
 	if a.fractionNeeded == 0 {
 		a.fractionNeeded = 1 - l.random()
 	}
 	if fractionShare*fraction < a.fractionNeeded {
-		return false
+		return 0
 	}
 	a.fractionNeeded = 0
-	return true
+	return 1
 }
--- a/internal/allowance/demand.go
+++ b/internal/allowance/demand.go
@@ -85,6 +85,52 @@
 	return !a.peers.reportedAt.IsZero() && now.Sub(a.peers.reportedAt) > reportOverdueAfter
 }
 
+// spentInSilence returns what peers are assumed to have spent since the next report of them was due, if it
+// has not arrived. What leaves the window would otherwise count as free at each daemon.
+func (l *Limiter) spentInSilence(a *account, now time.Time) float64 {
+	switch {
+	case a.assumeOwnDemand && l.reportOverdue(a, now):
+		return a.peers.unreportedSpend(now)
+	case a.assumeOwnDemand || a.discrete || l.catchingUp(now) || a.peers.reportedAt.IsZero():
+		return 0
+	}
+	return l.silentSpend(a, max(0, a.peers.reportAge(now)-l.reportInterval), now)
+}
+
+// spentBetweenSources returns what peers are assumed to have spent between the last report of one source
+// and the first one of another.
+func (l *Limiter) spentBetweenSources(a *account, now time.Time) float64 {
+	if a.discrete || a.assumeOwnDemand {
+		return max(a.peers.unreportedSpend(now), (a.spent-a.spentAtReport)*float64(l.reachablePeers))
+	}
+	return l.silentSpend(a, a.peers.reportAge(now), now)
+}
+
+// silentSpend returns what peers of a workspace are assumed to have spent in a time without reports: they go
+// on at their last rate or, if that is more, admit the same share of their demand as this daemon.
+func (l *Limiter) silentSpend(a *account, silence time.Duration, now time.Time) float64 {
+	rate := max(a.peers.spending.perSecond, a.sinceReport.admittedShare()*l.othersDemand(a, now))
+	return rate * min(maxExtrapolation, silence).Seconds()
+}
+
+// admissions sums up this daemon's decisions. It holds probabilities rather than outcomes: with few
+// requests in each of many daemons, the outcomes of one daemon say little about the others.
+type admissions struct{ asked, expected float64 }
+
+// add adds a decision on a request that was admitted with a probability.
+func (d *admissions) add(tokens, probability float64) {
+	d.asked += tokens
+	d.expected += tokens * probability
+}
+
+// admittedShare returns the expected share of the requested tokens that were admitted.
+func (d admissions) admittedShare() float64 {
+	if d.asked == 0 {
+		return 0
+	}
+	return d.expected / d.asked
+}
+
 // unreportedTime returns the time that the last report does not cover, at most maxExtrapolation.
 func (l *Limiter) unreportedTime(a *account, now time.Time) time.Duration {
 	reportedAt := a.peers.reportedAt
