Order relays by name again

Cause: daemons that are no relays hear few of their zone and learn the others from lists without their starts, so at size they order a zone otherwise than its relays, and after a death of both relays report to the wrong ones; an uptime that each daemon converts by its own clock differs after a suspension; builds of before order by name.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -250,11 +250,6 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// startTime returns when the sender's process started.
-func startTime(status *gossippb.Status, now time.Time) time.Time {
-	return now.Add(-time.Duration(status.GetUptimeMs()) * time.Millisecond)
-}
-
 // handleStatus processes a datagram of a peer.
 func (n *Node) handleStatus(ctx context.Context, status *gossippb.Status) {
 	if status.GetVm() == n.options.VM || status.GetVm() == "" {
@@ -269,7 +264,7 @@
 		VM: status.GetVm(), Zone: status.GetZone(), Address: status.GetAddress(), Incarnation: status.GetIncarnation(),
 		ConfigVersion: status.GetConfigVersion(), ServersRevision: status.GetServersRevision(),
 		CountingFor: countingDuration(status), Fence: status.GetFence(), Draining: status.GetDraining(), StoreFailing: status.GetStoreFailing(), FollowsStore: status.GetFollows(),
-		ServersUnreachable: status.GetServersUnreachable(), StreamAssignment: status.GetStreamAssignment(), StartedAt: startTime(status, now),
+		ServersUnreachable: status.GetServersUnreachable(), StreamAssignment: status.GetStreamAssignment(),
 	}, status.GetSequence(), now)
 	if !fresh {
 		return
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -46,8 +46,6 @@
 	// StreamAssignment is one more than the serial of the assignment of streams to versions that the
 	// peer has adopted, or zero.
 	StreamAssignment int64
-	// StartedAt is when the peer's process started, or zero if that is not known.
-	StartedAt time.Time
 	// LastHeardAt is when the peer's last datagram arrived. LastLearnedAt is when another
 	// daemon last listed the peer.
 	LastHeardAt   time.Time
--- a/internal/gossip/plan.go
+++ b/internal/gossip/plan.go
@@ -1,7 +1,6 @@
 package gossip
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -43,11 +42,7 @@
 }
 
 // LocalState is the state of the local daemon that its plan depends on.
-type LocalState struct {
-	StoreFailing, Draining, FollowsStore, ServersUnreachable bool
-	// StartedAt is when the process started.
-	StartedAt time.Time
-}
+type LocalState struct{ StoreFailing, Draining, FollowsStore, ServersUnreachable bool }
 
 // Plan returns the current role of the local daemon.
 func (m *Members) Plan(self LocalState, now time.Time) Plan {
@@ -56,7 +51,7 @@
 	zones := m.candidates(self, now)
 	relays := map[string][]Peer{}
 	for name, daemons := range zones {
-		sortForRelays(daemons, now)
+		slices.SortFunc(daemons, compareByVM)
 		relays[name] = pickRelays(daemons)
 	}
 	var plan Plan
@@ -101,7 +96,7 @@
 			add(p.Peer)
 		}
 	}
-	add(Peer{VM: m.self.VM, Zone: m.self.Zone, StoreFailing: self.StoreFailing, Draining: self.Draining, StartedAt: self.StartedAt})
+	add(Peer{VM: m.self.VM, Zone: m.self.Zone, StoreFailing: self.StoreFailing, Draining: self.Draining})
 	for name, daemons := range draining {
 		if len(staying[name]) == 0 {
 			staying[name] = daemons
@@ -136,38 +131,6 @@
 	return targets
 }
 
-// olderBy is how much longer a daemon must have run to be preferred as a relay to one with an earlier name.
-// Daemons that start together keep the order of their names.
-const olderBy = unreachableAfter
-
-// sortForRelays sorts the daemons of a zone by their preference as relays: by name, but those that started
-// with the oldest one first. A daemon that starts has received few reports, and each change of the leader
-// costs the others time in which they know little.
-func sortForRelays(daemons []Peer, now time.Time) {
-	oldest := now
-	for _, p := range daemons {
-		if !p.StartedAt.IsZero() && p.StartedAt.Before(oldest) {
-			oldest = p.StartedAt
-		}
-	}
-	slices.SortFunc(daemons, func(a, b Peer) int {
-		return cmp.Or(compareBool(a.startedAfter(oldest), b.startedAfter(oldest)), compareByVM(a, b))
-	})
-}
-
-// startedAfter reports whether the peer started later than the oldest daemon of its zone.
-func (p *Peer) startedAfter(oldest time.Time) bool { return p.StartedAt.Sub(oldest) >= olderBy }
-
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // pickRelays returns the first daemons of a zone, plus one more for each that the store
 // does not answer.
 func pickRelays(daemons []Peer) []Peer {
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -71,7 +71,7 @@
 
 // LocalState implements gossip.Source.
 func (s *state) LocalState() gossip.LocalState {
-	return gossip.LocalState{StoreFailing: s.storeUnavailable(), Draining: s.router.draining.Load(), FollowsStore: s.followsStore(), ServersUnreachable: s.router.links.AllCutOff(time.Now()), StartedAt: s.started}
+	return gossip.LocalState{StoreFailing: s.storeUnavailable(), Draining: s.router.draining.Load(), FollowsStore: s.followsStore(), ServersUnreachable: s.router.links.AllCutOff(time.Now())}
 }
 
 // OwnCounts implements gossip.Source.
