Count what a leader that has just started does not know of a workspace

Cause: the sums of a leader that starts and leads at once lack each daemon of its zone until that has reported twice, and other zones accept its summary a second later; the estimate ended with its first report. Now the first report of a source that has just started adds 1.5 s of what peers are taken to admit, where more than the workspace's rate is asked for; below it, what is not counted cannot take the window above the rate.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -385,6 +385,8 @@
 	// Earlier spending was reported by another source, so the counters only serve as the base for
 	// the next report.
 	Baseline bool
+	// JustStarted is set if that process has just started.
+	JustStarted bool
 	// Age is how old the counters may be, and Interval the time until the next report.
 	Age, Interval time.Duration
 }
@@ -410,7 +412,7 @@
 			if l.alone {
 				continue
 			}
-			a.used.add(l.spentBetweenSources(a, now), now)
+			a.used.add(l.spentBetweenSources(a, r.JustStarted, now), now)
 			a.peers.reportedAt, a.peers.changedAt, a.spentAtReport, a.sinceReport = now, now, a.spent, admissions{}
 			continue
 		}
--- a/internal/allowance/demand.go
+++ b/internal/allowance/demand.go
@@ -94,23 +94,34 @@
 	case a.assumeOwnDemand || a.discrete || l.catchingUp(now) || a.peers.reportedAt.IsZero():
 		return 0
 	}
-	return l.silentSpend(a, max(0, a.peers.reportAge(now)-l.reportInterval), now)
+	silence := min(maxExtrapolation, a.peers.reportAge(now)-l.reportInterval)
+	return l.silentRate(a, now) * max(0, silence).Seconds()
 }
 
-// spentBetweenSources returns what peers are assumed to have spent between the last report of one source
-// and the first one of another.
-func (l *Limiter) spentBetweenSources(a *account, now time.Time) float64 {
+// spentBetweenSources returns what peers are assumed to have spent that neither the last report of one source
+// nor the next ones of another one contain. The counters of a source that has just started lack each
+// peer until its second report has arrived. A workspace that asks for less than its rate needs no estimate
+// for that: what is not counted does not take it above the rate.
+func (l *Limiter) spentBetweenSources(a *account, justStarted bool, now time.Time) float64 {
 	if a.discrete || a.assumeOwnDemand {
 		return max(a.peers.unreportedSpend(now), (a.spent-a.spentAtReport)*float64(l.reachablePeers))
 	}
-	return l.silentSpend(a, a.peers.reportAge(now), now)
+	gap := min(maxExtrapolation, a.peers.reportAge(now))
+	if justStarted && a.ownDemand.rate(now)+l.othersDemand(a, now) > a.rate {
+		gap += sourceWarmup
+	}
+	return l.silentRate(a, now) * gap.Seconds()
 }
 
-// silentSpend returns what peers of a workspace are assumed to have spent in a time without reports: they go
-// on at their last rate or, if that is more, admit the same share of their demand as this daemon.
-func (l *Limiter) silentSpend(a *account, silence time.Duration, now time.Time) float64 {
-	rate := max(a.peers.spending.perSecond, a.sinceReport.admittedShare()*l.othersDemand(a, now))
-	return rate * min(maxExtrapolation, silence).Seconds()
+// sourceWarmup is how long the counters of a source that has just started lack what some peers spend: those
+// of its zone report to it within two intervals, and leaders of other zones wait until it has heard them.
+const sourceWarmup = maxExtrapolation
+
+// silentRate returns the tokens per second that peers of a workspace are assumed to spend while they do not
+// report: they go on at their last rate or, if that is more, admit the same share of their demand as this
+// daemon.
+func (l *Limiter) silentRate(a *account, now time.Time) float64 {
+	return max(a.peers.spending.perSecond, a.sinceReport.admittedShare()*l.othersDemand(a, now))
 }
 
 // admissions sums up this daemon's decisions. It holds probabilities rather than outcomes: with few
--- a/internal/allowance/simulation_test.go
+++ b/internal/allowance/simulation_test.go
@@ -388,7 +388,7 @@
 	changed := d.leader.vm != d.vm && d.leader.vm != ""
 	d.leader = leaderState{vm: d.vm}
 	spent, refused := d.sums.SpentByOthers()
-	s.applyReport(d, Counters{Spent: spent, Refused: refused}, Report{VM: d.vm, Incarnation: d.incarnation, Baseline: changed}, reachable, age)
+	s.applyReport(d, Counters{Spent: spent, Refused: refused}, Report{VM: d.vm, Incarnation: d.incarnation, Baseline: changed, JustStarted: s.now-d.started < freshFor}, reachable, age)
 	return reachable, age
 }
 
@@ -410,7 +410,7 @@
 		return
 	}
 	newLead := previous.vm != lead.vm || previous.incarnation != lead.incarnation || previous.includedSequence == 0 || includedSequence == 0
-	s.applyReport(d, subtract(all, own), Report{VM: lead.vm, Incarnation: lead.incarnation, Baseline: newLead && !startedTogether}, reachable, age)
+	s.applyReport(d, subtract(all, own), Report{VM: lead.vm, Incarnation: lead.incarnation, Baseline: newLead && !startedTogether, JustStarted: s.now-lead.started < freshFor}, reachable, age)
 }
 
 func (s *simulator) applyReport(d *daemon, counters Counters, report Report, reachable int, age time.Duration) {
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -251,7 +251,10 @@
 		// Everything in the leader's sums was used since all daemons started.
 		baseline = false
 	}
-	s.applyOthersUsage(status.GetVm(), status.GetIncarnation(), allowance.Counters{Spent: counts.Spent, Refused: counts.Refused}, baseline, now)
+	s.applyOthersUsage(allowance.Report{
+		VM: status.GetVm(), Incarnation: status.GetIncarnation(), Counters: allowance.Counters{Spent: counts.Spent, Refused: counts.Refused},
+		Baseline: baseline, JustStarted: warmup,
+	}, now)
 }
 
 // logLeaderChange logs that the sums come from another leader than before.
@@ -290,13 +293,12 @@
 	return time.Duration(status.GetUptimeMs())*time.Millisecond < rollup.FreshFor && !s.bothJustStarted(status)
 }
 
-// applyOthersUsage applies what other daemons have used to the limiters.
-func (s *state) applyOthersUsage(vm string, incarnation uint64, used allowance.Counters, baseline bool, now time.Time) {
+// applyOthersUsage applies a report of what other daemons have used to the limiters.
+func (s *state) applyOthersUsage(report allowance.Report, now time.Time) {
 	interval := s.router.node.ReportInterval(now)
 	reach, _ := s.reach(now)
-	s.limiter.applyReport(allowance.Report{
-		VM: vm, Incarnation: incarnation, Counters: used, Baseline: baseline, Age: max(interval, reach.MaxAge) + gossip.ReportLeadTime, Interval: interval,
-	})
+	report.Age, report.Interval = max(interval, reach.MaxAge)+gossip.ReportLeadTime, interval
+	s.limiter.applyReport(report)
 }
 
 // adoptUses adopts the usage of the workspaces from a daemon that has counted it for longer than
@@ -328,7 +330,10 @@
 	s.view.SetPeerLoads(others.Loads, now)
 	s.view.MergeEngineEstimates(others.EngineEstimates)
 	spent, refused := s.aggregator.SpentByOthers()
-	s.applyOthersUsage(s.router.settings.VM.ID, s.router.incarnation, allowance.Counters{Spent: spent, Refused: refused}, changed && before != "", now)
+	s.applyOthersUsage(allowance.Report{
+		VM: s.router.settings.VM.ID, Incarnation: s.router.incarnation, Counters: allowance.Counters{Spent: spent, Refused: refused},
+		Baseline: changed && before != "", JustStarted: time.Since(s.started) < rollup.FreshFor,
+	}, now)
 }
 
 // leaderTotals is the last totals from the leader that this daemon accepts. Without a leader, vm is
