Give a dispatcher without a share of the retry budgets its own

As for the quarantine, such a dispatcher now has a share of its own, as the only daemon; the daemon makes its share by the same function.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -88,12 +87,9 @@
 		logger:   options.Logger.With("daemon", options.Settings.Daemon.ID),
 		metrics:  prometheus.NewRegistry(),
 		limiter:  limit.NewLimiter(),
+		retries:  dispatch.NewRetries(options.Settings.Limits),
 		burn:     burn.NewRecorder(),
 	}
-	limits := options.Settings.Limits
-	d.retries = retrybudget.NewShare(retrybudget.Bounds{
-		RetryRatio: limits.RetryRatio, ExtraRetries: limits.ExtraRetries, Window: limits.RetryWindow.Std(),
-	}, steady.Now(), rand.Float64)
 	d.metrics.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	if err := d.listen(options.Network); err != nil {
 		d.closeListeners()
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -26,6 +26,7 @@
 	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/retrybudget"
 	"github.com/plankridge/plankridge/internal/route"
+	"github.com/plankridge/plankridge/internal/steady"
 )
 
 // Options holds the dependencies and settings of a Dispatcher.
@@ -42,7 +43,8 @@
 	// Quarantine blocks requests that crash servers. If nil, the dispatcher uses its own,
 	// which receives no reports from other daemons.
 	Quarantine *watch.Watcher
-	// Retries is this daemon's share of the retry budgets of the services.
+	// Retries is this daemon's share of the retry budgets of the services. If nil, the dispatcher uses
+	// its own as the only daemon.
 	Retries *retrybudget.Share
 	// Dial opens a connection to a server, to check whether a process listens there.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
@@ -79,6 +81,10 @@
 	if options.Quarantine == nil {
 		options.Quarantine = watch.New(watch.Options{Logger: options.Logger})
 	}
+	if options.Retries == nil {
+		options.Retries = NewRetries(options.Limits)
+		options.Retries.SetDaemons(1, steady.Now())
+	}
 	ctx, stop := context.WithCancelCause(context.Background())
 	return &Dispatcher{
 		options: options,
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -1,12 +1,23 @@
 package dispatch
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/request"
 	"github.com/plankridge/plankridge/internal/retrybudget"
+	"github.com/plankridge/plankridge/internal/steady"
 )
 
+// NewRetries returns the share of the retry budgets that the limits set. It has no extra retries until the
+// number of daemons is set.
+func NewRetries(limits config.RequestLimits) *retrybudget.Share {
+	return retrybudget.NewShare(retrybudget.Bounds{
+		RetryRatio: limits.RetryRatio, ExtraRetries: limits.ExtraRetries, Window: limits.RetryWindow.Std(),
+	}, steady.Now(), rand.Float64)
+}
+
 // attemptCharge is what an attempt has taken from the retry budget of its service.
 type attemptCharge struct {
 	// retry is set if the attempt counts as a retry, by which charge was taken.
