Keep servers while the demand for them is not measured

What callers saw: while daemons were restarted in turn and servers were reclaimed, the lease holder planned for 68, 16, 8 and 4 busy engines within four seconds while callers asked as before, and let 42 of 52 servers of a zone go; service fell for ten seconds. Cause, three faults of one kind: calls for which no server can be picked were not counted as demand, so that the loss of all servers looked like the loss of all callers; daemons that start count from nothing and report that as their demand; sums of a leader that has not heard all daemons were taken for the whole. Change: calls without a server count with the load predicted for them. Reports say how many daemons in a sum have measured for two time constants; a sum that covers less than eight tenths of the known daemons is incomplete: the last complete demand is then the least that is planned for, and no servers are removed. It outlasts starts through peers and the lease's record.

--- a/internal/backend/pace.go
+++ b/internal/backend/pace.go
@@ -48,6 +48,19 @@
 	}
 }
 
+// EstimateLoad returns the predicted load of a request for which no server is picked. Its shared prompt
+// parts count as cached.
+func (v *View) EstimateLoad(need Need) demand.Load {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	traits, engines := v.traits[need.Service], v.engineFor(need.Service)
+	if engines == nil {
+		return demand.Load{}
+	}
+	work := pace.Work{PromptTokens: need.PromptTokens, PrefillTokens: max(0, need.PromptTokens-sharedTokens(need.Parts))}
+	return attemptLoad(work, need.Answer, traits, traits.Slots, engines)
+}
+
 // attemptLoad returns the predicted load of an attempt on the engines. The stream's speed is
 // predicted for a half-full batch.
 func attemptLoad(work pace.Work, answer pace.AnswerSize, traits Traits, slots int, engines *pace.Engine) demand.Load {
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -17,6 +17,8 @@
 	// CacheTokens is the memory of a model engine for running requests and cached prompt parts, in
 	// tokens. Zero marks a plain service.
 	CacheTokens int
+	// Slots is the configured number of requests that a model engine runs at once.
+	Slots int
 	// EventTokens is the number of tokens in one event of a stream.
 	EventTokens int
 	// FetchRate is the rate at which an engine copies prompt parts from another one over its link,
--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -76,6 +76,8 @@
 	Zones   []Zone
 	// Load is the number of servers that the current demand keeps busy, by resource.
 	Load demand.Load
+	// DemandIncomplete is set while Load may be too low, because some daemons have not measured it.
+	DemandIncomplete bool
 	// MinServers is the least number of servers, regardless of the load.
 	MinServers int
 	// ReclaimWave is set while reclaimable servers of any zone are being reclaimed, or recently
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/demand"
 )
 
@@ -179,9 +178,9 @@
 		present := s.zone(target.Zone)
 		target.OnDemand = onDemandUntilReplaced(target, present, s.Scaling.BootTime)
 		target = withLimitReplacements(target, present, s.Scaling.MaxPerZone)
-		orders = p.appendOrder(orders, Order{Market{target.Zone, false}, target.OnDemand, present.OnDemand}, s.Scaling, now)
+		orders = p.appendOrder(orders, Order{Market{target.Zone, false}, target.OnDemand, present.OnDemand}, s, now)
 		if s.Scaling.SpotPriceRatio > 0 {
-			orders = p.appendOrder(orders, Order{Market{target.Zone, true}, target.Reclaimable, present.Reclaimable}, s.Scaling, now)
+			orders = p.appendOrder(orders, Order{Market{target.Zone, true}, target.Reclaimable, present.Reclaimable}, s, now)
 		}
 	}
 	return orders
@@ -208,10 +207,10 @@
 
 // appendOrder appends the order if it differs from the last one, or if the last one has not taken
 // effect in time.
-func (p *Planner) appendOrder(orders []Order, order Order, scaling catalog.Scaling, now time.Time) []Order {
-	order.Count = p.delayScaleDown(order, scaling.BootTime, now)
+func (p *Planner) appendOrder(orders []Order, order Order, s State, now time.Time) []Order {
+	order.Count = p.delayScaleDown(order, s, now)
 	last, known := p.lastOrders[order.Market]
-	wait := scaling.BootTime + orderConfirmMargin
+	wait := s.Scaling.BootTime + orderConfirmMargin
 	if !last.accepted {
 		wait = unansweredRetryDelay
 	}
@@ -232,19 +231,25 @@
 }
 
 // delayScaleDown returns the number of servers to order. An increase applies immediately, a
-// decrease after the scale-down delay.
-func (p *Planner) delayScaleDown(order Order, boot time.Duration, now time.Time) int {
+// decrease after the scale-down delay, which starts anew while the demand is incomplete.
+func (p *Planner) delayScaleDown(order Order, s State, now time.Time) int {
 	delay := onDemandScaleDownDelay
 	if order.Reclaimable {
-		delay = reclaimableScaleDownDelay(boot)
+		delay = reclaimableScaleDownDelay(s.Scaling.BootTime)
 	}
 	held, known := p.heldCounts[order.Market]
-	if !known && p.tookOver && order.Present > order.Count {
+	uncertain := s.DemandIncomplete && !p.firstDemandAt.IsZero()
+	if !known && (p.tookOver || uncertain) && order.Present > order.Count {
 		// The reason for the earlier lease holder's surplus is unknown. It may substitute for
 		// servers of a zone that has no reclaimable ones, which shows only when they are ordered.
 		held, known = heldCount{count: order.Present, lastWantedAt: now}, true
 		p.heldCounts[order.Market] = held
 	}
+	if known && uncertain && order.Count < held.count {
+		held.lastWantedAt = now
+		p.heldCounts[order.Market] = held
+		return held.count
+	}
 	if !known || order.Count >= held.count || now.Sub(held.lastWantedAt) >= delay {
 		p.heldCounts[order.Market] = heldCount{count: order.Count, lastWantedAt: now}
 		return order.Count
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -278,3 +278,28 @@
 	c.Check(withLimitReplacements(target, z, 20), qt.Equals, Target{Zone: "z", OnDemand: 2, Reclaimable: 6})
 	c.Check(withLimitReplacements(target, z, 2), qt.Equals, target)
 }
+
+// TestServersAreKeptWhileDemandIsIncomplete guards against a holder that removes servers because daemons
+// have restarted and not measured the demand yet.
+func TestServersAreKeptWhileDemandIsIncomplete(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	busy := stateWithServers(1, 3)
+	busy.Load = prefillLoad(6)
+	orderAndReply(p, busy, startTime, ReplyAccepted)
+	before := map[Market]int{}
+	for market, held := range p.heldCounts {
+		before[market] = held.count
+	}
+	low := stateWithServers(1, 3)
+	low.Load, low.DemandIncomplete = prefillLoad(0.2), true
+	for second := range 60 {
+		for _, o := range orderAndReply(p, low, startTime.Add(time.Duration(second+1)*time.Second), ReplyAccepted) {
+			c.Check(o.Count >= before[o.Market], qt.IsTrue, qt.Commentf("%+v, before %d", o, before[o.Market]))
+		}
+	}
+	low.DemandIncomplete = false
+	orderAndReply(p, low, startTime.Add(61*time.Second), ReplyAccepted)
+	removed := orderAndReply(p, low, startTime.Add(61*time.Second+reclaimableScaleDownDelay(4*time.Second)), ReplyAccepted)
+	c.Check(len(removed) > 0, qt.IsTrue, qt.Commentf("the demand is complete and low"))
+}
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// Max returns the larger value of each component.
+func (l Load) Max(other Load) Load {
+	return Load{Prefill: max(l.Prefill, other.Prefill), Batch: max(l.Batch, other.Batch), Memory: max(l.Memory, other.Memory)}
+}
+
+// valid reports whether the load can be one: it may come from another process.
+func (l Load) valid() bool {
+	for _, value := range []float64{l.Prefill, l.Batch, l.Memory} {
+		if !(value >= 0) || math.IsInf(value, 1) {
+			return false
+		}
+	}
+	return true
+}
+
 // Meter measures the load of each service. It is safe for concurrent use.
 type Meter struct {
 	mu       sync.Mutex
@@ -71,6 +86,21 @@
 // NewMeter returns a meter without observations.
 func NewMeter() *Meter { return &Meter{services: map[string]*rateEstimate{}} }
 
+// warmupTimeConstants is the number of time constants after which a rate includes nearly all of a
+// steady demand (1 - 1/e^2).
+const warmupTimeConstants = 2
+
+// Warmup returns how long the meter must run until its rates are complete.
+func (m *Meter) Warmup() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	longest := defaultTimeConstant
+	for _, g := range m.services {
+		longest = max(longest, g.timeConstant)
+	}
+	return warmupTimeConstants * longest
+}
+
 // SetBootTime sets the boot time of a service's servers.
 func (m *Meter) SetBootTime(service string, boot time.Duration, now time.Time) {
 	m.mu.Lock()
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -22,9 +22,8 @@
 	Cloud   Cloud
 	View    *backend.View
 	Catalog func() *catalog.Catalog
-	// Demand returns the load of a service, as the number of servers that its current demand
-	// keeps busy.
-	Demand func(service string) demand.Load
+	// Demand returns the demand for a service, as the number of servers that it keeps busy.
+	Demand func(service string) demand.Reading
 	// VersionUnsettled reports whether a service may have servers of two versions. It is then
 	// open which of them an order would count, so no servers are ordered until the roll-out has
 	// ended.
@@ -72,9 +71,10 @@
 		planner = capacity.NewPlanner()
 		s.planners[service] = planner
 	}
-	state := capacity.State{Scaling: scaling, Zones: s.zones(service, scaling, now), Load: s.Demand(service)}
+	reading := s.Demand(service)
+	state := capacity.State{Scaling: scaling, Zones: s.zones(service, scaling, now), Load: reading.Load, DemandIncomplete: reading.Incomplete}
 	for _, order := range planner.Orders(state, now) {
-		s.order(ctx, service, planner, order, state.Load)
+		s.order(ctx, service, planner, order, reading)
 	}
 }
 
@@ -114,7 +114,7 @@
 }
 
 // order sends an order to the cloud if this daemon still holds the lease.
-func (s *Scaler) order(ctx context.Context, service string, planner *capacity.Planner, order capacity.Order, load demand.Load) {
+func (s *Scaler) order(ctx context.Context, service string, planner *capacity.Planner, order capacity.Order, reading demand.Reading) {
 	token, holds := s.Elector.Token()
 	if !holds {
 		return
@@ -122,7 +122,8 @@
 	err := s.Cloud.Scale(ctx, token, Order{Service: service, Zone: order.Zone, Reclaimable: order.Reclaimable, Count: order.Count})
 	planner.RecordReply(order, replyOf(err), time.Now())
 	s.Logger.Info("servers ordered", "service", service, "zone", order.Zone, "reclaimable", order.Reclaimable,
-		"count", order.Count, "present", order.Present, "reading", load.Prefill, "places", load.Batch, "memory", load.Memory, "fence", token.Fence, "error", errorText(err))
+		"count", order.Count, "present", order.Present, "reading", reading.Load.Prefill, "places", reading.Load.Batch, "memory", reading.Load.Memory, "demand_complete", !reading.Incomplete,
+		"fence", token.Fence, "error", errorText(err))
 }
 
 func replyOf(err error) capacity.Reply {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/firsttry"
 	"github.com/plankridge/plankridge/internal/pace"
 	"github.com/plankridge/plankridge/internal/quarantine"
@@ -236,6 +237,7 @@
 	ctx, cancel := context.WithDeadlineCause(ctx, r.call.Deadline(), errTimeout)
 	defer cancel()
 	if refusal := r.chooseVersion(); refusal != nil {
+		r.countUnplacedDemand(time.Now())
 		return r.giveUp(ctx, refusal)
 	}
 	for {
@@ -251,9 +253,10 @@
 		}
 		choice, ok := r.options.View.Begin(r.need(), now)
 		if !ok {
+			r.countUnplacedDemand(now)
 			return r.giveUp(ctx, r.refuseNoServer(now))
 		}
-		r.countDemand(choice, now)
+		r.countDemand(choice.Load, now)
 		if refusal := r.refuseTooLate(choice, now); refusal != nil {
 			choice.RefundAdmission()
 			choice.End(backend.OutcomeNeutral, now)
@@ -296,12 +299,21 @@
 }
 
 // countDemand counts the call as demand for its service, once.
-func (r *run) countDemand(choice *backend.Choice, now time.Time) {
+func (r *run) countDemand(load demand.Load, now time.Time) {
 	if r.demandCounted {
 		return
 	}
 	r.demandCounted = true
-	r.options.Demand.RecordRequest(r.call.Service, choice.Load, now)
+	r.options.Demand.RecordRequest(r.call.Service, load, now)
+}
+
+// countUnplacedDemand counts a call for which no server can be picked. Otherwise the loss of all servers
+// would look like the loss of all callers, and no new servers would be ordered. A caller that comes back
+// after a refusal is not counted again.
+func (r *run) countUnplacedDemand(now time.Time) {
+	if r.callerAge == 0 {
+		r.countDemand(r.options.View.EstimateLoad(r.need()), now)
+	}
 }
 
 // refuseTooLate refuses a call whose predicted first answer is so late that the capacity
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/plankridge/plankridge/internal/allowance"
+	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/pace"
 	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/rollout"
@@ -59,6 +60,10 @@
 	Warmup bool `json:"warmup,omitempty"`
 	// EngineEstimates holds the learned performance estimates of the engines, by service.
 	EngineEstimates map[string]pace.EngineEstimates `json:"paces,omitempty"`
+	// Demand is the last complete demand by service, in engines, and DemandWrittenMs the wall-clock
+	// time at which it was known, in milliseconds since 1970.
+	Demand          map[string]demand.Load `json:"demand,omitempty"`
+	DemandWrittenMs int64                  `json:"demand_ms,omitempty"`
 	// FirstTryLimits holds the time limits of first tries, by route.
 	FirstTryLimits map[string]time.Duration `json:"limits,omitempty"`
 	// RequestWindows holds the requests that started in the latest windows, over all
--- a/internal/rollup/rollup.go
+++ b/internal/rollup/rollup.go
@@ -36,6 +36,8 @@
 	EngineEstimates map[string]pace.EngineEstimates
 	// Versions holds the results of service versions that are being rolled out.
 	Versions rollout.Tallies
+	// Warm is the number of daemons that have measured the demand for long enough.
+	Warm int
 }
 
 // Reach describes which daemons can be reached.
@@ -335,4 +337,5 @@
 		c.EngineEstimates[service] = sum
 	}
 	c.Versions.Add(more.Versions)
+	c.Warm += more.Warm
 }
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -23,7 +23,7 @@
 }
 
 func encodeCounts(c rollup.Counts) *gossippb.Counts {
-	counts := &gossippb.Counts{}
+	counts := &gossippb.Counts{Warm: int32(c.Warm)}
 	for workspace, tokens := range c.Spent {
 		counts.Spent = append(counts.Spent, &gossippb.Spent{Workspace: workspace, Tokens: tokens, Refused: c.Refused[workspace]})
 	}
@@ -37,11 +37,7 @@
 			counts.Loads = append(counts.Loads, &gossippb.Load{Key: key, Running: int32(load.Running), PendingTokens: int32(load.PendingTokens)})
 		}
 	}
-	for service, load := range c.Demand {
-		counts.Demands = append(counts.Demands, &gossippb.Demand{
-			Service: service, Reading: load.Prefill, Places: load.Batch, Memory: load.Memory,
-		})
-	}
+	counts.Demands = encodeDemand(c.Demand)
 	for service, figures := range c.EngineEstimates {
 		counts.Paces = append(counts.Paces, &gossippb.Pace{
 			Service: service, First: encodeFigures(figures.First), Step: encodeFigures(figures.Step), Made: encodeFigures(figures.OutputRatio), Hinted: encodeFigures(figures.HintRatio),
@@ -59,6 +55,22 @@
 	return counts
 }
 
+func encodeDemand(demands map[string]demand.Load) []*gossippb.Demand {
+	var encoded []*gossippb.Demand
+	for service, load := range demands {
+		encoded = append(encoded, &gossippb.Demand{Service: service, Reading: load.Prefill, Places: load.Batch, Memory: load.Memory})
+	}
+	return encoded
+}
+
+func decodeDemand(encoded []*gossippb.Demand) map[string]demand.Load {
+	demands := make(map[string]demand.Load, len(encoded))
+	for _, d := range encoded {
+		demands[d.GetService()] = demand.Load{Prefill: d.GetReading(), Batch: d.GetPlaces(), Memory: d.GetMemory()}
+	}
+	return demands
+}
+
 func encodeFigures(f pace.Estimate) *gossippb.Figures {
 	return &gossippb.Figures{Coefficients: f.Coefficients, Seen: f.Samples}
 }
@@ -76,9 +88,7 @@
 	for _, l := range c.GetLoads() {
 		counts.Loads[l.GetKey()] = backend.Load{Running: int(l.GetRunning()), PendingTokens: int(l.GetPendingTokens())}
 	}
-	for _, d := range c.GetDemands() {
-		counts.Demand[d.GetService()] = demand.Load{Prefill: d.GetReading(), Batch: d.GetPlaces(), Memory: d.GetMemory()}
-	}
+	counts.Demand, counts.Warm = decodeDemand(c.GetDemands()), int(c.GetWarm())
 	for _, p := range c.GetPaces() {
 		counts.EngineEstimates[p.GetService()] = pace.EngineEstimates{
 			First: decodeFigures(p.GetFirst()), Step: decodeFigures(p.GetStep()), OutputRatio: decodeFigures(p.GetMade()), HintRatio: decodeFigures(p.GetHinted()),
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -78,7 +78,7 @@
 func (s *state) OwnCounts(sequence uint64) *gossippb.Counts {
 	now := time.Now()
 	used := s.limiter.ownCounters()
-	own := rollup.Counts{Spent: used.Spent, Refused: used.Refused, Loads: s.view.OwnLoads(), Demand: s.demand.Rates(now), EngineEstimates: s.view.EngineEstimates(), Versions: s.router.rollOuts.LocalTallies()}
+	own := rollup.Counts{Spent: used.Spent, Refused: used.Refused, Loads: s.view.OwnLoads(), Demand: s.demand.Rates(now), EngineEstimates: s.view.EngineEstimates(), Versions: s.router.rollOuts.LocalTallies(), Warm: s.warmMeters(now)}
 	s.aggregator.SetOwn(own)
 	s.mu.Lock()
 	s.sentCounts[sequence] = own
@@ -131,6 +131,7 @@
 	}
 	encoded := encodeUses(uses, s.limiter.demand())
 	encoded.KnownMs = s.limiter.countedFor().Milliseconds()
+	encoded.Demands = encodeDemand(s.demandHistory.Complete())
 	return encoded
 }
 
@@ -234,7 +235,7 @@
 	}
 	s.leader = leaderTotals{
 		vm: status.GetVm(), incarnation: status.GetIncarnation(), receivedAt: now, includedSequence: status.GetTaken(),
-		reach: reach, demand: counts.Demand, ownDemand: own.Demand,
+		reach: reach, demand: counts.Demand, ownDemand: own.Demand, warm: counts.Warm,
 	}
 	s.leader.versions = counts.Versions
 	s.view.MergeEngineEstimates(counts.EngineEstimates)
@@ -307,6 +308,7 @@
 	if status.GetUses() == nil {
 		return
 	}
+	s.demandHistory.Restore(decodeDemand(status.GetUses().GetDemands()))
 	if s.currentLeader(now) == "" {
 		// The counts that the same report added to the sums are included in its uses.
 		s.applyOwnSums(now)
@@ -352,6 +354,8 @@
 	// demand is the total demand by service. It includes this daemon's own demand, which is
 	// ownDemand.
 	demand, ownDemand map[string]demand.Load
+	// warm is the number of daemons in demand that have measured it for long enough.
+	warm int
 	// versions holds the results of service versions at all daemons.
 	versions rollout.Tallies
 }
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -18,6 +18,7 @@
 	snapshot := lease.Snapshot{
 		Daemons: reach.Known, WrittenAtMs: current.WrittenAtMs, RecentUses: current.RecentUses, DemandRates: current.DemandRates, Warmup: current.Warmup,
 		EngineEstimates: s.view.EngineEstimates(), FirstTryLimits: s.firstTryLimits.Usual(), RequestWindows: s.ledger.All(reportedWindows),
+		Demand: s.demandHistory.Complete(), DemandWrittenMs: now.UnixMilli(),
 	}
 	if uses, known := s.limiter.usage(); known {
 		snapshot.WrittenAtMs, snapshot.RecentUses, snapshot.DemandRates, snapshot.Warmup = now.UnixMilli(), uses, s.limiter.demand(), s.limiter.warmup()
@@ -39,6 +40,7 @@
 	s.firstTryLimits.Restore(snapshot.FirstTryLimits)
 	// Counts never decrease, so larger counts from daemons that are still running take precedence.
 	s.ledger.MergeAll(snapshot.RequestWindows)
+	s.restoreDemand(snapshot.Demand, snapshot.DemandWrittenMs)
 	restored := s.restoreAllowances(snapshot)
 	if snapshot.RollOuts != nil {
 		s.router.rollOuts.Restore(*snapshot.RollOuts, max(0, s.started.Sub(time.UnixMilli(snapshot.WrittenAtMs))), now)
@@ -71,11 +73,11 @@
 // which predictions and orders of servers are based.
 func (s *state) logEngineEstimates() {
 	for service, figures := range s.view.EngineEstimates() {
-		load := s.Demand(service)
+		reading := s.Demand(service)
 		s.router.logger.Info("learned engine figures", "service", service,
 			"first_seconds", figures.First.Coefficients, "first_seen", figures.First.Samples,
 			"step_seconds", figures.Step.Coefficients, "step_seen", figures.Step.Samples, "made", figures.OutputRatio.Coefficients, "hinted", figures.HintRatio.Coefficients,
-			"reading", load.Prefill, "places", load.Batch, "memory", load.Memory)
+			"reading", reading.Load.Prefill, "places", reading.Load.Batch, "memory", reading.Load.Memory, "demand_complete", !reading.Incomplete)
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -369,6 +369,7 @@
 		case now := <-ticker.C:
 			r.pool.Sweep(now)
 			r.state.updateShares(now)
+			r.state.retainDemand()
 			if total := steady.Suspended(); total > suspended {
 				r.logger.Warn("VM was suspended", "for_ms", (total - suspended).Milliseconds())
 				suspended = total
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -25,6 +25,7 @@
 	limiter        *limiters
 	ledger         *usage.Ledger
 	demand         *demand.Meter
+	demandHistory  *demand.History
 	firstTryLimits *firsttry.CallerTimeouts
 	streamVersions *streamVersions
 	// quarantine detects and blocks poison requests.
@@ -110,7 +111,7 @@
 	view.SetLimiter(serverLimits{limiter})
 	return &state{
 		router: r, view: view, limiter: limiter, ledger: newLedger(r.settings),
-		demand: demand.NewMeter(), firstTryLimits: firsttry.NewCallerTimeouts(), aggregator: rollup.New(), sentCounts: map[uint64]rollup.Counts{},
+		demand: demand.NewMeter(), demandHistory: demand.NewHistory(), firstTryLimits: firsttry.NewCallerTimeouts(), aggregator: rollup.New(), sentCounts: map[uint64]rollup.Counts{},
 		streamVersions: newStreamVersions(r), quarantine: r.newQuarantine(), started: now, configured: make(chan struct{}), serverList: newServerList(), differsSince: map[string]time.Time{},
 	}
 }
@@ -126,19 +127,6 @@
 // Catalog returns the configuration in force, or nil.
 func (s *state) Catalog() *catalog.Catalog { return s.catalog.Load() }
 
-// Demand returns the number of engines that the current demand for a service keeps busy, over all
-// reachable daemons.
-func (s *state) Demand(service string) demand.Load {
-	now := time.Now()
-	own := s.demand.Rates(now)[service]
-	if s.currentLeader(now) == "" {
-		return own.Add(s.aggregator.Others(now).Demand[service])
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return own.Add(s.leader.demand[service].Minus(s.leader.ownDemand[service]))
-}
-
 // storeUnavailable reports whether the store does not answer this daemon or is unreachable.
 func (s *state) storeUnavailable() bool {
 	s.mu.Lock()
@@ -184,7 +172,7 @@
 
 // traitsOf returns the configured traits of a service's engines.
 func traitsOf(engine catalog.Engine) backend.Traits {
-	traits := backend.Traits{CacheTokens: engine.CacheTokens, EventTokens: engine.EventTokens}
+	traits := backend.Traits{CacheTokens: engine.CacheTokens, Slots: engine.Slots, EventTokens: engine.EventTokens}
 	if engine.KVBytesPerToken > 0 {
 		traits.FetchRate = engine.LinkBytesPerSecond / float64(engine.KVBytesPerToken)
 	}
