Prefer the entry VMs that can relay most as relays

Cause: relays are the first daemons by name. The first VM of a zone has 200 Mbit/s, the second in order of names 10 Mbit/s. A trial that logs a leader's digests there: 2 to 5 kB to each of 21 daemons 3 to 5 times a second, up to 95 kB at one moment, the summaries for other zones last; from then on its digests count 13 to 18 of 68 daemons. The link drops the end of a burst. Change: daemons say how much they can relay (the smaller of the link and 200 Mbit/s a core, from the settings that the platform fills in), in reports, lists and their entries in the store; a zone is ordered by that and then by name, and by name alone while one daemon's is not known, as daemons of before order it. Summaries for other zones are sent first. VMs that are alike are ordered as before.

--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"reflect"
@@ -41,6 +42,21 @@
 	ID     string `yaml:"id,required"`
 	Zone   string `yaml:"zone,required"`
 	Region string `yaml:"region"`
+	// LinkMbps is the bandwidth of the VM's link in Mbit/s, and CPUShare the share of a core that it
+	// has. If either is unset, it is not known how much the daemon can relay for others.
+	LinkMbps float64 `yaml:"link_mbps"`
+	CPUShare float64 `yaml:"cpu_share"`
+}
+
+// relayMbpsPerCore is how much a core can relay: a leader of 100 daemons used 0.3 of a core for 60 Mbit/s.
+const relayMbpsPerCore = 200
+
+// RelayCapacity returns how many Mbit/s the daemon can relay, at least one, or zero if that is not known.
+func (v RouterVM) RelayCapacity() uint32 {
+	if v.LinkMbps <= 0 || v.CPUShare <= 0 {
+		return 0
+	}
+	return uint32(max(1, min(v.LinkMbps, v.CPUShare*relayMbpsPerCore, math.MaxUint16)))
 }
 
 // RouterListen holds the addresses that the daemon listens on, as IP:port.
@@ -143,6 +159,9 @@
 		findings.Addf(source.Place("bounds.leaving"), "bounds.leaving: must not be negative")
 	}
 	settings.checkAddresses(source, &findings)
+	if settings.VM.LinkMbps < 0 || settings.VM.CPUShare < 0 {
+		findings.Addf(source.Place("vm"), "vm.link_mbps and vm.cpu_share: must not be negative")
+	}
 	if settings.Bounds.RetryRatio < 0 || settings.Bounds.RetryExtra < 0 {
 		findings.Addf(source.Place("bounds.retry_ratio"), "bounds.retry_ratio and bounds.retry_extra: must not be negative")
 	}
--- a/internal/config/router_test.go
+++ b/internal/config/router_test.go
@@ -74,3 +74,13 @@
 	c.Check(IsRouterSettings([]byte("daemon:\n  id: x\n")), qt.IsFalse)
 	c.Check(IsRouterSettings([]byte("{")), qt.IsFalse)
 }
+
+// TestRelayCapacity checks that a VM relays as much as the smaller of its link and its processor allows, and that
+// nothing is assumed if either is not set.
+func TestRelayCapacity(t *testing.T) {
+	c := qt.New(t)
+	c.Check(RouterVM{LinkMbps: 10, CPUShare: 0.2}.RelayCapacity(), qt.Equals, uint32(10))
+	c.Check(RouterVM{LinkMbps: 1000, CPUShare: 0.4}.RelayCapacity(), qt.Equals, uint32(80))
+	c.Check(RouterVM{LinkMbps: 0.5, CPUShare: 0.4}.RelayCapacity(), qt.Equals, uint32(1))
+	c.Check(RouterVM{LinkMbps: 10}.RelayCapacity(), qt.Equals, uint32(0))
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -261,7 +261,7 @@
 	}
 	now := time.Now()
 	fresh, newProcess := n.options.Members.recordReport(Peer{
-		VM: status.GetVm(), Zone: status.GetZone(), Address: status.GetAddress(), Incarnation: status.GetIncarnation(),
+		VM: status.GetVm(), Zone: status.GetZone(), Address: status.GetAddress(), Capacity: status.GetCapacity(), Incarnation: status.GetIncarnation(),
 		ConfigVersion: status.GetConfigVersion(), ServersRevision: status.GetServersRevision(),
 		CountingFor: countingDuration(status), Fence: status.GetFence(), Draining: status.GetDraining(), StoreFailing: status.GetStoreFailing(), FollowsStore: status.GetFollows(),
 		ServersUnreachable: status.GetServersUnreachable(), StreamAssignment: status.GetStreamAssignment(),
@@ -270,7 +270,7 @@
 		return
 	}
 	for _, p := range status.GetKnown() {
-		n.options.Members.Learn(p.GetVm(), p.GetZone(), p.GetAddress(), now)
+		n.options.Members.Learn(Listed{VM: p.GetVm(), Zone: p.GetZone(), Address: p.GetAddress(), Capacity: p.GetCapacity()}, now)
 	}
 	n.options.Members.learnHelpers(status.GetHelpers(), now)
 	if newProcess {
@@ -304,7 +304,7 @@
 	n.mu.Unlock()
 	reply := n.newStatus(sequence)
 	for _, p := range n.options.Members.relayCandidates(status.GetZone(), now) {
-		reply.Known = append(reply.Known, &gossippb.Peer{Vm: p.VM, Zone: p.Zone, Address: p.Address})
+		reply.Known = append(reply.Known, p.encode())
 	}
 	n.sendTo(reply, status.GetAddress())
 }
--- a/internal/gossip/members.go
+++ b/internal/gossip/members.go
@@ -26,6 +26,8 @@
 	VM      string
 	Zone    string
 	Address string
+	// Capacity is how many Mbit/s the daemon can relay, or zero if it is not known.
+	Capacity uint32
 	// Incarnation identifies the peer's process.
 	Incarnation uint64
 	// CountingFor is for how long the workspaces' usage had been counted without a gap at
@@ -52,8 +54,11 @@
 	LastLearnedAt time.Time
 }
 
-// Identity identifies the local daemon.
-type Identity struct{ VM, Zone, Address string }
+// Identity identifies the local daemon. Capacity is that of Peer.
+type Identity struct {
+	VM, Zone, Address string
+	Capacity          uint32
+}
 
 // Members holds the daemons that the local daemon knows. It is safe for concurrent use.
 type Members struct {
@@ -86,17 +91,27 @@
 	return m
 }
 
+// Listed is an entry in a list of daemons. Its fields are those of Peer.
+type Listed struct {
+	VM, Zone, Address string
+	Capacity          uint32
+}
+
 // Learn adds a daemon that another daemon listed as a member.
-func (m *Members) Learn(vm, zone, address string, now time.Time) {
-	if vm == m.self.VM {
+func (m *Members) Learn(listed Listed, now time.Time) {
+	if listed.VM == m.self.VM {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.peers[vm]
+	p := m.peers[listed.VM]
 	if p == nil {
-		p = &member{Peer: Peer{VM: vm, Zone: zone, Address: address}}
-		m.peers[vm] = p
+		p = &member{Peer: Peer{VM: listed.VM, Zone: listed.Zone, Address: listed.Address}}
+		m.peers[listed.VM] = p
+	}
+	if p.Capacity == 0 {
+		// Daemons of an earlier version list their peers without capacities.
+		p.Capacity = listed.Capacity
 	}
 	p.LastLearnedAt = now
 }
--- a/internal/gossip/members_test.go
+++ b/internal/gossip/members_test.go
@@ -33,12 +33,12 @@
 	c := qt.New(t)
 	m := NewMembers(self, nil)
 	m.recordReport(report("b", 1), 1, start)
-	m.Learn("c", "z", "c:1", start)
+	m.Learn(Listed{VM: "c", Zone: "z", Address: "c:1"}, start)
 	c.Check(m.Reachable(start), qt.HasLen, 1)
 	c.Check(m.Known(start), qt.HasLen, 2)
 	c.Check(m.Reachable(start.Add(unreachableAfter)), qt.HasLen, 0)
 	c.Check(m.Known(start.Add(forgetAfter-1)), qt.HasLen, 2)
-	m.Learn("c", "z", "c:1", start.Add(time.Second))
+	m.Learn(Listed{VM: "c", Zone: "z", Address: "c:1"}, start.Add(time.Second))
 	c.Check(m.Sweep(start.Add(forgetAfter)), qt.HasLen, 1, qt.Commentf("c was learned again"))
 	c.Check(m.Known(start), qt.HasLen, 1)
 }
@@ -121,7 +121,7 @@
 	c := qt.New(t)
 	m := NewMembers(Identity{VM: "a", Zone: "z"}, nil)
 	for _, vm := range []string{"p", "q", "r"} {
-		m.Learn(vm, "y", vm+":1", start)
+		m.Learn(Listed{VM: vm, Zone: "y", Address: vm + ":1"}, start)
 	}
 	reportAll(m, start, "b", "c", "d")
 	plan := m.Plan(LocalState{}, start)
@@ -134,7 +134,7 @@
 func TestLastDaemonOfAZoneLeadsWhileItDrains(t *testing.T) {
 	c := qt.New(t)
 	m := NewMembers(Identity{VM: "a", Zone: "z"}, nil)
-	m.Learn("p", "y", "p:1", start)
+	m.Learn(Listed{VM: "p", Zone: "y", Address: "p:1"}, start)
 	plan := m.Plan(LocalState{Draining: true}, start)
 	c.Check(plan.Leader, qt.IsTrue, qt.Commentf("its counts must reach the other zones"))
 	c.Check(vmsOf(plan.RemoteRelays), qt.DeepEquals, []string{"p"})
@@ -151,7 +151,7 @@
 		vm := vmName(i)
 		m := NewMembers(Identity{VM: vm, Zone: "z", Address: vm}, nil)
 		for other := range daemons {
-			m.Learn(vmName(other), "z", vmName(other), start)
+			m.Learn(Listed{VM: vmName(other), Zone: "z", Address: vmName(other)}, start)
 		}
 		plan := m.Plan(LocalState{}, start)
 		if plan.Leader {
@@ -204,3 +204,31 @@
 	m.recordReport(report("b", 1), 2, start.Add(time.Hour))
 	c.Check(m.hintAddresses(), qt.HasLen, 0)
 }
+
+// TestLargeVMsAreRelays guards against relays on small VMs, whose links drop what a large zone reports to
+// them, so that the zone's sums lack most of its daemons and other zones do not hear it.
+func TestLargeVMsAreRelays(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(Identity{VM: "e", Zone: "z", Address: "e:1", Capacity: 10}, nil)
+	for vm, capacity := range map[string]uint32{"a": 10, "b": 10, "f": 200, "g": 25, "h": 200} {
+		large := report(vm, 1)
+		large.Capacity = capacity
+		m.recordReport(large, 1, start)
+	}
+	c.Check(vmsOf(m.Plan(LocalState{}, start).ReportTo), qt.DeepEquals, []string{"f", "h"})
+	c.Check(vmsOf(m.relayCandidates("z", start)), qt.DeepEquals, []string{"f", "h", "g", "a"})
+	c.Check(vmsOf(m.inRelayOrder(start)), qt.DeepEquals, []string{"f", "h", "g", "a", "b"})
+	m.recordReport(report("c", 1), 1, start)
+	c.Check(vmsOf(m.Plan(LocalState{}, start).ReportTo), qt.DeepEquals, []string{"a", "b"}, qt.Commentf("a daemon of an earlier version orders by VM"))
+}
+
+// TestListedCapacityIsLearned checks that daemons which only know each other from lists agree on the relays.
+func TestListedCapacityIsLearned(t *testing.T) {
+	c := qt.New(t)
+	m := NewMembers(Identity{VM: "e", Zone: "z", Address: "e:1", Capacity: 10}, nil)
+	m.Learn(Listed{VM: "a", Zone: "z", Address: "a:1"}, start)
+	m.Learn(Listed{VM: "f", Zone: "z", Address: "f:1", Capacity: 200}, start)
+	c.Check(m.Plan(LocalState{}, start).LeaderVM, qt.Equals, "a")
+	m.Learn(Listed{VM: "a", Zone: "z", Address: "a:1", Capacity: 10}, start)
+	c.Check(m.Plan(LocalState{}, start).LeaderVM, qt.Equals, "f")
+}
--- a/internal/gossip/plan.go
+++ b/internal/gossip/plan.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -51,7 +52,7 @@
 	zones := m.candidates(self, now)
 	relays := map[string][]Peer{}
 	for name, daemons := range zones {
-		slices.SortFunc(daemons, compareByVM)
+		sortForRelaying(daemons)
 		relays[name] = pickRelays(daemons)
 	}
 	var plan Plan
@@ -96,7 +97,7 @@
 			add(p.Peer)
 		}
 	}
-	add(Peer{VM: m.self.VM, Zone: m.self.Zone, StoreFailing: self.StoreFailing, Draining: self.Draining})
+	add(Peer{VM: m.self.VM, Zone: m.self.Zone, Capacity: m.self.Capacity, StoreFailing: self.StoreFailing, Draining: self.Draining})
 	for name, daemons := range draining {
 		if len(staying[name]) == 0 {
 			staying[name] = daemons
@@ -131,6 +132,20 @@
 	return targets
 }
 
+// sortForRelaying sorts the daemons of a zone into the order in which they become relays: by capacity,
+// the largest first, and then by VM. A small VM's link drops much of what the daemons of a large zone
+// send to it at once. While the capacity of one of them is not known, all are ordered by VM, as
+// daemons of earlier versions do.
+func sortForRelaying(daemons []Peer) {
+	byVM := slices.ContainsFunc(daemons, func(p Peer) bool { return p.Capacity == 0 })
+	slices.SortFunc(daemons, func(a, b Peer) int {
+		if byVM || a.Capacity == b.Capacity {
+			return compareByVM(a, b)
+		}
+		return cmp.Compare(b.Capacity, a.Capacity)
+	})
+}
+
 // pickRelays returns the first daemons of a zone, plus one more for each that the store
 // does not answer.
 func pickRelays(daemons []Peer) []Peer {
@@ -197,9 +212,24 @@
 	peers := m.filter(func(p *member) bool {
 		return p.Zone == zone && !p.Draining && !p.suspected(now) && now.Sub(p.lastSeen()) < forgetAfter
 	})
+	sortForRelaying(peers)
 	return peers[:min(len(peers), maxRelaysPerZone)]
 }
 
+// inRelayOrder returns the known peers, those of each zone in the order in which they become relays.
+func (m *Members) inRelayOrder(now time.Time) []Peer {
+	zones := map[string][]Peer{}
+	for _, p := range m.Known(now) {
+		zones[p.Zone] = append(zones[p.Zone], p)
+	}
+	var all []Peer
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		sortForRelaying(zones[name])
+		all = append(all, zones[name]...)
+	}
+	return all
+}
+
 // hintAddresses returns the addresses to report to while no daemon is reachable.
 func (m *Members) hintAddresses() []string {
 	m.mu.Lock()
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -21,8 +21,9 @@
 	sequence := n.sequence
 	n.mu.Unlock()
 	own := n.options.Source.OwnCounts(sequence)
-	n.sendToZone(plan, own, sequence, now)
+	// The few datagrams to other zones go first: a link that is full drops the last ones of a round.
 	n.sendToRemoteZones(plan, sequence, now)
+	n.sendToZone(plan, own, sequence, now)
 	if len(plan.ReportTo) > 0 && !plan.Relay {
 		report := n.newStatus(sequence)
 		report.Own = own
@@ -108,7 +109,7 @@
 	summary.ZoneReach, summary.ZoneSum = n.options.Source.ZoneTotals(now)
 	summary.Uses = n.usesFor(plan.RemoteRelays, now)
 	if sequence%reportsPerMemberList == 1 {
-		summary.Known = memberList(n.options.Members.Known(now), maxListedPerRemoteZone, now)
+		summary.Known = memberList(n.options.Members.inRelayOrder(now), maxListedPerRemoteZone, now)
 		summary.Helpers = n.options.Members.zoneHelpers(n.options.Source.LocalState(), sequence/reportsPerMemberList, now)
 	}
 	n.sendToAll(summary, plan.RemoteRelays, now)
@@ -134,16 +135,21 @@
 	for _, p := range peers {
 		if count[p.Zone] < limit && !p.LastHeardAt.IsZero() && now.Sub(p.LastHeardAt) < forgetAfter {
 			count[p.Zone]++
-			list = append(list, &gossippb.Peer{Vm: p.VM, Zone: p.Zone, Address: p.Address})
+			list = append(list, p.encode())
 		}
 	}
 	return list
 }
 
+// encode returns the peer's entry in a list.
+func (p *Peer) encode() *gossippb.Peer {
+	return &gossippb.Peer{Vm: p.VM, Zone: p.Zone, Address: p.Address, Capacity: p.Capacity}
+}
+
 func (n *Node) newStatus(sequence uint64) *gossippb.Status {
 	status := &gossippb.Status{
 		Vm: n.options.VM, Zone: n.options.Zone, Address: n.options.Address,
-		Incarnation: n.options.Incarnation, Sequence: sequence,
+		Incarnation: n.options.Incarnation, Sequence: sequence, Capacity: n.options.Members.self.Capacity,
 	}
 	n.options.Source.FillStatus(status)
 	return status
--- a/internal/router/gossip_test.go
+++ b/internal/router/gossip_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/gossip"
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
 	"github.com/plankridge/plankridge/internal/rollup"
 )
@@ -50,7 +51,7 @@
 func newFollowerState(t *testing.T, now time.Time) *state {
 	s := newTestRouter(t).state
 	s.started = now.Add(-time.Hour)
-	s.router.members.Learn("vm-0", "zone-1", "10.1.0.9:82", now)
+	s.router.members.Learn(gossip.Listed{VM: "vm-0", Zone: "zone-1", Address: "10.1.0.9:82"}, now)
 	return s
 }
 
--- a/internal/router/register.go
+++ b/internal/router/register.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/plankridge/plankridge/internal/allowance"
+	"github.com/plankridge/plankridge/internal/gossip"
 	"github.com/plankridge/plankridge/internal/store"
 )
 
@@ -21,6 +22,8 @@
 	// SinceMs is the wall-clock time at which the VM's first process started, in milliseconds since
 	// 1970.
 	SinceMs int64 `json:"since_ms,omitempty"`
+	// Capacity is how many Mbit/s the daemon can relay, or zero if it is not known.
+	Capacity uint32 `json:"capacity,omitempty"`
 }
 
 // registerRetryDelay is the delay after a failed attempt to register.
@@ -120,7 +123,7 @@
 // writeEntry learns the listed daemons, and writes this daemon's entry if it is missing or differs.
 func (r *Router) writeEntry(ctx context.Context, page store.Page) error {
 	existing, revision := r.learnMembers(page, time.Now())
-	own := daemonEntry{Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers, SinceMs: existing.SinceMs}
+	own := daemonEntry{Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers, SinceMs: existing.SinceMs, Capacity: r.settings.VM.RelayCapacity()}
 	if revision == 0 {
 		own.SinceMs = r.state.started.UnixMilli()
 	}
@@ -162,7 +165,7 @@
 			own, revision = entry, object.Revision
 			continue
 		}
-		r.members.Learn(object.Name, entry.Zone, entry.Address, now)
+		r.members.Learn(gossip.Listed{VM: object.Name, Zone: entry.Zone, Address: entry.Address, Capacity: entry.Capacity}, now)
 	}
 	return own, revision
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -132,7 +132,7 @@
 		followBegun:  make(chan struct{}, 1),
 		links:        detour.NewLinks(),
 		detourPeers:  detour.NewPeers(options.Network, insecure.NewCredentials()),
-		members:      gossip.NewMembers(gossip.Identity{VM: s.VM.ID, Zone: s.VM.Zone, Address: s.Listen.Peers}, s.Peers.Seeds),
+		members:      gossip.NewMembers(gossip.Identity{VM: s.VM.ID, Zone: s.VM.Zone, Address: s.Listen.Peers, Capacity: s.VM.RelayCapacity()}, s.Peers.Seeds),
 	}
 	r.metrics.MustRegister(collectors.NewGoCollector(), stateCollector{r})
 	r.pool = upstream.NewPool(r.newDialer(options.Network), dialTimeout)
