Detect reclaims whose time the cloud does not announce

Cause: the holder ordered nothing from 8.3 s until all daemons died at 13.0 s. Change: if all reclaimable servers of a zone drain, two at least, although some were to be there, the zone counts as exhausted and the order for it as void. Entries with a time are handled as before. Evidence: TestReclaimWithoutAnnouncedTimeIsDetected fails without the change (no on-demand server is ordered).

--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -66,6 +66,8 @@
 	// is below the demand for them.
 	OnDemandAtLimit    int
 	ReclaimableAtLimit int
+	// ReclaimableDraining is the number of reclaimable servers that no longer accept new requests.
+	ReclaimableDraining int
 	// ReclaimableExhausted is set while the cloud has no reclaimable servers available in the zone.
 	ReclaimableExhausted bool
 }
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -107,6 +107,7 @@
 
 // Orders returns the orders to place now. RecordReply must be called for each of them.
 func (p *Planner) Orders(s State, now time.Time) []Order {
+	p.detectReclaims(s, now)
 	for i := range s.Zones {
 		if _, exhausted := p.exhaustedUntil[Market{s.Zones[i].Name, true}]; exhausted {
 			s.Zones[i].ReclaimableExhausted = true
@@ -123,6 +124,24 @@
 	return p.OrdersFor(Plan(s), s, now)
 }
 
+// minReclaimedTogether is the number of reclaimable servers that must drain together to show a reclaim. A
+// single one may be replaced by its operator.
+const minReclaimedTogether = 2
+
+// detectReclaims detects reclaims by the servers themselves: a zone's reclaimable servers all drain although
+// none of them was to be removed. The cloud need not announce when they leave. There are no more of them in
+// the zone for a while, and the order that they belonged to is void.
+func (p *Planner) detectReclaims(s State, now time.Time) {
+	for _, z := range s.Zones {
+		market := Market{z.Name, true}
+		if z.Reclaimable > 0 || z.ReclaimableDraining < minReclaimedTogether || p.heldCounts[market].count == 0 {
+			continue
+		}
+		p.exhaustedUntil[market] = now.Add(exhaustedRetryDelay)
+		delete(p.lastOrders, market)
+	}
+}
+
 // minServers returns the number of servers to keep until the demand is known: a share of the
 // initial fleet, which the operator considered sufficient.
 func (p *Planner) minServers(s State, now time.Time) int {
--- a/internal/capacity/planner_test.go
+++ b/internal/capacity/planner_test.go
@@ -303,3 +303,43 @@
 	removed := orderAndReply(p, low, startTime.Add(61*time.Second+reclaimableScaleDownDelay(4*time.Second)), ReplyAccepted)
 	c.Check(len(removed) > 0, qt.IsTrue, qt.Commentf("the demand is complete and low"))
 }
+
+// TestReclaimWithoutAnnouncedTimeIsDetected guards against a planner that goes on counting on the reclaimable
+// servers of a zone while all of them drain, because the cloud did not say when they leave.
+func TestReclaimWithoutAnnouncedTimeIsDetected(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	s := stateWithServers(0, 4)
+	s.Load = prefillLoad(5)
+	orderAndReply(p, s, startTime, ReplyAccepted)
+	s = stateWithServers(0, 4)
+	s.Load = prefillLoad(5)
+	s.Zones[0].Reclaimable, s.Zones[0].ReclaimableDraining = 0, 4
+	onDemand := 0
+	for _, o := range orderAndReply(p, s, startTime.Add(time.Second), ReplyAccepted) {
+		c.Check(o.Market, qt.Not(qt.Equals), Market{"a", true}, qt.Commentf("there are none"))
+		if !o.Reclaimable {
+			onDemand += o.Count
+		}
+	}
+	c.Check(onDemand >= 4, qt.IsTrue, qt.Commentf("%d on demand", onDemand))
+	s = stateWithServers(0, 4)
+	s.Load = prefillLoad(5)
+	s.Zones[0].Reclaimable, s.Zones[0].OnDemand = 0, 4
+	ordered := orderAndReply(p, s, startTime.Add(time.Second+exhaustedRetryDelay), ReplyDeclined)
+	c.Check(len(ordered) > 0 && ordered[len(ordered)-1].Reclaimable, qt.IsTrue, qt.Commentf("they are asked for again: %+v", ordered))
+}
+
+// TestServersThatAreRemovedAreNoReclaim guards against on-demand servers that substitute for servers which the
+// planner itself has removed.
+func TestServersThatAreRemovedAreNoReclaim(t *testing.T) {
+	c := qt.New(t)
+	p := NewPlanner()
+	s := stateWithServers(1, 0)
+	s.Load = prefillLoad(0)
+	for i := range s.Zones {
+		s.Zones[i].ReclaimableDraining = 4
+	}
+	p.detectReclaims(s, startTime)
+	c.Check(p.exhaustedUntil, qt.HasLen, 0)
+}
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -94,6 +94,9 @@
 			// available there for a while.
 			zones[i].ReclaimableExhausted = true
 		}
+		if server.Draining && server.Reclaimable {
+			zones[i].ReclaimableDraining++
+		}
 		if server.Ready {
 			countReady(&zones[i], server)
 		}
