Divide a scarce allowance between classes of requests

Daemons now sum up what is requested by class (three ranks, four sizes), and admit the classes in the order of rank and size with probabilities whose mean, weighted by the requested tokens, is the probability without classes. Each class is served at least a quarter as often as all requests, and at least half as often as those of its rank and of similar sizes. A request gets more than without classes only from tokens that other requests of the same daemon have left (a credit that is never negative), so that no error in the sums admits more in expectation. Unknown, old or incomplete sums, and a single class, decide as before.

Retry-After forecasts what leaves the window, and is zero if a retry would hardly be admitted.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -65,6 +65,8 @@
 // lack of allowance, since they started, by workspace.
 type Counters struct {
 	Spent, Refused map[string]float64
+	// Asked are the tokens that callers have requested, by workspace and class. It is nil if no class is known.
+	Asked map[string][]float64
 }
 
 // reporter identifies one process of a peer.
@@ -105,6 +107,8 @@
 	// counter is set if the account only counts and has no limit. discrete is set if it counts single
 	// requests, of which a daemon's share may be less than one.
 	counter, discrete bool
+	// classes is nil until a request or a report of peers has a class.
+	classes *classes
 	// fractionNeeded is the fraction of a request that must be free for the next one to be admitted
 	// by chance, or zero if it has yet to be drawn.
 	fractionNeeded float64
@@ -202,13 +206,25 @@
 // knowledge of each other, admit what is free between them. They need not ask each other, however
 // small each daemon's share is compared with a request.
 func (l *Limiter) Admit(workspace string, tokens float64, now time.Time) Verdict {
+	return l.admit(workspace, tokens, noClass, now)
+}
+
+// AdmitClass is Admit for a request whose class is known. If more is requested than is free, what is free goes to the
+// classes by their priority, with a floor for each. Without knowledge of the classes of all requests, or if all are of
+// one class, it decides as Admit does.
+func (l *Limiter) AdmitClass(workspace string, tokens float64, class Class, now time.Time) Verdict {
+	return l.admit(workspace, tokens, class, now)
+}
+
+func (l *Limiter) admit(workspace string, tokens float64, class Class, now time.Time) Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accounts[workspace]
 	if a == nil || a.rate <= 0 {
-		return Verdict{Admitted: true}
+		return Verdict{Admitted: true, Class: class}
 	}
 	a.used.advance(now)
+	a.countClass(class, tokens)
 	a.ownDemand.add(tokens, now)
 	a.asked += tokens
 	// A request larger than the whole allowance is admitted to an empty window.
@@ -217,12 +233,21 @@
 	free -= l.spentInSilence(a, now)
 	verdict := l.newVerdict(a, free, now)
 	probability := l.admissionProbability(a, need, free, verdict.Unreported, now)
+	verdict.Class, verdict.EvenProbability = class, probability
+	if class != noClass && probability > 0 && probability < 1 && l.mixKnown(a, now) {
+		verdict.ByClass = true
+		probability = l.classProbability(a, class, tokens, probability, now)
+	}
+	verdict.Probability = probability
 	verdict.Admitted = probability >= 1 || probability > 0 && l.random() < probability
 	verdict.ByChance = verdict.Admitted && need+verdict.Unreported > free
 	a.sinceReport.add(tokens, probability)
 	if !verdict.Admitted {
 		a.refused += tokens
 		verdict.RetryAfter = l.retryAfter(a, need+verdict.Unreported-free, now)
+		if class != noClass && l.random != nil && l.mixKnown(a, now) && !l.reportOverdue(a, now) {
+			verdict.RetryAfter = l.classRetryAfter(a, class, now)
+		}
 		return verdict
 	}
 	a.spend(tokens, now)
@@ -371,6 +396,7 @@
 		if a.refused != 0 {
 			counters.Refused[name] = a.refused
 		}
+		a.addAsked(name, &counters)
 	}
 	return counters
 }
@@ -413,6 +439,7 @@
 				continue
 			}
 			a.used.add(l.spentBetweenSources(a, r.JustStarted, now), now)
+			a.rebaseClasses(now)
 			a.peers.reportedAt, a.peers.changedAt, a.spentAtReport, a.sinceReport = now, now, a.spent, admissions{}
 			continue
 		}
@@ -424,6 +451,7 @@
 			a.used.add(spent, now)
 		}
 		a.observeOwn(now)
+		a.observeClasses(r.Counters.Asked[name], before.Asked[name], spent+refused, now)
 		if !l.alone {
 			a.peers.observe(spent, refused, l.reachablePeerShare(), now)
 			a.spentAtReport, a.sinceReport = a.spent, admissions{}
--- a/internal/allowance/simulation_test.go
+++ b/internal/allowance/simulation_test.go
@@ -49,7 +49,13 @@
 	loweredRate float64
 	// requestSize, if set, draws the tokens of a request in place of meanTokens.
 	requestSize func(r *rand.Rand) float64
-	digestLoss  float64
+	// requestClass, if set, returns the class of a request.
+	requestClass func(tokens float64) Class
+	// sendTick, if set, sends the requests of a tick in place of those that demand and requestSize describe.
+	sendTick   func(s *simulator)
+	digestLoss float64
+	// digestDelay is how long digests of leaders take to arrive.
+	digestDelay time.Duration
 	faults      []fault
 	// These are deliberate mistakes that must be detected. ignorePeers makes daemons count nothing
 	// that peers report, forgetUsage makes them start as if nothing had been used, and
@@ -140,11 +146,13 @@
 	snapshotDemand map[string]float64
 	snapshotAt     time.Duration
 	retries        map[time.Duration][]float64
-	outcome        outcome
+	// delayed are the digests that arrive at a time.
+	delayed map[time.Duration][]func()
+	outcome outcome
 }
 
 func (sim simulation) run() outcome {
-	s := &simulator{simulation: sim, random: rand.New(rand.NewPCG(sim.seed, uint64(sim.daemons))), retries: map[time.Duration][]float64{}}
+	s := &simulator{simulation: sim, random: rand.New(rand.NewPCG(sim.seed, uint64(sim.daemons))), retries: map[time.Duration][]float64{}, delayed: map[time.Duration][]func(){}}
 	s.reportInterval = min(400*time.Millisecond, max(150*time.Millisecond, time.Duration(sim.daemons)*5*time.Millisecond))
 	s.reportInterval = s.reportInterval.Truncate(simulationTick)
 	s.limit = sim.rate * (sim.tolerance.Window.Seconds() + 1)
@@ -218,6 +226,10 @@
 		s.applyFault(f)
 	}
 	s.applyLowered()
+	for _, digest := range s.delayed[s.now] {
+		digest()
+	}
+	delete(s.delayed, s.now)
 	for zone, phase := range s.digestPhases {
 		if (s.now+reportBeforeDigest+s.reportInterval-phase)%s.reportInterval == 0 {
 			s.sendReports(zone)
@@ -320,7 +332,7 @@
 	own := d.limiter.OwnCounters()
 	d.sent[d.sequence] = own
 	delete(d.sent, d.sequence-keptReports)
-	counts := rollup.Counts{Spent: own.Spent, Refused: own.Refused}
+	counts := rollup.Counts{Spent: own.Spent, Refused: own.Refused, Asked: own.Asked}
 	d.sums.SetOwn(counts)
 	return counts
 }
@@ -347,11 +359,27 @@
 		if d.zone != zone || !d.running() || d == lead || s.random.Float64() < s.digestLoss {
 			continue
 		}
-		s.applyDigest(d, lead, reachable, age, Counters{Spent: sums.Spent, Refused: sums.Refused})
-		if known {
-			d.limiter.AdoptFromPeer(usage, demand, lead.limiter.CountedFor(s.clock(lead)), s.clock(d))
-		}
+		included := lead.sums.LastSequence(d.vm)
+		s.deliver(func() {
+			if !d.running() {
+				return
+			}
+			s.applyDigest(d, lead, included, reachable, age, Counters{Spent: sums.Spent, Refused: sums.Refused, Asked: sums.Asked})
+			if known {
+				d.limiter.AdoptFromPeer(usage, demand, lead.limiter.CountedFor(s.clock(lead)), s.clock(d))
+			}
+		})
+	}
+}
+
+// deliver applies a digest when it arrives.
+func (s *simulator) deliver(digest func()) {
+	if s.digestDelay == 0 {
+		digest()
+		return
 	}
+	at := s.now + s.digestDelay
+	s.delayed[at] = append(s.delayed[at], digest)
 }
 
 func (s *simulator) sendSummary(lead *daemon, relays []*daemon) {
@@ -388,13 +416,12 @@
 	changed := d.leader.vm != d.vm && d.leader.vm != ""
 	d.leader = leaderState{vm: d.vm}
 	spent, refused := d.sums.SpentByOthers()
-	s.applyReport(d, Counters{Spent: spent, Refused: refused}, Report{VM: d.vm, Incarnation: d.incarnation, Baseline: changed, JustStarted: s.now-d.started < freshFor}, reachable, age)
+	s.applyReport(d, Counters{Spent: spent, Refused: refused, Asked: d.sums.AskedByOthers()}, Report{VM: d.vm, Incarnation: d.incarnation, Baseline: changed, JustStarted: s.now-d.started < freshFor}, reachable, age)
 	return reachable, age
 }
 
 // applyDigest applies a leader's digest at a daemon.
-func (s *simulator) applyDigest(d, lead *daemon, reachable int, age time.Duration, all Counters) {
-	includedSequence := lead.sums.LastSequence(d.vm)
+func (s *simulator) applyDigest(d, lead *daemon, includedSequence uint64, reachable int, age time.Duration, all Counters) {
 	startedTogether := s.now-d.started < settleTimeout && s.now-lead.started < settleTimeout
 	warmup := s.now-lead.started < freshFor && !startedTogether
 	if warmup && includedSequence == 0 {
@@ -467,6 +494,16 @@
 }
 
 func (s *simulator) sendRequests() {
+	if s.sendTick != nil {
+		s.sendTick(s)
+	} else {
+		s.sendPlainRequests()
+	}
+	s.recordTick()
+}
+
+// sendPlainRequests sends the requests of a tick that demand and requestSize describe.
+func (s *simulator) sendPlainRequests() {
 	for left := s.demand(s.now) * simulationTick.Seconds(); left > 0; {
 		tokens := s.drawTokens()
 		// The last request of a tick is sent with a probability that keeps the mean right.
@@ -480,6 +517,10 @@
 		s.sendRequest(tokens, false)
 	}
 	delete(s.retries, s.now)
+}
+
+// recordTick records what was admitted in a tick.
+func (s *simulator) recordTick() {
 	s.admittedByTick = append(s.admittedByTick, s.totalAdmitted)
 	span := int(s.tolerance.Window / simulationTick)
 	if i := len(s.admittedByTick) - 1; i >= span && s.limitSettled() {
@@ -506,7 +547,11 @@
 	if first {
 		s.outcome.offered += tokens
 	}
-	verdict := d.limiter.Admit("w", tokens, s.clock(d))
+	class := noClass
+	if s.requestClass != nil {
+		class = s.requestClass(tokens)
+	}
+	verdict := d.limiter.AdmitClass("w", tokens, class, s.clock(d))
 	if verdict.Admitted {
 		s.totalAdmitted += tokens
 		return
@@ -524,5 +569,6 @@
 	return Counters{
 		Spent:   map[string]float64{"w": a.Spent["w"] - b.Spent["w"]},
 		Refused: map[string]float64{"w": a.Refused["w"] - b.Refused["w"]},
+		Asked:   rollup.SubtractAsked(a.Asked, b.Asked),
 	}
 }
--- a/internal/allowance/verdict.go
+++ b/internal/allowance/verdict.go
@@ -19,7 +19,8 @@
 	ByChance bool
 	// At is when the request was admitted.
 	At time.Time
-	// RetryAfter is how long the caller of a refused request should wait before retrying.
+	// RetryAfter is how long the caller of a refused request should wait before retrying. Zero means that a retry
+	// within a window would hardly be admitted.
 	RetryAfter time.Duration
 	// Limit is what the workspace may use in a window, Used what it has used, Free what this daemon
 	// may use, and Unreported what peers may have admitted since their last report, in tokens.
@@ -30,6 +31,11 @@
 	ReportAge time.Duration
 	// ReachableShare is the share of the known daemons that are reachable.
 	ReachableShare float64
+	// Class is the class of the request, and ByClass is set if the classes of all requests decide. Probability is that
+	// of its admission, and EvenProbability what it would be without classes.
+	Class                        Class
+	ByClass                      bool
+	Probability, EvenProbability float64
 	// Restored is set once the usage before the start of this process is known.
 	Restored bool
 }
--- a/internal/allowance/window.go
+++ b/internal/allowance/window.go
@@ -114,6 +114,25 @@
 	return w.slotWidth * (slotCount + 1)
 }
 
+// timeToFreeWithin returns how long it takes until the given number of tokens leaves the window within a span that
+// begins then, and whether that is before all have left.
+func (w *window) timeToFreeWithin(tokens float64, span time.Duration, now time.Time) (time.Duration, bool) {
+	length := max(1, int64(span/w.slotWidth))
+	oldest := w.newest - slotCount
+	leaving := 0.0
+	for number := oldest; number <= w.newest; number++ {
+		leaving += w.slots[number%(slotCount+1)]
+		if number >= oldest+length {
+			leaving -= w.slots[(number-length)%(slotCount+1)]
+		}
+		if leaving >= tokens {
+			first := max(oldest, number-length+1)
+			return max(0, w.origin.Add(time.Duration(first+slotCount+1)*w.slotWidth).Sub(now)), true
+		}
+	}
+	return 0, false
+}
+
 // Usage is the tokens used in each eighth of a window, the oldest first.
 type Usage [spanCount]float64
 
--- a/internal/rollup/rollup.go
+++ b/internal/rollup/rollup.go
@@ -28,6 +28,8 @@
 	// workspace. They never decrease within a process.
 	Spent   map[string]float64
 	Refused map[string]float64
+	// Asked are the tokens that callers have requested, by workspace and class. They never decrease within a process.
+	Asked map[string][]float64
 	// Loads holds the attempts in flight by server key.
 	Loads map[uint32]backend.Load
 	// Demand is the demand for each service's engines.
@@ -93,16 +95,22 @@
 }
 
 // totals holds running totals by workspace.
-type totals struct{ spent, refused map[string]float64 }
+type totals struct {
+	spent, refused map[string]float64
+	asked          map[string][]float64
+}
 
 func newTotals() totals {
-	return totals{spent: map[string]float64{}, refused: map[string]float64{}}
+	return totals{spent: map[string]float64{}, refused: map[string]float64{}, asked: map[string][]float64{}}
 }
 
 // addIncrease adds the increase between two reports of a process.
 func (t totals) addIncrease(before, after Counts) {
 	addDifference(t.spent, before.Spent, after.Spent)
 	addDifference(t.refused, before.Refused, after.Refused)
+	for workspace, tokens := range after.Asked {
+		t.asked[workspace] = addAsked(addAsked(t.asked[workspace], tokens, 1), before.Asked[workspace], -1)
+	}
 }
 
 // New returns an empty Aggregator.
@@ -213,6 +221,7 @@
 	defer a.mu.Unlock()
 	sum := a.zoneCurrent(now)
 	sum.Spent, sum.Refused = maps.Clone(a.zoneTotal.spent), maps.Clone(a.zoneTotal.refused)
+	sum.Asked = cloneAsked(a.zoneTotal.asked)
 	return sum
 }
 
@@ -222,6 +231,7 @@
 	defer a.mu.Unlock()
 	sum := a.zoneCurrent(now)
 	sum.Spent, sum.Refused = maps.Clone(a.allTotal.spent), maps.Clone(a.allTotal.refused)
+	sum.Asked = cloneAsked(a.allTotal.asked)
 	for _, z := range a.zones {
 		if z.fresh(now) {
 			sum.addCurrent(z.counts)
@@ -302,7 +312,7 @@
 // NewCounts returns empty Counts.
 func NewCounts() Counts {
 	return Counts{
-		Spent: map[string]float64{}, Refused: map[string]float64{}, Loads: map[uint32]backend.Load{}, Demand: map[string]demand.Load{}, EngineEstimates: map[string]pace.EngineEstimates{},
+		Spent: map[string]float64{}, Refused: map[string]float64{}, Asked: map[string][]float64{}, Loads: map[uint32]backend.Load{}, Demand: map[string]demand.Load{}, EngineEstimates: map[string]pace.EngineEstimates{},
 		Versions: rollout.NewTallies(),
 	}
 }
--- a/internal/rollup/rollup_test.go
+++ b/internal/rollup/rollup_test.go
@@ -111,3 +111,24 @@
 	_, refused := s.SpentByOthers()
 	c.Check(refused["w"], qt.Equals, 110.0)
 }
+
+// TestAskedByClassIsSummed guards against losing what was requested in a class when reports differ in the number of
+// classes, and against changing the counts that a report holds.
+func TestAskedByClassIsSummed(t *testing.T) {
+	c := qt.New(t)
+	asked := func(tokens ...float64) Counts { return Counts{Asked: map[string][]float64{"w": tokens}} }
+	s := New()
+	own := asked(1, 2)
+	s.SetOwn(own)
+	s.AddReport(Report{VM: "a", Incarnation: 1, JustStarted: true, Counts: asked(10, 20, 30)}, start)
+	s.AddReport(Report{VM: "a", Incarnation: 1, Counts: asked(11, 20, 30, 4)}, start)
+	s.AddSummary(Summary{Zone: "y", VM: "p", Counts: asked(1000)}, start)
+	s.AddSummary(Summary{Zone: "y", VM: "p", Counts: asked(1100)}, start)
+	c.Check(s.All(start).Asked["w"], qt.DeepEquals, []float64{112, 22, 30, 4})
+	c.Check(s.Zone(start).Asked["w"], qt.DeepEquals, []float64{12, 22, 30, 4})
+	c.Check(s.AskedByOthers()["w"], qt.DeepEquals, []float64{111, 20, 30, 4})
+	c.Check(own.Asked["w"], qt.DeepEquals, []float64{1, 2})
+	s.AddSummary(Summary{Zone: "y", VM: "p", Counts: testCounts(5)}, start)
+	c.Check(s.All(start).Asked["w"], qt.DeepEquals, []float64{112, 22, 30, 4}, qt.Commentf("an earlier version reports no classes"))
+	c.Check(SubtractAsked(map[string][]float64{}, own.Asked), qt.HasLen, 0)
+}
