Report requests by class and state Retry-After only in time

forward admits requests with their class. A refusal states no Retry-After if that is zero or later than a third of the time that is left to the caller, who would not wait for it. The line of a request that ended holds the class, the probability of admission with and without classes, and the forecast and the stated time of a retry; refusals are counted by class, and explain names refusals in favor of other requests of the workspace.

forward.Limiter.Admit takes the class, so TestProcessThatStoodStillAsksOthers passes one; what it checks is the same.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -262,7 +262,7 @@
 	defer l.mu.Unlock()
 	a := l.accounts[workspace]
 	if a == nil || a.rate <= 0 {
-		return Verdict{Admitted: true}
+		return Verdict{Admitted: true, Class: noClass}
 	}
 	a.used.advance(now)
 	free := l.free(a, now) + l.reachableShare*retryToleranceShare*l.tolerance.tokensFor(a.limit)
--- a/internal/allowance/verdict.go
+++ b/internal/allowance/verdict.go
@@ -6,7 +6,7 @@
 func (l *Limiter) newVerdict(a *account, free float64, now time.Time) Verdict {
 	return Verdict{
 		Limit: a.limit, Used: a.used.sum(), Free: free, Unreported: l.unreported(a, now), OthersDemand: l.othersDemand(a, now),
-		ReportAge: a.peers.reportAge(now), ReachableShare: l.reachableShare, Restored: a.restored,
+		ReportAge: a.peers.reportAge(now), ReachableShare: l.reachableShare, Restored: a.restored, Class: noClass,
 	}
 }
 
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -19,6 +19,7 @@
 	CauseNoRoute         Cause = "no route under the configuration in force"
 	CauseBadRequest      Cause = "the request itself was invalid"
 	CauseAboveAllowance  Cause = "the workspace was above its allowance"
+	CauseAllowanceClass  Cause = "the workspace was above its allowance, and more urgent or smaller requests of it came first"
 	CauseEndsServers     Cause = "the request ended the servers that ran it and is held back"
 	CausePartEndsServers Cause = "requests with a part of this prompt ended the servers that ran them and are held back"
 	CauseNoServer        Cause = "the service had no backend server"
@@ -81,6 +82,9 @@
 func causeOfFailure(l Line) Cause {
 	switch l.Reason {
 	case "workspace is above its allowance":
+		if l.AllowanceByClass && l.AllowanceProbability < l.AllowanceEvenProbability {
+			return CauseAllowanceClass
+		}
 		return CauseAboveAllowance
 	case "request ends the servers that run it":
 		return CauseEndsServers
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -86,7 +86,13 @@
 	// allowed and counted. They are zero if the request needed no retry.
 	RetriesAllowed float64 `json:"retries_allowed"`
 	RetriesSpent   float64 `json:"retries_spent"`
-	Draining       bool    `json:"draining"`
+	// AllowanceByClass is set if the classes of all requests of the workspace decided about the request.
+	// AllowanceProbability is that of its admission, and AllowanceEvenProbability what it would have been without classes.
+	AllowanceClass           string  `json:"allowance_class"`
+	AllowanceByClass         bool    `json:"allowance_by_class"`
+	AllowanceProbability     float64 `json:"allowance_probability"`
+	AllowanceEvenProbability float64 `json:"allowance_probability_without_classes"`
+	Draining                 bool    `json:"draining"`
 	// Limited, RequestsPerSecond and RestMS are the rate limit and the pause that a server
 	// has announced.
 	Limited           bool    `json:"limited"`
@@ -265,6 +271,10 @@
 		if l.RetriesAllowed > 0 {
 			text += fmt.Sprintf(", %.1f of %.1f retries spent", l.RetriesSpent, l.RetriesAllowed)
 		}
+		if l.AllowanceByClass {
+			text += fmt.Sprintf(", class %q admitted with probability %.2f by its workspace's allowance, %.2f without classes",
+				l.AllowanceClass, l.AllowanceProbability, l.AllowanceEvenProbability)
+		}
 		text += ")"
 		return text
 	case msgRejected:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -124,7 +124,11 @@
 func TestCauses(t *testing.T) {
 	c := qt.New(t)
 	for want, l := range map[Cause]Line{
-		CauseAboveAllowance:  {Outcome: "refused", Status: 429, Reason: "workspace is above its allowance"},
+		CauseAboveAllowance: {Outcome: "refused", Status: 429, Reason: "workspace is above its allowance"},
+		CauseAllowanceClass: {
+			Outcome: "refused", Status: 429, Reason: "workspace is above its allowance",
+			AllowanceByClass: true, AllowanceProbability: 0.1, AllowanceEvenProbability: 0.25,
+		},
 		CausePartEndsServers: {Outcome: "refused", Status: 503, Reason: "a part of the prompt ends the servers that run it"},
 		CauseEndsServers:     {Outcome: "refused", Status: 503, Reason: "request ends the servers that run it"},
 		CauseOverload:        {Outcome: "refused", Status: 503, Reason: "predicted wait is too long"},
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -202,8 +202,8 @@
 
 // Limiter enforces the allowances of workspaces.
 type Limiter interface {
-	// Admit takes tokens from the allowance, or returns when to try again.
-	Admit(workspace string, tokens float64) allowance.Verdict
+	// Admit takes tokens from the allowance for a request of a class, or returns when to try again.
+	Admit(workspace string, tokens float64, class allowance.Class) allowance.Verdict
 	// AdmitRetry takes tokens for another run of a request that may already have run.
 	AdmitRetry(workspace string, tokens float64) allowance.Verdict
 	// Refund returns the tokens of a request that has not run. admitted is the time of its
--- a/internal/forward/charge.go
+++ b/internal/forward/charge.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/catalog"
 )
 
@@ -19,10 +20,14 @@
 	}
 	cost := r.call.tokenCost(w)
 	r.cost = cost
-	verdict := r.options.Limiter.Admit(w.Name, cost)
+	verdict := r.options.Limiter.Admit(w.Name, cost, allowance.ClassOf(r.call.Rank, cost))
 	r.verdict = &verdict
+	r.options.Metrics.observeAllowance(verdict)
 	if !verdict.Admitted {
-		return &Refusal{Status: http.StatusTooManyRequests, Reason: reasonAboveAllowance, RetryAfter: verdict.RetryAfter}
+		return &Refusal{
+			Status: http.StatusTooManyRequests, Reason: reasonAboveAllowance,
+			RetryAfter: retryAfterInTime(verdict.RetryAfter, time.Until(r.call.CallerDeadline())),
+		}
 	}
 	r.charged = true
 	err := r.runAttempts(ctx)
@@ -34,6 +39,18 @@
 
 const reasonAboveAllowance = "workspace is above its allowance"
 
+// retryTimeShare is the share of its remaining time for which a caller waits before a retry.
+const retryTimeShare = 1.0 / 3
+
+// retryAfterInTime returns the time after which a caller should retry, or zero, which states none, if it would not wait
+// for so long.
+func retryAfterInTime(wait, remaining time.Duration) time.Duration {
+	if wait.Seconds() > retryTimeShare*remaining.Seconds() {
+		return 0
+	}
+	return wait
+}
+
 // chargeRepeat charges another run of the call to its workspace's allowance, unless the
 // previous charge is still unused.
 func (r *run) chargeRepeat() *Refusal {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -1,9 +1,12 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/plankridge/plankridge/internal/allowance"
 )
 
 // Metrics holds the metrics of forwarded calls.
@@ -13,6 +16,8 @@
 	firstAnswer *prometheus.HistogramVec
 	// resumed counts the streams that callers take up.
 	resumed *prometheus.CounterVec
+	// allowance counts the decisions on requests to workspaces with an allowance, by class.
+	allowance *prometheus.CounterVec
 	// violations counts violated invariants. Any violation is a bug in this program.
 	violations prometheus.Counter
 }
@@ -36,11 +41,15 @@
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "plankridge_streams_taken_up_total", Help: "Streams that callers take up, by how the version that began them was established; empty if it was not.",
 		}, []string{"service", "version_from"}),
+		allowance: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "plankridge_allowance_decisions_total",
+			Help: "Requests to workspaces with an allowance, by class, decision, and whether the classes of all requests decided.",
+		}, []string{"class", "decision", "by_class"}),
 		violations: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "plankridge_call_invariant_violations_total", Help: "Steps that the life of a call does not have.",
 		}),
 	}
-	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.violations)
+	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.allowance, m.violations)
 	return m
 }
 
@@ -51,3 +60,14 @@
 		m.firstAnswer.WithLabelValues(call.Service).Observe(first.Seconds())
 	}
 }
+
+func (m *Metrics) observeAllowance(verdict allowance.Verdict) {
+	decision := "refused"
+	switch {
+	case verdict.Admitted:
+		decision = "admitted"
+	case verdict.RetryAfter == 0:
+		decision = "refused-without-retry"
+	}
+	m.allowance.WithLabelValues(verdict.Class.String(), decision, strconv.FormatBool(verdict.ByClass)).Inc()
+}
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -82,12 +82,17 @@
 	if v := r.verdict; v != nil {
 		attrs = append(attrs, "allowance_limit", int64(v.Limit), "allowance_used", int64(v.Used), "allowance_free", int64(v.Free),
 			"allowance_unheard", int64(v.Unreported), "allowance_asked", int64(v.OthersDemand), "allowance_heard_ms", v.ReportAge.Milliseconds(),
-			"allowance_drawn", v.ByChance, "allowance_share", v.ReachableShare, "allowance_opened", v.Restored)
+			"allowance_drawn", v.ByChance, "allowance_share", v.ReachableShare, "allowance_opened", v.Restored,
+			"allowance_class", v.Class.String(), "allowance_by_class", v.ByClass, "allowance_probability", v.Probability,
+			"allowance_probability_without_classes", v.EvenProbability, "allowance_retry_ms", v.RetryAfter.Milliseconds())
 	}
 	if v := r.retryVerdict; v != nil {
 		attrs = append(attrs, "retries_allowed", v.Limit, "retries_spent", v.Used, "retries_free", v.Free, "retries_unreported", v.Unreported,
 			"retries_others_rate", v.OthersDemand, "retries_report_ms", v.ReportAge.Milliseconds(), "retries_drawn", v.ByChance, "retries_reach", v.ReachableShare, "retries_known", v.Restored)
 	}
+	if refusal != nil {
+		attrs = append(attrs, "retry_after_ms", refusal.RetryAfter.Milliseconds())
+	}
 	if err != nil {
 		attrs = append(attrs, "reason", err.Error(), "parts", quarantine.FormatDigests(r.fingerprint.Parts))
 		level = slog.LevelWarn
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/allowance"
@@ -25,11 +26,13 @@
 func encodeCounts(c rollup.Counts) *gossippb.Counts {
 	counts := &gossippb.Counts{}
 	for workspace, tokens := range c.Spent {
-		counts.Spent = append(counts.Spent, &gossippb.Spent{Workspace: workspace, Tokens: tokens, Refused: c.Refused[workspace]})
+		counts.Spent = append(counts.Spent, &gossippb.Spent{
+			Workspace: workspace, Tokens: tokens, Refused: c.Refused[workspace], Asked: encodeAsked(c.Asked[workspace]),
+		})
 	}
 	for workspace, tokens := range c.Refused {
 		if _, spent := c.Spent[workspace]; !spent {
-			counts.Spent = append(counts.Spent, &gossippb.Spent{Workspace: workspace, Refused: tokens})
+			counts.Spent = append(counts.Spent, &gossippb.Spent{Workspace: workspace, Refused: tokens, Asked: encodeAsked(c.Asked[workspace])})
 		}
 	}
 	for key, load := range c.Loads {
@@ -59,6 +62,31 @@
 	return counts
 }
 
+// encodeAsked encodes the tokens requested by class, without the classes at the end in which none were.
+func encodeAsked(tokens []float64) []uint64 {
+	var encoded []uint64
+	for class, value := range tokens {
+		rounded := uint64(math.Round(max(0, value)))
+		if rounded == 0 {
+			continue
+		}
+		for len(encoded) < class {
+			encoded = append(encoded, 0)
+		}
+		encoded = append(encoded, rounded)
+	}
+	return encoded
+}
+
+// decodeAsked reverses encodeAsked. It skips classes that this version does not know.
+func decodeAsked(encoded []uint64) []float64 {
+	var tokens []float64
+	for _, value := range encoded[:min(len(encoded), allowance.ClassCount)] {
+		tokens = append(tokens, float64(value))
+	}
+	return tokens
+}
+
 func encodeFigures(f pace.Estimate) *gossippb.Figures {
 	return &gossippb.Figures{Coefficients: f.Coefficients, Seen: f.Samples}
 }
@@ -72,6 +100,9 @@
 	for _, item := range c.GetSpent() {
 		counts.Spent[item.GetWorkspace()] = item.GetTokens()
 		counts.Refused[item.GetWorkspace()] = item.GetRefused()
+		if asked := decodeAsked(item.GetAsked()); asked != nil {
+			counts.Asked[item.GetWorkspace()] = asked
+		}
 	}
 	for _, l := range c.GetLoads() {
 		counts.Loads[l.GetKey()] = backend.Load{Running: int(l.GetRunning()), PendingTokens: int(l.GetPendingTokens())}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -78,7 +78,7 @@
 func (s *state) OwnCounts(sequence uint64) *gossippb.Counts {
 	now := time.Now()
 	used := s.limiter.ownCounters()
-	own := rollup.Counts{Spent: used.Spent, Refused: used.Refused, Loads: s.view.OwnLoads(), Demand: s.demand.Rates(now), EngineEstimates: s.view.EngineEstimates(), Versions: s.router.rollOuts.LocalTallies()}
+	own := rollup.Counts{Spent: used.Spent, Refused: used.Refused, Asked: used.Asked, Loads: s.view.OwnLoads(), Demand: s.demand.Rates(now), EngineEstimates: s.view.EngineEstimates(), Versions: s.router.rollOuts.LocalTallies()}
 	s.aggregator.SetOwn(own)
 	s.mu.Lock()
 	s.sentCounts[sequence] = own
@@ -252,7 +252,7 @@
 		baseline = false
 	}
 	s.applyOthersUsage(allowance.Report{
-		VM: status.GetVm(), Incarnation: status.GetIncarnation(), Counters: allowance.Counters{Spent: counts.Spent, Refused: counts.Refused},
+		VM: status.GetVm(), Incarnation: status.GetIncarnation(), Counters: allowance.Counters{Spent: counts.Spent, Refused: counts.Refused, Asked: rollup.SubtractAsked(counts.Asked, own.Asked)},
 		Baseline: baseline, JustStarted: warmup,
 	}, now)
 }
@@ -331,7 +331,7 @@
 	s.view.MergeEngineEstimates(others.EngineEstimates)
 	spent, refused := s.aggregator.SpentByOthers()
 	s.applyOthersUsage(allowance.Report{
-		VM: s.router.settings.VM.ID, Incarnation: s.router.incarnation, Counters: allowance.Counters{Spent: spent, Refused: refused},
+		VM: s.router.settings.VM.ID, Incarnation: s.router.incarnation, Counters: allowance.Counters{Spent: spent, Refused: refused, Asked: s.aggregator.AskedByOthers()},
 		Baseline: changed && before != "", JustStarted: time.Since(s.started) < rollup.FreshFor,
 	}, now)
 }
--- a/internal/router/limiters.go
+++ b/internal/router/limiters.go
@@ -63,8 +63,8 @@
 }
 
 // Admit implements forward.Limiter.
-func (a *limiters) Admit(workspace string, tokens float64) allowance.Verdict {
-	return a.limiter.Admit(workspace, tokens, a.now())
+func (a *limiters) Admit(workspace string, tokens float64, class allowance.Class) allowance.Verdict {
+	return a.limiter.AdmitClass(workspace, tokens, class, a.now())
 }
 
 // AdmitRetry implements forward.Limiter.
--- a/internal/router/limiters_test.go
+++ b/internal/router/limiters_test.go
@@ -17,7 +17,7 @@
 // first after it: the usage that others had in the meantime is missing, and onStall must be called.
 func TestProcessThatStoodStillAsksOthers(t *testing.T) {
 	for name, first := range map[string]func(a *limiters){
-		"a request":          func(a *limiters) { a.Admit("w", 1) },
+		"a request":          func(a *limiters) { a.Admit("w", 1, allowance.ClassOf(0, 1)) },
 		"a report":           func(a *limiters) { a.ownCounters() },
 		"a report of a peer": func(a *limiters) { a.applyReport(allowance.Report{VM: "vm"}) },
 	} {
