--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -246,7 +246,7 @@
 		a.refused += tokens
 		verdict.RetryAfter = l.retryAfter(a, need+verdict.Unreported-free, now)
 		if class != noClass && l.random != nil && l.mixKnown(a, now) && !l.reportOverdue(a, now) {
-			verdict.RetryAfter = l.classRetryAfter(a, class, now)
+			verdict.RetryAfter = l.classRetryAfter(a, class, free, now)
 		}
 		return verdict
 	}
--- a/internal/allowance/classes.go
+++ b/internal/allowance/classes.go
@@ -131,9 +131,9 @@
 )
 
 // classRetryAfter returns how long a caller should wait until tokens will be free for a class, or zero if that is not
-// within a window. What leaves the window in each span of time is compared with the demand in it. Callers are spread
-// over that span.
-func (l *Limiter) classRetryAfter(a *account, class Class, now time.Time) time.Duration {
+// within a window. What leaves the window in each span of time is compared with the demand in it, once as much has left
+// as is missing now. Callers are spread over that span.
+func (l *Limiter) classRetryAfter(a *account, class Class, free float64, now time.Time) time.Duration {
 	if !a.restored && now.Sub(l.started) < l.tolerance.Window {
 		return unsettledRetryAfter
 	}
@@ -141,7 +141,7 @@
 	demand := a.ownDemand.rate(now) + l.othersDemand(a, now)
 	share := a.classes.currentDivision().shareFor(class, worthwhileProbability)
 	needed := share * demand * span.Seconds() / l.reachableShare
-	wait, found := a.used.timeToFreeWithin(needed, span, now)
+	wait, found := a.used.timeToFreeWithin(needed, max(0, -free)/l.reachableShare, span, now)
 	if !found {
 		return 0
 	}
--- a/internal/allowance/division_test.go
+++ b/internal/allowance/division_test.go
@@ -283,6 +283,31 @@
 	c.Check(short.RetryAfter > 0 && short.RetryAfter < 6*time.Second, qt.IsTrue, qt.Commentf("%v", short.RetryAfter))
 }
 
+// TestTimeToFreeWithin guards against forecasts that count what others are owed, or what leaves later than within the
+// span.
+func TestTimeToFreeWithin(t *testing.T) {
+	c := qt.New(t)
+	w := newWindow(8*time.Second, start)
+	now := start.Add(8 * time.Second)
+	w.advance(now)
+	for _, age := range []time.Duration{7, 5, 4} {
+		w.add(100, now.Add(-age*time.Second))
+	}
+	check := func(tokens, debt float64, from, to time.Duration) {
+		wait, found := w.timeToFreeWithin(tokens, debt, 2*time.Second, now)
+		c.Check(found && wait >= from && wait <= to, qt.IsTrue, qt.Commentf("%v with debt %v: %v, %v", tokens, debt, wait, found))
+	}
+	check(100, 0, 0, 200*time.Millisecond)
+	check(50, 50, 0, 200*time.Millisecond)
+	check(100, 50, time.Second, 2200*time.Millisecond)
+	check(200, 0, 2*time.Second, 3200*time.Millisecond)
+	check(200, 100, 2*time.Second, 3200*time.Millisecond)
+	_, found := w.timeToFreeWithin(201, 0, 2*time.Second, now)
+	c.Check(found, qt.IsFalse)
+	_, found = w.timeToFreeWithin(1, 300, 2*time.Second, now)
+	c.Check(found, qt.IsFalse)
+}
+
 func BenchmarkAdmitClass(b *testing.B) {
 	for name, class := range map[string]Class{"one class": noClass, "by class": ClassOf(0, 2400)} {
 		b.Run(name, func(b *testing.B) {
--- a/internal/allowance/window.go
+++ b/internal/allowance/window.go
@@ -115,17 +115,20 @@
 }
 
 // timeToFreeWithin returns how long it takes until the given number of tokens leaves the window within a span that
-// begins then, and whether that is before all have left.
-func (w *window) timeToFreeWithin(tokens float64, span time.Duration, now time.Time) (time.Duration, bool) {
+// begins then, and whether that is before all have left. The first tokens that leave pay the debt and do not count.
+func (w *window) timeToFreeWithin(tokens, debt float64, span time.Duration, now time.Time) (time.Duration, bool) {
 	length := max(1, int64(span/w.slotWidth))
 	oldest := w.newest - slotCount
-	leaving := 0.0
+	slots, leaving := w.slots, 0.0
 	for number := oldest; number <= w.newest; number++ {
-		leaving += w.slots[number%(slotCount+1)]
+		slot := &slots[number%(slotCount+1)]
+		paid := min(debt, *slot)
+		debt, *slot = debt-paid, *slot-paid
+		leaving += *slot
 		if number >= oldest+length {
-			leaving -= w.slots[(number-length)%(slotCount+1)]
+			leaving -= slots[(number-length)%(slotCount+1)]
 		}
-		if leaving >= tokens {
+		if leaving >= tokens && debt <= 0 {
 			first := max(oldest, number-length+1)
 			return max(0, w.origin.Add(time.Duration(first+slotCount+1)*w.slotWidth).Sub(now)), true
 		}
