Estimate silent peers without the class of own requests

The share that peers admit while they do not report was taken from the probabilities of this daemon's requests. A daemon that has had only requests of a less urgent class since the last report would have assumed too little.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -241,7 +241,8 @@
 	verdict.Probability = probability
 	verdict.Admitted = probability >= 1 || probability > 0 && l.random() < probability
 	verdict.ByChance = verdict.Admitted && need+verdict.Unreported > free
-	a.sinceReport.add(tokens, probability)
+	// Peers admit the even share of all their requests, whatever the class of this one.
+	a.sinceReport.add(tokens, verdict.EvenProbability)
 	if !verdict.Admitted {
 		a.refused += tokens
 		verdict.RetryAfter = l.retryAfter(a, need+verdict.Unreported-free, now)
