Count requests by class only while a workspace asks for too much

With 16 workspaces of five classes each, reports grew by up to 640 bytes, some of them seven times a second, although the sums matter for a workspace above its allowance only. The counts now begin with the first request that may be refused and end 30 s after the last one.

--- a/internal/allowance/allowance.go
+++ b/internal/allowance/allowance.go
@@ -65,7 +65,8 @@
 // lack of allowance, since they started, by workspace.
 type Counters struct {
 	Spent, Refused map[string]float64
-	// Asked are the tokens that callers have requested, by workspace and class. It is nil if no class is known.
+	// Asked are the tokens that callers have requested, by workspace and class, since more was requested than was free.
+	// It is nil if there is no such workspace.
 	Asked map[string][]float64
 }
 
@@ -107,7 +108,7 @@
 	// counter is set if the account only counts and has no limit. discrete is set if it counts single
 	// requests, of which a daemon's share may be less than one.
 	counter, discrete bool
-	// classes is nil until a request or a report of peers has a class.
+	// classes is nil unless more was requested than was free within scarceFor.
 	classes *classes
 	// fractionNeeded is the fraction of a request that must be free for the next one to be admitted
 	// by chance, or zero if it has yet to be drawn.
@@ -224,7 +225,6 @@
 		return Verdict{Admitted: true, Class: class}
 	}
 	a.used.advance(now)
-	a.countClass(class, tokens)
 	a.ownDemand.add(tokens, now)
 	a.asked += tokens
 	// A request larger than the whole allowance is admitted to an empty window.
@@ -234,6 +234,7 @@
 	verdict := l.newVerdict(a, free, now)
 	probability := l.admissionProbability(a, need, free, verdict.Unreported, now)
 	verdict.Class, verdict.EvenProbability = class, probability
+	a.countClass(class, tokens, probability < 1, now)
 	if class != noClass && probability > 0 && probability < 1 && l.mixKnown(a, now) {
 		verdict.ByClass = true
 		probability = l.classProbability(a, class, tokens, probability, now)
@@ -452,7 +453,7 @@
 			a.used.add(spent, now)
 		}
 		a.observeOwn(now)
-		a.observeClasses(r.Counters.Asked[name], before.Asked[name], spent+refused, now)
+		a.observeClasses(r.Counters.Asked[name], before.Asked[name], spent, refused, now)
 		if !l.alone {
 			a.peers.observe(spent, refused, l.reachablePeerShare(), now)
 			a.spentAtReport, a.sinceReport = a.spent, admissions{}
--- a/internal/allowance/classes.go
+++ b/internal/allowance/classes.go
@@ -16,6 +16,9 @@
 	// may use it in another window. With 0.15, short streams at 300 daemons were served 0.92 as often. With 0.5 they
 	// were not served more often at 67 daemons.
 	classToleranceShare = 0.3
+	// scarceFor is how long after the last request that could be refused the requests of a workspace are counted by class.
+	// Reports of a deployment whose workspaces are within their allowances are then no larger than without classes.
+	scarceFor = 30 * time.Second
 	// minReachableShare is the share of the daemons that must be reachable for their requests to count as the mix
 	// of all.
 	minReachableShare = 0.5
@@ -34,6 +37,8 @@
 	// observedAt is the time of the last report, and measured the number of reports since the last change of source.
 	observedAt time.Time
 	measured   int
+	// scarceAt is when more was last known to be requested than was free.
+	scarceAt time.Time
 	// division is computed from recent when it is needed.
 	division *division
 	// credit are tokens that requests of this daemon have left to others, in expectation: by their class they were
@@ -153,15 +158,26 @@
 	return classToleranceShare * l.tolerance.tokensFor(a.limit) / float64(max(l.knownPeers, l.competingPeers())+1)
 }
 
-// countClass counts a request to this daemon by its class.
-func (a *account) countClass(class Class, tokens float64) {
+// countClass counts a request to this daemon by its class. It begins to do so with the first request that may be
+// refused.
+func (a *account) countClass(class Class, tokens float64, mayBeRefused bool, now time.Time) {
 	if class < 0 || class >= ClassCount {
 		return
 	}
+	if mayBeRefused {
+		a.markScarce(now)
+	}
+	if a.classes != nil {
+		a.classes.count(class, tokens)
+	}
+}
+
+// markScarce records that more is requested than is free.
+func (a *account) markScarce(now time.Time) {
 	if a.classes == nil {
 		a.classes = &classes{}
 	}
-	a.classes.count(class, tokens)
+	a.classes.scarceAt = now
 }
 
 // addAsked adds what callers have requested from this daemon to its counters.
@@ -175,19 +191,24 @@
 	counters.Asked[name] = append([]float64(nil), a.classes.own[:]...)
 }
 
-// observeClasses adds the increase of what peers were asked for, by class, and of what they admitted and refused.
-func (a *account) observeClasses(asked, before []float64, demand float64, now time.Time) {
-	if a.classes == nil && len(asked) == 0 {
-		return
+// observeClasses adds the increase of what peers were asked for, by class, and of what they admitted and refused. It
+// ends the counting by class when nobody has refused anything for scarceFor.
+func (a *account) observeClasses(asked, before []float64, spent, refused float64, now time.Time) {
+	if refused > 0 && len(asked) > 0 {
+		a.markScarce(now)
 	}
 	if a.classes == nil {
-		a.classes = &classes{}
+		return
+	}
+	if now.Sub(a.classes.scarceAt) > scarceFor {
+		a.classes = nil
+		return
 	}
 	var increase byClass
 	for class := range increase {
 		increase[class] = at(asked, class) - at(before, class)
 	}
-	a.classes.observe(increase, demand, now)
+	a.classes.observe(increase, spent+refused, now)
 }
 
 func at(asked []float64, class int) float64 {
--- a/internal/allowance/division_test.go
+++ b/internal/allowance/division_test.go
@@ -266,6 +266,26 @@
 	}), qt.IsFalse, qt.Commentf("another source"))
 }
 
+// TestClassesAreReportedWhileScarce guards against reports that grow with each workspace within its allowance, and
+// against classes that are not counted when more is requested than is free.
+func TestClassesAreReportedWhileScarce(t *testing.T) {
+	c := qt.New(t)
+	l, now := limiterBesidePeers(func() float64 { return 0.9 }, nil, 50_000, 0)
+	c.Assert(l.AdmitClass("w", 200, ClassOf(2, 200), now).Admitted, qt.IsTrue)
+	c.Check(l.OwnCounters().Asked, qt.HasLen, 0)
+	l, now = hotLimiter(func() float64 { return 0.9 }, nil)
+	l.AdmitClass("w", 12_000, ClassOf(2, 12_000), now)
+	l.AdmitClass("w", 200, ClassOf(2, 200), now)
+	asked := l.OwnCounters().Asked["w"]
+	c.Check(asked[ClassOf(2, 200)], qt.Equals, 200.0)
+	c.Check(asked[ClassOf(2, 12_000)], qt.Equals, 12_000.0)
+	report := Report{VM: "leader", Incarnation: 1, Counters: l.lastCounters[reporter{"leader", 1}]}
+	l.ApplyReport(report, now.Add(29*time.Second))
+	c.Check(l.OwnCounters().Asked, qt.HasLen, 1)
+	l.ApplyReport(report, now.Add(31*time.Second))
+	c.Check(l.OwnCounters().Asked, qt.HasLen, 0)
+}
+
 // TestRetryAfterOfAClass guards against inviting callers of a class that will be refused when they come back.
 func TestRetryAfterOfAClass(t *testing.T) {
 	c := qt.New(t)
