Add the steps of a moved run to the life of a request

Cause: a run that its server stops, so that another server continues it, had no place among the states: after an attempt that may have run, a request that is not idempotent could only be given up.

Change: the states stopping and stopped, and the steps stop, not-stopped, stopped and continue. A run is continued only from stopped, by at most two servers in turn, and a continuation that is lost is never followed by another.

--- a/internal/request/lifecycle.go
+++ b/internal/request/lifecycle.go
@@ -16,6 +16,11 @@
 	StateDispatched State = "dispatched"
 	// StateStreaming means that a part of the answer has arrived.
 	StateStreaming State = "streaming"
+	// StateStopping means that the server was asked to stop the run, so that another server can continue
+	// it, and that it is not known whether it has.
+	StateStopping State = "stopping"
+	// StateStopped means that the run has stopped at its server and that no server works on it.
+	StateStopped   State = "stopped"
 	StateAnswered  State = "answered"
 	StateFailed    State = "failed"
 	StateUnknown   State = "unknown"
@@ -61,6 +66,14 @@
 	StepCancel Step = "cancel"
 	// StepHandOver transfers the right to dispatch to another daemon.
 	StepHandOver Step = "hand-over"
+	// StepStop: the server is asked to stop the run. Only a run that has streamed can be stopped.
+	StepStop Step = "stop"
+	// StepNotStopped: the server stated that it has not stopped the run.
+	StepNotStopped Step = "not-stopped"
+	// StepStopped: the stream of a run that was asked to stop has ended before its last event.
+	StepStopped Step = "stopped"
+	// StepContinue: a server is asked to continue the stopped run from a copy of its memory.
+	StepContinue Step = "continue"
 )
 
 // Lifecycle is the state machine of one accepted request. It is not safe for concurrent use.
@@ -70,9 +83,17 @@
 	attempts   int
 	// mayHaveRun is true if an attempt may have reached a backend server.
 	mayHaveRun bool
-	history    []Step
+	// continuing is true while the attempt in flight continues a stopped run. continuations counts the
+	// attempts to continue it since it stopped.
+	continuing    bool
+	continuations int
+	history       []Step
 }
 
+// maxContinuations limits the servers that are asked to continue a stopped run: the one that holds the
+// copy and, if that one declines, the one that has stopped.
+const maxContinuations = 2
+
 // maxHistory limits the recorded steps. Consecutive token steps are recorded once, and StepLost is
 // recorded even beyond the limit.
 const maxHistory = 64
@@ -103,6 +124,11 @@
 	return nil
 }
 
+// MayContinue reports whether a server may be asked to continue the stopped run.
+func (l *Lifecycle) MayContinue() bool {
+	return l.state == StateStopped && l.continuations < maxContinuations
+}
+
 // Apply performs a step. It returns ErrMayHaveRun if a dispatch or hand-over is not allowed because
 // an earlier attempt may have run, and an error that wraps ErrInvariant if the step is not valid in
 // the current state. The state does not change if an error is returned.
@@ -114,9 +140,14 @@
 	switch step {
 	case StepDispatch:
 		l.attempts++
-		l.mayHaveRun = true
+		l.mayHaveRun, l.continuing = true, false
+	case StepStopped:
+		l.continuations = 0
+	case StepContinue:
+		l.continuations++
+		l.continuing = true
 	case StepNotSent, StepDeclined:
-		l.mayHaveRun = l.earlierAttemptLost()
+		l.mayHaveRun = l.continuing || l.earlierAttemptLost()
 	}
 	l.state = next
 	l.recordStep(step)
@@ -144,7 +175,7 @@
 }
 
 func (l *Lifecycle) nextState(step Step) (State, error) {
-	running := l.state == StateDispatched || l.state == StateStreaming
+	running := l.state == StateDispatched || l.state == StateStreaming || l.state == StateStopping
 	switch {
 	case step == StepDispatch:
 		return StateDispatched, l.MayDispatch()
@@ -153,20 +184,45 @@
 		return StateCancelled, nil
 	case step == StepHandOver && l.state == StateAccepted:
 		return StateHandedOver, l.MayDispatch()
-	case step == StepGiveUp && l.state == StateAccepted:
+	case step == StepGiveUp && (l.state == StateAccepted || l.state == StateStopped):
 		return l.stateAfterGiveUp(), nil
 	case (step == StepNotSent || step == StepDeclined) && l.state == StateDispatched:
+		return l.stateAfterNoRun(), nil
+	case step == StepLost && (running || l.state == StateStopped):
 		return StateAccepted, nil
-	case step == StepLost && running:
-		return StateAccepted, nil
+	case step == StepToken && l.state == StateStopping:
+		return StateStopping, nil
 	case step == StepToken && running:
 		return StateStreaming, nil
 	case step == StepAnswer && running:
 		return StateAnswered, nil
 	}
+	return l.nextMoveState(step)
+}
+
+// nextMoveState is nextState for the steps by which a run is moved to another server.
+func (l *Lifecycle) nextMoveState(step Step) (State, error) {
+	switch {
+	case step == StepStop && l.state == StateStreaming:
+		return StateStopping, nil
+	case step == StepNotStopped && l.state == StateStopping:
+		return StateStreaming, nil
+	case step == StepStopped && l.state == StateStopping:
+		return StateStopped, nil
+	case step == StepContinue && l.MayContinue():
+		return StateDispatched, nil
+	}
 	return l.state, l.invariantError(step)
 }
 
+// stateAfterNoRun returns the state after an attempt that has not run. A stopped run stays stopped.
+func (l *Lifecycle) stateAfterNoRun() State {
+	if l.continuing {
+		return StateStopped
+	}
+	return StateAccepted
+}
+
 // stateAfterGiveUp returns the final state when no further attempt is made.
 func (l *Lifecycle) stateAfterGiveUp() State {
 	if l.mayHaveRun && !l.idempotent {
