Move running streams away from servers that leave

Cause: a stream was cut when its server was taken away, although the notice comes two seconds before and engines can copy a run's memory to another one.

Change: an attempt learns from backend.View while it runs that its server leaves. The caller sees one response. A continuation goes through the retry budget and counts as the same run.

--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -53,6 +53,10 @@
 	events                    int
 	// onRestart is called if the server restarts before the attempt has ended.
 	onRestart func()
+	// onLeaving is called when the server begins to leave. moved is set if the attempt continues a run
+	// from a copy.
+	onLeaving func()
+	moved     bool
 }
 
 // RecordEvent records that an event of the answer was received. The first event shows that the
@@ -88,7 +92,7 @@
 // up most of that time. The caller holds the lock.
 func (c *Choice) learnFirstEvent() {
 	engines := c.view.engineFor(c.need.Service)
-	if engines == nil || c.Candidate || c.need.Deferred || c.Running >= c.Slots || c.queuedTokens > c.PrefillTokens {
+	if engines == nil || c.Candidate || c.moved || c.need.Deferred || c.Running >= c.Slots || c.queuedTokens > c.PrefillTokens {
 		return
 	}
 	took := c.firstEventAt.Sub(c.startedAt)
@@ -147,7 +151,7 @@
 	if outcome == OutcomeWrongServer {
 		clear(c.view.readyServers)
 	}
-	if outcome == OutcomeServed {
+	if outcome == OutcomeServed && !c.moved {
 		c.learnStream()
 		took := now.Sub(c.startedAt)
 		c.recordRequestSize(took)
--- a/internal/backend/leaving.go
+++ b/internal/backend/leaving.go
@@ -83,6 +83,7 @@
 	changed = s.leavingAnnouncedAt.IsZero()
 	s.leavingAnnouncedAt = at
 	s.leave(now, at.Add(v.drainBound-maxTransit))
+	s.expectEnd(at.Add(drainServiceTime))
 	clear(v.readyServers)
 	return changed
 }
@@ -132,7 +133,7 @@
 		}
 		s.leavingAnnouncedAt, s.peerReported = time.Time{}, false
 		if s.listed && !s.Draining {
-			s.leftAt, s.usableUntil = time.Time{}, time.Time{}
+			s.leftAt, s.usableUntil, s.goneAt = time.Time{}, time.Time{}, time.Time{}
 		}
 		clear(v.readyServers)
 	}
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -122,7 +122,9 @@
 	// peerReported is set while only other daemons have received such a response.
 	leavingAnnouncedAt time.Time
 	peerReported       bool
-	serviceTime        time.Duration
+	// goneAt is when the server is expected to be gone, or zero while it is not known to leave.
+	goneAt      time.Time
+	serviceTime time.Duration
 	// logSlowdown is the moving average of the logarithm of actual over predicted time to the first
 	// event, as of logSlowdownAt.
 	logSlowdown   float64
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -179,9 +179,11 @@
 	}
 	if e.Draining {
 		s.leave(now, v.usableUntil(seen))
+		s.expectEnd(departure(e, seen))
 		return restarted
 	}
 	if s.leavingAnnouncedAt.IsZero() {
+		s.goneAt = time.Time{}
 		s.leftAt, s.usableUntil = time.Time{}, time.Time{}
 	}
 	return restarted
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -105,6 +105,18 @@
 	// prompt prefixes from each other.
 	KVBytesPerToken    int
 	LinkBytesPerSecond float64
+	// Moves is set if an engine can copy the memory of a running request to another engine, which then
+	// continues the request. CopyRetention is how long an unused copy is kept.
+	Moves         bool
+	CopyRetention time.Duration
+}
+
+// CopyTime returns how long a copy of some tokens of KV cache takes within a zone.
+func (e *Engine) CopyTime(tokens int) time.Duration {
+	if e.LinkBytesPerSecond <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) * float64(e.KVBytesPerToken) / e.LinkBytesPerSecond * float64(time.Second))
 }
 
 // Scaling holds the limits and prices of a service's backend servers.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -47,7 +47,8 @@
 	// During a network partition the connection to the previous incarnation stays silent, so
 	// the attempt ends when the server is known to have restarted.
 	choice.OnRestart(func() { cancel(errRestarted) })
-	if err := r.step(request.StepDispatch); err != nil {
+	r.cancelAttempt = cancel
+	if err := r.step(r.firstStep()); err != nil {
 		return result{outcome: backend.OutcomeNeutral, logLabel: "not-allowed", done: true, err: r.giveUp(ctx, &Refusal{Reason: err.Error()})}
 	}
 	r.charged, r.via = false, ""
@@ -55,14 +56,12 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		return r.endNotSent(ctx, choice, err)
 	}
-	r.retryUnused = false
-	if r.sentAttempts++; r.sentAttempts == 1 {
-		r.options.Budget.CountRequest(r.call.Service)
-	}
+	r.countSent()
 	if choice.Candidate && r.options.RollOuts != nil {
 		r.options.RollOuts.RecordExposure(r.call.Service)
 	}
 	if err != nil {
+		r.endContinuation(false)
 		return r.endNoAnswer(ctx)
 	}
 	defer answer.Exchange.Drop()
@@ -71,10 +70,33 @@
 	return r.handleAnswer(ctx, choice, answer)
 }
 
+// firstStep returns the step by which an attempt begins.
+func (r *run) firstStep() request.Step {
+	if r.continuation != nil {
+		return request.StepContinue
+	}
+	return request.StepDispatch
+}
+
+// countSent counts an attempt that was sent. One that continues a run is an arrival at a server, but not
+// another run.
+func (r *run) countSent() {
+	if r.continuation != nil {
+		r.continuation.paid = false
+		return
+	}
+	r.retryUnused = false
+	if r.sentAttempts++; r.sentAttempts == 1 {
+		r.options.Budget.CountRequest(r.call.Service)
+	}
+}
+
 // endNotSent ends an attempt whose request was not sent.
 func (r *run) endNotSent(ctx context.Context, choice *backend.Choice, err error) result {
 	choice.RefundAdmission()
-	r.unsentAttempts++
+	if r.continuation == nil {
+		r.unsentAttempts++
+	}
 	if errors.Is(err, upstream.ErrSendDenied) {
 		return r.endWithStep(request.StepNotSent, backend.OutcomeNeutral, "left")
 	}
@@ -84,7 +106,7 @@
 // endWithStep applies the final step of an attempt that produced no answer for the caller.
 func (r *run) endWithStep(step request.Step, outcome backend.Outcome, label string) result {
 	_ = r.step(step)
-	r.charged = r.verdict != nil && (step == request.StepNotSent || step == request.StepDeclined)
+	r.charged = r.verdict != nil && r.continuation == nil && (step == request.StepNotSent || step == request.StepDeclined)
 	return result{outcome: outcome, logLabel: label}
 }
 
@@ -114,10 +136,10 @@
 	return ended
 }
 
-// failureOutcome returns the outcome of an attempt without an answer. It is neutral when
-// the caller has disconnected, which says little about the server.
+// failureOutcome returns the outcome of an attempt without an answer. It is neutral when the caller has
+// disconnected or the stream was taken from a leaving server, which says little about the server.
 func (r *run) failureOutcome(ctx context.Context) backend.Outcome {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
+	if cause := context.Cause(ctx); errors.Is(cause, context.Canceled) || errors.Is(cause, errLeaving) {
 		return backend.OutcomeNeutral
 	}
 	return backend.OutcomeFailed
@@ -131,9 +153,10 @@
 		LastEventID: r.lastEventID,
 		Priority:    r.priority(),
 
-		FetchFrom: choice.FetchFrom,
-		MaxIdle:   r.maxIdle(),
-		MaySend:   func() bool { return choice.MaySend(time.Now()) },
+		FetchFrom:    choice.FetchFrom,
+		ContinueFrom: r.continueFrom(),
+		MaxIdle:      r.maxIdle(),
+		MaySend:      func() bool { return choice.MaySend(time.Now()) },
 	}
 }
 
@@ -154,9 +177,10 @@
 }
 
 // maxIdle returns how long a reused connection for the call may have been idle. After an attempt
-// without an answer a new connection is opened, because the link may have failed under the idle ones.
+// without an answer a new connection is opened, because the link may have failed under the idle ones, and
+// for the continuation of a run, so that it is known not to be sent if its server is gone.
 func (r *run) maxIdle() time.Duration {
-	if r.unanswered {
+	if r.unanswered || r.continuation != nil {
 		return 0
 	}
 	if r.call.Route.Kind == catalog.Idempotent {
@@ -196,9 +220,13 @@
 		declined := r.endWithStep(request.StepDeclined, backend.OutcomeFull, "declined")
 		declined.signal = signalBad
 		return declined
+	}
+	isStream := answer.IsEventStream && answer.Status == http.StatusOK
+	r.endContinuation(answer.Signed && isStream)
+	switch {
 	case !answer.Signed:
 		return r.endLost(ctx, "unsigned")
-	case answer.IsEventStream && answer.Status == http.StatusOK:
+	case isStream:
 		return r.forwardStream(ctx, choice, answer)
 	case r.headerSent:
 		// The caller has received events of an earlier attempt, which this answer cannot continue.
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -124,6 +124,8 @@
 	// FetchFrom is the address of the server from which the receiver copies cached prompt
 	// parts, or empty.
 	FetchFrom string
+	// ContinueFrom is the stopped run that the server continues from its copy, or nil.
+	ContinueFrom *ContinueFrom
 	// MaxIdle is the longest time that a reused connection may have been idle.
 	MaxIdle time.Duration
 	// MaySend is called right before the request is sent, once a connection is available.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,6 +62,8 @@
 	Zone    string
 	View    *backend.View
 	Backend Backend
+	// Mover moves running streams away from leaving servers. If it is nil, they stay.
+	Mover   Mover
 	Limiter Limiter
 	Budget  Budget
 	Usage   Usage
@@ -91,11 +94,13 @@
 // Forwarder forwards the requests of one daemon.
 type Forwarder struct {
 	options Options
+	// evacuator is nil without a Mover.
+	evacuator *evacuator
 }
 
 // New returns a Forwarder.
 func New(options Options) *Forwarder {
-	return &Forwarder{options: options}
+	return &Forwarder{options: options, evacuator: newEvacuator(options)}
 }
 
 // run is the state of one call while it is forwarded.
@@ -113,6 +118,8 @@
 	stream StreamVersion
 	// lifecycle decides whether a retry is safe and which outcome may be reported.
 	lifecycle *request.Lifecycle
+	// stepMu guards the steps of lifecycle that may come from a move of the running stream.
+	stepMu sync.Mutex
 	// usageCounted is set once the call is counted as usage, demandCounted once as demand.
 	usageCounted  bool
 	demandCounted bool
@@ -143,6 +150,14 @@
 	// is set while the admitted retry has not been sent.
 	retryVerdict *allowance.Verdict
 	retryUnused  bool
+	// continuation is the stopped run that is to be continued, or nil.
+	continuation *continuation
+	// cancelAttempt ends the current attempt.
+	cancelAttempt context.CancelCauseFunc
+	moves         moveLog
+	// lastEventAt is when the last event was sent to the caller. pausedSince is the same for the last
+	// event before a move, until the first one after it.
+	lastEventAt, pausedSince time.Time
 }
 
 // Forward serves a call. It returns nil when a server's answer was forwarded completely, a
@@ -157,6 +172,7 @@
 		r.callerAge = f.options.CallerTimeouts.Age(call.Route.Name, call.CallerTimeout)
 	}
 	err := r.runWithinAllowance(ctx)
+	r.dropContinuation()
 	r.refundRetry()
 	r.recordCall(ctx, err)
 	return err
@@ -164,6 +180,8 @@
 
 // step applies a step to the call's state machine. An invalid step is a bug in this program.
 func (r *run) step(step request.Step) error {
+	r.stepMu.Lock()
+	defer r.stepMu.Unlock()
 	err := r.lifecycle.Apply(step)
 	if errors.Is(err, request.ErrInvariant) {
 		r.options.Metrics.violations.Inc()
@@ -239,6 +257,12 @@
 		return r.giveUp(ctx, refusal)
 	}
 	for {
+		if r.continuation != nil {
+			if done, err := r.continueRun(ctx); done {
+				return err
+			}
+			continue
+		}
 		now := time.Now()
 		if refusal := cmp.Or(r.checkAttempt(now), r.checkQuarantine(now)); refusal != nil {
 			return r.giveUp(ctx, refusal)
@@ -263,25 +287,36 @@
 		if choice.LongPrefill && r.options.OnLargePrompt != nil {
 			r.options.OnLargePrompt(choice.Entry, choice.PrefillTokens)
 		}
-		result := r.try(ctx, choice)
-		ended := time.Now()
-		choice.End(result.outcome, ended)
-		r.recordAttempt(choice, result.logLabel, now, ended)
-		r.reportToRollOut(choice, result, ended.Sub(now))
-		r.reportBroken(choice.Entry, result, now, ended)
-		if result.done {
-			return result.err
-		}
-		r.tried[choice.ID] = true
-		if ctx.Err() != nil {
-			return r.giveUp(ctx, &Refusal{Status: http.StatusGatewayTimeout, Reason: "timeout"})
-		}
-		if refusal := r.chooseRetryVersion(); refusal != nil {
-			return r.giveUp(ctx, refusal)
+		if done, err := r.runAttempt(ctx, choice, now); done {
+			return err
 		}
 	}
 }
 
+// runAttempt makes an attempt at a server and records how it ended. done means that the call has ended.
+func (r *run) runAttempt(ctx context.Context, choice *backend.Choice, now time.Time) (done bool, err error) {
+	result := r.try(ctx, choice)
+	ended := time.Now()
+	choice.End(result.outcome, ended)
+	r.recordAttempt(choice, result.logLabel, now, ended)
+	r.reportToRollOut(choice, result, ended.Sub(now))
+	r.reportBroken(choice.Entry, result, now, ended)
+	if result.done {
+		return true, result.err
+	}
+	r.tried[choice.ID] = true
+	if ctx.Err() != nil {
+		return true, r.giveUp(ctx, &Refusal{Status: http.StatusGatewayTimeout, Reason: "timeout"})
+	}
+	if r.continuation != nil {
+		return false, nil
+	}
+	if refusal := r.chooseRetryVersion(); refusal != nil {
+		return true, r.giveUp(ctx, refusal)
+	}
+	return false, nil
+}
+
 // refuseNoServer refuses a call for which no server can be picked.
 func (r *run) refuseNoServer(now time.Time) *Refusal {
 	wait, found := r.options.View.RetryAfter(r.need(), now)
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -13,6 +13,9 @@
 	firstAnswer *prometheus.HistogramVec
 	// resumed counts the streams that callers take up.
 	resumed *prometheus.CounterVec
+	// moves counts the moves of streams by result, and movePause measures their pauses.
+	moves     *prometheus.CounterVec
+	movePause *prometheus.HistogramVec
 	// violations counts violated invariants. Any violation is a bug in this program.
 	violations prometheus.Counter
 }
@@ -21,6 +24,9 @@
 // 0.1 s for plain calls and 0.8 to 1.2 s to the first event.
 var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 2, 4, 8, 15}
 
+// pauseBuckets are in seconds. Allowed pauses of streams are 0.4 to 0.5 s.
+var pauseBuckets = []float64{0.02, 0.04, 0.08, 0.15, 0.25, 0.4, 0.5, 1, 2}
+
 // NewMetrics creates and registers the metrics.
 func NewMetrics(registerer prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -36,11 +42,17 @@
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "plankridge_streams_taken_up_total", Help: "Streams that callers take up, by how the version that began them was established; empty if it was not.",
 		}, []string{"service", "version_from"}),
+		moves: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "plankridge_stream_moves_total", Help: "Moves of running streams away from leaving servers: begun, done, or the cause of the failure.",
+		}, []string{"service", "result"}),
+		movePause: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "plankridge_stream_move_pause_seconds", Help: "Time between the last event before a move and the first one after it.", Buckets: pauseBuckets,
+		}, []string{"service"}),
 		violations: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "plankridge_call_invariant_violations_total", Help: "Steps that the life of a call does not have.",
 		}),
 	}
-	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.violations)
+	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.moves, m.movePause, m.violations)
 	return m
 }
 
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -76,6 +76,7 @@
 	if r.stream.Source != "" {
 		attrs = append(attrs, "stream_version", r.stream.Version, "stream_version_from", r.stream.Source)
 	}
+	attrs = append(attrs, r.moves.attrs(outcome)...)
 	if b := r.blockedBy; b != nil {
 		attrs = append(attrs, "blocked", b.Digest.String(), "blocked_servers", b.Servers, "blocked_ms", time.Since(b.Since).Milliseconds())
 	}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -30,15 +30,15 @@
 func (r *run) forwardStream(ctx context.Context, choice *backend.Choice, answer *Answer) result {
 	events := newEventReader(answer.Body)
 	var progress streamProgress
+	watched := r.watchLeaving(choice, answer)
 	for {
 		event, err := events.next()
-		if errors.Is(err, io.EOF) {
-			return r.endStream(ctx, choice, answer, progress.begun())
-		}
 		if err != nil {
-			return r.endBroken(ctx, "broken-stream")
+			return r.endReading(ctx, choice, answer, watched, progress.begun(), err)
 		}
+		watched.recordEvent(time.Now())
 		if err := r.forwardEvent(choice, answer, event); err != nil {
+			watched.finish(false)
 			return r.endEventRejected(err)
 		}
 		if progress.provesHarmless(time.Now()) {
@@ -118,6 +118,7 @@
 		return errVersionMoved
 	}
 	r.recordBegun(choice)
+	r.recordPause(now)
 	r.sendHeader(answer)
 	if err := r.reply.Write(event); err != nil {
 		return errCallerLeft
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -44,7 +44,7 @@
 
 // reportToRollOut reports the result of an answer for the comparison of versions.
 func (r *run) reportToRollOut(choice *backend.Choice, ended result, took time.Duration) {
-	if r.options.RollOuts == nil || ended.signal == signalNone {
+	if r.options.RollOuts == nil || ended.signal == signalNone || choice.Moved() {
 		return
 	}
 	answer := rollout.Answer{
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -200,6 +200,7 @@
 		Zone:            r.settings.VM.Zone,
 		View:            r.state.view,
 		Backend:         platform.NewBackendClient(r.pool),
+		Mover:           platform.NewMover(r.pool),
 		Limiter:         r.state.limiter,
 		Budget:          retryBudget{r.state.limiter},
 		Usage:           r.state.ledger,
--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"os"
 	"strings"
@@ -62,6 +63,8 @@
 	quotaOver, quotaSlack float64
 	// withoutRollOuts is set if the operator allows no roll-outs.
 	withoutRollOuts bool
+	// engine holds further fields of the model service's engine in the configuration.
+	engine map[string]any
 }
 
 // daemon is one router with the means to end it.
@@ -184,6 +187,8 @@
 // configure writes a new version of the configuration.
 func (b *bed) configure(rs routes, tenants ...map[string]any) {
 	b.version += 3
+	engine := map[string]any{"slots": 16, "kvCapacityTokens": 100000, "stride": 3}
+	maps.Copy(engine, b.engine)
 	if tenants == nil {
 		tenants = []map[string]any{tenant(testKey)}
 	}
@@ -192,7 +197,7 @@
 		"services": []map[string]any{
 			{"name": plain, "healthPath": "/healthz", "maxConns": 96},
 			{"name": model, "healthPath": "/healthz", "maxConns": 600,
-				"engine":    map[string]any{"slots": 16, "kvCapacityTokens": 100000, "stride": 3},
+				"engine":    engine,
 				"autoscale": map[string]any{"min": 1, "max": 6, "bootTimeS": 4, "spotPrice": 0.22, "zonePrices": map[string]float64{"zone-0": 1, "zone-1": 1.2}}},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 100000, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
