Play moves beside gone targets, lost links, kills and waves

Cause: the plays covered one daemon and failures of single calls.

Change: plays for a source or target that is gone at each step, a cut link, a daemon killed in the middle of a move, copies of streams that end by themselves, streams that end with their connections, resumable streams, and a wave at six daemons that takes half of the servers while all are half full.

--- a/robustness/onplatform/moves_test.go
+++ b/robustness/onplatform/moves_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -38,8 +39,13 @@
 
 // announce lists a server as draining, with the time until it is gone if that is not zero.
 func (m *moveBed) announce(s *fake.Server, leavesIn time.Duration) {
+	m.list(s, "draining", 6, leavesIn)
+}
+
+// list lists a server.
+func (m *moveBed) list(s *fake.Server, state string, slots int, leavesIn time.Duration) {
 	m.store.Put("servers", s.ID, map[string]any{
-		"service": model, "address": m.serverAddress(s.ID), "zone": "zone-1", "slots": 6, "state": "draining", "seq": 2, "version": "v1", "coldLeftMs": 0, "leaves_ms": leavesIn.Milliseconds(),
+		"service": model, "address": m.serverAddress(s.ID), "zone": "zone-1", "slots": slots, "state": state, "seq": 2, "version": "v1", "coldLeftMs": 0, "leaves_ms": leavesIn.Milliseconds(),
 	})
 }
 
@@ -110,6 +116,10 @@
 
 // runMoves runs a test with servers that offer moves.
 func runMoves(t *testing.T, daemons, servers int, resumable bool, test func(m *moveBed)) {
+	attempts := 1
+	if resumable {
+		attempts = 2
+	}
 	m := &moveBed{moves: fake.Moves{CopyTime: 20 * time.Millisecond, Keep: 5 * time.Second}}
 	run(t, daemons, func(b *bed) {
 		m.bed = b
@@ -117,7 +127,7 @@
 		for i := range servers {
 			m.addMoving(fmt.Sprint("i-", i+1))
 		}
-		b.configure(routes{streamRoute("/s/", resumable, 1)})
+		b.configure(routes{streamRoute("/s/", resumable, attempts)})
 	}, func(*bed) { test(m) })
 }
 
@@ -144,56 +154,101 @@
 	})
 }
 
+// moveBehaviour is the behaviour of sources in a test.
+type moveBehaviour func(m *moveBed, n int, call fake.MoveCall) fake.MoveBehaviour
+
 // movePlay is a stream whose server leaves beside a failure.
 type movePlay struct {
 	name   string
-	behave func(n int, call fake.MoveCall) fake.MoveBehaviour
+	behave moveBehaviour
 	// meanwhile happens right after the notice. It returns when the source is gone.
 	meanwhile func(m *moveBed, source *fake.Server, others []*fake.Server)
 	// cut is set if the caller's stream is cut.
 	cut bool
 }
 
-// once returns a behaviour of the first call to make the last copy.
-func onceLast(b fake.MoveBehaviour) func(int, fake.MoveCall) fake.MoveBehaviour {
-	done := false
-	return func(_ int, call fake.MoveCall) fake.MoveBehaviour {
-		if !call.Last || done {
+// firstCall returns the behaviour in which the first call, or the first one for a last copy, is special.
+func firstCall(last bool, b fake.MoveBehaviour) moveBehaviour {
+	return firstCallDoes(last, b, func(*moveBed, fake.MoveCall) {})
+}
+
+// firstCallDoes is firstCall beside which something happens.
+func firstCallDoes(last bool, b fake.MoveBehaviour, beside func(m *moveBed, call fake.MoveCall)) moveBehaviour {
+	var done sync.Map
+	return func(m *moveBed, _ int, call fake.MoveCall) fake.MoveBehaviour {
+		if call.Last != last {
+			return fake.MoveBehaviour{}
+		}
+		if _, again := done.LoadOrStore(m, true); again {
 			return fake.MoveBehaviour{}
 		}
-		done = true
+		beside(m, call)
 		return b
 	}
 }
 
-func firstCall(b fake.MoveBehaviour) func(int, fake.MoveCall) fake.MoveBehaviour {
-	return func(n int, _ fake.MoveCall) fake.MoveBehaviour {
-		if n == 1 {
-			return b
-		}
-		return fake.MoveBehaviour{}
-	}
+// byAddress returns the server at an address.
+func (m *moveBed) byAddress(address string) *fake.Server {
+	i := slices.IndexFunc(m.servers, func(s *fake.Server) bool { return s.Address == address })
+	return m.servers[i]
 }
 
+// endSoon ends a server in a moment.
+func (m *moveBed) endSoon(s *fake.Server, in time.Duration) { time.AfterFunc(in, func() { m.end(s) }) }
+
 var movePlays = []movePlay{
 	{name: "nothing fails"},
-	{name: "the target declines", behave: firstCall(fake.MoveBehaviour{NoRoom: true})},
-	{name: "the first copy answers 404", behave: firstCall(fake.MoveBehaviour{Status: 404})},
-	{name: "the first copy answers 409", behave: firstCall(fake.MoveBehaviour{Status: 409})},
-	{name: "the first copy is lost", behave: firstCall(fake.MoveBehaviour{LoseCall: true})},
-	{name: "the answer of the first copy is lost", behave: firstCall(fake.MoveBehaviour{LoseAnswer: true})},
-	{name: "the last copy is lost, the source goes on until it is gone", behave: onceLast(fake.MoveBehaviour{LoseCall: true})},
-	{name: "the answer of the last copy is lost", behave: onceLast(fake.MoveBehaviour{LoseAnswer: true})},
-	{name: "the answer of the last copy is late", behave: onceLast(fake.MoveBehaviour{Delay: time.Second})},
-	{name: "the last copy answers 404", behave: onceLast(fake.MoveBehaviour{Status: 404})},
-	{name: "the last copy answers 409", behave: onceLast(fake.MoveBehaviour{Status: 409})},
-	{name: "the last copy finds no room", behave: onceLast(fake.MoveBehaviour{NoRoom: true})},
-	{name: "all targets decline", behave: func(int, fake.MoveCall) fake.MoveBehaviour { return fake.MoveBehaviour{NoRoom: true} }, cut: true},
-	{name: "the source is gone in the middle of the first copy", cut: true, meanwhile: func(m *moveBed, source *fake.Server, _ []*fake.Server) {
-		m.moves.CopyTime = 300 * time.Millisecond
-		time.Sleep(150 * time.Millisecond)
+	{name: "the target declines", behave: firstCall(false, fake.MoveBehaviour{NoRoom: true})},
+	{name: "the first copy answers 404", behave: firstCall(false, fake.MoveBehaviour{Status: 404})},
+	{name: "the first copy answers 409", behave: firstCall(false, fake.MoveBehaviour{Status: 409})},
+	{name: "the first copy is lost", behave: firstCall(false, fake.MoveBehaviour{LoseCall: true})},
+	{name: "the answer of the first copy is lost", behave: firstCall(false, fake.MoveBehaviour{LoseAnswer: true})},
+	{name: "the last copy is lost, the source goes on until it is gone", behave: firstCall(true, fake.MoveBehaviour{LoseCall: true})},
+	{name: "the answer of the last copy is lost", behave: firstCall(true, fake.MoveBehaviour{LoseAnswer: true})},
+	{name: "the answer of the last copy is late", behave: firstCall(true, fake.MoveBehaviour{Delay: time.Second})},
+	{name: "the last copy answers 404", behave: firstCall(true, fake.MoveBehaviour{Status: 404})},
+	{name: "the last copy answers 409", behave: firstCall(true, fake.MoveBehaviour{Status: 409})},
+	{name: "the last copy finds no room", behave: firstCall(true, fake.MoveBehaviour{NoRoom: true})},
+	{name: "all targets decline", cut: true, behave: func(*moveBed, int, fake.MoveCall) fake.MoveBehaviour { return fake.MoveBehaviour{NoRoom: true} }},
+	{name: "the source is gone in the middle of the first copy", cut: true, behave: firstCallDoes(false, fake.MoveBehaviour{CopyTime: 300 * time.Millisecond}, func(m *moveBed, call fake.MoveCall) {
+		source, _ := m.at()
+		m.endSoon(source, 150*time.Millisecond)
+	})},
+	{name: "the source is gone in the middle of the last copy", behave: firstCallDoes(true, fake.MoveBehaviour{CopyTime: 100 * time.Millisecond}, func(m *moveBed, call fake.MoveCall) {
+		source, _ := m.at()
+		m.endSoon(source, 50*time.Millisecond)
+	})},
+	{name: "the target is gone before the first copy", behave: firstCallDoes(false, fake.MoveBehaviour{}, func(m *moveBed, call fake.MoveCall) {
+		m.end(m.byAddress(call.To))
+	})},
+	{name: "the target is gone before it is used", behave: firstCallDoes(true, fake.MoveBehaviour{Delay: 100 * time.Millisecond}, func(m *moveBed, call fake.MoveCall) {
+		m.endSoon(m.byAddress(call.To), 70*time.Millisecond)
+	})},
+	{name: "the target has lost the copy", behave: firstCallDoes(true, fake.MoveBehaviour{Delay: 100 * time.Millisecond}, func(m *moveBed, call fake.MoveCall) {
+		target := m.byAddress(call.To)
+		time.AfterFunc(70*time.Millisecond, target.LoseCopies)
+	})},
+	{name: "the target is gone while it continues", cut: true, meanwhile: func(m *moveBed, source *fake.Server, others []*fake.Server) {
+		time.Sleep(time.Second)
+		for _, s := range others {
+			if len(s.Arrivals()) > 0 {
+				m.end(s)
+			}
+		}
+		time.Sleep(time.Second)
 		m.end(source)
 	}},
+	{name: "the link to the source is cut and the last copy is lost", behave: firstCallDoes(true, fake.MoveBehaviour{LoseCall: true}, func(m *moveBed, call fake.MoveCall) {
+		source, others := m.at()
+		ip, _, _ := strings.Cut(source.Address, ":")
+		m.net.Silence(m.daemons[0].ip, ip)
+		time.AfterFunc(time.Second, func() {
+			// The source is at work.
+			for _, s := range others {
+				m.Check(s.Arrivals(), qt.HasLen, 0)
+			}
+		})
+	})},
 	{name: "the server that was said to leave stays", meanwhile: func(m *moveBed, source *fake.Server, _ []*fake.Server) {
 		time.Sleep(10 * time.Millisecond)
 		m.listServer(source.ID, model, "ready")
@@ -209,20 +264,7 @@
 		for _, s := range others {
 			if len(s.Arrivals()) > 0 {
 				m.announce(s, leavesAfter)
-				defer func() {
-					time.Sleep(time.Second)
-					m.end(s)
-				}()
-			}
-		}
-		time.Sleep(time.Second)
-		m.end(source)
-	}},
-	{name: "the target is gone while it continues", cut: true, meanwhile: func(m *moveBed, source *fake.Server, others []*fake.Server) {
-		time.Sleep(time.Second)
-		for _, s := range others {
-			if len(s.Arrivals()) > 0 {
-				m.end(s)
+				m.endSoon(s, leavesAfter)
 			}
 		}
 		time.Sleep(time.Second)
@@ -237,7 +279,9 @@
 	for _, p := range movePlays {
 		t.Run(p.name, func(t *testing.T) {
 			runMoves(t, 1, 3, false, func(m *moveBed) {
-				m.moves.Behave = p.behave
+				if p.behave != nil {
+					m.moves.Behave = func(n int, call fake.MoveCall) fake.MoveBehaviour { return p.behave(m, n, call) }
+				}
 				wait := m.streams(1)
 				source, others := m.at()
 				m.announce(source, leavesAfter)
@@ -263,3 +307,141 @@
 		})
 	}
 }
+
+// TestUnusedCopyIsFreed guards against copies that occupy a slot of the target although the stream has
+// ended by itself meanwhile.
+func TestUnusedCopyIsFreed(t *testing.T) {
+	runMoves(t, 1, 2, false, func(m *moveBed) {
+		m.moves.Behave = func(int, fake.MoveCall) fake.MoveBehaviour {
+			return fake.MoveBehaviour{CopyTime: 600 * time.Millisecond}
+		}
+		wait := m.streams(1)
+		source, others := m.at()
+		time.Sleep(movedEvents*movedInterval - 600*time.Millisecond - 400*time.Millisecond)
+		m.announce(source, leavesAfter)
+		m.checkWhole(wait()[0])
+		time.Sleep(700 * time.Millisecond)
+		m.Check(others[0].Arrivals(), qt.HasLen, 0)
+		m.Check(others[0].CopiesTaken(), qt.Equals, 1)
+		m.Check(others[0].Copies(), qt.Equals, 0)
+	})
+}
+
+// TestStoppedStreamIsNotTakenForComplete guards against the end of a stopped run being taken for the end
+// of the answer: a stream with neither length nor chunks ends in the same way.
+func TestStoppedStreamIsNotTakenForComplete(t *testing.T) {
+	for name, behave := range map[string]moveBehaviour{
+		"answered":   func(*moveBed, int, fake.MoveCall) fake.MoveBehaviour { return fake.MoveBehaviour{} },
+		"unanswered": firstCall(true, fake.MoveBehaviour{LoseAnswer: true}),
+		"late":       firstCall(true, fake.MoveBehaviour{Delay: time.Second}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			runMoves(t, 1, 3, false, func(m *moveBed) {
+				for _, s := range m.servers {
+					s.EndWithConnection = true
+				}
+				m.moves.Behave = func(n int, call fake.MoveCall) fake.MoveBehaviour { return behave(m, n, call) }
+				wait := m.streams(1)
+				source, _ := m.at()
+				m.announce(source, leavesAfter)
+				time.Sleep(leavesAfter)
+				m.end(source)
+				m.checkWhole(wait()[0])
+			})
+		})
+	}
+}
+
+// TestResumableStreamIsResumedBeforeItsServerIsGone guards against a resumable stream that waits for the
+// end of its server where it cannot be moved.
+func TestResumableStreamIsResumedBeforeItsServerIsGone(t *testing.T) {
+	runMoves(t, 1, 2, true, func(m *moveBed) {
+		m.moves.Behave = func(int, fake.MoveCall) fake.MoveBehaviour { return fake.MoveBehaviour{NoRoom: true} }
+		wait := m.streams(1)
+		source, others := m.at()
+		m.announce(source, leavesAfter)
+		time.Sleep(leavesAfter)
+		m.Assert(others[0].Arrivals(), qt.HasLen, 1)
+		m.Check(others[0].Arrivals()[0].Header.Get("Kv-From"), qt.Equals, "")
+		m.end(source)
+		got := wait()
+		m.checkWhole(got[0])
+	})
+}
+
+// TestDaemonKilledDuringMoves guards against a second run of a request whose daemon is killed in the
+// middle of a move: its caller sees a cut stream, the copies end by their time, and the servers serve on.
+func TestDaemonKilledDuringMoves(t *testing.T) {
+	for _, after := range []time.Duration{10, 25, 35, 45, 100} {
+		t.Run(fmt.Sprint(after), func(t *testing.T) {
+			runMoves(t, 2, 3, false, func(m *moveBed) {
+				wait := m.streams(2)
+				source, _ := m.at()
+				m.announce(source, leavesAfter)
+				time.Sleep(after * time.Millisecond)
+				m.daemons[0].kill()
+				time.Sleep(leavesAfter - after*time.Millisecond)
+				m.end(source)
+				got := wait()
+				m.Check(got[0].cut, qt.IsTrue)
+				m.checkWhole(got[1])
+				m.checkWhole(m.stream(1))
+				m.checkRuns(got)
+				time.Sleep(m.moves.Keep)
+				for _, s := range m.servers {
+					m.Check(s.Copies(), qt.Equals, 0)
+				}
+			})
+		})
+	}
+}
+
+// maxCutInWave is the share of the streams of leaving servers that may be cut in a wave that takes half
+// of the servers while these and the others are half full.
+const maxCutInWave = 0.1
+
+// TestWaveAtSeveralDaemons guards against daemons that evacuate at once and send each other's streams to
+// the same targets: half of the servers leave, and the others have just enough room.
+func TestWaveAtSeveralDaemons(t *testing.T) {
+	const servers, slots, streams = 12, 10, 60
+	runMoves(t, 6, servers, false, func(m *moveBed) {
+		m.moves.Room = slots
+		for _, s := range m.servers {
+			m.list(s, "ready", slots, 0)
+		}
+		time.Sleep(time.Second)
+		var all sync.WaitGroup
+		replies := make([]reply, streams)
+		for i := range streams {
+			all.Go(func() {
+				replies[i] = m.send(call{method: "POST", path: "/s/x", key: testKey, tokens: "150,800", to: i % len(m.daemons),
+					header: map[string]string{"Prefix-Hash": fmt.Sprintf("p%d:100,%d:50", i%servers, i)}})
+			})
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		leaving := m.servers[:servers/2]
+		affected := 0
+		for _, s := range leaving {
+			affected += len(s.Arrivals())
+			m.list(s, "draining", slots, leavesAfter)
+		}
+		time.Sleep(leavesAfter)
+		for _, s := range leaving {
+			m.end(s)
+		}
+		all.Wait()
+		cut := 0
+		for _, r := range replies {
+			if r.cut {
+				cut++
+				continue
+			}
+			m.checkWhole(r)
+		}
+		t.Logf("%d of %d streams of leaving servers were cut", cut, affected)
+		m.Check(affected > streams/4, qt.IsTrue)
+		m.Check(float64(cut) <= maxCutInWave*float64(affected), qt.IsTrue, qt.Commentf("%d of %d", cut, affected))
+		m.checkRuns(replies)
+	})
+}
