Bound the cost of a plan and explain streams that were not moved

Cause: a plan for 30 streams took 8.4 ms with 2,600 servers, and is made anew after each move. A stream that was cut because its server left had the cause that its answer was lost.

A move that the retry budget denies does not count as begun. plankridge explain names the new cause with the reason why the stream was not moved.

--- a/internal/backend/moves.go
+++ b/internal/backend/moves.go
@@ -119,7 +119,8 @@
 		return nil, false
 	}
 	need.Resumed = true
-	choice := &Choice{Entry: s.Entry, Running: s.load(now).Running, view: v, server: s, need: need, startedAt: now, lastResort: true, moved: true}
+	candidate := s.Version == v.versionsOf(s.Service).Candidate && s.Version != ""
+	choice := &Choice{Entry: s.Entry, Running: s.load(now).Running, Candidate: candidate, view: v, server: s, need: need, startedAt: now, lastResort: true, moved: true}
 	choice.register()
 	return choice, true
 }
--- a/internal/evacuation/plan.go
+++ b/internal/evacuation/plan.go
@@ -34,6 +34,9 @@
 	reservedShare = 0.1
 	// sameZoneWeight is how much more often a target in the source's zone is chosen.
 	sameZoneWeight = 2.0
+	// maxSuitable is the number of suitable servers that are considered for one stream. It bounds the
+	// cost of a plan: all 2,600 servers of the largest deployment took 8.4 ms for 30 streams.
+	maxSuitable = 64
 )
 
 // Stream is a running stream whose server leaves.
@@ -191,12 +194,14 @@
 	return Move{Stream: s, Outcome: Resumes, Reason: reason}
 }
 
-// target returns the target of a stream by weighted rendezvous hashing, or nil.
+// target returns the target of a stream by weighted rendezvous hashing, or nil. If there are many
+// servers, it considers a part of them that differs between streams.
 func (p *planner) target(s *Stream) *Server {
 	var best *Server
-	bestScore := 0.0
+	bestScore, suitable := 0.0, 0
+	start := int(xxhash.Sum64String(s.ID) % uint64(max(1, len(p.servers))))
 	for i := range p.servers {
-		t := &p.servers[i]
+		t := &p.servers[(start+i)%len(p.servers)]
 		weight := t.weight(s)
 		if weight <= 0 {
 			continue
@@ -205,6 +210,9 @@
 		if score := -weight / math.Log(draw); best == nil || score > bestScore {
 			best, bestScore = t, score
 		}
+		if suitable++; suitable == maxSuitable {
+			break
+		}
 	}
 	return best
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -32,6 +32,7 @@
 	CauseDeclined        Cause = "the servers declined for lack of capacity or were gone"
 	CauseServerError     Cause = "a server answered with an error"
 	CauseAnswerLost      Cause = "a server ran the request and its answer was lost or broken; it may not be repeated"
+	CauseNotMoved        Cause = "the stream's server left, and the stream was not moved to another one"
 	CauseNoMoreAttempts  Cause = "attempts failed and no further one was allowed"
 	CauseTimeout         Cause = "the route's timeout or the caller's limit was reached"
 )
@@ -43,6 +44,10 @@
 // lostResults are the results of attempts whose answer was lost or broken.
 var lostResults = []string{"no-answer", "broken-answer", "broken-stream", "event-gap", "unsigned"}
 
+// cutByLeaving are the results of the last attempt of a stream that ended because its server left, or
+// that could not be continued after it was stopped for a move.
+var cutByLeaving = []string{"broken-stream", "server-ended", "leaving", "moved", "no-answer", "declined", "not-sent", "wrong-server", "left"}
+
 // causeOf determines the cause from the lines of one request. Only the last line counts.
 func causeOf(lines []Line) Cause {
 	l := lines[len(lines)-1]
@@ -108,6 +113,8 @@
 	}
 	last := l.Attempts[len(l.Attempts)-1].Result
 	switch {
+	case l.NotMoved != "" && slices.Contains(cutByLeaving, last):
+		return CauseNotMoved
 	case last == "declined" || last == "wrong-server":
 		return CauseDeclined
 	case last == "not-sent":
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -87,6 +87,12 @@
 	RetriesAllowed float64 `json:"retries_allowed"`
 	RetriesSpent   float64 `json:"retries_spent"`
 	Draining       bool    `json:"draining"`
+	// MovesBegun and MovesDone count the moves of a stream away from leaving servers. MovesFailed holds
+	// the causes of the failed ones, and NotMoved why a stream that was not served was last not moved.
+	MovesBegun  int      `json:"moves_begun"`
+	MovesDone   int      `json:"moves_done"`
+	MovesFailed []string `json:"moves_failed"`
+	NotMoved    string   `json:"not_moved"`
 	// Limited, RequestsPerSecond and RestMS are the rate limit and the pause that a server
 	// has announced.
 	Limited           bool    `json:"limited"`
@@ -265,6 +271,15 @@
 		if l.RetriesAllowed > 0 {
 			text += fmt.Sprintf(", %.1f of %.1f retries spent", l.RetriesSpent, l.RetriesAllowed)
 		}
+		if l.MovesBegun > 0 {
+			text += fmt.Sprintf(", %d of %d moves done", l.MovesDone, l.MovesBegun)
+		}
+		if len(l.MovesFailed) > 0 {
+			text += ", failed: " + strings.Join(l.MovesFailed, ", ")
+		}
+		if l.NotMoved != "" {
+			text += ", not moved: " + l.NotMoved
+		}
 		text += ")"
 		return text
 	case msgRejected:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -133,6 +133,7 @@
 		},
 		CauseTimeout:        {Outcome: "failed", Status: 504, Reason: "timeout"},
 		CauseDeclined:       {Outcome: "refused", Status: 503, Reason: "route allows no further attempt", Attempts: []Attempt{{Result: "declined"}}},
+		CauseNotMoved:       {Outcome: "cut", Status: 200, Reason: "answer was cut off", NotMoved: "no target with room", Attempts: []Attempt{{Result: "broken-stream"}}},
 		CauseServerError:    {Outcome: "failed", Status: 502, Reason: "retry budget is spent", Attempts: []Attempt{{Result: "status-500"}}},
 		CauseNoMoreAttempts: {Outcome: "failed", Status: 502, Reason: "route allows no further attempt", Attempts: []Attempt{{Result: "no-answer"}}},
 		CauseCallerLeft:     {Outcome: "caller-left"},
--- a/internal/forward/evacuate.go
+++ b/internal/forward/evacuate.go
@@ -27,7 +27,8 @@
 	drainTimeout = 80 * time.Millisecond
 	// freeTimeout bounds the call that frees an unused copy.
 	freeTimeout = 500 * time.Millisecond
-	// moveRetryDelay is how long after a failed move a stream may be moved again to the same target.
+	// moveRetryDelay is how long after a failed move a stream may be moved again to the same target, or
+	// after the retry budget was found spent.
 	moveRetryDelay = 50 * time.Millisecond
 	// maxMoves is the number of moves that are begun for one stream at one server.
 	maxMoves = 4
@@ -38,7 +39,6 @@
 	reasonRetryBudget = "retry budget is spent"
 	reasonTargetGone  = "target was gone"
 	reasonEnded       = "stream ended before"
-	reasonTries       = "moves failed too often"
 )
 
 // evacuator moves the streams of one daemon away from leaving servers.
@@ -132,7 +132,7 @@
 
 // plan decides on the streams and begins at most room moves.
 func (e *evacuator) plan(streams []*movable, room int, now time.Time) {
-	byID := map[string]*movable{}
+	var planned []*movable
 	tokens, count := map[string]int{}, map[string]int{}
 	var states []evacuation.Stream
 	for _, m := range streams {
@@ -140,7 +140,7 @@
 		if !plannable {
 			continue
 		}
-		byID[state.ID] = m
+		planned = append(planned, m)
 		states = append(states, state)
 		tokens[state.Service] += state.Tokens
 		count[state.Service]++
@@ -152,8 +152,13 @@
 	for service, n := range count {
 		tokens[service] /= n
 	}
+	// Several streams may have the same request ID.
+	byState := map[*evacuation.Stream]*movable{}
+	for i, m := range planned {
+		byState[&states[i]] = m
+	}
 	for _, move := range evacuation.Plan(states, e.options.View.MoveTargets(tokens, now), now) {
-		m := byID[move.Stream.ID]
+		m := byState[move.Stream]
 		m.recordPlan(move)
 		switch {
 		case move.Outcome == evacuation.Moves && room > 0:
@@ -180,7 +185,6 @@
 		return evacuation.Stream{}, false
 	}
 	if m.log.begun >= maxMoves {
-		m.log.notMoved = reasonTries
 		return evacuation.Stream{}, false
 	}
 	held := call.Prompt.Tokens + m.events*max(1, engine.EventTokens)
@@ -223,9 +227,7 @@
 func (e *evacuator) begin(m *movable, target string) {
 	m.mu.Lock()
 	m.moving = true
-	m.log.begun++
 	m.mu.Unlock()
-	e.options.Metrics.moves.WithLabelValues(m.run.call.Service, "begun").Inc()
 	e.mu.Lock()
 	e.moving++
 	e.mu.Unlock()
@@ -255,8 +257,10 @@
 	if failed.cause == "" {
 		return
 	}
-	m.log.failures = append(m.log.failures, failed.cause)
 	m.log.notMoved = failed.cause
+	if failed.cause != reasonRetryBudget {
+		m.log.failures = append(m.log.failures, failed.cause)
+	}
 	if failed.declined {
 		m.declined = append(m.declined, target)
 		return
@@ -270,6 +274,10 @@
 	if !verdict.Admitted {
 		return failure{cause: reasonRetryBudget}
 	}
+	m.mu.Lock()
+	m.log.begun++
+	m.mu.Unlock()
+	e.options.Metrics.moves.WithLabelValues(m.run.call.Service, "begun").Inc()
 	held := stopped{retry: verdict}
 	choice, ok := e.options.View.BeginMoved(m.need, target, time.Now())
 	if !ok {
--- a/internal/forward/moves.go
+++ b/internal/forward/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,9 @@
 	notMoved string
 	// pause is the longest time between the last event before a move and the first one after it.
 	pause time.Duration
+	// behind is the largest number of events that a stopped run had generated and the caller had not
+	// got, so that the next server had to generate them again.
+	behind int
 }
 
 // stopped is what the last copy of a run has brought.
@@ -178,7 +182,7 @@
 func (l *moveLog) attrs(outcome string) []any {
 	var attrs []any
 	if l.begun > 0 {
-		attrs = append(attrs, "moves_begun", l.begun, "moves_done", l.done, "moves_failed", l.failures, "move_wait_ms", l.pause.Milliseconds())
+		attrs = append(attrs, "moves_begun", l.begun, "moves_done", l.done, "moves_failed", l.failures, "move_wait_ms", l.pause.Milliseconds(), "move_events_behind", l.behind)
 	}
 	if l.notMoved != "" && outcome != "served" {
 		attrs = append(attrs, "not_moved", l.notMoved)
@@ -260,6 +264,9 @@
 		return result{}, false
 	}
 	_ = r.step(request.StepStopped)
+	if last, err := strconv.Atoi(r.lastEventID); err == nil {
+		r.moves.behind = max(r.moves.behind, outcome.handle.Events-last)
+	}
 	r.continuation = &continuation{stopped: outcome, source: m.source.Entry, place: place, goneAt: m.source.GoneAt(), paid: true}
 	if place == evacuation.AtSource {
 		r.recordMoveFailure(evacuation.NoRoom.String())
