--- a/internal/forward/evacuate.go
+++ b/internal/forward/evacuate.go
@@ -214,9 +214,13 @@
 func (m *movable) recordPlan(move evacuation.Move) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.log.notMoved = move.Reason
-	if move.Outcome == evacuation.Ends {
+	switch {
+	case move.Outcome == evacuation.Ends:
 		m.log.notMoved = reasonEndsInTime
+	case move.Reason == evacuation.ReasonTooLate && m.log.notMoved != "":
+		// The reason why it was not moved before says more.
+	default:
+		m.log.notMoved = move.Reason
 	}
 }
 
--- a/internal/forward/moves.go
+++ b/internal/forward/moves.go
@@ -182,7 +182,10 @@
 func (l *moveLog) attrs(outcome string) []any {
 	var attrs []any
 	if l.begun > 0 {
-		attrs = append(attrs, "moves_begun", l.begun, "moves_done", l.done, "moves_failed", l.failures, "move_wait_ms", l.pause.Milliseconds(), "move_events_behind", l.behind)
+		attrs = append(attrs, "moves_begun", l.begun, "moves_done", l.done, "move_wait_ms", l.pause.Milliseconds(), "move_events_behind", l.behind)
+	}
+	if len(l.failures) > 0 {
+		attrs = append(attrs, "moves_failed", l.failures)
 	}
 	if l.notMoved != "" && outcome != "served" {
 		attrs = append(attrs, "not_moved", l.notMoved)
