Stop runs for a move only while the links are idle

Cause: copies queue on the links of both servers. In TestWaveOnBusyLinks (two servers leave with some 30 streams at twelve daemons, 26 ms for a copy) up to 8 of 32 moves paused their stream for more than the 400 ms that routes allow, in 3 of 4 runs: last copies queued behind the first copies of other streams, also of daemons that learned of the notice 200 ms later. Callers wait that long.

Change: what is new is copied again, which takes little of the links, until a copy takes at most a tenth of the allowed pause and the notice is 300 ms old. The run is stopped at the latest 500 ms before its server is gone.

--- a/internal/forward/evacuate.go
+++ b/internal/forward/evacuate.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -46,8 +47,8 @@
 	options Options
 
 	mu sync.Mutex
-	// streams are the streams at leaving servers.
-	streams map[*movable]struct{}
+	// streams are the streams at leaving servers, and since when these are known to leave.
+	streams map[*movable]time.Time
 	// working is set while work runs. wake makes it plan anew.
 	working bool
 	wake    chan struct{}
@@ -59,7 +60,7 @@
 	if options.Mover == nil {
 		return nil
 	}
-	return &evacuator{options: options, streams: map[*movable]struct{}{}, wake: make(chan struct{}, 1)}
+	return &evacuator{options: options, streams: map[*movable]time.Time{}, wake: make(chan struct{}, 1)}
 }
 
 // add adds a stream whose server leaves. It may be called with the view locked.
@@ -69,7 +70,9 @@
 	if m.finished.Load() {
 		return
 	}
-	e.streams[m] = struct{}{}
+	if _, known := e.streams[m]; !known {
+		e.streams[m] = time.Now()
+	}
 	if !e.working {
 		e.working = true
 		go e.work()
@@ -88,6 +91,14 @@
 	}
 }
 
+// leavesSince returns since when the stream's server is known to leave.
+func (m *movable) leavesSince() time.Time {
+	e := m.run.evacuator
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.streams[m]
+}
+
 // trigger makes work plan anew.
 func (e *evacuator) trigger() {
 	select {
@@ -289,11 +300,11 @@
 		return failure{cause: reasonTargetGone, declined: true}
 	}
 	held.target = choice
-	answer, handle := e.copy(m, choice.Entry, false)
+	handle, failed := e.copyBeside(m, choice.Entry)
 	held.handle = handle
-	if next := evacuation.AfterFirst(answer); next != evacuation.Stop {
+	if failed.cause != "" {
 		e.release(m.source.Entry, held)
-		return failure{cause: answer.String(), declined: next == evacuation.OtherTarget}
+		return failed
 	}
 	if !m.beginStop() {
 		e.release(m.source.Entry, held)
@@ -302,6 +313,28 @@
 	return e.stop(m, held)
 }
 
+// copyBeside copies the run while it goes on, until it may be stopped.
+func (e *evacuator) copyBeside(m *movable, target backend.Entry) (Handle, failure) {
+	var held Handle
+	for repeated := false; !m.finished.Load(); repeated = true {
+		began := time.Now()
+		answer, handle := e.copy(m, target, false)
+		held = cmp.Or(handle, held)
+		now := time.Now()
+		next, wait := evacuation.AfterCopy(evacuation.Copying{
+			Answer: answer, Repeated: repeated, Took: now.Sub(began), Pause: m.run.call.Route.EventGapTarget, Left: m.source.GoneAt().Sub(now), Known: now.Sub(m.leavesSince()),
+		})
+		switch {
+		case answer != evacuation.Copied:
+			return held, failure{cause: answer.String(), declined: next == evacuation.OtherTarget}
+		case next == evacuation.Stop:
+			return held, failure{}
+		}
+		time.Sleep(wait)
+	}
+	return held, failure{cause: reasonEnded}
+}
+
 // stop makes the last copy, which stops the run.
 func (e *evacuator) stop(m *movable, held stopped) failure {
 	answer, handle := e.copy(m, held.target.Entry, true)
