--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -93,6 +93,12 @@
 	AllowanceProbability     float64 `json:"allowance_probability"`
 	AllowanceEvenProbability float64 `json:"allowance_probability_without_classes"`
 	Draining                 bool    `json:"draining"`
+	// MovesBegun and MovesDone count the moves of a stream away from leaving servers. MovesFailed holds
+	// the causes of the failed ones, and NotMoved why a stream that was not served was last not moved.
+	MovesBegun  int      `json:"moves_begun"`
+	MovesDone   int      `json:"moves_done"`
+	MovesFailed []string `json:"moves_failed"`
+	NotMoved    string   `json:"not_moved"`
 	// Limited, RequestsPerSecond and RestMS are the rate limit and the pause that a server
 	// has announced.
 	Limited           bool    `json:"limited"`
@@ -275,6 +281,15 @@
 			text += fmt.Sprintf(", class %q admitted with probability %.2f by its workspace's allowance, %.2f without classes",
 				l.AllowanceClass, l.AllowanceProbability, l.AllowanceEvenProbability)
 		}
+		if l.MovesBegun > 0 {
+			text += fmt.Sprintf(", %d of %d moves done", l.MovesDone, l.MovesBegun)
+		}
+		if len(l.MovesFailed) > 0 {
+			text += ", failed: " + strings.Join(l.MovesFailed, ", ")
+		}
+		if l.NotMoved != "" {
+			text += ", not moved: " + l.NotMoved
+		}
 		text += ")"
 		return text
 	case msgRejected:
