Predict waits by rank

Cause: predicted waits counted all prompts that wait at an engine, whatever their ranks, although engines admit urgent requests first and preempt others for them. Urgent calls were refused for waits that they would not have, and less urgent ones were admitted.

Change: loads hold the parts of pending tokens and running attempts that are known to be less urgent, in classes 0, 1, and 2 and more, for this daemon, in reports, sums, compressed sums and notices (Load.urgency, two 7-bit compositions in fourteenths). A predicted wait counts what goes before the call: prompts of its own and more urgent classes, and in a full batch the attempts that do not yield. Load without classes counts as the most urgent. How much of the less urgent prompts still delays a call is learned per service, so that engines that ignore priorities are predicted as before. Services whose requests have one class of rank, and plain services, are predicted as before.

RecordNotice takes a Load instead of a number of tokens; its tests follow.

--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -36,9 +36,11 @@
 	server *server
 	need   Need
 	work   pace.Work
-	// queuedTokens is the number of prompt tokens that were pending on the server before this
-	// attempt.
-	queuedTokens int
+	// class is the class of rank by which the server orders the attempt.
+	class int
+	// queuedTokens is the number of prompt tokens that were pending on the server and expected to be
+	// processed before this attempt's, and yieldingTokens that of the less urgent ones.
+	queuedTokens, yieldingTokens int
 	// prefillPending is set until the engine has processed the prompt.
 	prefillPending bool
 	startedAt      time.Time
@@ -55,6 +57,9 @@
 	onRestart func()
 }
 
+// Prompt returns the load of the attempt's prompt before it is processed.
+func (c *Choice) Prompt() Load { return PromptLoad(c.class, c.PrefillTokens) }
+
 // RecordEvent records that an event of the answer was received. The first event shows that the
 // prompt has been processed.
 func (c *Choice) RecordEvent(now time.Time) {
@@ -88,10 +93,11 @@
 // up most of that time. The caller holds the lock.
 func (c *Choice) learnFirstEvent() {
 	engines := c.view.engineFor(c.need.Service)
+	took := c.firstEventAt.Sub(c.startedAt)
+	c.learnYield(engines, took)
 	if engines == nil || c.Candidate || c.need.Deferred || c.Running >= c.Slots || c.queuedTokens > c.PrefillTokens {
 		return
 	}
-	took := c.firstEventAt.Sub(c.startedAt)
 	work := c.work
 	work.PrefillTokens += c.queuedTokens
 	work.PromptTokens += c.queuedTokens
@@ -115,11 +121,13 @@
 func (c *Choice) register() {
 	c.server.attempts[c] = struct{}{}
 	c.server.ownLoad.Running++
+	c.server.ownLoad.Started.add(c.class, 1)
 	if c.need.Deferred {
 		c.server.deferredTokens += c.PrefillTokens
 		return
 	}
 	c.server.ownLoad.PendingTokens += c.PrefillTokens
+	c.server.ownLoad.Pending.add(c.class, c.PrefillTokens)
 }
 
 // finishPrefill removes the prompt's tokens from the server's pending load, once. The caller holds
@@ -134,6 +142,7 @@
 		return
 	}
 	c.server.ownLoad.PendingTokens -= c.PrefillTokens
+	c.server.ownLoad.Pending.add(c.class, -c.PrefillTokens)
 }
 
 // End removes the attempt from its server's load and records its outcome.
@@ -143,6 +152,7 @@
 	c.finishPrefill()
 	delete(c.server.attempts, c)
 	c.server.ownLoad.Running--
+	c.server.ownLoad.Started.add(c.class, -1)
 	c.server.recordOutcome(outcome, now)
 	if outcome == OutcomeWrongServer {
 		clear(c.view.readyServers)
--- a/internal/backend/notice.go
+++ b/internal/backend/notice.go
@@ -21,33 +21,33 @@
 
 // peerNotices is the load that other daemons have announced for a server since the last load sums.
 type peerNotices struct {
-	// pendingTokens is the number of prompt tokens that peers have pending on the server, including
-	// the announced ones.
-	pendingTokens int
-	expiresAt     time.Time
+	// pending holds the prompt tokens that peers have pending on the server, including the announced
+	// ones.
+	pending   Load
+	expiresAt time.Time
 }
 
 // RecordNotice records a prompt that another daemon has just sent to a server.
-func (v *View) RecordNotice(key uint32, tokens int, now time.Time) {
+func (v *View) RecordNotice(key uint32, prompt Load, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for _, s := range v.servers {
 		if s.key == key {
-			s.peerNotices = peerNotices{pendingTokens: s.peerPendingTokens(now) + max(0, tokens), expiresAt: now.Add(noticeTTL)}
+			s.peerNotices = peerNotices{pending: s.peerPending(now).withPending(prompt), expiresAt: now.Add(noticeTTL)}
 		}
 	}
 }
 
-// peerPendingTokens returns the number of prompt tokens that other daemons have pending on the
-// server. It is the maximum of the load sums and the notices, because sums that include the
-// announced prompts must not count them twice.
-func (s *server) peerPendingTokens(now time.Time) int {
-	pending := 0
+// peerPending returns the prompt tokens that other daemons have pending on the server. It is the
+// larger of the load sums and the notices, because sums that include the announced prompts must not
+// count them twice.
+func (s *server) peerPending(now time.Time) Load {
+	var pending Load
 	if now.Sub(s.peerLoadAt) < peerLoadTTL {
-		pending = max(0, s.peerLoad.PendingTokens)
+		pending = pending.withPending(s.peerLoad)
 	}
-	if now.Before(s.peerNotices.expiresAt) {
-		pending = max(pending, s.peerNotices.pendingTokens)
+	if now.Before(s.peerNotices.expiresAt) && s.peerNotices.pending.PendingTokens > pending.PendingTokens {
+		pending = s.peerNotices.pending
 	}
 	return pending
 }
--- a/internal/backend/notice_test.go
+++ b/internal/backend/notice_test.go
@@ -15,7 +15,7 @@
 	v := modelView("a", "b", "c", "d")
 	home, _ := v.Begin(prompt(1), start)
 	home.End(OutcomeNeutral, start)
-	v.RecordNotice(KeyOf(home.Entry), 50_000, start)
+	v.RecordNotice(KeyOf(home.Entry), PromptLoad(0, 50_000), start)
 	other, _ := v.Begin(prompt(1), start)
 	c.Check(other.ID, qt.Not(qt.Equals), home.ID)
 	other.End(OutcomeNeutral, start)
@@ -30,10 +30,10 @@
 func TestNoticesAreNotAddedToPeerLoads(t *testing.T) {
 	c := qt.New(t)
 	v := modelView("a")
-	v.RecordNotice(KeyOf(Entry{ID: "a"}), 30_000, start)
+	v.RecordNotice(KeyOf(Entry{ID: "a"}), PromptLoad(0, 30_000), start)
 	v.SetPeerLoads(map[uint32]Load{KeyOf(Entry{ID: "a"}): {Running: 1, PendingTokens: 30_000}}, start.Add(100*time.Millisecond))
 	c.Check(v.Servers(start.Add(100 * time.Millisecond))[0].PendingTokens, qt.Equals, 30_000)
-	v.RecordNotice(KeyOf(Entry{ID: "a"}), 5_000, start.Add(100*time.Millisecond))
+	v.RecordNotice(KeyOf(Entry{ID: "a"}), PromptLoad(0, 5_000), start.Add(100*time.Millisecond))
 	c.Check(v.Servers(start.Add(100 * time.Millisecond))[0].PendingTokens, qt.Equals, 35_000)
 }
 
@@ -79,7 +79,7 @@
 			if notices && long.LongPrefill {
 				for _, other := range views {
 					if other != v {
-						other.RecordNotice(KeyOf(long.Entry), long.PrefillTokens, now)
+						other.RecordNotice(KeyOf(long.Entry), long.Prompt(), now)
 					}
 				}
 			}
@@ -103,10 +103,7 @@
 			continue
 		}
 		for key, load := range v.OwnLoads() {
-			total := sum[key]
-			total.Running += load.Running
-			total.PendingTokens += load.PendingTokens
-			sum[key] = total
+			sum[key] = sum[key].Plus(load)
 		}
 	}
 	return sum
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -26,6 +26,8 @@
 	Tried map[string]bool
 	// Final is set for the last attempt of a request.
 	Final bool
+	// Class is the class of the request's rank; see route.RankClass.
+	Class int
 	// Deferred is set for attempts that the engine runs after all others.
 	Deferred bool
 	// SampleSeed differs between requests. It selects the servers that are considered in addition
@@ -87,9 +89,10 @@
 	}
 	s := v.servers[picked.Server.ID]
 	work := s.work(prompt, traits, need)
+	load, class := s.load(now), queueClass(need, traits)
 	choice := &Choice{
 		Entry: s.Entry, Wait: picked.Wait, IdleWait: picked.Server.IdleWait, PrefillTokens: work.PrefillTokens, FetchFrom: prompt.fetchSource(s), Running: picked.Server.Running,
-		Candidate: candidate, view: v, server: s, need: need, work: work, queuedTokens: s.load(now).PendingTokens, prefillPending: true, startedAt: now, admittedAt: admitted,
+		Candidate: candidate, view: v, server: s, need: need, work: work, class: loadClass(need, traits), queuedTokens: v.queuedTokens(need.Service, load, class), yieldingTokens: load.Pending.behind(class), prefillPending: true, startedAt: now, admittedAt: admitted,
 	}
 	if engines != nil {
 		choice.Calibrated = engines.Calibrated()
@@ -100,14 +103,46 @@
 	return choice, true
 }
 
+// loadClass returns the class in which the attempt is counted. It is zero where ranks make no
+// difference, so that reports need not contain it.
+func loadClass(need Need, traits Traits) int {
+	if !traits.Ranked {
+		return 0
+	}
+	return queueClass(need, traits)
+}
+
+// queueClass returns the class whose attempts, and more urgent ones, go before the attempt.
+func queueClass(need Need, traits Traits) int {
+	if !traits.Ranked || need.Deferred {
+		return route.LeastUrgent
+	}
+	return need.Class
+}
+
+// setQueue sets what goes before an attempt of a class on an engine: the prompts that wait, and the
+// running attempts that do not yield to it. Plain services run attempts in order of arrival. The
+// caller holds the lock.
+func (v *View) setQueue(rs *route.Server, s *server, need Need, load Load, class int, engines *pace.Engine, now time.Time) {
+	if engines == nil {
+		return
+	}
+	queued := v.queuedTokens(need.Service, load, class)
+	rs.Queue = time.Duration(s.slowdownFactor(now) * float64(engines.QueueTime(queued)))
+	rs.Yielding = load.Started.behind(class)
+}
+
 // routeServers returns the servers as package route rates them. The caller holds the lock.
 func (v *View) routeServers(servers []*server, need Need, prompt placement, traits Traits, engines *pace.Engine, now time.Time) []route.Server {
+	class := queueClass(need, traits)
 	routeServers := make([]route.Server, 0, len(servers))
 	for _, s := range servers {
 		if need.ServerID != "" && s.ID != need.ServerID {
 			continue
 		}
-		rs := s.routeServer(s.work(prompt, traits, need), engines, now)
+		load := s.load(now)
+		rs := s.routeServer(s.work(prompt, traits, need), load, engines, now)
+		v.setQueue(&rs, s, need, load, class, engines, now)
 		if need.Deferred && engines != nil {
 			rs.Queue += engines.QueueTime(s.deferredTokens)
 		}
@@ -170,8 +205,7 @@
 	return work
 }
 
-func (s *server) routeServer(work pace.Work, engines *pace.Engine, now time.Time) route.Server {
-	load := s.load(now)
+func (s *server) routeServer(work pace.Work, load Load, engines *pace.Engine, now time.Time) route.Server {
 	rs := route.Server{
 		ID: s.ID, Zone: s.Zone, Address: s.Address,
 		Suspect:     s.suspect(now),
@@ -181,9 +215,7 @@
 		ExcessDelay: s.WarmupLeft,
 	}
 	if engines != nil {
-		slowdown := s.slowdownFactor(now)
-		rs.Queue = time.Duration(slowdown * float64(engines.QueueTime(load.PendingTokens)))
-		rs.IdleWait = time.Duration(slowdown * float64(engines.FirstEvent(work)))
+		rs.IdleWait = time.Duration(s.slowdownFactor(now) * float64(engines.FirstEvent(work)))
 	}
 	return rs
 }
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -43,14 +43,6 @@
 	WarmupLeft time.Duration
 }
 
-// Load is the load in flight on a server.
-type Load struct {
-	Running int
-	// PendingTokens is the number of prompt tokens of requests that have not produced a first token
-	// yet.
-	PendingTokens int
-}
-
 // Outcome is how an attempt ended, with regard to the server's health.
 type Outcome int
 
@@ -228,10 +220,9 @@
 
 // load returns the server's known load, of this daemon and all others.
 func (s *server) load(now time.Time) Load {
-	total := s.ownLoad
-	total.PendingTokens += s.peerPendingTokens(now)
+	total := s.ownLoad.withPending(s.peerPending(now))
 	if now.Sub(s.peerLoadAt) < peerLoadTTL {
-		total.Running += max(0, s.peerLoad.Running)
+		total = total.withRunning(s.peerLoad)
 	}
 	return total
 }
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -22,6 +22,9 @@
 	// FetchRate is the rate at which an engine copies prompt parts from another one over its link,
 	// in tokens per second. Zero means that it cannot.
 	FetchRate float64
+	// Ranked is set if requests of several classes of rank go to the service. Otherwise their ranks
+	// make no difference.
+	Ranked bool
 }
 
 // View holds the state of all backend servers. It is safe for concurrent use.
@@ -35,6 +38,8 @@
 	requestSizes map[string]requestSizes
 	// engines are the models of the engines' speed, by service.
 	engines map[string]*pace.Engine
+	// yields are the learned effects of less urgent prompts on more urgent ones, by service.
+	yields map[string]yieldEstimate
 	// unappliedEstimates are the parameters that other daemons reported for services that are not
 	// configured yet.
 	unappliedEstimates map[string]pace.EngineEstimates
@@ -63,7 +68,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, connectTimes: map[string]connectTime{}, requestSizes: map[string]requestSizes{}, engines: map[string]*pace.Engine{}, unappliedEstimates: map[string]pace.EngineEstimates{}, readyServers: map[track][]*server{}, versions: map[string]Versions{}, changed: make(chan struct{}), drainBound: defaultDrainBound}
+	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, connectTimes: map[string]connectTime{}, requestSizes: map[string]requestSizes{}, engines: map[string]*pace.Engine{}, yields: map[string]yieldEstimate{}, unappliedEstimates: map[string]pace.EngineEstimates{}, readyServers: map[track][]*server{}, versions: map[string]Versions{}, changed: make(chan struct{}), drainBound: defaultDrainBound}
 }
 
 // SetTraits sets the configured properties of all services.
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -152,18 +152,14 @@
 	for i, d := range w.daemons {
 		own[i] = d.view.OwnLoads()
 		for key, load := range own[i] {
-			sum[key] = plus(sum[key], load, 1)
+			sum[key] = sum[key].Plus(load)
 		}
 	}
 	for i, d := range w.daemons {
 		others := maps.Clone(sum)
 		for key, load := range own[i] {
-			others[key] = plus(others[key], load, -1)
+			others[key] = others[key].Minus(load)
 		}
 		d.view.SetPeerLoads(others, w.now)
 	}
 }
-
-func plus(a, b backend.Load, sign int) backend.Load {
-	return backend.Load{Running: a.Running + sign*b.Running, PendingTokens: a.PendingTokens + sign*b.PendingTokens}
-}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -75,7 +75,7 @@
 	// CallerTimeouts infers from the stated time limits how long ago a caller first tried.
 	CallerTimeouts *firsttry.CallerTimeouts
 	// OnLargePrompt informs other daemons of a prompt that occupies a server for long.
-	OnLargePrompt func(server backend.Entry, tokens int)
+	OnLargePrompt func(server backend.Entry, prompt backend.Load)
 	// OnAdviceChanged is called when advice in an answer has changed the state shared with
 	// other daemons. It may be nil.
 	OnAdviceChanged func()
@@ -261,7 +261,7 @@
 			return r.giveUp(ctx, refusal)
 		}
 		if choice.LongPrefill && r.options.OnLargePrompt != nil {
-			r.options.OnLargePrompt(choice.Entry, choice.PrefillTokens)
+			r.options.OnLargePrompt(choice.Entry, choice.Prompt())
 		}
 		result := r.try(ctx, choice)
 		ended := time.Now()
@@ -331,7 +331,7 @@
 	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.LatencyTarget, Tried: r.tried, Candidate: r.candidate, Version: r.stream.Version, SampleSeed: xxhash.Sum64String(r.call.ID)}
 	need.Final = r.sentAttempts+1 >= r.call.Route.MaxAttempts
 	if p := r.call.Prompt; p != nil {
-		need.Deferred = r.overdue()
+		need.Deferred, need.Class = r.overdue(), route.RankClass(r.call.Rank)
 		need.PromptTokens, need.Parts, need.Answer, need.Resumed = p.Tokens, p.Parts, pace.AnswerSize{MaxTokens: p.MaxOutput, HintedTokens: p.LikelyOutput}, r.lastEventID != ""
 	}
 	return need
--- a/internal/rollup/compress.go
+++ b/internal/rollup/compress.go
@@ -52,10 +52,9 @@
 	}
 	var sum backend.Load
 	for _, k := range all {
-		sum.Running += k.load.Running
-		sum.PendingTokens += k.load.PendingTokens
+		sum = sum.Plus(k.load)
 	}
-	return backend.Load{Running: sum.Running / len(all), PendingTokens: sum.PendingTokens / len(all)}
+	return sum.Divided(len(all))
 }
 
 func absDiff(a, b int) int { return max(a-b, b-a) }
--- a/internal/rollup/rollup.go
+++ b/internal/rollup/rollup.go
@@ -321,10 +321,7 @@
 
 func (c *Counts) addCurrent(more Counts) {
 	for key, load := range more.Loads {
-		sum := c.Loads[key]
-		sum.Running += load.Running
-		sum.PendingTokens += load.PendingTokens
-		c.Loads[key] = sum
+		c.Loads[key] = c.Loads[key].Plus(load)
 	}
 	for service, load := range more.Demand {
 		c.Demand[service] = c.Demand[service].Add(load)
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -21,12 +21,16 @@
 	// Suspect is set for servers that should be used only if no other is left, usually because they
 	// failed or declined recently.
 	Suspect bool
-	// Queue is the time until the prompts that are already waiting on the server are processed.
+	// Queue is the time until the prompts that are already waiting on the server, and that it admits
+	// before this attempt, are processed.
 	Queue time.Duration
 	// IdleWait is the time from the attempt's start to its first token on an idle server.
 	IdleWait time.Duration
 	// Running is the number of attempts that are known to be running on the server.
 	Running int
+	// Yielding is the number of the running attempts that the server preempts for this one, because
+	// they are less urgent.
+	Yielding int
 	// MaxBatch is the number of attempts that the server runs at once.
 	MaxBatch int
 	// ExcessDelay is an additional delay beyond the prediction: a remaining warm-up, or the delay
@@ -66,7 +70,7 @@
 // PredictWait returns the expected time to the first token on a server.
 func PredictWait(server *Server, need *Need) time.Duration {
 	wait := server.ExcessDelay + server.Queue + server.IdleWait
-	if excess := server.Running + 1 - server.MaxBatch; server.MaxBatch > 0 && excess > 0 {
+	if excess := server.Running - server.Yielding + 1 - server.MaxBatch; server.MaxBatch > 0 && excess > 0 {
 		wait += time.Duration(excess) * server.ServiceTime / time.Duration(server.MaxBatch)
 	}
 	if server.Zone != need.Zone {
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -34,7 +34,7 @@
 	}
 	for key, load := range c.Loads {
 		if load.Running > 0 || load.PendingTokens > 0 {
-			counts.Loads = append(counts.Loads, &gossippb.Load{Key: key, Running: int32(load.Running), PendingTokens: int32(load.PendingTokens)})
+			counts.Loads = append(counts.Loads, encodeLoad(key, load))
 		}
 	}
 	for service, load := range c.Demand {
@@ -59,6 +59,14 @@
 	return counts
 }
 
+func encodeLoad(key uint32, load backend.Load) *gossippb.Load {
+	return &gossippb.Load{Key: key, Running: int32(load.Running), PendingTokens: int32(load.PendingTokens), Urgency: load.Urgency()}
+}
+
+func decodeLoad(l *gossippb.Load) backend.Load {
+	return backend.Load{Running: int(l.GetRunning()), PendingTokens: int(l.GetPendingTokens())}.WithUrgency(l.GetUrgency())
+}
+
 func encodeFigures(f pace.Estimate) *gossippb.Figures {
 	return &gossippb.Figures{Coefficients: f.Coefficients, Seen: f.Samples}
 }
@@ -74,7 +82,7 @@
 		counts.Refused[item.GetWorkspace()] = item.GetRefused()
 	}
 	for _, l := range c.GetLoads() {
-		counts.Loads[l.GetKey()] = backend.Load{Running: int(l.GetRunning()), PendingTokens: int(l.GetPendingTokens())}
+		counts.Loads[l.GetKey()] = decodeLoad(l)
 	}
 	for _, d := range c.GetDemands() {
 		counts.Demand[d.GetService()] = demand.Load{Prefill: d.GetReading(), Batch: d.GetPlaces(), Memory: d.GetMemory()}
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -102,7 +102,7 @@
 	sums.Loads = listed
 	counts := encodeCounts(sums)
 	if restMean != (backend.Load{}) {
-		counts.Rest = &gossippb.Load{Running: int32(restMean.Running), PendingTokens: int32(restMean.PendingTokens)}
+		counts.Rest = encodeLoad(0, restMean)
 		for key, load := range listed {
 			if load == (backend.Load{}) {
 				// The zero load is listed because it differs from the mean of the rest.
@@ -117,8 +117,7 @@
 func (s *state) decodeSums(counts *gossippb.Counts) rollup.Counts {
 	sums := decodeCounts(counts)
 	if encodedMean := counts.GetRest(); encodedMean != nil {
-		restMean := backend.Load{Running: int(encodedMean.GetRunning()), PendingTokens: int(encodedMean.GetPendingTokens())}
-		rollup.ExpandLoads(sums.Loads, restMean, s.view.Keys())
+		rollup.ExpandLoads(sums.Loads, decodeLoad(encodedMean), s.view.Keys())
 	}
 	return sums
 }
@@ -177,12 +176,12 @@
 
 // HandleNotice implements gossip.Sink.
 func (s *state) HandleNotice(load *gossippb.Load) {
-	s.view.RecordNotice(load.GetKey(), int(load.GetPendingTokens()), time.Now())
+	s.view.RecordNotice(load.GetKey(), decodeLoad(load), time.Now())
 }
 
 // sendNotice notifies other daemons of a large prompt that this daemon sends to a server.
-func (s *state) sendNotice(server backend.Entry, tokens int) {
-	s.router.node.SendNotice(&gossippb.Load{Key: backend.KeyOf(server), PendingTokens: int32(tokens)})
+func (s *state) sendNotice(server backend.Entry, prompt backend.Load) {
+	s.router.node.SendNotice(encodeLoad(backend.KeyOf(server), prompt))
 }
 
 // addMemberReport adds the report of a daemon of the zone.
@@ -375,10 +374,7 @@
 
 func subtractLoads(all, own map[uint32]backend.Load) map[uint32]backend.Load {
 	for key, load := range own {
-		rest := all[key]
-		rest.Running -= load.Running
-		rest.PendingTokens -= load.PendingTokens
-		all[key] = rest
+		all[key] = all[key].Minus(load)
 	}
 	return all
 }
--- a/internal/router/gossip_test.go
+++ b/internal/router/gossip_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
 	"github.com/plankridge/plankridge/internal/rollup"
 )
@@ -111,3 +112,40 @@
 		c.Check(s.currentLeader(now) == "vm-0", qt.Equals, tick < 14, qt.Commentf("%d ms", tick*100+100))
 	}
 }
+
+// TestRanksOfLoadsReachOtherDaemons guards against loads whose ranks are lost on the way through a
+// leader of a large deployment, which sends a mean for most servers.
+func TestRanksOfLoadsReachOtherDaemons(t *testing.T) {
+	c := qt.New(t)
+	s := newTestRouter(t).state
+	sums := rollup.NewCounts()
+	var entries []backend.Entry
+	for i := range 1000 {
+		entry := backend.Entry{ID: fmt.Sprint("i-", i), Service: "s", Slots: 48}
+		entries = append(entries, entry)
+		sums.Loads[backend.KeyOf(entry)] = backend.Load{
+			Running: 14, PendingTokens: 1400 + i%500, Pending: backend.LessUrgent{0, 700}, Started: backend.LessUrgent{0, 7},
+		}
+	}
+	s.view.Replace(entries, backend.Observed(time.Now()))
+	decoded := s.decodeSums(s.encodeSums(sums))
+	for key, load := range decoded.Loads {
+		c.Assert(load.Started, qt.Equals, backend.LessUrgent{0, 7}, qt.Commentf("%d", key))
+		c.Assert(load.Pending[1] >= 500 && load.Pending[1] <= 900, qt.IsTrue, qt.Commentf("%+v", load))
+	}
+}
+
+// TestServicesWithOneRankAreUnranked guards against changed routing at a service whose routes have
+// one rank, and against ranks that only workspaces have.
+func TestServicesWithOneRankAreUnranked(t *testing.T) {
+	c := qt.New(t)
+	to := func(service string) []catalog.Split { return []catalog.Split{{Service: service, Weight: 1}} }
+	deploy := &catalog.Catalog{Routes: []catalog.Route{
+		{Name: "a", Rank: 0, Splits: to("two")}, {Name: "b", Rank: 2, Splits: to("two")},
+		{Name: "c", Rank: 2, Splits: to("one")}, {Name: "d", Rank: 7, Splits: to("one")},
+	}}
+	c.Check(rankedServices(deploy), qt.DeepEquals, map[string]bool{"one": false, "two": true})
+	first := 0
+	deploy.Workspaces = []catalog.Workspace{{Name: "w", Rank: &first}}
+	c.Check(rankedServices(deploy), qt.DeepEquals, map[string]bool{"one": true, "two": true})
+}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -160,9 +160,10 @@
 		return
 	}
 	traits := map[string]backend.Traits{}
+	ranked := rankedServices(c)
 	for name, service := range c.Services {
 		if service.Engine != nil {
-			traits[name] = traitsOf(*service.Engine)
+			traits[name] = traitsOf(*service.Engine, ranked[name])
 		}
 	}
 	for name, service := range c.Services {
@@ -183,8 +184,8 @@
 }
 
 // traitsOf returns the configured traits of a service's engines.
-func traitsOf(engine catalog.Engine) backend.Traits {
-	traits := backend.Traits{CacheTokens: engine.CacheTokens, EventTokens: engine.EventTokens}
+func traitsOf(engine catalog.Engine, ranked bool) backend.Traits {
+	traits := backend.Traits{CacheTokens: engine.CacheTokens, EventTokens: engine.EventTokens, Ranked: ranked}
 	if engine.KVBytesPerToken > 0 {
 		traits.FetchRate = engine.LinkBytesPerSecond / float64(engine.KVBytesPerToken)
 	}
