Measure and report demand by rank and workspace

Cause: daemons know a service's demand only as a whole, so they cannot agree on what to refuse first, or on how much of the capacity each workspace takes.

Change: demand.Meter attributes each request's load to its class of rank and its workspace. Reports and sums carry both (Demand.by_rank, by_workspace; the 16 largest workspaces, the others together). rollup.Aggregator.Included counts the daemons in the sums.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -58,6 +58,9 @@
 	rate         Load
 	updatedAt    time.Time
 	timeConstant time.Duration
+	// byClass and origins are the parts of rate by the requests' origins.
+	byClass ByClass
+	origins map[Origin]originRate
 }
 
 // timeConstantFor returns the time constant for servers with the given boot time.
@@ -81,12 +84,14 @@
 }
 
 // RecordRequest adds a request to the load of a service.
-func (m *Meter) RecordRequest(service string, work Load, now time.Time) {
+func (m *Meter) RecordRequest(service string, from Origin, work Load, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	g := m.estimate(service, now)
 	g.decay(now)
-	g.rate = g.rate.Add(work.Scaled(1 / g.timeConstant.Seconds()))
+	rate := work.Scaled(1 / g.timeConstant.Seconds())
+	g.rate = g.rate.Add(rate)
+	g.recordOrigin(from, rate, now)
 }
 
 // estimate returns the rate estimate of a service and creates it if needed. The caller must hold
@@ -105,7 +110,11 @@
 	if elapsed <= 0 {
 		return
 	}
-	g.rate = g.rate.Scaled(math.Exp(-elapsed.Seconds() / g.timeConstant.Seconds()))
+	remaining := math.Exp(-elapsed.Seconds() / g.timeConstant.Seconds())
+	g.rate = g.rate.Scaled(remaining)
+	for class := range g.byClass {
+		g.byClass[class] = g.byClass[class].Scaled(remaining)
+	}
 	g.updatedAt = now
 }
 
--- a/internal/demand/demand_test.go
+++ b/internal/demand/demand_test.go
@@ -14,7 +14,7 @@
 	now := time.Unix(1000, 0)
 	for range 300 {
 		now = now.Add(100 * time.Millisecond)
-		m.RecordRequest("s", Load{Prefill: 0.05, Batch: 0.2, Memory: 0.01}, now)
+		m.RecordRequest("s", Origin{}, Load{Prefill: 0.05, Batch: 0.2, Memory: 0.01}, now)
 	}
 	rate := m.Rates(now)["s"]
 	c.Check(math.Abs(rate.Prefill-0.5) < 0.025, qt.IsTrue, qt.Commentf("%v", rate))
@@ -34,7 +34,7 @@
 		m.SetBootTime("s", boot, now)
 		for range 30 {
 			now = now.Add(100 * time.Millisecond)
-			m.RecordRequest("s", Load{Prefill: 0.1}, now)
+			m.RecordRequest("s", Origin{}, Load{Prefill: 0.1}, now)
 		}
 		return m.Rates(now)["s"].Prefill
 	}
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -12,6 +12,7 @@
 
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/capacity"
+	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/pace"
 	"github.com/plankridge/plankridge/internal/route"
 )
@@ -77,7 +78,7 @@
 		return nil, "", false
 	}
 	if r.tries == 1 {
-		d.demand.RecordRequest(service, choice.Load, now)
+		d.demand.RecordRequest(service, demand.Origin{}, choice.Load, now)
 	}
 	if p.choose != nil {
 		return choice, "", true
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -244,7 +244,7 @@
 
 // Demand measures the requested load of each service.
 type Demand interface {
-	RecordRequest(service string, work demand.Load, now time.Time)
+	RecordRequest(service string, from demand.Origin, work demand.Load, now time.Time)
 }
 
 // StreamVersions decides at which software version of a service a resumable stream runs.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
+	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/firsttry"
 	"github.com/plankridge/plankridge/internal/pace"
 	"github.com/plankridge/plankridge/internal/quarantine"
@@ -301,7 +302,7 @@
 		return
 	}
 	r.demandCounted = true
-	r.options.Demand.RecordRequest(r.call.Service, choice.Load, now)
+	r.options.Demand.RecordRequest(r.call.Service, demand.Origin{Class: r.rankClass(), Workspace: r.call.Workspace}, choice.Load, now)
 }
 
 // refuseTooLate refuses a call whose predicted first answer is so late that the capacity
@@ -327,6 +328,14 @@
 // in any case.
 func (r *run) overdue() bool { return route.Overdue(r.callerAge, r.call.Route.LatencyTarget) }
 
+// rankClass returns the class of rank in which the call counts.
+func (r *run) rankClass() int {
+	if r.overdue() {
+		return route.LeastUrgent
+	}
+	return route.RankClass(r.call.Rank)
+}
+
 func (r *run) need() backend.Need {
 	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.LatencyTarget, Tried: r.tried, Candidate: r.candidate, Version: r.stream.Version, SampleSeed: xxhash.Sum64String(r.call.ID)}
 	need.Final = r.sentAttempts+1 >= r.call.Route.MaxAttempts
--- a/internal/rollup/rollup.go
+++ b/internal/rollup/rollup.go
@@ -32,6 +32,8 @@
 	Loads map[uint32]backend.Load
 	// Demand is the demand for each service's engines.
 	Demand map[string]demand.Load
+	// DemandParts holds the parts of Demand whose origin is known.
+	DemandParts map[string]demand.Parts
 	// EngineEstimates holds the measured estimates of each service's engines.
 	EngineEstimates map[string]pace.EngineEstimates
 	// Versions holds the results of service versions that are being rolled out.
@@ -297,12 +299,30 @@
 	maps.DeleteFunc(a.zones, func(_ string, z *zoneState) bool { return now.Sub(z.receivedAt) >= forgetAfter })
 }
 
+// Included returns the number of daemons whose loads and demand are in the sums, this one included.
+func (a *Aggregator) Included(now time.Time) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	included := 1
+	for _, m := range a.members {
+		if m.fresh(now) {
+			included++
+		}
+	}
+	for _, z := range a.zones {
+		if z.fresh(now) {
+			included += z.reach.Reachable
+		}
+	}
+	return included
+}
+
 func (r *latestReport) fresh(now time.Time) bool { return now.Sub(r.receivedAt) < FreshFor }
 
 // NewCounts returns empty Counts.
 func NewCounts() Counts {
 	return Counts{
-		Spent: map[string]float64{}, Refused: map[string]float64{}, Loads: map[uint32]backend.Load{}, Demand: map[string]demand.Load{}, EngineEstimates: map[string]pace.EngineEstimates{},
+		Spent: map[string]float64{}, Refused: map[string]float64{}, Loads: map[uint32]backend.Load{}, Demand: map[string]demand.Load{}, DemandParts: map[string]demand.Parts{}, EngineEstimates: map[string]pace.EngineEstimates{},
 		Versions: rollout.NewTallies(),
 	}
 }
@@ -326,6 +346,11 @@
 	for service, load := range more.Demand {
 		c.Demand[service] = c.Demand[service].Add(load)
 	}
+	for service, parts := range more.DemandParts {
+		sum := c.DemandParts[service]
+		sum.Add(parts)
+		c.DemandParts[service] = sum
+	}
 	for service, figures := range more.EngineEstimates {
 		sum := c.EngineEstimates[service]
 		sum.Merge(figures)
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -38,9 +38,9 @@
 		}
 	}
 	for service, load := range c.Demand {
-		counts.Demands = append(counts.Demands, &gossippb.Demand{
-			Service: service, Reading: load.Prefill, Places: load.Batch, Memory: load.Memory,
-		})
+		encoded := &gossippb.Demand{Service: service, Reading: load.Prefill, Places: load.Batch, Memory: load.Memory}
+		encodeDemandParts(encoded, c.DemandParts[service])
+		counts.Demands = append(counts.Demands, encoded)
 	}
 	for service, figures := range c.EngineEstimates {
 		counts.Paces = append(counts.Paces, &gossippb.Pace{
@@ -86,6 +86,9 @@
 	}
 	for _, d := range c.GetDemands() {
 		counts.Demand[d.GetService()] = demand.Load{Prefill: d.GetReading(), Batch: d.GetPlaces(), Memory: d.GetMemory()}
+		if parts, known := decodeDemandParts(d); known {
+			counts.DemandParts[d.GetService()] = parts
+		}
 	}
 	for _, p := range c.GetPaces() {
 		counts.EngineEstimates[p.GetService()] = pace.EngineEstimates{
--- a/internal/router/gossip_test.go
+++ b/internal/router/gossip_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
+	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
 	"github.com/plankridge/plankridge/internal/rollup"
 )
@@ -149,3 +151,24 @@
 	deploy.Workspaces = []catalog.Workspace{{Name: "w", Rank: &first}}
 	c.Check(rankedServices(deploy), qt.DeepEquals, map[string]bool{"one": true, "two": true})
 }
+
+// TestOriginsOfDemandReachOtherDaemons guards against demand whose ranks and workspaces are lost in
+// reports, and against values of an earlier version or another writer that are taken for known.
+func TestOriginsOfDemandReachOtherDaemons(t *testing.T) {
+	c := qt.New(t)
+	counts := rollup.NewCounts()
+	counts.Demand["s"] = demand.Load{Prefill: 3}
+	counts.DemandParts["s"] = demand.Parts{
+		ByClass:     demand.ByClass{{Prefill: 1, Batch: 0.5}, {}, {Prefill: 2, Memory: 0.25}},
+		ByWorkspace: map[string]float64{"a": 1.5, "": 1.5},
+	}
+	decoded := decodeCounts(encodeCounts(counts))
+	c.Check(decoded.DemandParts, qt.DeepEquals, counts.DemandParts)
+
+	counts.DemandParts = map[string]demand.Parts{}
+	c.Check(decodeCounts(encodeCounts(counts)).DemandParts, qt.HasLen, 0, qt.Commentf("an earlier version reports no origins"))
+	invalid := float32(math.NaN())
+	parts, known := decodeDemandParts(&gossippb.Demand{ByRank: []float32{invalid, -1, 1}, ByWorkspace: []*gossippb.WorkspaceDemand{{Workspace: "a", Engines: invalid}}})
+	c.Check(known, qt.IsTrue)
+	c.Check(parts, qt.DeepEquals, demand.Parts{ByWorkspace: map[string]float64{"a": 0}})
+}
