Refuse calls by the admission level of their service

Cause: daemons had no common decision on what to refuse while callers compete for too little capacity.

Change: forward asks Options.Admission before it picks a server. A refused call is answered at once with 503, counts as demand once, and gets a Retry-After only if the level gives one. Streams that callers resume and plain services are not decided on, nor are services whose requests have one rank. Where a service has a level, a Retry-After for a predicted wait is left out if the caller would not wait for so long. The router updates the levels with the leader's or its own sums, reports demand by rank, and by workspace near overload, and scales the demand by the daemons that are in the sums.

Less urgent prompts wait also for more urgent ones that arrive meanwhile: View.SetUrgentUse.

Log fields admission_*, metrics plankridge_admission_share, _utilization and _decisions_total; explain names the cause.

--- a/internal/backend/load_test.go
+++ b/internal/backend/load_test.go
@@ -55,6 +55,20 @@
 	c.Check(waitOf(v, 0, false), qt.Equals, waitOf(v, 2, false))
 }
 
+// TestLessUrgentPromptsWaitForLaterOnes guards against the admission of less urgent calls that are then
+// late: prompts that arrive while they wait go before them too.
+func TestLessUrgentPromptsWaitForLaterOnes(t *testing.T) {
+	c := qt.New(t)
+	v := rankedView("a")
+	idle := waitOf(v, 2, false)
+	v.SetPeerLoads(map[uint32]Load{KeyOf(Entry{ID: "a"}): {PendingTokens: 40_000, Pending: LessUrgent{0, 40_000}}}, start)
+	alone := waitOf(v, 2, false)
+	v.SetUrgentUse("s", [3]float64{0, 0.5, 0.5})
+	c.Check(waitOf(v, 2, false)-idle, qt.Equals, 2*(alone-idle))
+	v.SetTraits(map[string]Traits{"s": {CacheTokens: 100000}})
+	c.Check(waitOf(v, 2, false), qt.Equals, alone, qt.Commentf("ranks make no difference at a service with one rank"))
+}
+
 // TestFullBatchYieldsToUrgentCalls guards against the refusal of urgent calls at engines whose batch
 // is full of attempts that they preempt.
 func TestFullBatchYieldsToUrgentCalls(t *testing.T) {
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -100,6 +100,7 @@
 		choice.Load = attemptLoad(work, need.Answer, traits, s.Slots, engines)
 	}
 	choice.register()
+	v.recordUnreadShare(need, work)
 	return choice, true
 }
 
@@ -128,7 +129,7 @@
 		return
 	}
 	queued := v.queuedTokens(need.Service, load, class)
-	rs.Queue = time.Duration(s.slowdownFactor(now) * float64(engines.QueueTime(queued)))
+	rs.Queue = time.Duration(s.slowdownFactor(now) * float64(engines.QueueTime(queued)) / (1 - v.urgentUse(need.Service, class)))
 	rs.Yielding = load.Started.behind(class)
 }
 
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -10,6 +10,7 @@
 
 	"github.com/plankridge/plankridge/internal/advice"
 	"github.com/plankridge/plankridge/internal/pace"
+	"github.com/plankridge/plankridge/internal/route"
 )
 
 // Traits are the configured properties of a service's servers.
@@ -40,6 +41,11 @@
 	engines map[string]*pace.Engine
 	// yields are the learned effects of less urgent prompts on more urgent ones, by service.
 	yields map[string]yieldEstimate
+	// urgentUses are the parts of the engines' time that go to prompts more urgent than each class, by
+	// service.
+	urgentUses map[string][route.RankClasses]float64
+	// unreadShares are the mean shares of the prompts that engines have to process.
+	unreadShares map[rankedService]float64
 	// unappliedEstimates are the parameters that other daemons reported for services that are not
 	// configured yet.
 	unappliedEstimates map[string]pace.EngineEstimates
@@ -68,7 +74,7 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, connectTimes: map[string]connectTime{}, requestSizes: map[string]requestSizes{}, engines: map[string]*pace.Engine{}, yields: map[string]yieldEstimate{}, unappliedEstimates: map[string]pace.EngineEstimates{}, readyServers: map[track][]*server{}, versions: map[string]Versions{}, changed: make(chan struct{}), drainBound: defaultDrainBound}
+	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, connectTimes: map[string]connectTime{}, requestSizes: map[string]requestSizes{}, engines: map[string]*pace.Engine{}, yields: map[string]yieldEstimate{}, urgentUses: map[string][route.RankClasses]float64{}, unreadShares: map[rankedService]float64{}, unappliedEstimates: map[string]pace.EngineEstimates{}, readyServers: map[track][]*server{}, versions: map[string]Versions{}, changed: make(chan struct{}), drainBound: defaultDrainBound}
 }
 
 // SetTraits sets the configured properties of all services.
--- a/internal/backend/yield.go
+++ b/internal/backend/yield.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/plankridge/plankridge/internal/pace"
+	"github.com/plankridge/plankridge/internal/route"
 )
 
 // yieldWeight is the weight of a new sample in yieldEstimate. With 20 samples the estimate follows
@@ -35,6 +36,26 @@
 	return max(0, load.PendingTokens-yielding) + int(v.yields[service].share()*float64(yielding))
 }
 
+// maxUrgentUse bounds the effect of more urgent prompts on a predicted wait to a factor of five.
+const maxUrgentUse = 0.8
+
+// SetUrgentUse sets, for each class of rank, the part of a service's engine time that goes to prompts
+// of more urgent classes. A waiting prompt is delayed also by those that arrive after it.
+func (v *View) SetUrgentUse(service string, use [route.RankClasses]float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.urgentUses[service] = use
+}
+
+// urgentUse returns the part of a service's engine time that goes to prompts more urgent than a class.
+// The caller holds the lock.
+func (v *View) urgentUse(service string, class int) float64 {
+	if !v.traits[service].Ranked {
+		return 0
+	}
+	return max(0, min(maxUrgentUse, v.urgentUses[service][class]))
+}
+
 // learnYield updates the service's yieldEstimate with the time to the first event of an attempt for
 // which mostly less urgent prompts waited. The caller holds the lock.
 func (c *Choice) learnYield(engines *pace.Engine, took time.Duration) {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -26,6 +26,7 @@
 	CauseVersionUnknown  Cause = "the version that began the stream was not known"
 	CauseNotAssigned     Cause = "the daemon did not know yet at which version streams begin"
 	CauseServersAtLimits Cause = "all servers of the service had asked for a pause or were at their own limits"
+	CauseLevel           Cause = "the service had too little capacity for requests of this rank and workspace"
 	CauseOverload        Cause = "the servers were too busy to answer in time"
 	CauseRequestSize     Cause = "the request was predicted to be late because of its own size"
 	CauseUnreachable     Cause = "no backend server could be reached"
@@ -96,6 +97,8 @@
 		return CauseNoServer
 	case reasonAtLimits:
 		return CauseServersAtLimits
+	case "service has too little capacity for requests of this rank and workspace":
+		return CauseLevel
 	case "predicted wait is too long":
 		return overloadOrSize(l.Attempts)
 	case "no backend server could be reached":
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -86,7 +86,14 @@
 	// allowed and counted. They are zero if the request needed no retry.
 	RetriesAllowed float64 `json:"retries_allowed"`
 	RetriesSpent   float64 `json:"retries_spent"`
-	Draining       bool    `json:"draining"`
+	// AdmissionLevel, AdmissionShare and AdmissionUtilization are the admitted share of the service's
+	// demand, that of requests of this rank and workspace, and the predicted utilization. They are
+	// zero if no admission level was binding.
+	AdmissionLevel       float64 `json:"admission_level"`
+	AdmissionShare       float64 `json:"admission_share"`
+	AdmissionUtilization float64 `json:"admission_utilization"`
+	AdmissionSumsMS      int64   `json:"admission_sums_ms"`
+	Draining             bool    `json:"draining"`
 	// Limited, RequestsPerSecond and RestMS are the rate limit and the pause that a server
 	// has announced.
 	Limited           bool    `json:"limited"`
@@ -265,6 +272,10 @@
 		if l.RetriesAllowed > 0 {
 			text += fmt.Sprintf(", %.1f of %.1f retries spent", l.RetriesSpent, l.RetriesAllowed)
 		}
+		if l.AdmissionUtilization > 0 {
+			text += fmt.Sprintf(", predicted utilization %.2f of what the servers can do in time, %.2f of such requests admitted, by sums %d ms old",
+				l.AdmissionUtilization, l.AdmissionShare, l.AdmissionSumsMS)
+		}
 		text += ")"
 		return text
 	case msgRejected:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -169,3 +169,14 @@
 	c.Assert(timeline.Print(&out), qt.IsNil)
 	c.Check(out.String(), qt.Contains, "4.0 of 4.8 retries spent")
 }
+
+// TestLevelIsExplained guards against refusals by an admission level whose cause or inputs an operator
+// does not see.
+func TestLevelIsExplained(t *testing.T) {
+	c := qt.New(t)
+	lines, _, err := Read(strings.NewReader(`{"time":"2026-01-01T00:00:00Z","level":"WARN","msg":"request ended","vm":"vm-1","request_id":"r","outcome":"refused","status":503,` +
+		`"reason":"service has too little capacity for requests of this rank and workspace","admission_level":0.6,"admission_share":0.25,"admission_utilization":1.67,"admission_sums_ms":430}`))
+	c.Assert(err, qt.IsNil)
+	c.Check(causeOf(lines), qt.Equals, CauseLevel)
+	c.Check(describe(lines[0]), qt.Contains, "predicted utilization 1.67 of what the servers can do in time, 0.25 of such requests admitted, by sums 430 ms old")
+}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/plankridge/plankridge/internal/admission"
 	"github.com/plankridge/plankridge/internal/advice"
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
@@ -242,6 +243,12 @@
 	RecordBrokenAttempt(server watch.Server, lost quarantine.LostRequest, certain bool, at time.Time)
 }
 
+// Admission decides which calls are refused at once while callers compete for too little capacity.
+type Admission interface {
+	// Decide returns false if the service has no admission level.
+	Decide(service string, r admission.Request) (admission.Verdict, bool)
+}
+
 // Demand measures the requested load of each service.
 type Demand interface {
 	RecordRequest(service string, from demand.Origin, work demand.Load, now time.Time)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/plankridge/plankridge/internal/admission"
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/demand"
@@ -73,6 +74,9 @@
 	StreamVersions StreamVersions
 	// Quarantine blocks requests that crash servers. Nil blocks nothing.
 	Quarantine Quarantine
+	// Admission decides which calls are refused while a service has too little capacity. Nil refuses
+	// none.
+	Admission Admission
 	// CallerTimeouts infers from the stated time limits how long ago a caller first tried.
 	CallerTimeouts *firsttry.CallerTimeouts
 	// OnLargePrompt informs other daemons of a prompt that occupies a server for long.
@@ -114,6 +118,8 @@
 	stream StreamVersion
 	// lifecycle decides whether a retry is safe and which outcome may be reported.
 	lifecycle *request.Lifecycle
+	// level is the decision of the service's admission level, or nil if it has none.
+	level *admission.Verdict
 	// usageCounted is set once the call is counted as usage, demandCounted once as demand.
 	usageCounted  bool
 	demandCounted bool
@@ -239,6 +245,9 @@
 	if refusal := r.chooseVersion(); refusal != nil {
 		return r.giveUp(ctx, refusal)
 	}
+	if refusal := r.checkLevel(time.Now()); refusal != nil {
+		return r.giveUp(ctx, refusal)
+	}
 	for {
 		now := time.Now()
 		if refusal := cmp.Or(r.checkAttempt(now), r.checkQuarantine(now)); refusal != nil {
@@ -254,7 +263,7 @@
 		if !ok {
 			return r.giveUp(ctx, r.refuseNoServer(now))
 		}
-		r.countDemand(choice, now)
+		r.countDemand(choice.Load, now)
 		if refusal := r.refuseTooLate(choice, now); refusal != nil {
 			choice.RefundAdmission()
 			choice.End(backend.OutcomeNeutral, now)
@@ -297,12 +306,12 @@
 }
 
 // countDemand counts the call as demand for its service, once.
-func (r *run) countDemand(choice *backend.Choice, now time.Time) {
+func (r *run) countDemand(load demand.Load, now time.Time) {
 	if r.demandCounted {
 		return
 	}
 	r.demandCounted = true
-	r.options.Demand.RecordRequest(r.call.Service, demand.Origin{Class: r.rankClass(), Workspace: r.call.Workspace}, choice.Load, now)
+	r.options.Demand.RecordRequest(r.call.Service, demand.Origin{Class: r.rankClass(), Workspace: r.call.Workspace}, load, now)
 }
 
 // refuseTooLate refuses a call whose predicted first answer is so late that the capacity
@@ -320,7 +329,7 @@
 	}
 	return &Refusal{
 		Status: http.StatusServiceUnavailable, Reason: "predicted wait is too long",
-		RetryAfter: max(retryAfterTransient, choice.Wait-r.call.Route.LatencyTarget/2),
+		RetryAfter: r.retryAfterWait(max(retryAfterTransient, choice.Wait-r.call.Route.LatencyTarget/2), now),
 	}
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -13,6 +14,8 @@
 	firstAnswer *prometheus.HistogramVec
 	// resumed counts the streams that callers take up.
 	resumed *prometheus.CounterVec
+	// levelDecisions counts the decisions on calls while an admission level binds.
+	levelDecisions *prometheus.CounterVec
 	// violations counts violated invariants. Any violation is a bug in this program.
 	violations prometheus.Counter
 }
@@ -36,14 +39,25 @@
 		resumed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "plankridge_streams_taken_up_total", Help: "Streams that callers take up, by how the version that began them was established; empty if it was not.",
 		}, []string{"service", "version_from"}),
+		levelDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "plankridge_admission_decisions_total", Help: "Calls while the admission level of their service binds, by class of rank and decision.",
+		}, []string{"service", "class", "decision"}),
 		violations: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "plankridge_call_invariant_violations_total", Help: "Steps that the life of a call does not have.",
 		}),
 	}
-	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.violations)
+	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.levelDecisions, m.violations)
 	return m
 }
 
+func (m *Metrics) countLevel(service string, class int, admitted bool) {
+	decision := "refused"
+	if admitted {
+		decision = "admitted"
+	}
+	m.levelDecisions.WithLabelValues(service, strconv.Itoa(class), decision).Inc()
+}
+
 func (m *Metrics) observe(call *Call, outcome string, took, first time.Duration) {
 	m.calls.WithLabelValues(call.Service, outcome).Inc()
 	m.duration.WithLabelValues(call.Service, outcome).Observe(took.Seconds())
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -79,6 +79,10 @@
 	if b := r.blockedBy; b != nil {
 		attrs = append(attrs, "blocked", b.Digest.String(), "blocked_servers", b.Servers, "blocked_ms", time.Since(b.Since).Milliseconds())
 	}
+	if v := r.level; v != nil && v.Binding {
+		attrs = append(attrs, "admission_level", v.Level, "admission_share", v.Share, "admission_class", r.rankClass(), "admission_utilization", v.Utilization,
+			"admission_backlog_ms", v.Backlog.Milliseconds(), "admission_sums_ms", v.SumsAge.Milliseconds())
+	}
 	if v := r.verdict; v != nil {
 		attrs = append(attrs, "allowance_limit", int64(v.Limit), "allowance_used", int64(v.Used), "allowance_free", int64(v.Free),
 			"allowance_unheard", int64(v.Unreported), "allowance_asked", int64(v.OthersDemand), "allowance_heard_ms", v.ReportAge.Milliseconds(),
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -78,7 +78,7 @@
 func (s *state) OwnCounts(sequence uint64) *gossippb.Counts {
 	now := time.Now()
 	used := s.limiter.ownCounters()
-	own := rollup.Counts{Spent: used.Spent, Refused: used.Refused, Loads: s.view.OwnLoads(), Demand: s.demand.Rates(now), EngineEstimates: s.view.EngineEstimates(), Versions: s.router.rollOuts.LocalTallies()}
+	own := rollup.Counts{Spent: used.Spent, Refused: used.Refused, Loads: s.view.OwnLoads(), Demand: s.demand.Rates(now), DemandParts: s.ownDemandParts(now), EngineEstimates: s.view.EngineEstimates(), Versions: s.router.rollOuts.LocalTallies()}
 	s.aggregator.SetOwn(own)
 	s.mu.Lock()
 	s.sentCounts[sequence] = own
@@ -234,14 +234,17 @@
 	s.leader = leaderTotals{
 		vm: status.GetVm(), incarnation: status.GetIncarnation(), receivedAt: now, includedSequence: status.GetTaken(),
 		reach: reach, demand: counts.Demand, ownDemand: own.Demand,
+		demandParts: counts.DemandParts, ownDemandParts: own.DemandParts,
 	}
 	s.leader.versions = counts.Versions
+	totals := s.leader
 	s.view.MergeEngineEstimates(counts.EngineEstimates)
 	s.reportedDaemons, s.reportedDaemonsAt = s.leader.reach.Known, now
 	s.mu.Unlock()
 	s.logLeaderChange(before)
 	s.applyReach(now)
 	s.view.SetPeerLoads(subtractLoads(counts.Loads, own.Loads), now)
+	s.updateLevels(totals.othersDemand, now)
 	rollup.Subtract(counts.Spent, own.Spent)
 	rollup.Subtract(counts.Refused, own.Refused)
 	// Only sums from the same process that include this daemon's counts can be compared.
@@ -327,6 +330,9 @@
 	s.applyReach(now)
 	others := s.aggregator.Others(now)
 	s.view.SetPeerLoads(others.Loads, now)
+	s.updateLevels(func(service string) (demand.Load, demand.Parts) {
+		return others.Demand[service], others.DemandParts[service]
+	}, now)
 	s.view.MergeEngineEstimates(others.EngineEstimates)
 	spent, refused := s.aggregator.SpentByOthers()
 	s.applyOthersUsage(allowance.Report{
@@ -351,6 +357,8 @@
 	// demand is the total demand by service. It includes this daemon's own demand, which is
 	// ownDemand.
 	demand, ownDemand map[string]demand.Load
+	// demandParts and ownDemandParts are the parts of them whose origin is known.
+	demandParts, ownDemandParts map[string]demand.Parts
 	// versions holds the results of service versions at all daemons.
 	versions rollout.Tallies
 }
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -37,10 +38,13 @@
 	streamBuckets    = describe("stream_buckets", "Buckets of streams by the version at which they begin, and those that move to another.", "service", "version", "state")
 	retriesAllowed   = describe("retries_allowed", "Retries that all daemons may send in a window, as far as this one knows.", "service")
 	retriesSpent     = describe("retries_spent", "Retries that all daemons have sent in the last window, as far as this one knows.", "service")
-	rollOutState     = describe("rollout", "1 for the state that the store has of the order to move a service to a version.", "service", "version", "state")
-	rollOutHalted    = describe("rollout_halted", "1 once the version was found to be bad and gets nothing more.", "service", "version")
-	rollOutShare     = describe("rollout_share", "Share of all requests that the holder of the lease asks to be sent to the version; 0 for the share that each daemon keeps by itself.", "service", "version")
-	rollOutSent      = describe("rollout_requests", "Requests for the service since the order at all daemons that are heard, and those that its version got.", "service", "version", "got")
+	admissionShare   = describe("admission_share", "Share of the requests that the admission level of a service admits, by class of rank; 1 while it does not bind.", "service", "class")
+	// admissionUtilization is above 1 while callers compete for too little capacity.
+	admissionUtilization = describe("admission_utilization", "Predicted demand for a service divided by what its servers can do in time.", "service")
+	rollOutState         = describe("rollout", "1 for the state that the store has of the order to move a service to a version.", "service", "version", "state")
+	rollOutHalted        = describe("rollout_halted", "1 once the version was found to be bad and gets nothing more.", "service", "version")
+	rollOutShare         = describe("rollout_share", "Share of all requests that the holder of the lease asks to be sent to the version; 0 for the share that each daemon keeps by itself.", "service", "version")
+	rollOutSent          = describe("rollout_requests", "Requests for the service since the order at all daemons that are heard, and those that its version got.", "service", "version", "got")
 )
 
 func describe(name, help string, labels ...string) *prometheus.Desc {
@@ -49,7 +53,7 @@
 
 // Describe implements prometheus.Collector.
 func (sc stateCollector) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, streamSerial, streamBuckets, retriesAllowed, retriesSpent, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
+	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, streamSerial, streamBuckets, retriesAllowed, retriesSpent, admissionShare, admissionUtilization, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
 		descs <- d
 	}
 }
@@ -85,10 +89,21 @@
 		gauge(retriesAllowed, budget.Allowed, service)
 		gauge(retriesSpent, budget.Spent, service)
 	}
+	sc.collectLevels(gauge)
 	sc.collectStreamVersions(gauge)
 	sc.collectRollOuts(gauge, now)
 }
 
+// collectLevels exports the admission levels. The services come from the configuration.
+func (sc stateCollector) collectLevels(gauge func(d *prometheus.Desc, value float64, labels ...string)) {
+	for service, status := range sc.state.admission.Statuses() {
+		gauge(admissionUtilization, status.Utilization, service)
+		for class, share := range status.ByClass {
+			gauge(admissionShare, share, service, strconv.Itoa(class))
+		}
+	}
+}
+
 // collectStreamVersions exports the assignment of streams to versions.
 func (sc stateCollector) collectStreamVersions(gauge func(d *prometheus.Desc, value float64, labels ...string)) {
 	gauge(streamSerial, float64(sc.state.streamVersions.adopted()-1))
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -204,6 +204,7 @@
 		Budget:          retryBudget{r.state.limiter},
 		Usage:           r.state.ledger,
 		Demand:          r.state.demand,
+		Admission:       r.state.admission,
 		CallerTimeouts:  r.state.firstTryLimits,
 		OnLargePrompt:   r.state.sendNotice,
 		OnAdviceChanged: r.triggerReport,
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plankridge/plankridge/internal/admission"
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
@@ -27,6 +28,7 @@
 	demand         *demand.Meter
 	firstTryLimits *firsttry.CallerTimeouts
 	streamVersions *streamVersions
+	admission      *admission.Controller
 	// quarantine detects and blocks poison requests.
 	quarantine *watch.Watcher
 	catalog    atomic.Pointer[catalog.Catalog]
@@ -110,7 +112,7 @@
 	view.SetLimiter(serverLimits{limiter})
 	return &state{
 		router: r, view: view, limiter: limiter, ledger: newLedger(r.settings),
-		demand: demand.NewMeter(), firstTryLimits: firsttry.NewCallerTimeouts(), aggregator: rollup.New(), sentCounts: map[uint64]rollup.Counts{},
+		demand: demand.NewMeter(), admission: admission.NewController(), firstTryLimits: firsttry.NewCallerTimeouts(), aggregator: rollup.New(), sentCounts: map[uint64]rollup.Counts{},
 		streamVersions: newStreamVersions(r), quarantine: r.newQuarantine(), started: now, configured: make(chan struct{}), serverList: newServerList(), differsSince: map[string]time.Time{},
 	}
 }
@@ -172,6 +174,7 @@
 		}
 	}
 	s.view.SetTraits(traits)
+	s.admission.SetServices(rankedEngines(c, ranked))
 	s.limiter.applyCatalog(c)
 	c.AppliedAt = time.Now()
 	s.catalog.Store(c)
