--- a/internal/admission/shares.go
+++ b/internal/admission/shares.go
@@ -1,6 +1,10 @@
 package admission
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/plankridge/plankridge/internal/demand"
 	"github.com/plankridge/plankridge/internal/route"
 )
@@ -111,15 +115,16 @@
 	granted float64
 }
 
-// workspaceDemands returns the demand of the workspaces. Those that the sums do not list share one
-// entry.
+// workspaceDemands returns the demand of the workspaces, in order of name, so that all daemons round
+// alike. Those that the sums do not list share one entry.
 func (l *level) workspaceDemands(mix classVector) []workspaceDemand {
 	total, known, weights := 0.0, 0, 0.0
-	for _, engines := range l.state.Parts.ByWorkspace {
-		total += engines
+	listed := slices.Sorted(maps.Keys(l.state.Parts.ByWorkspace))
+	for _, workspace := range listed {
+		total += l.state.Parts.ByWorkspace[workspace]
 	}
-	for _, weight := range l.state.Weights {
-		if weight > 0 {
+	for _, workspace := range slices.Sorted(maps.Keys(l.state.Weights)) {
+		if weight := l.state.Weights[workspace]; weight > 0 {
 			weights += weight
 			known++
 		}
@@ -130,7 +135,8 @@
 	}
 	mixes := workspaceMixes(l.state.Own, mix)
 	var demands []workspaceDemand
-	for workspace, engines := range l.state.Parts.ByWorkspace {
+	for _, workspace := range listed {
+		engines := l.state.Parts.ByWorkspace[workspace]
 		if engines <= 0 {
 			continue
 		}
@@ -214,7 +220,11 @@
 func workspaceMixes(own map[demand.Origin]float64, mix classVector) map[string]classVector {
 	mixes := map[string]classVector{}
 	total := 0.0
-	for origin, engines := range own {
+	origins := slices.SortedFunc(maps.Keys(own), func(a, b demand.Origin) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Class, b.Class))
+	})
+	for _, origin := range origins {
+		engines := own[origin]
 		if origin.Class < 0 || origin.Class >= len(mix) {
 			continue
 		}
