Recognize retries safely and wait for the least urgent class that counts

Cause: any call with a shorter time limit than usual counted as a retry, also that of a caller that always states a shorter one. And where the least urgent route is of class 1, the level judged the wait of the few late calls, which come after all others, and could bind without need.

Change: a retry is what firsttry.AgeBound is certain of. The wait is that of the least urgent class with a tenth of the demand.

--- a/internal/admission/level.go
+++ b/internal/admission/level.go
@@ -110,9 +110,24 @@
 	return use
 }
 
+// minClassPart is the part of the demand from which on a class counts as the least urgent one. Calls
+// that are late in any case are of the last class at every service, but few.
+const minClassPart = 0.1
+
+// lastClass returns the least urgent class with a relevant demand.
+func (s State) lastClass() int {
+	mix := classMix(s)
+	for class := route.LeastUrgent; class > 0; class-- {
+		if mix[class] >= minClassPart {
+			return class
+		}
+	}
+	return 0
+}
+
 // lastWait returns the mean wait of a prompt of the least urgent class.
 func (s State) lastWait() time.Duration {
-	use := s.UrgentUse([route.RankClasses]float64{1, 1, 1})[route.LeastUrgent]
+	use := s.UrgentUse([route.RankClasses]float64{1, 1, 1})[s.lastClass()]
 	return time.Duration(s.Backlog.Seconds() / (1 - use) * float64(time.Second))
 }
 
--- a/internal/admission/level_test.go
+++ b/internal/admission/level_test.go
@@ -69,6 +69,20 @@
 	c.Check(controller.Statuses()["s"].Binding, qt.IsFalse, qt.Commentf("some prompts that wait are no overload"))
 }
 
+// TestLateCallsDoNotMakeTheLevelBind guards against a wait that is computed for the few calls that are
+// late in any case, at a service whose least urgent route is of class 1: they wait for almost all
+// others.
+func TestLateCallsDoNotMakeTheLevelBind(t *testing.T) {
+	c := qt.New(t)
+	state := overload(1.1)
+	state.Parts.ByClass = demand.ByClass{{Prefill: 4}, {Prefill: 6.8}, {Prefill: 0.2}}
+	state.Backlog = 100 * time.Millisecond
+	c.Check(state.lastWait().Round(time.Millisecond), qt.Equals, 167*time.Millisecond, qt.Commentf("0.4 of the time goes to class 0"))
+	controller := newController()
+	run(controller, state, epoch, 5*time.Second)
+	c.Check(controller.Statuses()["s"].Binding, qt.IsFalse)
+}
+
 // TestLevelMovesWithinBounds guards against a level that follows one wrong sum at once: a leader that
 // starts may send sums that lack most of the demand, or count it twice.
 func TestLevelMovesWithinBounds(t *testing.T) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -129,8 +129,10 @@
 	lastEventID string
 	// cost is the number of tokens that the call consumes of its workspace's allowance.
 	cost float64
-	// callerAge is the time from the caller's first try to this request.
+	// callerAge is the time from the caller's first try to this request. isRetry is set if the caller
+	// has certainly tried before.
 	callerAge time.Duration
+	isRetry   bool
 	// fingerprint is what the quarantine recognizes the request by.
 	fingerprint quarantine.Fingerprint
 	// blockedBy is what of the call the quarantine blocks, or nil.
@@ -162,6 +164,7 @@
 	}
 	if f.options.CallerTimeouts != nil {
 		r.callerAge = f.options.CallerTimeouts.Age(call.Route.Name, call.CallerTimeout)
+		_, r.isRetry = f.options.CallerTimeouts.AgeBound(call.Route.Name, call.CallerTimeout)
 	}
 	err := r.runWithinAllowance(ctx)
 	r.refundRetry()
--- a/internal/forward/level.go
+++ b/internal/forward/level.go
@@ -21,7 +21,7 @@
 		return nil
 	}
 	verdict, ok := r.options.Admission.Decide(r.call.Service, admission.Request{
-		Class: r.rankClass(), Workspace: r.call.Workspace, Retry: r.callerAge > 0, Draw: admissionDraw(r.call.ID), Patience: r.patience(now),
+		Class: r.rankClass(), Workspace: r.call.Workspace, Retry: r.isRetry, Draw: admissionDraw(r.call.ID), Patience: r.patience(now),
 	})
 	if !ok {
 		return nil
@@ -36,7 +36,7 @@
 	if verdict.Admitted {
 		return nil
 	}
-	if r.callerAge == 0 {
+	if !r.isRetry {
 		// What callers ask for counts even if it is refused. Otherwise the level would rise with each
 		// refusal. A retry was counted before.
 		r.countDemand(r.options.View.EstimateLoad(r.need(), now), now)
