--- a/internal/router/levels.go
+++ b/internal/router/levels.go
@@ -35,7 +35,7 @@
 }
 
 // minLevelInterval is the minimum time between two updates of the levels. A relay sums up ten times a
-// second, and the backlog of 2,600 servers takes 0.2 ms.
+// second, and the backlog of 2,600 servers takes some tenths of a millisecond.
 const minLevelInterval = 300 * time.Millisecond
 
 // updateLevels updates the admission levels with the demand of all other daemons.
