--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -99,6 +99,13 @@
 	MovesDone   int      `json:"moves_done"`
 	MovesFailed []string `json:"moves_failed"`
 	NotMoved    string   `json:"not_moved"`
+	// AdmissionLevel, AdmissionShare and AdmissionUtilization are the admitted share of the service's
+	// demand, that of requests of this rank and workspace, and the predicted utilization. They are
+	// zero if no admission level was binding.
+	AdmissionLevel       float64 `json:"admission_level"`
+	AdmissionShare       float64 `json:"admission_share"`
+	AdmissionUtilization float64 `json:"admission_utilization"`
+	AdmissionSumsMS      int64   `json:"admission_sums_ms"`
 	// Limited, RequestsPerSecond and RestMS are the rate limit and the pause that a server
 	// has announced.
 	Limited           bool    `json:"limited"`
@@ -290,6 +297,10 @@
 		if l.NotMoved != "" {
 			text += ", not moved: " + l.NotMoved
 		}
+		if l.AdmissionUtilization > 0 {
+			text += fmt.Sprintf(", predicted utilization %.2f of what the servers can do in time, %.2f of such requests admitted, by sums %d ms old",
+				l.AdmissionUtilization, l.AdmissionShare, l.AdmissionSumsMS)
+		}
 		text += ")"
 		return text
 	case msgRejected:
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -11,6 +11,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/plankridge/plankridge/internal/admission"
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/demand"
@@ -76,10 +77,13 @@
 	StreamVersions StreamVersions
 	// Quarantine blocks requests that crash servers. Nil blocks nothing.
 	Quarantine Quarantine
+	// Admission decides which calls are refused while a service has too little capacity. Nil refuses
+	// none.
+	Admission Admission
 	// CallerTimeouts infers from the stated time limits how long ago a caller first tried.
 	CallerTimeouts *firsttry.CallerTimeouts
 	// OnLargePrompt informs other daemons of a prompt that occupies a server for long.
-	OnLargePrompt func(server backend.Entry, tokens int)
+	OnLargePrompt func(server backend.Entry, prompt backend.Load)
 	// OnAdviceChanged is called when advice in an answer has changed the state shared with
 	// other daemons. It may be nil.
 	OnAdviceChanged func()
@@ -121,6 +125,8 @@
 	lifecycle *request.Lifecycle
 	// stepMu guards the steps of lifecycle that may come from a move of the running stream.
 	stepMu sync.Mutex
+	// level is the decision of the service's admission level, or nil if it has none.
+	level *admission.Verdict
 	// usageCounted is set once the call is counted as usage, demandCounted once as demand.
 	usageCounted  bool
 	demandCounted bool
@@ -130,8 +136,10 @@
 	lastEventID string
 	// cost is the number of tokens that the call consumes of its workspace's allowance.
 	cost float64
-	// callerAge is the time from the caller's first try to this request.
+	// callerAge is the time from the caller's first try to this request. isRetry is set if the caller
+	// has certainly tried before.
 	callerAge time.Duration
+	isRetry   bool
 	// fingerprint is what the quarantine recognizes the request by.
 	fingerprint quarantine.Fingerprint
 	// blockedBy is what of the call the quarantine blocks, or nil.
@@ -171,6 +179,7 @@
 	}
 	if f.options.CallerTimeouts != nil {
 		r.callerAge = f.options.CallerTimeouts.Age(call.Route.Name, call.CallerTimeout)
+		_, r.isRetry = f.options.CallerTimeouts.AgeBound(call.Route.Name, call.CallerTimeout)
 	}
 	err := r.runWithinAllowance(ctx)
 	r.dropContinuation()
@@ -258,6 +267,9 @@
 		r.countUnplacedDemand(time.Now())
 		return r.giveUp(ctx, refusal)
 	}
+	if refusal := r.checkLevel(time.Now()); refusal != nil {
+		return r.giveUp(ctx, refusal)
+	}
 	for {
 		if r.continuation != nil {
 			if done, err := r.continueRun(ctx); done {
@@ -288,7 +300,7 @@
 			return r.giveUp(ctx, refusal)
 		}
 		if choice.LongPrefill && r.options.OnLargePrompt != nil {
-			r.options.OnLargePrompt(choice.Entry, choice.PrefillTokens)
+			r.options.OnLargePrompt(choice.Entry, choice.Prompt())
 		}
 		if done, err := r.runAttempt(ctx, choice, now); done {
 			return err
@@ -339,14 +351,14 @@
 		return
 	}
 	r.demandCounted = true
-	r.options.Demand.RecordRequest(r.call.Service, load, now)
+	r.options.Demand.RecordRequest(r.call.Service, demand.Origin{Class: r.rankClass(), Workspace: r.call.Workspace}, load, now)
 }
 
 // countUnplacedDemand counts a call for which no server can be picked. Otherwise the loss of all servers
 // would look like the loss of all callers, and no new servers would be ordered. A caller that comes back
 // after a refusal is not counted again.
 func (r *run) countUnplacedDemand(now time.Time) {
-	if r.callerAge == 0 {
+	if !r.isRetry {
 		r.countDemand(r.options.View.EstimateLoad(r.need()), now)
 	}
 }
@@ -366,7 +378,7 @@
 	}
 	return &Refusal{
 		Status: http.StatusServiceUnavailable, Reason: "predicted wait is too long",
-		RetryAfter: max(retryAfterTransient, choice.Wait-r.call.Route.LatencyTarget/2),
+		RetryAfter: r.retryAfterWait(max(retryAfterTransient, choice.Wait-r.call.Route.LatencyTarget/2), now),
 	}
 }
 
@@ -374,11 +386,19 @@
 // in any case.
 func (r *run) overdue() bool { return route.Overdue(r.callerAge, r.call.Route.LatencyTarget) }
 
+// rankClass returns the class of rank in which the call counts.
+func (r *run) rankClass() int {
+	if r.overdue() {
+		return route.LeastUrgent
+	}
+	return route.RankClass(r.call.Rank)
+}
+
 func (r *run) need() backend.Need {
 	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.LatencyTarget, Tried: r.tried, Candidate: r.candidate, Version: r.stream.Version, SampleSeed: xxhash.Sum64String(r.call.ID)}
 	need.Final = r.sentAttempts+1 >= r.call.Route.MaxAttempts
 	if p := r.call.Prompt; p != nil {
-		need.Deferred = r.overdue()
+		need.Deferred, need.Class = r.overdue(), route.RankClass(r.call.Rank)
 		need.PromptTokens, need.Parts, need.Answer, need.Resumed = p.Tokens, p.Parts, pace.AnswerSize{MaxTokens: p.MaxOutput, HintedTokens: p.LikelyOutput}, r.lastEventID != ""
 	}
 	return need
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -21,6 +21,8 @@
 	// moves counts the moves of streams by result, and movePause measures their pauses.
 	moves     *prometheus.CounterVec
 	movePause *prometheus.HistogramVec
+	// levelDecisions counts the decisions on calls while an admission level binds.
+	levelDecisions *prometheus.CounterVec
 	// violations counts violated invariants. Any violation is a bug in this program.
 	violations prometheus.Counter
 }
@@ -57,14 +59,25 @@
 		movePause: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "plankridge_stream_move_pause_seconds", Help: "Time between the last event before a move and the first one after it.", Buckets: pauseBuckets,
 		}, []string{"service"}),
+		levelDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "plankridge_admission_decisions_total", Help: "Calls while the admission level of their service binds, by class of rank and decision.",
+		}, []string{"service", "class", "decision"}),
 		violations: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "plankridge_call_invariant_violations_total", Help: "Steps that the life of a call does not have.",
 		}),
 	}
-	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.allowance, m.moves, m.movePause, m.violations)
+	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.allowance, m.levelDecisions, m.moves, m.movePause, m.violations)
 	return m
 }
 
+func (m *Metrics) countLevel(service string, class int, admitted bool) {
+	decision := "refused"
+	if admitted {
+		decision = "admitted"
+	}
+	m.levelDecisions.WithLabelValues(service, strconv.Itoa(class), decision).Inc()
+}
+
 func (m *Metrics) observe(call *Call, outcome string, took, first time.Duration) {
 	m.calls.WithLabelValues(call.Service, outcome).Inc()
 	m.duration.WithLabelValues(call.Service, outcome).Observe(took.Seconds())
--- a/internal/router/encode.go
+++ b/internal/router/encode.go
@@ -37,10 +37,14 @@
 	}
 	for key, load := range c.Loads {
 		if load.Running > 0 || load.PendingTokens > 0 {
-			counts.Loads = append(counts.Loads, &gossippb.Load{Key: key, Running: int32(load.Running), PendingTokens: int32(load.PendingTokens)})
+			counts.Loads = append(counts.Loads, encodeLoad(key, load))
 		}
 	}
-	counts.Demands = encodeDemand(c.Demand)
+	for service, load := range c.Demand {
+		encoded := &gossippb.Demand{Service: service, Reading: load.Prefill, Places: load.Batch, Memory: load.Memory}
+		encodeDemandParts(encoded, c.DemandParts[service])
+		counts.Demands = append(counts.Demands, encoded)
+	}
 	for service, figures := range c.EngineEstimates {
 		counts.Paces = append(counts.Paces, &gossippb.Pace{
 			Service: service, First: encodeFigures(figures.First), Step: encodeFigures(figures.Step), Made: encodeFigures(figures.OutputRatio), Hinted: encodeFigures(figures.HintRatio),
@@ -99,6 +103,14 @@
 	return tokens
 }
 
+func encodeLoad(key uint32, load backend.Load) *gossippb.Load {
+	return &gossippb.Load{Key: key, Running: int32(load.Running), PendingTokens: int32(load.PendingTokens), Urgency: load.Urgency()}
+}
+
+func decodeLoad(l *gossippb.Load) backend.Load {
+	return backend.Load{Running: int(l.GetRunning()), PendingTokens: int(l.GetPendingTokens())}.WithUrgency(l.GetUrgency())
+}
+
 func encodeFigures(f pace.Estimate) *gossippb.Figures {
 	return &gossippb.Figures{Coefficients: f.Coefficients, Seen: f.Samples}
 }
@@ -117,9 +129,15 @@
 		}
 	}
 	for _, l := range c.GetLoads() {
-		counts.Loads[l.GetKey()] = backend.Load{Running: int(l.GetRunning()), PendingTokens: int(l.GetPendingTokens())}
+		counts.Loads[l.GetKey()] = decodeLoad(l)
+	}
+	for _, d := range c.GetDemands() {
+		counts.Demand[d.GetService()] = demand.Load{Prefill: d.GetReading(), Batch: d.GetPlaces(), Memory: d.GetMemory()}
+		if parts, known := decodeDemandParts(d); known {
+			counts.DemandParts[d.GetService()] = parts
+		}
 	}
-	counts.Demand, counts.Warm = decodeDemand(c.GetDemands()), int(c.GetWarm())
+	counts.Warm = int(c.GetWarm())
 	for _, p := range c.GetPaces() {
 		counts.EngineEstimates[p.GetService()] = pace.EngineEstimates{
 			First: decodeFigures(p.GetFirst()), Step: decodeFigures(p.GetStep()), OutputRatio: decodeFigures(p.GetMade()), HintRatio: decodeFigures(p.GetHinted()),
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -79,7 +79,7 @@
 	now := time.Now()
 	used := s.limiter.ownCounters()
 	own := rollup.Counts{
-		Spent: used.Spent, Refused: used.Refused, Asked: used.Asked, Loads: s.view.OwnLoads(), Demand: s.demand.Rates(now),
+		Spent: used.Spent, Refused: used.Refused, Asked: used.Asked, Loads: s.view.OwnLoads(), Demand: s.demand.Rates(now), DemandParts: s.ownDemandParts(now),
 		EngineEstimates: s.view.EngineEstimates(), Versions: s.router.rollOuts.LocalTallies(), Warm: s.warmMeters(now),
 	}
 	s.aggregator.SetOwn(own)
@@ -105,7 +105,7 @@
 	sums.Loads = listed
 	counts := encodeCounts(sums)
 	if restMean != (backend.Load{}) {
-		counts.Rest = &gossippb.Load{Running: int32(restMean.Running), PendingTokens: int32(restMean.PendingTokens)}
+		counts.Rest = encodeLoad(0, restMean)
 		for key, load := range listed {
 			if load == (backend.Load{}) {
 				// The zero load is listed because it differs from the mean of the rest.
@@ -120,8 +120,7 @@
 func (s *state) decodeSums(counts *gossippb.Counts) rollup.Counts {
 	sums := decodeCounts(counts)
 	if encodedMean := counts.GetRest(); encodedMean != nil {
-		restMean := backend.Load{Running: int(encodedMean.GetRunning()), PendingTokens: int(encodedMean.GetPendingTokens())}
-		rollup.ExpandLoads(sums.Loads, restMean, s.view.Keys())
+		rollup.ExpandLoads(sums.Loads, decodeLoad(encodedMean), s.view.Keys())
 	}
 	return sums
 }
@@ -181,12 +180,12 @@
 
 // HandleNotice implements gossip.Sink.
 func (s *state) HandleNotice(load *gossippb.Load) {
-	s.view.RecordNotice(load.GetKey(), int(load.GetPendingTokens()), time.Now())
+	s.view.RecordNotice(load.GetKey(), decodeLoad(load), time.Now())
 }
 
 // sendNotice notifies other daemons of a large prompt that this daemon sends to a server.
-func (s *state) sendNotice(server backend.Entry, tokens int) {
-	s.router.node.SendNotice(&gossippb.Load{Key: backend.KeyOf(server), PendingTokens: int32(tokens)})
+func (s *state) sendNotice(server backend.Entry, prompt backend.Load) {
+	s.router.node.SendNotice(encodeLoad(backend.KeyOf(server), prompt))
 }
 
 // addMemberReport adds the report of a daemon of the zone.
@@ -239,14 +238,17 @@
 	s.leader = leaderTotals{
 		vm: status.GetVm(), incarnation: status.GetIncarnation(), receivedAt: now, includedSequence: status.GetTaken(),
 		reach: reach, demand: counts.Demand, ownDemand: own.Demand, warm: counts.Warm,
+		demandParts: counts.DemandParts, ownDemandParts: own.DemandParts,
 	}
 	s.leader.versions = counts.Versions
+	totals := s.leader
 	s.view.MergeEngineEstimates(counts.EngineEstimates)
 	s.reportedDaemons, s.reportedDaemonsAt = s.leader.reach.Known, now
 	s.mu.Unlock()
 	s.logLeaderChange(before)
 	s.applyReach(now)
 	s.view.SetPeerLoads(subtractLoads(counts.Loads, own.Loads), now)
+	s.updateLevels(totals.othersDemand, now)
 	rollup.Subtract(counts.Spent, own.Spent)
 	rollup.Subtract(counts.Refused, own.Refused)
 	// Only sums from the same process that include this daemon's counts can be compared.
@@ -333,6 +335,9 @@
 	s.applyReach(now)
 	others := s.aggregator.Others(now)
 	s.view.SetPeerLoads(others.Loads, now)
+	s.updateLevels(func(service string) (demand.Load, demand.Parts) {
+		return others.Demand[service], others.DemandParts[service]
+	}, now)
 	s.view.MergeEngineEstimates(others.EngineEstimates)
 	spent, refused := s.aggregator.SpentByOthers()
 	s.applyOthersUsage(allowance.Report{
@@ -359,6 +364,8 @@
 	demand, ownDemand map[string]demand.Load
 	// warm is the number of daemons in demand that have measured it for long enough.
 	warm int
+	// demandParts and ownDemandParts are the parts of them whose origin is known.
+	demandParts, ownDemandParts map[string]demand.Parts
 	// versions holds the results of service versions at all daemons.
 	versions rollout.Tallies
 }
@@ -382,10 +389,7 @@
 
 func subtractLoads(all, own map[uint32]backend.Load) map[uint32]backend.Load {
 	for key, load := range own {
-		rest := all[key]
-		rest.Running -= load.Running
-		rest.PendingTokens -= load.PendingTokens
-		all[key] = rest
+		all[key] = all[key].Minus(load)
 	}
 	return all
 }
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/plankridge/plankridge/internal/admission"
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/catalog"
@@ -28,6 +29,7 @@
 	demandHistory  *demand.History
 	firstTryLimits *firsttry.CallerTimeouts
 	streamVersions *streamVersions
+	admission      *admission.Controller
 	// quarantine detects and blocks poison requests.
 	quarantine *watch.Watcher
 	catalog    atomic.Pointer[catalog.Catalog]
@@ -62,6 +64,9 @@
 	// ownSumsAt is when this daemon last applied its own sums. It is used only by the goroutine
 	// that reads datagrams.
 	ownSumsAt time.Time
+	// levelsAt is when the admission levels were last updated. It is guarded by levelsMu.
+	levelsMu sync.Mutex
+	levelsAt time.Time
 	// sentCounts holds this daemon's own counts by the sequence number of the report that contained
 	// them.
 	sentCounts map[uint64]rollup.Counts
@@ -111,7 +116,7 @@
 	view.SetLimiter(serverLimits{limiter})
 	return &state{
 		router: r, view: view, limiter: limiter, ledger: newLedger(r.settings),
-		demand: demand.NewMeter(), demandHistory: demand.NewHistory(), firstTryLimits: firsttry.NewCallerTimeouts(), aggregator: rollup.New(), sentCounts: map[uint64]rollup.Counts{},
+		demand: demand.NewMeter(), demandHistory: demand.NewHistory(), admission: admission.NewController(), firstTryLimits: firsttry.NewCallerTimeouts(), aggregator: rollup.New(), sentCounts: map[uint64]rollup.Counts{},
 		streamVersions: newStreamVersions(r), quarantine: r.newQuarantine(), started: now, configured: make(chan struct{}), serverList: newServerList(), differsSince: map[string]time.Time{},
 	}
 }
@@ -148,9 +153,10 @@
 		return
 	}
 	traits := map[string]backend.Traits{}
+	ranked := rankedServices(c)
 	for name, service := range c.Services {
 		if service.Engine != nil {
-			traits[name] = traitsOf(*service.Engine)
+			traits[name] = traitsOf(*service.Engine, ranked[name])
 		}
 	}
 	for name, service := range c.Services {
@@ -159,6 +165,7 @@
 		}
 	}
 	s.view.SetTraits(traits)
+	s.admission.SetServices(rankedEngines(c, ranked))
 	s.limiter.applyCatalog(c)
 	c.AppliedAt = time.Now()
 	s.catalog.Store(c)
@@ -171,8 +178,8 @@
 }
 
 // traitsOf returns the configured traits of a service's engines.
-func traitsOf(engine catalog.Engine) backend.Traits {
-	traits := backend.Traits{CacheTokens: engine.CacheTokens, Slots: engine.Slots, EventTokens: engine.EventTokens}
+func traitsOf(engine catalog.Engine, ranked bool) backend.Traits {
+	traits := backend.Traits{CacheTokens: engine.CacheTokens, Slots: engine.Slots, EventTokens: engine.EventTokens, Ranked: ranked}
 	if engine.KVBytesPerToken > 0 {
 		traits.FetchRate = engine.LinkBytesPerSecond / float64(engine.KVBytesPerToken)
 	}
