Learn the lasting speed of each server and place requests by it

Cause: slowdownFactor was at least one, halved in 5 s and was known to one daemon only. With 88 daemons, 60 servers and 624 streams per second a daemon observes a server once in 8 s, so that servers at 0.7 and 1.7 of the mean were treated as alike.

Change: pace.RelativeSpeed averages log ratios of predicted and actual times, for prompts and for steps. Each observation is reported once to the relays of its zone, which add it up; the estimate of a relay replaces that of its zone's daemons, so nothing is counted twice. Fits are learned from times converted to the mean server. Homes are chosen by weighted rendezvous hashing, samples are drawn by weight, and predicted waits and ends are per server. Servers that differ by less than a factor of 1.23 count as alike. A long answer goes to a server that can end it in time. slowdownFactor stays as the estimate of short slow periods, relative to the lasting speed.

--- a/internal/backend/cache.go
+++ b/internal/backend/cache.go
@@ -1,9 +1,8 @@
 package backend
 
 import (
-	"cmp"
 	"encoding/binary"
-	"slices"
+	"math"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -87,19 +86,41 @@
 	return tokens
 }
 
-// homeServer returns the server on which the prompts of a key are preferably cached. It uses
-// rendezvous hashing over the given servers: all daemons agree without communication, and a
-// server that joins or leaves moves only its own keys.
+// homeServer returns the server on which the prompts of a key are preferably cached. It uses weighted
+// rendezvous hashing over the given servers: all daemons agree without communication, and a server that
+// joins, leaves or changes its speed moves only its own keys.
 func homeServer(key string, servers []*server) *server {
 	if key == "" || len(servers) == 0 {
 		return nil
 	}
-	keyHash := xxhash.Sum64String(key)
-	return slices.MaxFunc(servers, func(a, b *server) int {
-		return cmp.Compare(a.rendezvousWeight(keyHash), b.rendezvousWeight(keyHash))
-	})
+	first, _ := topHomes(xxhash.Sum64String(key), servers)
+	return first
 }
 
+// topHomes returns the two servers of highest rank as home of a key, the highest first. The second is
+// nil if there is one server only. With the hash as a uniform number u in (0, 1), the rank is highest
+// where -ln(u) divided by the server's weight is lowest, so that a server is the home of a share of all
+// keys that is proportional to its weight. 1 - u is below -ln(u), which saves most of the logarithms.
+func topHomes(keyHash uint64, servers []*server) (first, second *server) {
+	lowest, next := math.Inf(1), math.Inf(1)
+	for _, s := range servers {
+		rest := unitOf(^s.rendezvousWeight(keyHash))
+		if rest*s.slowness >= next {
+			continue
+		}
+		switch cost := -math.Log1p(-rest) * s.slowness; {
+		case cost < lowest:
+			first, second, lowest, next = s, first, cost, lowest
+		case cost < next:
+			second, next = s, cost
+		}
+	}
+	return first, second
+}
+
+// unitOf converts a hash to a number in [0, 1).
+func unitOf(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
+
 // rendezvousWeight returns the server's weight as home of a key. The server with the highest weight
 // is the home.
 func (s *server) rendezvousWeight(keyHash uint64) uint64 {
--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -29,6 +29,14 @@
 	FetchFrom string
 	// Running is the known number of requests that were running on the server before this attempt.
 	Running int
+	// PrefillSpeed and StepSpeed are the server's speeds, relative to its service, that the
+	// predictions assume.
+	PrefillSpeed, StepSpeed float64
+	// StreamTime is the predicted time from the first event to the end of the answer. EndsLate is
+	// set if the answer cannot end within the caller's time at any server, and servers differ in
+	// speed.
+	StreamTime time.Duration
+	EndsLate   bool
 	// Candidate is set if the server runs the candidate version of a roll-out.
 	Candidate bool
 
@@ -51,6 +59,9 @@
 	// counts them.
 	firstEventAt, lastEventAt time.Time
 	events                    int
+	// observedEvents is the number of events up to which the step time was observed, at observedAt.
+	observedEvents int
+	observedAt     time.Time
 	// onRestart is called if the server restarts before the attempt has ended.
 	onRestart func()
 }
@@ -60,8 +71,12 @@
 func (c *Choice) RecordEvent(now time.Time) {
 	if c.events++; c.events > 1 {
 		c.lastEventAt = now
+		if now.Sub(c.observedAt) >= stepObservationInterval {
+			c.observeStep()
+		}
 		return
 	}
+	c.observedEvents, c.observedAt = 1, now
 	c.firstEventAt, c.lastEventAt = now, now
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
@@ -95,8 +110,32 @@
 	work := c.work
 	work.PrefillTokens += c.queuedTokens
 	work.PromptTokens += c.queuedTokens
-	c.server.recordFirstEvent(engines.FirstEvent(work), took, c.firstEventAt)
-	engines.ObserveFirst(work, took)
+	predicted, speed := engines.FirstEvent(work), &c.server.speeds.prefill
+	c.server.recordFirstEvent(speed.at(predicted), took, c.firstEventAt)
+	if engines.Calibrated() {
+		speed.observe(predicted, took, c.firstEventAt)
+		c.server.speeds.observedAt = c.firstEventAt
+	}
+	engines.ObserveFirst(work, speed.toMean(took))
+}
+
+// observeStep observes the server's speed from the events since the last observation.
+func (c *Choice) observeStep() {
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	c.learnStepSpeed(c.lastEventAt)
+}
+
+// learnStepSpeed is observeStep. The caller holds the lock.
+func (c *Choice) learnStepSpeed(now time.Time) {
+	engines := c.view.engineFor(c.need.Service)
+	if engines == nil || c.Candidate || c.events <= c.observedEvents || !engines.Step.Calibrated() {
+		return
+	}
+	tokens := (c.events - c.observedEvents) * max(1, c.view.traits[c.need.Service].EventTokens)
+	predicted := engines.StepTime(tokens, min(c.Slots, c.server.load(now).Running))
+	c.server.speeds.step.observe(predicted, now.Sub(c.observedAt), now)
+	c.server.speeds.observedAt, c.observedEvents, c.observedAt = now, c.events, now
 }
 
 // learnStream updates the engine model with the duration of the stream. The caller holds the lock.
@@ -107,7 +146,21 @@
 	}
 	tokens := c.events * max(1, c.view.traits[c.need.Service].EventTokens)
 	batch := min(c.Slots, (c.Running+c.server.load(c.lastEventAt).Running+1)/2)
-	engines.ObserveStream(tokens, c.need.Answer, batch, c.lastEventAt.Sub(c.firstEventAt))
+	c.learnStepSpeed(c.lastEventAt)
+	engines.ObserveStream(tokens, c.need.Answer, batch, c.server.speeds.step.toMean(c.lastEventAt.Sub(c.firstEventAt)))
+}
+
+// learnCall observes the speed of a plain service's server. The caller holds the lock.
+func (c *Choice) learnCall(took time.Duration, now time.Time) {
+	if c.Candidate || c.view.engineFor(c.need.Service) != nil {
+		return
+	}
+	service, speed := c.view.serviceSpeedsOf(c.need.Service), &c.server.speeds.step
+	if service.calls >= minMeanCalls {
+		speed.observe(service.meanServiceTime, took, now)
+		c.server.speeds.observedAt = now
+	}
+	service.recordCall(speed.toMean(took))
 }
 
 // register adds the attempt to its server's load. Deferred attempts are counted separately, because
@@ -151,6 +204,7 @@
 		c.learnStream()
 		took := now.Sub(c.startedAt)
 		c.recordRequestSize(took)
+		c.learnCall(took, now)
 		c.server.serviceTime += time.Duration(serviceTimeWeight * float64(took-c.server.serviceTime))
 	}
 }
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -37,6 +37,11 @@
 	Version string
 	// ServerID restricts the choice to one server, unless it is empty.
 	ServerID string
+	// Remaining is how much longer the caller waits for the whole answer, or zero without a limit.
+	Remaining time.Duration
+
+	// topWeight is the largest weight of the service's servers in the choice of homes.
+	topWeight float64
 }
 
 // Begin picks a server for an attempt and adds the attempt to its load. It returns false if the
@@ -44,6 +49,8 @@
 func (v *View) Begin(need Need, now time.Time) (*Choice, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.refreshSpeeds(now)
+	need.topWeight = v.serviceSpeedsOf(need.Service).topWeight
 	choice, ok := v.begin(need, now)
 	if !ok && need.Candidate {
 		// An attempt for the candidate falls back to the stable version instead of waiting.
@@ -58,7 +65,7 @@
 // caller holds the lock.
 func (v *View) begin(need Need, now time.Time) (*Choice, bool) {
 	eligible, candidate := v.trackServers(need, now)
-	shortlisted := shortlist(eligible, need)
+	shortlisted := v.withFastServers(shortlist(eligible, need), eligible, need, now)
 	if choice, ok := v.beginAmong(shortlisted, candidate, need, now); ok {
 		return choice, true
 	}
@@ -81,6 +88,7 @@
 	engines := v.engineFor(need.Service)
 	routeServers := v.routeServers(servers, need, prompt, traits, engines, now)
 	routing := route.Need{Zone: need.Zone, Target: need.Target, Tried: need.Tried, AnyZone: traits.CacheTokens > 0}
+	v.avoidLateEnds(routeServers, need, routing, now)
 	picked, admitted, ok := v.admit(routeServers, routing, now)
 	if !ok {
 		return nil, false
@@ -89,11 +97,14 @@
 	work := s.work(prompt, traits, need)
 	choice := &Choice{
 		Entry: s.Entry, Wait: picked.Wait, IdleWait: picked.Server.IdleWait, PrefillTokens: work.PrefillTokens, FetchFrom: prompt.fetchSource(s), Running: picked.Server.Running,
+		PrefillSpeed: s.speeds.prefill.speed(), StepSpeed: s.speeds.step.speed(),
 		Candidate: candidate, view: v, server: s, need: need, work: work, queuedTokens: s.load(now).PendingTokens, prefillPending: true, startedAt: now, admittedAt: admitted,
 	}
 	if engines != nil {
 		choice.Calibrated = engines.Calibrated()
 		choice.LongPrefill = isLongPrefill(engines.PrefillTime(work), need.Target)
+		choice.StreamTime = s.streamTime(need.Answer, engines, now)
+		choice.EndsLate = v.endsLate(choice.Wait+choice.StreamTime, need)
 		choice.Load = attemptLoad(work, need.Answer, traits, s.Slots, engines)
 	}
 	choice.register()
@@ -103,13 +114,14 @@
 // routeServers returns the servers as package route rates them. The caller holds the lock.
 func (v *View) routeServers(servers []*server, need Need, prompt placement, traits Traits, engines *pace.Engine, now time.Time) []route.Server {
 	routeServers := make([]route.Server, 0, len(servers))
+	meanServiceTime := v.serviceSpeedsOf(need.Service).meanServiceTime
 	for _, s := range servers {
 		if need.ServerID != "" && s.ID != need.ServerID {
 			continue
 		}
-		rs := s.routeServer(s.work(prompt, traits, need), engines, now)
+		rs := s.routeServer(s.work(prompt, traits, need), engines, meanServiceTime, now)
 		if need.Deferred && engines != nil {
-			rs.Queue += engines.QueueTime(s.deferredTokens)
+			rs.Queue += s.speeds.prefill.at(engines.QueueTime(s.deferredTokens))
 		}
 		rs.CrossZoneLatency = v.crossZoneLatency(s.Zone, need.Zone)
 		rs.Leaving = s.backingOff(now)
@@ -170,7 +182,9 @@
 	return work
 }
 
-func (s *server) routeServer(work pace.Work, engines *pace.Engine, now time.Time) route.Server {
+// routeServer returns the server as package route rates it. meanServiceTime is the mean time of a call
+// at a plain service.
+func (s *server) routeServer(work pace.Work, engines *pace.Engine, meanServiceTime time.Duration, now time.Time) route.Server {
 	load := s.load(now)
 	rs := route.Server{
 		ID: s.ID, Zone: s.Zone, Address: s.Address,
@@ -180,10 +194,13 @@
 		ServiceTime: s.serviceTime,
 		ExcessDelay: s.WarmupLeft,
 	}
+	if s.speeds.step.log2 != 0 && engines == nil {
+		rs.ServiceTime = s.speeds.step.at(meanServiceTime)
+	}
 	if engines != nil {
 		slowdown := s.slowdownFactor(now)
-		rs.Queue = time.Duration(slowdown * float64(engines.QueueTime(load.PendingTokens)))
-		rs.IdleWait = time.Duration(slowdown * float64(engines.FirstEvent(work)))
+		rs.Queue = time.Duration(slowdown * float64(s.speeds.prefill.at(engines.QueueTime(load.PendingTokens))))
+		rs.IdleWait = time.Duration(slowdown * float64(s.speeds.prefill.at(engines.FirstEvent(work))))
 	}
 	return rs
 }
--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -98,9 +98,11 @@
 	restartedAt time.Time
 	// key identifies the server between daemons; see KeyOf.
 	key uint32
-	// idHash is the hash of the ID, used for rendezvous hashing.
-	idHash  uint64
-	ownLoad Load
+	// idHash is the hash of the ID, used for rendezvous hashing, and slowness the inverse of the
+	// server's weight. They are next to each other because a choice reads them of all servers.
+	idHash   uint64
+	slowness float64
+	ownLoad  Load
 	// deferredTokens is the number of pending prompt tokens of this daemon's deferred attempts.
 	deferredTokens int
 	// peerLoad is the load of all other daemons on the server, as of peerLoadAt.
@@ -123,8 +125,10 @@
 	leavingAnnouncedAt time.Time
 	peerReported       bool
 	serviceTime        time.Duration
+	// speeds are the lasting speeds.
+	speeds speeds
 	// logSlowdown is the moving average of the logarithm of actual over predicted time to the first
-	// event, as of logSlowdownAt.
+	// event, as of logSlowdownAt. It is known to this daemon only, and concerns short periods.
 	logSlowdown   float64
 	logSlowdownAt time.Time
 	lastServedAt  time.Time
@@ -186,42 +190,6 @@
 	}
 }
 
-const (
-	// slowdownWeight is the weight of a new sample in logSlowdown. If one in three first events
-	// takes eight times as long as predicted, the server is avoided; a single one has little
-	// effect.
-	slowdownWeight = 0.2
-	// slowdownHalfLife is the half-life of logSlowdown, so that a server that was slow is tried
-	// again.
-	slowdownHalfLife = 5 * time.Second
-	// maxLogSlowdown bounds a sample: a factor of seven.
-	maxLogSlowdown = 2.0
-)
-
-// slowdownFactor returns by which factor this server is slower than predicted for its service, at
-// least one.
-func (s *server) slowdownFactor(now time.Time) float64 {
-	return math.Exp(max(0, s.decayedLogSlowdown(now)))
-}
-
-// decayedLogSlowdown returns logSlowdown as decayed until now.
-func (s *server) decayedLogSlowdown(now time.Time) float64 {
-	if s.logSlowdown == 0 {
-		return 0
-	}
-	return s.logSlowdown * math.Exp2(-now.Sub(s.logSlowdownAt).Seconds()/slowdownHalfLife.Seconds())
-}
-
-// recordFirstEvent updates the slowdown with the predicted and the actual time to a first event.
-func (s *server) recordFirstEvent(predicted, took time.Duration, now time.Time) {
-	if predicted <= 0 || took <= 0 {
-		return
-	}
-	logRatio := max(-maxLogSlowdown, min(maxLogSlowdown, math.Log(took.Seconds()/predicted.Seconds())))
-	mean := s.decayedLogSlowdown(now)
-	s.logSlowdown, s.logSlowdownAt = mean+slowdownWeight*(logRatio-mean), now
-}
-
 // peerLoadTTL is how long the load of other daemons counts after it was received: twice the time
 // after which a daemon counts as silent.
 const peerLoadTTL = 3 * time.Second
--- a/internal/backend/shortlist.go
+++ b/internal/backend/shortlist.go
@@ -28,9 +28,10 @@
 	if key == "" {
 		return servers
 	}
-	list := topHomes(key, servers)
+	first, second := topHomes(xxhash.Sum64String(key), servers)
+	list := append(make([]*server, 0, homeCount+sampleCount), first, second)
 	for i := range sampleCount {
-		at := xxhash.Sum64String(strconv.FormatUint(need.SampleSeed, 16)+strconv.Itoa(i)) % uint64(len(servers))
+		at := drawSample(servers, need, i)
 		for slices.Contains(list[:homeCount], servers[at]) {
 			at = (at + 1) % uint64(len(servers))
 		}
@@ -39,20 +40,22 @@
 	return list
 }
 
-// topHomes returns the two servers of highest rendezvous weight for a key, the highest first. The
-// list must hold at least two servers.
-func topHomes(key string, servers []*server) []*server {
-	keyHash := xxhash.Sum64String(key)
-	var first, second *server
-	var firstWeight, secondWeight uint64
-	for _, s := range servers {
-		switch weight := s.rendezvousWeight(keyHash); {
-		case first == nil || weight > firstWeight:
-			second, secondWeight = first, firstWeight
-			first, firstWeight = s, weight
-		case second == nil || weight > secondWeight:
-			second, secondWeight = s, weight
+// maxDraws is the number of servers that are drawn for one place in the sample until one is accepted.
+const maxDraws = 4
+
+// drawSample returns the index of a sampled server. Servers are drawn in proportion to their weights: a
+// drawn one is accepted with its share of the largest weight.
+func drawSample(servers []*server, need Need, place int) uint64 {
+	seed := strconv.FormatUint(need.SampleSeed, 16) + strconv.Itoa(place)
+	hash := xxhash.Sum64String(seed)
+	for range maxDraws - 1 {
+		at := hash % uint64(len(servers))
+		accepted := xxhash.Sum64String(seed + "accept")
+		if unitOf(accepted)*need.topWeight <= servers[at].weight() {
+			return at
 		}
+		seed += "again"
+		hash = xxhash.Sum64String(seed)
 	}
-	return append(make([]*server, 0, homeCount+sampleCount), first, second)
+	return hash % uint64(len(servers))
 }
--- /dev/null
+++ b/internal/backend/speed.go
@@ -0,0 +1,236 @@
+package backend
+
+import (
+	"math"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/pace"
+)
+
+const (
+	// speedDeadBand is the deviation from the service's mean, as a binary logarithm, from which a
+	// server's speed counts as different: a factor of 1.23. It counts until the deviation is below
+	// speedDeadBandExit. Estimates of servers that are alike differ by less.
+	speedDeadBand     = 0.3
+	speedDeadBandExit = 0.15
+	// homeWeightStep is the resolution of the weights in the choice of homes, as a binary logarithm,
+	// and homeWeightHysteresis the deviation from which a weight follows the speed. Prompts would
+	// change their homes all the time if weights followed each observation.
+	homeWeightStep       = 0.25
+	homeWeightHysteresis = 0.2
+	// speedRefreshInterval is the time between two computations of the assumed speeds.
+	speedRefreshInterval = 200 * time.Millisecond
+	// speedCenterPeriod is the time constant with which the mean of a service follows its servers. The
+	// service's fits follow at a similar rate, so predictions hold while servers come and go.
+	speedCenterPeriod = time.Minute
+	// stepObservationInterval is the time between two observations of a stream's step time.
+	stepObservationInterval = 500 * time.Millisecond
+)
+
+// speedMeasure is what is known of one server's speed in one respect: reading prompts or generating
+// tokens.
+type speedMeasure struct {
+	// known is the estimate from all observations that this daemon has received.
+	known pace.RelativeSpeed
+	// pending are own observations that are to be reported to the relays of the zone. forwarded are
+	// observations of the zone that its leader is to report to the other zones.
+	pending, forwarded pace.SpeedObservations
+	// log2 is the binary logarithm of the assumed speed, zero within the dead band, and factor the
+	// assumed speed. A factor of zero means one.
+	log2, factor float64
+}
+
+// speeds is what is known of the speed of one incarnation of a server.
+type speeds struct {
+	prefill, step speedMeasure
+	// homeLog2 is the binary logarithm of the weight in the choice of homes.
+	homeLog2 float64
+	// observedAt is when the latest observation was made.
+	observedAt time.Time
+	// sent is the last estimate that was sent to the daemons of the zone, at sentAt.
+	sent   sentSpeed
+	sentAt time.Time
+	// reportedAt and forwardedAt are when pending and forwarded observations were last reported.
+	reportedAt, forwardedAt time.Time
+}
+
+type sentSpeed struct{ prefill, step float64 }
+
+// observe records an own observation.
+func (m *speedMeasure) observe(predicted, took time.Duration, now time.Time) {
+	var o pace.SpeedObservations
+	o.Add(predicted, took)
+	m.known.Observe(o, now)
+	m.pending.Add(predicted, took)
+}
+
+// assume sets the assumed speed from the estimate and the mean of the service.
+func (m *speedMeasure) assume(center float64) {
+	log2, band := m.known.Assumed(center), speedDeadBand
+	if m.log2 != 0 {
+		band = speedDeadBandExit
+	}
+	if math.Abs(log2) < band {
+		log2 = 0
+	}
+	m.log2, m.factor = log2, math.Exp2(log2)
+}
+
+// speed returns the assumed speed relative to the service's mean.
+func (m *speedMeasure) speed() float64 {
+	if m.factor == 0 {
+		return 1
+	}
+	return m.factor
+}
+
+// at returns how long something takes at this server that takes the given time at the mean server.
+func (m *speedMeasure) at(mean time.Duration) time.Duration {
+	if m.log2 == 0 {
+		return mean
+	}
+	return time.Duration(float64(mean) / m.factor)
+}
+
+// toMean is the inverse of at.
+func (m *speedMeasure) toMean(took time.Duration) time.Duration {
+	if m.log2 == 0 {
+		return took
+	}
+	return time.Duration(float64(took) * m.factor)
+}
+
+// weight returns the server's weight in the choice of homes.
+func (s *server) weight() float64 { return 1 / s.slowness }
+
+// capacity returns how many mean servers the server replaces: the geometric mean of its speeds.
+func (s *speeds) capacity() float64 { return math.Exp2((s.prefill.log2 + s.step.log2) / 2) }
+
+// followHomeWeight changes the weight if the speed has moved away from it.
+func (s *server) followHomeWeight() {
+	wanted := (s.speeds.prefill.log2 + s.speeds.step.log2) / 2
+	if math.Abs(wanted-s.speeds.homeLog2) < homeWeightHysteresis {
+		return
+	}
+	s.speeds.homeLog2 = homeWeightStep * math.Round(wanted/homeWeightStep)
+	s.slowness = math.Exp2(-s.speeds.homeLog2)
+}
+
+// serviceSpeeds is what the servers of one service have in common.
+type serviceSpeeds struct {
+	// prefill and step are the means of the estimates. They start at zero and follow slowly. The fits
+	// are learned from times that are converted to the mean server, so that both tend to zero, and
+	// neither the fits nor the speeds drift.
+	prefill, step float64
+	// differ is set if a server is assumed to differ from the mean.
+	differ bool
+	// topWeight is the largest weight in the choice of homes.
+	topWeight float64
+	// capacity is the mean capacity of the ready servers.
+	capacity float64
+	// meanServiceTime is the mean time of a call at the mean server of a plain service, and calls the
+	// number of calls that it is based on.
+	meanServiceTime time.Duration
+	calls           int
+}
+
+const (
+	// meanCallWeight is the weight of a call in the mean service time of a plain service.
+	meanCallWeight = 0.02
+	// minMeanCalls is the number of calls from which on the mean is used.
+	minMeanCalls = 24
+)
+
+// recordCall updates the mean with a call that took the given time, converted to the mean server.
+func (s *serviceSpeeds) recordCall(took time.Duration) {
+	s.calls++
+	weight := max(meanCallWeight, 1/float64(s.calls))
+	s.meanServiceTime += time.Duration(weight * float64(took-s.meanServiceTime))
+}
+
+// refreshSpeeds computes the assumed speeds of all servers, at most once in speedRefreshInterval. The
+// caller holds the lock.
+func (v *View) refreshSpeeds(now time.Time) {
+	elapsed := now.Sub(v.speedsRefreshedAt)
+	if elapsed < speedRefreshInterval {
+		return
+	}
+	follow := 0.0
+	if !v.speedsRefreshedAt.IsZero() {
+		follow = -math.Expm1(-elapsed.Seconds() / speedCenterPeriod.Seconds())
+	}
+	v.speedsRefreshedAt = now
+	v.moveCenters(follow)
+	for _, service := range v.serviceSpeeds {
+		service.differ, service.topWeight, service.capacity = false, 1, 0
+	}
+	ready := map[*serviceSpeeds]float64{}
+	for _, s := range v.servers {
+		service := v.serviceSpeedsOf(s.Service)
+		s.speeds.prefill.assume(service.prefill)
+		s.speeds.step.assume(service.step)
+		s.followHomeWeight()
+		if !s.ready() {
+			continue
+		}
+		service.differ = service.differ || s.speeds.prefill.log2 != 0 || s.speeds.step.log2 != 0
+		service.topWeight = max(service.topWeight, s.weight())
+		service.capacity += s.speeds.capacity()
+		ready[service]++
+	}
+	for service, count := range ready {
+		service.capacity /= count
+	}
+}
+
+// moveCenters moves the means of the services towards those of their ready servers by the given share
+// of the difference. The caller holds the lock.
+func (v *View) moveCenters(share float64) {
+	type sum struct{ prefill, prefills, step, steps float64 }
+	sums := map[string]sum{}
+	for _, s := range v.servers {
+		if !s.ready() {
+			continue
+		}
+		total := sums[s.Service]
+		if s.speeds.prefill.known.Learned() {
+			total.prefill, total.prefills = total.prefill+s.speeds.prefill.known.Log2, total.prefills+1
+		}
+		if s.speeds.step.known.Learned() {
+			total.step, total.steps = total.step+s.speeds.step.known.Log2, total.steps+1
+		}
+		sums[s.Service] = total
+	}
+	for name, total := range sums {
+		service := v.serviceSpeedsOf(name)
+		if total.prefills > 0 {
+			service.prefill += share * (total.prefill/total.prefills - service.prefill)
+		}
+		if total.steps > 0 {
+			service.step += share * (total.step/total.steps - service.step)
+		}
+	}
+}
+
+// serviceSpeedsOf returns the state of a service. The caller holds the lock.
+func (v *View) serviceSpeedsOf(service string) *serviceSpeeds {
+	known := v.serviceSpeeds[service]
+	if known == nil {
+		known = &serviceSpeeds{topWeight: 1}
+		v.serviceSpeeds[service] = known
+	}
+	return known
+}
+
+// MeanCapacity returns how many mean servers a ready server of the service replaces on average. It is
+// one for servers that are alike. The mean server is the one of the geometric mean speed, in which the
+// demand is measured, so that servers of different speeds replace more than one on average.
+func (v *View) MeanCapacity(service string, now time.Time) float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.refreshSpeeds(now)
+	if known := v.serviceSpeeds[service]; known != nil && known.capacity > 0 {
+		return known.capacity
+	}
+	return 1
+}
--- a/internal/backend/view.go
+++ b/internal/backend/view.go
@@ -59,11 +59,16 @@
 	keyIndex map[uint32]*server
 	// limiter enforces the servers' limits. If it is nil they are not enforced.
 	limiter Limiter
+	// serviceSpeeds is what the speeds of a service's servers have in common, as of speedsRefreshedAt.
+	serviceSpeeds     map[string]*serviceSpeeds
+	speedsRefreshedAt time.Time
+	// unlistedSpeeds are restored speeds of servers that are not listed yet.
+	unlistedSpeeds map[uint32]RecordedSpeed
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, connectTimes: map[string]connectTime{}, requestSizes: map[string]requestSizes{}, engines: map[string]*pace.Engine{}, unappliedEstimates: map[string]pace.EngineEstimates{}, readyServers: map[track][]*server{}, versions: map[string]Versions{}, changed: make(chan struct{}), drainBound: defaultDrainBound}
+	return &View{servers: map[string]*server{}, traits: map[string]Traits{}, connectTimes: map[string]connectTime{}, requestSizes: map[string]requestSizes{}, engines: map[string]*pace.Engine{}, unappliedEstimates: map[string]pace.EngineEstimates{}, readyServers: map[track][]*server{}, versions: map[string]Versions{}, serviceSpeeds: map[string]*serviceSpeeds{}, unlistedSpeeds: map[uint32]RecordedSpeed{}, changed: make(chan struct{}), drainBound: defaultDrainBound}
 }
 
 // SetTraits sets the configured properties of all services.
@@ -164,7 +169,7 @@
 		clear(v.readyServers)
 	}
 	if s == nil {
-		s = &server{key: KeyOf(e), idHash: xxhash.Sum64String(e.ID), joinedAt: now, restartedAt: restartedAt, attempts: map[*Choice]struct{}{}}
+		s = &server{key: KeyOf(e), idHash: xxhash.Sum64String(e.ID), slowness: 1, joinedAt: now, restartedAt: restartedAt, attempts: map[*Choice]struct{}{}}
 		v.servers[e.ID], v.keyIndex = s, nil
 	}
 	before, service, version := s.ready(), s.Service, s.Version
@@ -174,6 +179,10 @@
 		clear(v.readyServers)
 	}
 	s.Entry, s.listed = e, true
+	if recorded, found := v.unlistedSpeeds[s.key]; found {
+		s.speeds.restore(recorded)
+		delete(v.unlistedSpeeds, s.key)
+	}
 	if s.ready() != before || e.Service != service || e.Version != version {
 		clear(v.readyServers)
 	}
@@ -298,16 +307,19 @@
 	AtLimit bool
 	// Age is the time since this daemon first listed the incarnation.
 	Age time.Duration
+	// PrefillSpeed and StepSpeed are the speeds that are assumed, relative to the service's mean.
+	PrefillSpeed, StepSpeed float64
 }
 
 // Servers returns every listed server, ordered by ID.
 func (v *View) Servers(now time.Time) []Status {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.refreshSpeeds(now)
 	var all []Status
 	for _, s := range v.servers {
 		if s.listed {
-			all = append(all, Status{Entry: s.Entry, Load: s.load(now), Ready: s.ready(), Suspect: s.suspect(now), Barred: !v.versionAllowed(s), Limit: s.limit, AtLimit: s.limit.Limited && v.limiter != nil && v.limiter.AtLimit(s.key), Age: now.Sub(s.joinedAt)})
+			all = append(all, Status{Entry: s.Entry, Load: s.load(now), Ready: s.ready(), Suspect: s.suspect(now), Barred: !v.versionAllowed(s), Limit: s.limit, AtLimit: s.limit.Limited && v.limiter != nil && v.limiter.AtLimit(s.key), Age: now.Sub(s.joinedAt), PrefillSpeed: s.speeds.prefill.speed(), StepSpeed: s.speeds.step.speed()})
 		}
 	}
 	slices.SortFunc(all, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/pace/engine.go
+++ b/internal/pace/engine.go
@@ -123,6 +123,11 @@
 	return seconds(e.OutputTokens(a) * e.Step.Predict(Terms{1, float64(batch)}))
 }
 
+// StepTime returns the predicted time for a number of tokens of a stream, at a batch size.
+func (e *Engine) StepTime(tokens, batch int) time.Duration {
+	return seconds(float64(tokens) * e.Step.Predict(Terms{1, float64(batch)}))
+}
+
 // ObserveFirst records the time to the first event of an attempt.
 func (e *Engine) ObserveFirst(w Work, took time.Duration) { e.First.Observe(took.Seconds(), w.terms()) }
 
