Exchange the speeds of servers and use them in refusals, orders and logs

Cause: the estimates of single daemons do not converge, and did not outlive them.

Change: Status.speeds carries own observations to the relays of the zone, estimates to the zone's daemons and the zone's observations to other zones. The lease's record holds the learned speeds in 6 bytes per server. A call whose answer no server can end in time is refused without Retry-After, and explain names that as the cause. Orders count the mean capacity of the present servers. The log entry of an attempt has the assumed speeds, and the metrics have the range of speeds of each service.

--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -72,7 +72,8 @@
 		planner = capacity.NewPlanner()
 		s.planners[service] = planner
 	}
-	state := capacity.State{Scaling: scaling, Zones: s.zones(service, scaling, now), Load: s.Demand(service)}
+	// The demand is in mean servers. Which kind an order brings is unknown, so the present mix counts.
+	state := capacity.State{Scaling: scaling, Zones: s.zones(service, scaling, now), Load: s.Demand(service).Scaled(1 / s.View.MeanCapacity(service, now))}
 	for _, order := range planner.Orders(state, now) {
 		s.order(ctx, service, planner, order, state.Load)
 	}
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -28,6 +28,7 @@
 	CauseServersAtLimits Cause = "all servers of the service had asked for a pause or were at their own limits"
 	CauseOverload        Cause = "the servers were too busy to answer in time"
 	CauseRequestSize     Cause = "the request was predicted to be late because of its own size"
+	CauseAnswerTooLong   Cause = "no server was fast enough to end the answer within the caller's time"
 	CauseUnreachable     Cause = "no backend server could be reached"
 	CauseDeclined        Cause = "the servers declined for lack of capacity or were gone"
 	CauseServerError     Cause = "a server answered with an error"
@@ -98,6 +99,8 @@
 		return CauseServersAtLimits
 	case "predicted wait is too long":
 		return overloadOrSize(l.Attempts)
+	case "no server can end the answer in time":
+		return CauseAnswerTooLong
 	case "no backend server could be reached":
 		return CauseUnreachable
 	case "timeout":
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -314,6 +314,10 @@
 		Age: r.callerAge + now.Sub(r.call.Arrived), Wait: choice.Wait, IdleWait: choice.IdleWait,
 		Target: r.call.Route.LatencyTarget, Remaining: r.call.CallerDeadline().Sub(now),
 	}
+	if choice.EndsLate {
+		// Without a time for a retry, because the caller will have even less time left.
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no server can end the answer in time"}
+	}
 	if !timing.ShouldRefuse() {
 		return nil
 	}
@@ -329,6 +333,7 @@
 
 func (r *run) need() backend.Need {
 	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.LatencyTarget, Tried: r.tried, Candidate: r.candidate, Version: r.stream.Version, SampleSeed: xxhash.Sum64String(r.call.ID)}
+	need.Remaining = time.Until(r.call.Deadline())
 	need.Final = r.sentAttempts+1 >= r.call.Route.MaxAttempts
 	if p := r.call.Prompt; p != nil {
 		need.Deferred = r.overdue()
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/backend"
@@ -31,16 +32,29 @@
 	Calibrated    bool  `json:"learned"`
 	PrefillTokens int   `json:"unread"`
 	Running       int   `json:"running"`
+	// PrefillSpeed and StepSpeed are the server's speeds relative to its service that the predictions
+	// assume, and StreamMS the predicted time from the first event to the end of the answer. They are
+	// left out for servers that count as alike.
+	PrefillSpeed float64 `json:"prefill_speed,omitempty"`
+	StepSpeed    float64 `json:"step_speed,omitempty"`
+	StreamMS     int64   `json:"stream_ms,omitempty"`
 }
 
 func (r *run) recordAttempt(choice *backend.Choice, result string, began, ended time.Time) {
-	r.history = append(r.history, attemptRecord{
+	record := attemptRecord{
 		Server: choice.ID, Zone: choice.Zone, Version: choice.Version, Result: result, Via: r.via,
 		AtMS: began.Sub(r.call.Arrived).Milliseconds(), TookMS: ended.Sub(began).Milliseconds(),
 		WaitMS: choice.Wait.Milliseconds(), IdleWaitMS: choice.IdleWait.Milliseconds(), Calibrated: choice.Calibrated, PrefillTokens: choice.PrefillTokens, Running: choice.Running,
-	})
+	}
+	if choice.PrefillSpeed != 1 || choice.StepSpeed != 1 || choice.EndsLate {
+		record.PrefillSpeed, record.StepSpeed, record.StreamMS = roundSpeed(choice.PrefillSpeed), roundSpeed(choice.StepSpeed), choice.StreamTime.Milliseconds()
+	}
+	r.history = append(r.history, record)
 }
 
+// roundSpeed rounds a relative speed to hundredths for the log.
+func roundSpeed(speed float64) float64 { return math.Round(100*speed) / 100 }
+
 // recordCall logs a completed call and updates the metrics.
 func (r *run) recordCall(ctx context.Context, err error) {
 	took := time.Since(r.call.Arrived)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -80,6 +80,8 @@
 	// ZoneTotals returns the totals of this zone that a leader sends to the relays of
 	// other zones.
 	ZoneTotals(now time.Time) (*gossippb.Reach, *gossippb.Counts)
+	// Speeds returns the speeds of servers for a report. Observations are returned once.
+	Speeds(audience Audience, plan Plan, now time.Time) []*gossippb.ServerSpeed
 	// LocalState returns the daemon's own state.
 	LocalState() LocalState
 	// PullRequest returns the versions that this daemon has, for a Pull call to a peer.
@@ -88,6 +90,17 @@
 	AnswerPull(request *gossippb.PullRequest) *gossippb.PullReply
 }
 
+// Audience is the receivers of a report.
+type Audience int
+
+// The receivers of the speeds of servers: own observations go to the relays of the zone, the estimates
+// of a relay to the daemons of its zone, and the observations of a zone to the relays of other zones.
+const (
+	ZoneRelays Audience = iota
+	ZoneDaemons
+	OtherZones
+)
+
 // Sink processes the data received from peers.
 type Sink interface {
 	// HandleReport merges a peer's report. newProcess is set for the first report of a
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -21,11 +21,15 @@
 	sequence := n.sequence
 	n.mu.Unlock()
 	own := n.options.Source.OwnCounts(sequence)
-	n.sendToZone(plan, own, sequence, now)
+	var speeds []*gossippb.ServerSpeed
+	if len(plan.ReportTo) > 0 || plan.Leader {
+		speeds = n.options.Source.Speeds(ZoneRelays, plan, now)
+	}
+	n.sendToZone(plan, own, speeds, sequence, now)
 	n.sendToRemoteZones(plan, sequence, now)
 	if len(plan.ReportTo) > 0 && !plan.Relay {
 		report := n.newStatus(sequence)
-		report.Own = own
+		report.Own, report.Speeds = own, speeds
 		report.Uses = n.usesFor(plan.ReportTo, now)
 		n.sendToAll(report, plan.ReportTo, now)
 	}
@@ -41,11 +45,14 @@
 // sendToZone sends to the daemons of the zone, from a relay or from a daemon that follows
 // the store in place of one. The common part is encoded once and the fields for each
 // receiver are appended, since protobuf merges concatenated messages.
-func (n *Node) sendToZone(plan Plan, own *gossippb.Counts, sequence uint64, now time.Time) {
+func (n *Node) sendToZone(plan Plan, own *gossippb.Counts, speeds []*gossippb.ServerSpeed, sequence uint64, now time.Time) {
 	if len(plan.ZonePeers) == 0 {
 		return
 	}
 	common := n.newStatus(sequence)
+	if plan.Relay {
+		common.Speeds = n.options.Source.Speeds(ZoneDaemons, plan, now)
+	}
 	if plan.Leader {
 		common.Reach, common.All = n.options.Source.DeploymentTotals(now)
 	}
@@ -73,7 +80,7 @@
 			}
 		}
 		if plan.Relay && slices.ContainsFunc(plan.ReportTo, func(p Peer) bool { return p.VM == peer.VM }) {
-			extra.Own = own
+			extra.Own, extra.Speeds = own, speeds
 			n.options.Members.recordSent(peer.VM, now)
 		}
 		n.sendMerged(raw, extra, peer.Address)
@@ -107,6 +114,7 @@
 	summary := n.newStatus(sequence)
 	summary.ZoneReach, summary.ZoneSum = n.options.Source.ZoneTotals(now)
 	summary.Uses = n.usesFor(plan.RemoteRelays, now)
+	summary.Speeds = n.options.Source.Speeds(OtherZones, plan, now)
 	if sequence%reportsPerMemberList == 1 {
 		summary.Known = memberList(n.options.Members.Known(now), maxListedPerRemoteZone, now)
 		summary.Helpers = n.options.Members.zoneHelpers(n.options.Source.LocalState(), sequence/reportsPerMemberList, now)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -59,6 +59,8 @@
 	Warmup bool `json:"warmup,omitempty"`
 	// EngineEstimates holds the learned performance estimates of the engines, by service.
 	EngineEstimates map[string]pace.EngineEstimates `json:"paces,omitempty"`
+	// ServerSpeeds holds the learned speeds of the servers, packed in 6 bytes each.
+	ServerSpeeds []byte `json:"speeds,omitempty"`
 	// FirstTryLimits holds the time limits of first tries, by route.
 	FirstTryLimits map[string]time.Duration `json:"limits,omitempty"`
 	// RequestWindows holds the requests that started in the latest windows, over all
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -158,6 +158,7 @@
 	s.quarantine.Merge(decodeHeld(status.GetHeld()), 0, now)
 	s.mergeLimits(status, now)
 	s.mergeLeavingNotices(status, now)
+	s.mergeSpeeds(status, now)
 	s.streamVersions.mergeReport(status, now)
 	if own := status.GetOwn(); own != nil && status.GetZone() == s.router.settings.VM.Zone {
 		s.addMemberReport(status, own, now)
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -17,7 +17,7 @@
 	reach, _ := s.reach(now)
 	snapshot := lease.Snapshot{
 		Daemons: reach.Known, WrittenAtMs: current.WrittenAtMs, RecentUses: current.RecentUses, DemandRates: current.DemandRates, Warmup: current.Warmup,
-		EngineEstimates: s.view.EngineEstimates(), FirstTryLimits: s.firstTryLimits.Usual(), RequestWindows: s.ledger.All(reportedWindows),
+		EngineEstimates: s.view.EngineEstimates(), ServerSpeeds: packSpeeds(s.view.RecordSpeeds()), FirstTryLimits: s.firstTryLimits.Usual(), RequestWindows: s.ledger.All(reportedWindows),
 	}
 	if uses, known := s.limiter.usage(); known {
 		snapshot.WrittenAtMs, snapshot.RecentUses, snapshot.DemandRates, snapshot.Warmup = now.UnixMilli(), uses, s.limiter.demand(), s.limiter.warmup()
@@ -36,6 +36,7 @@
 func (s *state) restoreSnapshot(snapshot lease.Snapshot, listed int, now time.Time) bool {
 	daemons := max(listed, snapshot.Daemons)
 	s.view.MergeEngineEstimates(snapshot.EngineEstimates)
+	s.view.RestoreSpeeds(unpackSpeeds(snapshot.ServerSpeeds))
 	s.firstTryLimits.Restore(snapshot.FirstTryLimits)
 	// Counts never decrease, so larger counts from daemons that are still running take precedence.
 	s.ledger.MergeAll(snapshot.RequestWindows)
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -26,6 +27,7 @@
 	configAge        = describe("config_age_seconds", "Time since the configuration came into force.")
 	serversListed    = describe("servers", "Backend servers as this daemon believes.", "service", "state")
 	serversWithLimit = describe("servers_with_limit", "Backend servers whose answers name a limit.", "service")
+	serverSpeed      = describe("server_speed", "Smallest, mean and largest assumed speed of the servers of a service, relative to the service; 1 where servers are alike.", "service", "of", "statistic")
 	serversAge       = describe("servers_age_seconds", "Time since the store was last known to list just the servers that this daemon believes in.")
 	serversRevision  = describe("servers_revision", "Revision of the store up to which the servers are known.")
 	storeFailing     = describe("store_failing", "1 while the store does not answer this daemon.")
@@ -49,7 +51,7 @@
 
 // Describe implements prometheus.Collector.
 func (sc stateCollector) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, streamSerial, streamBuckets, retriesAllowed, retriesSpent, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
+	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serverSpeed, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, streamSerial, streamBuckets, retriesAllowed, retriesSpent, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
 		descs <- d
 	}
 }
@@ -119,7 +121,7 @@
 // so the number of series is bounded.
 func (sc stateCollector) collectServers(gauge func(d *prometheus.Desc, value float64, labels ...string), now time.Time) {
 	type group struct{ service, state string }
-	counts, limited := map[group]int{}, map[string]int{}
+	counts, limited, speeds := map[group]int{}, map[string]int{}, map[speedOf][]float64{}
 	for _, s := range sc.state.view.Servers(now) {
 		state := "ready"
 		switch {
@@ -129,10 +131,17 @@
 			state = "suspect"
 		}
 		counts[group{s.Service, state}]++
+		if s.Ready {
+			for of, speed := range map[string]float64{"prefill": s.PrefillSpeed, "step": s.StepSpeed} {
+				key := speedOf{s.Service, of}
+				speeds[key] = append(speeds[key], speed)
+			}
+		}
 		if s.Limit.Limited {
 			limited[s.Service]++
 		}
 	}
+	collectSpeeds(gauge, speeds)
 	for service, n := range limited {
 		gauge(serversWithLimit, float64(n), service)
 	}
@@ -141,6 +150,22 @@
 	}
 }
 
+// speedOf is what a speed refers to: a service's reading of prompts or its generation of tokens.
+type speedOf struct{ service, of string }
+
+// collectSpeeds exports the speeds of the ready servers.
+func collectSpeeds(gauge func(d *prometheus.Desc, value float64, labels ...string), speeds map[speedOf][]float64) {
+	for key, values := range speeds {
+		sum := 0.0
+		for _, speed := range values {
+			sum += speed
+		}
+		gauge(serverSpeed, slices.Min(values), key.service, key.of, "min")
+		gauge(serverSpeed, sum/float64(len(values)), key.service, key.of, "mean")
+		gauge(serverSpeed, slices.Max(values), key.service, key.of, "max")
+	}
+}
+
 func boolValue(set bool) float64 {
 	if set {
 		return 1
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -34,6 +34,9 @@
 	// configured is closed when the first configuration is applied.
 	configured chan struct{}
 
+	// isRelay and isLeader hold this daemon's role as of its last report.
+	isRelay, isLeader atomic.Bool
+
 	// aggregator adds up the reports of other daemons.
 	aggregator *rollup.Aggregator
 
