Make the learned speeds robust against slow phases, overloads and idle servers

Change: an estimate counts at most 10 observations per second; a change needs 8 observations over 1.1 s that deviate from the service's common deviation too, replaces the estimate at once, and is undone to the earlier value. Homes follow an average over 30 s.

--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -99,6 +99,10 @@
 	return c.firstEventAt.Sub(c.startedAt), interval
 }
 
+// minFitSamples is the number of observations of a fit from which on the speeds of servers are observed
+// relative to it. With fewer, the error of the fit would be taken for the speed of the first servers.
+const minFitSamples = 100
+
 // learnFirstEvent updates the engine model with the time to the first event, unless queueing made
 // up most of that time. The caller holds the lock.
 func (c *Choice) learnFirstEvent() {
@@ -112,8 +116,8 @@
 	work.PromptTokens += c.queuedTokens
 	predicted, speed := engines.FirstEvent(work), &c.server.speeds.prefill
 	c.server.recordFirstEvent(speed.at(predicted), took, c.firstEventAt)
-	if engines.Calibrated() {
-		speed.observe(predicted, took, c.firstEventAt)
+	if engines.First.Samples >= minFitSamples {
+		speed.observe(predicted, took, c.view.serviceSpeedsOf(c.need.Service).prefill, c.firstEventAt)
 		c.server.speeds.observedAt = c.firstEventAt
 	}
 	engines.ObserveFirst(work, speed.toMean(took))
@@ -129,12 +133,12 @@
 // learnStepSpeed is observeStep. The caller holds the lock.
 func (c *Choice) learnStepSpeed(now time.Time) {
 	engines := c.view.engineFor(c.need.Service)
-	if engines == nil || c.Candidate || c.events <= c.observedEvents || !engines.Step.Calibrated() {
+	if engines == nil || c.Candidate || c.events <= c.observedEvents || engines.Step.Samples < minFitSamples {
 		return
 	}
 	tokens := (c.events - c.observedEvents) * max(1, c.view.traits[c.need.Service].EventTokens)
 	predicted := engines.StepTime(tokens, min(c.Slots, c.server.load(now).Running))
-	c.server.speeds.step.observe(predicted, now.Sub(c.observedAt), now)
+	c.server.speeds.step.observe(predicted, now.Sub(c.observedAt), c.view.serviceSpeedsOf(c.need.Service).step, now)
 	c.server.speeds.observedAt, c.observedEvents, c.observedAt = now, c.events, now
 }
 
@@ -157,7 +161,7 @@
 	}
 	service, speed := c.view.serviceSpeedsOf(c.need.Service), &c.server.speeds.step
 	if service.calls >= minMeanCalls {
-		speed.observe(service.meanServiceTime, took, now)
+		speed.observe(service.meanServiceTime, took, service.step, now)
 		c.server.speeds.observedAt = now
 	}
 	service.recordCall(speed.toMean(took))
--- a/internal/backend/speed.go
+++ b/internal/backend/speed.go
@@ -17,12 +17,15 @@
 	// and homeWeightHysteresis the deviation from which a weight follows the speed. Prompts would
 	// change their homes all the time if weights followed each observation.
 	homeWeightStep       = 0.25
-	homeWeightHysteresis = 0.2
+	homeWeightHysteresis = 0.25
+	// homeWeightPeriod is the time constant of the average that the weights follow. A server that is
+	// slow for seconds is left because of its predicted waits, and keeps its homes.
+	homeWeightPeriod = 30 * time.Second
+	// maxHomeWeight bounds a weight, so that a server that answers falsely gets no more than twice the
+	// prompts of others.
+	maxHomeWeight = 2.0
 	// speedRefreshInterval is the time between two computations of the assumed speeds.
 	speedRefreshInterval = 200 * time.Millisecond
-	// speedCenterPeriod is the time constant with which the mean of a service follows its servers. The
-	// service's fits follow at a similar rate, so predictions hold while servers come and go.
-	speedCenterPeriod = time.Minute
 	// stepObservationInterval is the time between two observations of a stream's step time.
 	stepObservationInterval = 500 * time.Millisecond
 )
@@ -35,6 +38,9 @@
 	// pending are own observations that are to be reported to the relays of the zone. forwarded are
 	// observations of the zone that its leader is to report to the other zones.
 	pending, forwarded pace.SpeedObservations
+	// slow is the moving average of the estimate, once averaged is set.
+	slow     float64
+	averaged bool
 	// log2 is the binary logarithm of the assumed speed, zero within the dead band, and factor the
 	// assumed speed. A factor of zero means one.
 	log2, factor float64
@@ -43,8 +49,10 @@
 // speeds is what is known of the speed of one incarnation of a server.
 type speeds struct {
 	prefill, step speedMeasure
-	// homeLog2 is the binary logarithm of the weight in the choice of homes.
-	homeLog2 float64
+	// smoothLog2 is the moving average of the binary logarithm of the capacity, and homeLog2 that of the
+	// weight in the choice of homes, which follows it. smoothed is set once they have a value.
+	smoothLog2, homeLog2 float64
+	smoothed             bool
 	// observedAt is when the latest observation was made.
 	observedAt time.Time
 	// sent is the last estimate that was sent to the daemons of the zone, at sentAt.
@@ -57,15 +65,20 @@
 type sentSpeed struct{ prefill, step float64 }
 
 // observe records an own observation.
-func (m *speedMeasure) observe(predicted, took time.Duration, now time.Time) {
+func (m *speedMeasure) observe(predicted, took time.Duration, center speedCenter, now time.Time) {
 	var o pace.SpeedObservations
 	o.Add(predicted, took)
-	m.known.Observe(o, now)
+	m.known.Observe(o, center.residual, now)
 	m.pending.Add(predicted, took)
 }
 
-// assume sets the assumed speed from the estimate and the mean of the service.
-func (m *speedMeasure) assume(center float64) {
+// assume sets the assumed speed from the estimate and the mean of the service. known is set if enough
+// speeds of the service are known.
+func (m *speedMeasure) assume(center float64, known bool) {
+	if !known {
+		m.log2, m.factor = 0, 1
+		return
+	}
 	log2, band := m.known.Assumed(center), speedDeadBand
 	if m.log2 != 0 {
 		band = speedDeadBandExit
@@ -103,25 +116,43 @@
 // weight returns the server's weight in the choice of homes.
 func (s *server) weight() float64 { return 1 / s.slowness }
 
-// capacity returns how many mean servers the server replaces: the geometric mean of its speeds.
-func (s *speeds) capacity() float64 { return math.Exp2((s.prefill.log2 + s.step.log2) / 2) }
+// capacityLog2 returns how many mean servers the server replaces, as a binary logarithm: the mean of its
+// speeds. Servers of plain services read no prompts.
+func (s *speeds) capacityLog2() float64 {
+	if s.prefill.known.Samples == 0 {
+		return s.step.log2
+	}
+	return (s.prefill.log2 + s.step.log2) / 2
+}
 
-// followHomeWeight changes the weight if the speed has moved away from it.
-func (s *server) followHomeWeight() {
-	wanted := (s.speeds.prefill.log2 + s.speeds.step.log2) / 2
-	if math.Abs(wanted-s.speeds.homeLog2) < homeWeightHysteresis {
+// followHomeWeight updates the average of the capacity after some time, and changes the weight if the
+// average has moved away from it.
+func (s *server) followHomeWeight(elapsed time.Duration) {
+	wanted := s.speeds.capacityLog2()
+	if !s.speeds.smoothed {
+		s.speeds.smoothLog2, s.speeds.smoothed = wanted, true
+	}
+	s.speeds.smoothLog2 += (wanted - s.speeds.smoothLog2) * followed(elapsed, homeWeightPeriod)
+	if math.Abs(s.speeds.smoothLog2-s.speeds.homeLog2) < homeWeightHysteresis {
 		return
 	}
-	s.speeds.homeLog2 = homeWeightStep * math.Round(wanted/homeWeightStep)
+	s.speeds.homeLog2 = min(math.Log2(maxHomeWeight), homeWeightStep*math.Round(s.speeds.smoothLog2/homeWeightStep))
 	s.slowness = math.Exp2(-s.speeds.homeLog2)
 }
 
+// followed returns the share of a difference that an average has made up for after some time.
+func followed(elapsed, period time.Duration) float64 {
+	return -math.Expm1(-elapsed.Seconds() / period.Seconds())
+}
+
 // serviceSpeeds is what the servers of one service have in common.
 type serviceSpeeds struct {
-	// prefill and step are the means of the estimates. They start at zero and follow slowly. The fits
-	// are learned from times that are converted to the mean server, so that both tend to zero, and
-	// neither the fits nor the speeds drift.
-	prefill, step float64
+	prefill, step speedCenter
+	// known is set once the speeds of minLearnedShare of the ready servers are known, since knownSince,
+	// until those of most are unknown. Otherwise all servers are assumed to be alike: while only
+	// some are in use, their speeds cannot be told from those of the mean server.
+	known      bool
+	knownSince time.Time
 	// differ is set if a server is assumed to differ from the mean.
 	differ bool
 	// topWeight is the largest weight in the choice of homes.
@@ -155,27 +186,26 @@
 	if elapsed < speedRefreshInterval {
 		return
 	}
-	follow := 0.0
-	if !v.speedsRefreshedAt.IsZero() {
-		follow = -math.Expm1(-elapsed.Seconds() / speedCenterPeriod.Seconds())
+	if v.speedsRefreshedAt.IsZero() {
+		elapsed = 0
 	}
 	v.speedsRefreshedAt = now
-	v.moveCenters(follow)
+	v.moveCenters(elapsed, now)
 	for _, service := range v.serviceSpeeds {
 		service.differ, service.topWeight, service.capacity = false, 1, 0
 	}
 	ready := map[*serviceSpeeds]float64{}
 	for _, s := range v.servers {
 		service := v.serviceSpeedsOf(s.Service)
-		s.speeds.prefill.assume(service.prefill)
-		s.speeds.step.assume(service.step)
-		s.followHomeWeight()
+		s.speeds.prefill.assume(service.prefill.log2(), service.known)
+		s.speeds.step.assume(service.step.log2(), service.known)
+		s.followHomeWeight(elapsed)
 		if !s.ready() {
 			continue
 		}
 		service.differ = service.differ || s.speeds.prefill.log2 != 0 || s.speeds.step.log2 != 0
 		service.topWeight = max(service.topWeight, s.weight())
-		service.capacity += s.speeds.capacity()
+		service.capacity += math.Exp2(s.speeds.capacityLog2())
 		ready[service]++
 	}
 	for service, count := range ready {
@@ -183,35 +213,6 @@
 	}
 }
 
-// moveCenters moves the means of the services towards those of their ready servers by the given share
-// of the difference. The caller holds the lock.
-func (v *View) moveCenters(share float64) {
-	type sum struct{ prefill, prefills, step, steps float64 }
-	sums := map[string]sum{}
-	for _, s := range v.servers {
-		if !s.ready() {
-			continue
-		}
-		total := sums[s.Service]
-		if s.speeds.prefill.known.Learned() {
-			total.prefill, total.prefills = total.prefill+s.speeds.prefill.known.Log2, total.prefills+1
-		}
-		if s.speeds.step.known.Learned() {
-			total.step, total.steps = total.step+s.speeds.step.known.Log2, total.steps+1
-		}
-		sums[s.Service] = total
-	}
-	for name, total := range sums {
-		service := v.serviceSpeedsOf(name)
-		if total.prefills > 0 {
-			service.prefill += share * (total.prefill/total.prefills - service.prefill)
-		}
-		if total.steps > 0 {
-			service.step += share * (total.step/total.steps - service.step)
-		}
-	}
-}
-
 // serviceSpeedsOf returns the state of a service. The caller holds the lock.
 func (v *View) serviceSpeedsOf(service string) *serviceSpeeds {
 	known := v.serviceSpeeds[service]
--- a/internal/backend/speedreports.go
+++ b/internal/backend/speedreports.go
@@ -38,7 +38,7 @@
 	speedChange = 0.1
 	// speedResendInterval is the time after which an unchanged estimate is sent again, for daemons that
 	// have started or have missed it.
-	speedResendInterval = 10 * time.Second
+	speedResendInterval = 4 * time.Second
 	// unfinishedDeviation is the deviation of observations from the estimate, as a binary logarithm,
 	// that is reported before others.
 	unfinishedDeviation = 0.6
@@ -113,7 +113,7 @@
 		service := v.serviceSpeedsOf(s.Service)
 		records = append(records, SpeedRecord{
 			Server: s.key, ObservedAt: s.speeds.observedAt, Merged: true,
-			Prefill: pace.SpeedObservations{Log2: p.Log2 - service.prefill, Count: p.Samples}, Step: pace.SpeedObservations{Log2: t.Log2 - service.step, Count: t.Samples},
+			Prefill: pace.SpeedObservations{Log2: p.Log2 - service.prefill.mean, Count: p.Samples}, Step: pace.SpeedObservations{Log2: t.Log2 - service.step.mean, Count: t.Samples},
 		})
 		s.speeds.sent, s.speeds.sentAt = sentSpeed{prefill: p.Log2, step: t.Log2}, now
 	}
@@ -169,8 +169,9 @@
 			continue
 		}
 		prefill, step := s.speeds.prefill.known.Log2, s.speeds.step.known.Log2
-		prefillChanged := s.speeds.prefill.known.Observe(r.Prefill, r.ObservedAt)
-		stepChanged := s.speeds.step.known.Observe(r.Step, r.ObservedAt)
+		service := v.serviceSpeedsOf(s.Service)
+		prefillChanged := s.speeds.prefill.known.Observe(r.Prefill, service.prefill.residual, r.ObservedAt)
+		stepChanged := s.speeds.step.known.Observe(r.Step, service.step.residual, r.ObservedAt)
 		s.speeds.observedAt = later(s.speeds.observedAt, r.ObservedAt)
 		if forward {
 			s.speeds.forward(r)
@@ -244,8 +245,7 @@
 	// speedUnit is the resolution of a recorded speed. With it, MaxLogSpeed is the largest int8.
 	speedUnit = 127 / pace.MaxLogSpeed
 	// recordedSamples is the number of observations that a recorded speed is assumed to be based on.
-	// Fewer observations than that replace it if it no longer holds.
-	recordedSamples = 32
+	recordedSamples = 100
 )
 
 // RecordSpeeds returns the learned speeds of all servers for the lease's record, by server key.
@@ -261,7 +261,7 @@
 		service := v.serviceSpeedsOf(s.Service)
 		recorded = append(recorded, RecordedSpeed{
 			Server:  s.key,
-			Prefill: int8(math.Round(speedUnit * p.Assumed(service.prefill))), Step: int8(math.Round(speedUnit * t.Assumed(service.step))),
+			Prefill: int8(math.Round(speedUnit * p.Assumed(service.prefill.log2()))), Step: int8(math.Round(speedUnit * t.Assumed(service.step.log2()))),
 		})
 	}
 	slices.SortFunc(recorded, func(a, b RecordedSpeed) int { return cmp.Compare(a.Server, b.Server) })
--- a/internal/pace/relativespeed.go
+++ b/internal/pace/relativespeed.go
@@ -9,14 +9,15 @@
 	// MaxLogSpeed bounds a relative speed, as a binary logarithm: a factor of four. It limits the
 	// effect of a server that answers falsely.
 	MaxLogSpeed = 2.0
-	// speedMemorySamples and speedMemoryTime are the number of observations and the time, whichever is
-	// longer, after which an observation has lost most of its weight (1 - 1/e). They cover several of
-	// the slow phases of some hundred ms that servers have.
+	// speedMemorySamples is the number of observations after which one has lost most of its weight
+	// (1 - 1/e), and maxSampleRate the number of observations per second that count as such: more of
+	// them in a second count as their mean. Together they average over at least 20 s, which covers
+	// several of the slow phases of some hundred ms that servers have.
 	speedMemorySamples = 200.0
-	speedMemoryTime    = 20 * time.Second
+	maxSampleRate      = 10.0
 	// maxReportWeight bounds the weight of the observations of one daemon in a report, so that a daemon
 	// that reports false speeds has no more weight than the others.
-	maxReportWeight = 8.0
+	maxReportWeight = 4.0
 	// maxReporters bounds the number of daemons that one report is assumed to represent.
 	maxReporters = 8
 	// speedClip bounds the deviation of an observation from the estimate, as a binary logarithm.
@@ -27,12 +28,16 @@
 	// changeDuration is how long observations must deviate to the same side until the speed counts
 	// as changed. Slow phases of some hundred ms are shorter. A server that turns slow must be left
 	// within 2 s, of which the reports take up to 0.8 s.
-	changeDuration = 900 * time.Millisecond
-	// minChangeSamples is the number of deviating observations that a change requires.
-	minChangeSamples = 4.0
-	// changedSamples is the weight of an estimate after a change, so that a few observations
-	// replace it.
-	changedSamples = 4.0
+	changeDuration = 1100 * time.Millisecond
+	// minChangeSamples is the number of deviating observations that a change requires. Noise alone
+	// makes 4 successive ones once per minute at some of 88 daemons.
+	minChangeSamples = 8.0
+	// changeThreshold is the average deviation, as a binary logarithm, that a change requires: a factor
+	// of 1.74. Smaller changes are learned gradually. With 0.6, an overload that builds up within 5 s
+	// was taken for changes of 0.13 of the servers.
+	changeThreshold = 0.8
+	// residualSamples is the number of observations over which the residual is averaged.
+	residualSamples = 8.0
 )
 
 // RelativeSpeed is the estimated speed of one server compared with the mean server of its service. It
@@ -41,11 +46,17 @@
 	// Log2 is the binary logarithm of the speed, and Samples the number of observations that it is
 	// based on.
 	Log2, Samples float64
-	// observedAt is the time of the latest observation.
-	observedAt time.Time
-	// deviating is the number of successive observations that deviate to the same side, since
-	// deviatingSince. It is negative if they are slower.
-	deviating      float64
+	// recent are the observations since appliedAt that are not in the estimate yet.
+	recent    SpeedObservations
+	appliedAt time.Time
+	// before is the estimate before the latest change, which is restored if the change is undone. It
+	// is valid if changes is set.
+	before  float64
+	changes bool
+	// residual is the moving average of the deviation of observations from the estimate.
+	residual float64
+	// deviating are the successive observations that deviate to the same side, since deviatingSince.
+	deviating      SpeedObservations
 	deviatingSince time.Time
 }
 
@@ -91,81 +102,95 @@
 	return o.Count > 0 && !math.IsInf(o.Count, 0) && !math.IsNaN(o.Log2)
 }
 
-// Observe updates the estimate with observations of which the latest was made at the given time. It
-// reports whether the speed counts as changed by them.
-func (s *RelativeSpeed) Observe(o SpeedObservations, at time.Time) (changed bool) {
+// Observe updates the estimate with observations of which the latest was made at the given time. common is
+// the deviation that the observations of all servers of the service presently have, which indicates no
+// change of this server. Observe reports whether the speed counts as changed.
+func (s *RelativeSpeed) Observe(o SpeedObservations, common float64, at time.Time) (changed bool) {
 	if !o.Valid() {
 		return false
 	}
-	count := min(o.Count, maxReportWeight*float64(max(1, min(maxReporters, o.Reporters))))
-	deviation := clampLogSpeed(o.Log2) - s.Log2
-	s.trackDeviation(deviation, count, at)
-	if s.hasChanged(at) {
-		changed = s.Samples > changedSamples
-		s.Samples = min(s.Samples, changedSamples)
+	o.Count = min(o.Count, maxReportWeight*float64(max(1, min(maxReporters, o.Reporters))))
+	o.Log2 = clampLogSpeed(o.Log2)
+	s.residual += min(1, o.Count/residualSamples) * (o.Log2 - s.Log2 - s.residual)
+	s.trackDeviation(o, common, at)
+	if s.hasChanged(common, at) {
+		s.change(common)
+		return true
 	}
-	s.forget(at)
-	s.Samples += count
-	s.Log2 = clampLogSpeed(s.Log2 + count/s.Samples*max(-speedClip, min(speedClip, deviation)))
-	return changed
+	o.Log2 = s.Log2 + max(-speedClip, min(speedClip, o.Log2-s.Log2))
+	s.recent = s.recent.Merge(o)
+	s.applyRecent(at)
+	return false
 }
 
-// Adopt replaces the estimate by one that is based on more daemons' observations.
-func (s *RelativeSpeed) Adopt(estimate SpeedObservations) {
-	if estimate.Valid() {
-		s.Log2, s.Samples = clampLogSpeed(estimate.Log2), estimate.Count
+// change replaces the estimate by the deviating observations without the common deviation. If they are back at the estimate before the
+// latest change, that one is more accurate. The number of samples stays: it is known that the server
+// differs, and if the new speed does not last either, the observations will deviate again.
+func (s *RelativeSpeed) change(common float64) {
+	changed := clampLogSpeed(s.deviating.Log2 - common)
+	if s.changes && math.Abs(changed-s.before) < deviationThreshold {
+		changed = s.before
 	}
+	s.before, s.changes, s.Log2 = s.Log2, true, changed
+	s.deviating, s.recent, s.residual = SpeedObservations{}, SpeedObservations{}, 0
 }
 
-// forget reduces the weight of earlier observations beyond speedMemorySamples.
-func (s *RelativeSpeed) forget(at time.Time) {
-	elapsed := at.Sub(s.observedAt)
-	if s.observedAt.IsZero() || elapsed < 0 {
-		elapsed = 0
+// applyRecent updates the estimate with the recent observations, at most maxSampleRate times a second.
+func (s *RelativeSpeed) applyRecent(at time.Time) {
+	weight := 1.0
+	if !s.appliedAt.IsZero() {
+		weight = min(s.recent.Count, maxSampleRate*at.Sub(s.appliedAt).Seconds())
 	}
-	if at.After(s.observedAt) {
-		s.observedAt = at
+	if weight < 1 {
+		return
 	}
-	switch excess := s.Samples - speedMemorySamples; {
-	case excess <= 0:
-	case elapsed > speedMemoryTime:
-		s.Samples = speedMemorySamples
-	default:
-		s.Samples -= excess * -math.Expm1(-elapsed.Seconds()/speedMemoryTime.Seconds())
+	s.Samples = min(speedMemorySamples, s.Samples+weight)
+	s.Log2 = clampLogSpeed(s.Log2 + min(1, weight/s.Samples)*(s.recent.Log2-s.Log2))
+	s.recent, s.appliedAt = SpeedObservations{}, at
+}
+
+// Adopt replaces the estimate by one that is based on more daemons' observations.
+func (s *RelativeSpeed) Adopt(estimate SpeedObservations) {
+	if estimate.Valid() {
+		s.Log2, s.Samples = clampLogSpeed(estimate.Log2), min(speedMemorySamples, estimate.Count)
 	}
 }
 
-// trackDeviation counts successive observations that deviate to the same side. An observation that
-// does not takes off twice its weight.
-func (s *RelativeSpeed) trackDeviation(deviation, count float64, at time.Time) {
+// trackDeviation gathers successive observations that deviate to the same side. An observation that does
+// not takes off several times its number, so that successive slow phases do not count as one.
+func (s *RelativeSpeed) trackDeviation(o SpeedObservations, common float64, at time.Time) {
+	expected := s.Log2 + common
+	deviation := o.Log2 - expected
 	if math.Abs(deviation) < deviationThreshold {
-		if s.deviating > 0 {
-			s.deviating = max(0, s.deviating-2*count)
-		} else {
-			s.deviating = min(0, s.deviating+2*count)
-		}
+		s.deviating.Count = max(0, s.deviating.Count-4*o.Count)
 		return
 	}
-	if s.deviating*deviation <= 0 {
-		s.deviating, s.deviatingSince = 0, at
+	if s.deviating.Count == 0 || deviation*(s.deviating.Log2-expected) < 0 {
+		s.deviating, s.deviatingSince = SpeedObservations{}, at
 	}
-	s.deviating += math.Copysign(count, deviation)
+	s.deviating = s.deviating.Merge(o)
 }
 
-func (s *RelativeSpeed) hasChanged(at time.Time) bool {
-	return math.Abs(s.deviating) >= minChangeSamples && at.Sub(s.deviatingSince) >= changeDuration
+// hasChanged reports whether the observations have deviated for so long that the speed counts as
+// changed. Its average deviation is compared with that of all servers too, which lags by as much.
+func (s *RelativeSpeed) hasChanged(common float64, at time.Time) bool {
+	return s.Learned() && math.Abs(s.residual-common) >= changeThreshold && s.deviating.Count >= minChangeSamples && at.Sub(s.deviatingSince) >= changeDuration
 }
 
 // confidentSamples is the number of observations at which an estimate counts half, so that a speed is
-// assumed gradually as it is learned.
-const confidentSamples = 8.0
+// assumed gradually as it is learned. With fewer, a single slow phase would count as a lasting speed.
+const confidentSamples = 30.0
 
 // Assumed returns the binary logarithm of the speed relative to the given mean of the service,
 // reduced while there are few observations.
 func (s *RelativeSpeed) Assumed(center float64) float64 {
-	return clampLogSpeed((s.Log2 - center) * s.Samples / (s.Samples + confidentSamples))
+	confidence := s.Samples * s.Samples / (s.Samples*s.Samples + confidentSamples*confidentSamples)
+	return clampLogSpeed(confidence * (s.Log2 - center))
 }
 
+// Residual returns the recent deviation of observations from the estimate.
+func (s *RelativeSpeed) Residual() float64 { return s.residual }
+
 // Learned reports whether there are enough observations to count the estimate in the mean.
 func (s *RelativeSpeed) Learned() bool { return s.Samples >= confidentSamples }
 
--- a/internal/router/serverspeeds.go
+++ b/internal/router/serverspeeds.go
@@ -36,7 +36,7 @@
 	sameZone, isRelay := status.GetZone() == s.router.settings.VM.Zone, s.isRelay.Load()
 	if isRelay {
 		for _, c := range s.view.AddObservedSpeeds(observed, sameZone && s.isLeader.Load()) {
-			s.router.logger.Info("server's speed changed", "server", c.ID, "service", c.Service, "zone", c.Zone,
+			s.router.logger.Debug("server's speed changed", "server", c.ID, "service", c.Service, "zone", c.Zone,
 				"prefill_before", c.PrefillBefore, "step_before", c.StepBefore, "prefill_observed", c.Prefill, "step_observed", c.Step, "from", status.GetVm())
 		}
 	}
