--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -131,6 +131,9 @@
 		CauseRequestSize: {
 			Outcome: "refused", Status: 503, Reason: "predicted wait is too long", Attempts: []Attempt{{Result: "not-tried", PredictedMS: 900, IdleWaitMS: 700}},
 		},
+		CauseAnswerTooLong: {
+			Outcome: "refused", Status: 503, Reason: "no server can end the answer in time", Attempts: []Attempt{{Result: "not-tried", PredictedMS: 900, IdleWaitMS: 700}},
+		},
 		CauseTimeout:        {Outcome: "failed", Status: 504, Reason: "timeout"},
 		CauseDeclined:       {Outcome: "refused", Status: 503, Reason: "route allows no further attempt", Attempts: []Attempt{{Result: "declined"}}},
 		CauseServerError:    {Outcome: "failed", Status: 502, Reason: "retry budget is spent", Attempts: []Attempt{{Result: "status-500"}}},
