--- a/internal/backend/cache.go
+++ b/internal/backend/cache.go
@@ -1,11 +1,6 @@
 package backend
 
 import (
-	"cmp"
-	"encoding/binary"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
@@ -86,25 +81,3 @@
 	}
 	return tokens
 }
-
-// homeServer returns the server on which the prompts of a key are preferably cached. It uses
-// rendezvous hashing over the given servers: all daemons agree without communication, and a
-// server that joins or leaves moves only its own keys.
-func homeServer(key string, servers []*server) *server {
-	if key == "" || len(servers) == 0 {
-		return nil
-	}
-	keyHash := xxhash.Sum64String(key)
-	return slices.MaxFunc(servers, func(a, b *server) int {
-		return cmp.Compare(a.rendezvousWeight(keyHash), b.rendezvousWeight(keyHash))
-	})
-}
-
-// rendezvousWeight returns the server's weight as home of a key. The server with the highest weight
-// is the home.
-func (s *server) rendezvousWeight(keyHash uint64) uint64 {
-	var input [16]byte
-	binary.LittleEndian.PutUint64(input[:8], keyHash)
-	binary.LittleEndian.PutUint64(input[8:], s.idHash)
-	return xxhash.Sum64(input[:])
-}
--- a/internal/backend/moves.go
+++ b/internal/backend/moves.go
@@ -69,16 +69,17 @@
 	return c.server.goneAt
 }
 
-// StreamTime returns the predicted duration of a whole answer on the server after its first event, and
+// PredictAnswer returns the predicted duration of a whole answer on the server after its first event, and
 // the predicted number of its tokens. Both are zero for plain services.
-func (c *Choice) StreamTime(answer pace.AnswerSize, now time.Time) (time.Duration, float64) {
+func (c *Choice) PredictAnswer(answer pace.AnswerSize, now time.Time) (time.Duration, float64) {
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
 	engines := c.view.engineFor(c.need.Service)
 	if engines == nil {
 		return 0, 0
 	}
-	return engines.StreamTime(answer, min(c.Slots, c.server.load(now).Running)), engines.OutputTokens(answer)
+	duration := engines.StreamTime(answer, min(c.Slots, c.server.load(now).Running))
+	return c.server.speeds.step.at(duration), engines.OutputTokens(answer)
 }
 
 // ReadTime returns the predicted time to read a prompt of which a number of tokens is not cached.
@@ -89,7 +90,7 @@
 	if engines == nil {
 		return 0
 	}
-	return engines.FirstEvent(pace.Work{PromptTokens: promptTokens, PrefillTokens: unread})
+	return c.server.speeds.prefill.at(engines.FirstEvent(pace.Work{PromptTokens: promptTokens, PrefillTokens: unread}))
 }
 
 // MoveTargets returns the servers of some services to which running streams may be moved. memory is the
@@ -106,7 +107,7 @@
 		running := s.load(now).Running
 		targets = append(targets, evacuation.Server{
 			ID: s.ID, Service: s.Service, Version: s.Version, Zone: s.Zone, Slots: s.Slots, Running: running,
-			FreeTokens: v.traits[s.Service].CacheTokens - running*tokens,
+			FreeTokens: v.traits[s.Service].CacheTokens - running*tokens, Speed: s.speeds.step.speed(),
 		})
 	}
 	return targets
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -39,6 +39,13 @@
 	Version string
 	// ServerID restricts the choice to one server, unless it is empty.
 	ServerID string
+	// Remaining is how much longer the caller waits for the whole answer, or zero without a limit.
+	Remaining time.Duration
+
+	// topWeight is the largest weight of the service's servers in the choice of homes.
+	topWeight float64
+	// ranks are the ranks of the eligible servers as homes.
+	ranks []homeRank
 }
 
 // Begin picks a server for an attempt and adds the attempt to its load. It returns false if the
@@ -46,6 +53,8 @@
 func (v *View) Begin(need Need, now time.Time) (*Choice, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.refreshSpeeds(now)
+	need.topWeight = v.serviceSpeedsOf(need.Service).topWeight
 	choice, ok := v.begin(need, now)
 	if !ok && need.Candidate {
 		// An attempt for the candidate falls back to the stable version instead of waiting.
@@ -60,7 +69,10 @@
 // caller holds the lock.
 func (v *View) begin(need Need, now time.Time) (*Choice, bool) {
 	eligible, candidate := v.trackServers(need, now)
-	shortlisted := shortlist(eligible, need)
+	if len(eligible) > maxFullScan {
+		need.ranks = v.ranks(need.track(candidate), eligible)
+	}
+	shortlisted := v.withFastServers(shortlist(eligible, need), eligible, need, now)
 	if choice, ok := v.beginAmong(shortlisted, candidate, need, now); ok {
 		return choice, true
 	}
@@ -83,6 +95,7 @@
 	engines := v.engineFor(need.Service)
 	routeServers := v.routeServers(servers, need, prompt, traits, engines, now)
 	routing := route.Need{Zone: need.Zone, Target: need.Target, Tried: need.Tried, AnyZone: traits.CacheTokens > 0}
+	v.avoidLateEnds(routeServers, need, routing, now)
 	picked, admitted, ok := v.admit(routeServers, routing, now)
 	if !ok {
 		return nil, false
@@ -92,11 +105,14 @@
 	load, class := s.load(now), queueClass(need, traits)
 	choice := &Choice{
 		Entry: s.Entry, Wait: picked.Wait, IdleWait: picked.Server.IdleWait, PrefillTokens: work.PrefillTokens, FetchFrom: prompt.fetchSource(s), Running: picked.Server.Running,
+		PrefillSpeed: s.speeds.prefill.speed(), StepSpeed: s.speeds.step.speed(),
 		Candidate: candidate, view: v, server: s, need: need, work: work, class: loadClass(need, traits), queuedTokens: v.queuedTokens(need.Service, load, class), yieldingTokens: load.Pending.behind(class), prefillPending: true, startedAt: now, admittedAt: admitted,
 	}
 	if engines != nil {
 		choice.Calibrated = engines.Calibrated()
 		choice.LongPrefill = isLongPrefill(engines.PrefillTime(work), need.Target)
+		choice.StreamTime = s.streamTime(need.Answer, engines, now)
+		choice.EndsLate = v.endsLate(choice.Wait+choice.StreamTime, need)
 		choice.Load = attemptLoad(work, need.Answer, traits, s.Slots, engines)
 	}
 	choice.register()
@@ -129,7 +145,7 @@
 		return
 	}
 	queued := v.queuedTokens(need.Service, load, class)
-	rs.Queue = time.Duration(s.slowdownFactor(now) * float64(engines.QueueTime(queued)) / (1 - v.urgentUse(need.Service, class)))
+	rs.Queue = time.Duration(s.slowdownFactor(now) * float64(s.speeds.prefill.at(engines.QueueTime(queued))) / (1 - v.urgentUse(need.Service, class)))
 	rs.Yielding = load.Started.behind(class)
 }
 
@@ -137,15 +153,16 @@
 func (v *View) routeServers(servers []*server, need Need, prompt placement, traits Traits, engines *pace.Engine, now time.Time) []route.Server {
 	class := queueClass(need, traits)
 	routeServers := make([]route.Server, 0, len(servers))
+	meanServiceTime := v.serviceSpeedsOf(need.Service).meanServiceTime
 	for _, s := range servers {
 		if need.ServerID != "" && s.ID != need.ServerID {
 			continue
 		}
 		load := s.load(now)
-		rs := s.routeServer(s.work(prompt, traits, need), load, engines, now)
+		rs := s.routeServer(s.work(prompt, traits, need), load, engines, meanServiceTime, now)
 		v.setQueue(&rs, s, need, load, class, engines, now)
 		if need.Deferred && engines != nil {
-			rs.Queue += engines.QueueTime(s.deferredTokens)
+			rs.Queue += s.speeds.prefill.at(engines.QueueTime(s.deferredTokens))
 		}
 		rs.CrossZoneLatency = v.crossZoneLatency(s.Zone, need.Zone)
 		rs.Leaving = s.backingOff(now)
@@ -206,7 +223,9 @@
 	return work
 }
 
-func (s *server) routeServer(work pace.Work, load Load, engines *pace.Engine, now time.Time) route.Server {
+// routeServer returns the server as package route rates it. meanServiceTime is the mean time of a call
+// at a plain service.
+func (s *server) routeServer(work pace.Work, load Load, engines *pace.Engine, meanServiceTime time.Duration, now time.Time) route.Server {
 	rs := route.Server{
 		ID: s.ID, Zone: s.Zone, Address: s.Address,
 		Suspect:     s.suspect(now),
@@ -215,8 +234,11 @@
 		ServiceTime: s.serviceTime,
 		ExcessDelay: s.WarmupLeft,
 	}
+	if s.speeds.step.log2 != 0 && engines == nil {
+		rs.ServiceTime = s.speeds.step.at(meanServiceTime)
+	}
 	if engines != nil {
-		rs.IdleWait = time.Duration(s.slowdownFactor(now) * float64(engines.FirstEvent(work)))
+		rs.IdleWait = time.Duration(s.slowdownFactor(now) * float64(s.speeds.prefill.at(engines.FirstEvent(work))))
 	}
 	return rs
 }
--- a/internal/duty/scaler.go
+++ b/internal/duty/scaler.go
@@ -72,6 +72,8 @@
 		s.planners[service] = planner
 	}
 	reading := s.Demand(service)
+	// The demand is in mean servers. Which kind an order brings is unknown, so the present mix counts.
+	reading.Load = reading.Load.Scaled(1 / s.View.MeanCapacity(service, now))
 	state := capacity.State{Scaling: scaling, Zones: s.zones(service, scaling, now), Load: reading.Load, DemandIncomplete: reading.Incomplete}
 	for _, order := range planner.Orders(state, now) {
 		s.order(ctx, service, planner, order, reading)
@@ -126,7 +128,7 @@
 	planner.RecordReply(order, replyOf(err), time.Now())
 	s.Logger.Info("servers ordered", "service", service, "zone", order.Zone, "reclaimable", order.Reclaimable,
 		"count", order.Count, "present", order.Present, "reading", reading.Load.Prefill, "places", reading.Load.Batch, "memory", reading.Load.Memory, "demand_complete", !reading.Incomplete,
-		"fence", token.Fence, "error", errorText(err))
+		"mean_capacity", s.View.MeanCapacity(service, time.Now()), "fence", token.Fence, "error", errorText(err))
 }
 
 func replyOf(err error) capacity.Reply {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -30,6 +30,7 @@
 	CauseLevel           Cause = "the service had too little capacity for requests of this rank and workspace"
 	CauseOverload        Cause = "the servers were too busy to answer in time"
 	CauseRequestSize     Cause = "the request was predicted to be late because of its own size"
+	CauseAnswerTooLong   Cause = "no server was fast enough to end the answer within the caller's time"
 	CauseUnreachable     Cause = "no backend server could be reached"
 	CauseDeclined        Cause = "the servers declined for lack of capacity or were gone"
 	CauseServerError     Cause = "a server answered with an error"
@@ -110,6 +111,8 @@
 		return CauseLevel
 	case "predicted wait is too long":
 		return overloadOrSize(l.Attempts)
+	case "no server can end the answer in time":
+		return CauseAnswerTooLong
 	case "no backend server could be reached":
 		return CauseUnreachable
 	case "timeout":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -135,6 +135,9 @@
 		CauseRequestSize: {
 			Outcome: "refused", Status: 503, Reason: "predicted wait is too long", Attempts: []Attempt{{Result: "not-tried", PredictedMS: 900, IdleWaitMS: 700}},
 		},
+		CauseAnswerTooLong: {
+			Outcome: "refused", Status: 503, Reason: "no server can end the answer in time", Attempts: []Attempt{{Result: "not-tried", PredictedMS: 900, IdleWaitMS: 700}},
+		},
 		CauseTimeout:        {Outcome: "failed", Status: 504, Reason: "timeout"},
 		CauseDeclined:       {Outcome: "refused", Status: 503, Reason: "route allows no further attempt", Attempts: []Attempt{{Result: "declined"}}},
 		CauseNotMoved:       {Outcome: "cut", Status: 200, Reason: "answer was cut off", NotMoved: "no target with room", Attempts: []Attempt{{Result: "broken-stream"}}},
--- a/internal/forward/evacuate.go
+++ b/internal/forward/evacuate.go
@@ -187,7 +187,7 @@
 	gone := m.source.GoneAt()
 	call := m.run.call
 	answer := pace.AnswerSize{MaxTokens: call.Prompt.MaxOutput, HintedTokens: call.Prompt.LikelyOutput}
-	whole, tokens := m.source.StreamTime(answer, now)
+	whole, tokens := m.source.PredictAnswer(answer, now)
 	engine := call.Catalog.Services[call.Service].Engine
 	readTime := m.source.ReadTime(call.Prompt.Tokens, call.Prompt.unshared())
 	m.mu.Lock()
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -64,6 +64,8 @@
 	// time at which it was known, in milliseconds since 1970.
 	Demand          map[string]demand.Load `json:"demand,omitempty"`
 	DemandWrittenMs int64                  `json:"demand_ms,omitempty"`
+	// ServerSpeeds holds the learned speeds of the servers, packed in 6 bytes each.
+	ServerSpeeds []byte `json:"speeds,omitempty"`
 	// FirstTryLimits holds the time limits of first tries, by route.
 	FirstTryLimits map[string]time.Duration `json:"limits,omitempty"`
 	// RequestWindows holds the requests that started in the latest windows, over all
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -17,7 +17,7 @@
 	reach, _ := s.reach(now)
 	snapshot := lease.Snapshot{
 		Daemons: reach.Known, WrittenAtMs: current.WrittenAtMs, RecentUses: current.RecentUses, DemandRates: current.DemandRates, Warmup: current.Warmup,
-		EngineEstimates: s.view.EngineEstimates(), FirstTryLimits: s.firstTryLimits.Usual(), RequestWindows: s.ledger.All(reportedWindows),
+		EngineEstimates: s.view.EngineEstimates(), ServerSpeeds: packSpeeds(s.view.RecordSpeeds()), FirstTryLimits: s.firstTryLimits.Usual(), RequestWindows: s.ledger.All(reportedWindows),
 		Demand: s.demandHistory.Complete(), DemandWrittenMs: now.UnixMilli(),
 	}
 	if uses, known := s.limiter.usage(); known {
@@ -37,6 +37,7 @@
 func (s *state) restoreSnapshot(snapshot lease.Snapshot, listed int, now time.Time) bool {
 	daemons := max(listed, snapshot.Daemons)
 	s.view.MergeEngineEstimates(snapshot.EngineEstimates)
+	s.view.RestoreSpeeds(unpackSpeeds(snapshot.ServerSpeeds))
 	s.firstTryLimits.Restore(snapshot.FirstTryLimits)
 	// Counts never decrease, so larger counts from daemons that are still running take precedence.
 	s.ledger.MergeAll(snapshot.RequestWindows)
@@ -77,7 +78,8 @@
 		s.router.logger.Info("learned engine figures", "service", service,
 			"first_seconds", figures.First.Coefficients, "first_seen", figures.First.Samples,
 			"step_seconds", figures.Step.Coefficients, "step_seen", figures.Step.Samples, "made", figures.OutputRatio.Coefficients, "hinted", figures.HintRatio.Coefficients,
-			"reading", reading.Load.Prefill, "places", reading.Load.Batch, "memory", reading.Load.Memory, "demand_complete", !reading.Incomplete)
+			"reading", reading.Load.Prefill, "places", reading.Load.Batch, "memory", reading.Load.Memory, "demand_complete", !reading.Incomplete,
+			"mean_capacity", s.view.MeanCapacity(service, time.Now()))
 	}
 }
 
