Do not count a server's slowness twice

Cause: a server that turns slow raises a daemon's own slowdown first and lowers its lasting speed within 2 s; both counted until the slowdown had decayed.

Change: what the assumed speed falls by is removed from the slowdown.

--- a/internal/backend/slowdown.go
+++ b/internal/backend/slowdown.go
@@ -40,3 +40,12 @@
 	mean := s.decayedLogSlowdown(now)
 	s.logSlowdown, s.logSlowdownAt = mean+slowdownWeight*(logRatio-mean), now
 }
+
+// coverSlowdown removes from the slowdown what the assumed speed covers, after it has fallen by the given binary
+// logarithm. Otherwise both would count until the slowdown has decayed.
+func (s *server) coverSlowdown(fallen float64, now time.Time) {
+	if fallen <= 0 || s.logSlowdown <= 0 {
+		return
+	}
+	s.logSlowdown, s.logSlowdownAt = max(0, s.decayedLogSlowdown(now)-fallen*math.Ln2), now
+}
--- a/internal/backend/speed.go
+++ b/internal/backend/speed.go
@@ -206,7 +206,9 @@
 	ready := map[*serviceSpeeds]float64{}
 	for _, s := range v.servers {
 		service := v.serviceSpeedsOf(s.Service)
+		before := s.speeds.prefill.log2
 		s.speeds.prefill.assume(service.prefill.log2(), service.known)
+		s.coverSlowdown(before-s.speeds.prefill.log2, now)
 		s.speeds.step.assume(service.step.log2(), service.known)
 		if s.followHomeWeight(elapsed) {
 			v.weightsVersion++
