--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -46,8 +46,8 @@
 	Retry bool
 	// Draw is uniform in [0, 1) and independent of other draws.
 	Draw float64
-	// Patience is the longest time after which the caller would try again.
-	Patience time.Duration
+	// MaxRetryWait is the longest time after which the caller would try again.
+	MaxRetryWait time.Duration
 }
 
 // Verdict is the decision on a request, with what it is based on.
--- a/internal/admission/level_test.go
+++ b/internal/admission/level_test.go
@@ -154,7 +154,7 @@
 	c := qt.New(t)
 	controller := newController()
 	now := run(controller, overload(3), epoch, 5*time.Second)
-	refused := Request{Class: 2, Workspace: "a", Draw: 0.9, Patience: time.Minute}
+	refused := Request{Class: 2, Workspace: "a", Draw: 0.9, MaxRetryWait: time.Minute}
 	during, _ := controller.Decide("s", refused)
 	c.Check(during.Admitted, qt.IsFalse)
 	c.Check(during.RetryAfter, qt.Equals, time.Duration(0), qt.Commentf("no time is known"))
@@ -168,7 +168,7 @@
 	other, _ := controller.Decide("s", later)
 	c.Check(other.RetryAfter > told.RetryAfter, qt.IsTrue, qt.Commentf("callers are spread"))
 	impatient := refused
-	impatient.Patience = told.RetryAfter - time.Millisecond
+	impatient.MaxRetryWait = told.RetryAfter - time.Millisecond
 	in, _ := controller.Decide("s", impatient)
 	c.Check(in.RetryAfter, qt.Equals, time.Duration(0))
 	state := overload(0.7)
@@ -255,7 +255,7 @@
 	controller := newController()
 	run(controller, overload(2), epoch, 5*time.Second)
 	for b.Loop() {
-		controller.Decide("s", Request{Class: 2, Workspace: "a", Draw: 0.9, Patience: time.Second})
+		controller.Decide("s", Request{Class: 2, Workspace: "a", Draw: 0.9, MaxRetryWait: time.Second})
 	}
 }
 
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -27,7 +27,7 @@
 	wait := max(minRetryAfter, time.Duration((toldShare-share)/riseRate*float64(time.Second)))
 	// The draws of refused callers lie between share and one.
 	wait += time.Duration((r.Draw - share) / (1 - share) * float64(retrySpread))
-	if wait > r.Patience {
+	if wait > r.MaxRetryWait {
 		return 0
 	}
 	return wait
--- a/internal/admission/world_test.go
+++ b/internal/admission/world_test.go
@@ -228,7 +228,7 @@
 		d.meter.RecordRequest("s", origin, demand.Load{Prefill: work, Batch: work / 4, Memory: work / 3}, w.clock())
 	}
 	if !w.uncontrolled && !d.old {
-		request := Request{Class: origin.Class, Workspace: origin.Workspace, Retry: c.retried && !w.unrecognized, Draw: w.random.Float64(), Patience: (c.kind.limit - age) / 3}
+		request := Request{Class: origin.Class, Workspace: origin.Workspace, Retry: c.retried && !w.unrecognized, Draw: w.random.Float64(), MaxRetryWait: (c.kind.limit - age) / 3}
 		if verdict, ok := d.controller.Decide("s", request); ok && !verdict.Admitted {
 			if !c.retried || w.unrecognized {
 				record()
--- a/internal/forward/level.go
+++ b/internal/forward/level.go
@@ -11,8 +11,8 @@
 
 const reasonAboveLevel = "service has too little capacity for requests of this rank and workspace"
 
-// patienceShare is the part of its remaining time that a caller waits before a retry.
-const patienceShare = 1.0 / 3
+// retryWaitShare is the part of its remaining time that a caller waits before a retry.
+const retryWaitShare = 1.0 / 3
 
 // checkLevel refuses a call that the admission level of its service excludes. A caller that resumes a
 // stream is not refused, because it would lose what it already has.
@@ -21,7 +21,7 @@
 		return nil
 	}
 	verdict, ok := r.options.Admission.Decide(r.call.Service, admission.Request{
-		Class: r.rankClass(), Workspace: r.call.Workspace, Retry: r.isRetry, Draw: admissionDraw(r.call.ID), Patience: r.patience(now),
+		Class: r.rankClass(), Workspace: r.call.Workspace, Retry: r.isRetry, Draw: admissionDraw(r.call.ID), MaxRetryWait: r.maxRetryWait(now),
 	})
 	if !ok {
 		return nil
@@ -44,15 +44,15 @@
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reasonAboveLevel, RetryAfter: verdict.RetryAfter}
 }
 
-// patience returns how long the caller waits at most before a retry.
-func (r *run) patience(now time.Time) time.Duration {
-	return time.Duration(patienceShare * float64(r.call.CallerDeadline().Sub(now)))
+// maxRetryWait returns how long the caller waits at most before a retry.
+func (r *run) maxRetryWait(now time.Time) time.Duration {
+	return time.Duration(retryWaitShare * float64(r.call.CallerDeadline().Sub(now)))
 }
 
 // retryAfterWait returns the Retry-After value for a wait, or zero if the caller would not wait for
 // so long. Services without a level state each wait.
 func (r *run) retryAfterWait(wait time.Duration, now time.Time) time.Duration {
-	if r.level != nil && wait > r.patience(now) {
+	if r.level != nil && wait > r.maxRetryWait(now) {
 		return 0
 	}
 	return wait
--- a/internal/forward/level_test.go
+++ b/internal/forward/level_test.go
@@ -97,7 +97,7 @@
 	c.Check(b.backend.sent, qt.Equals, 0)
 	c.Check(b.demand.from, qt.DeepEquals, []demand.Origin{{Class: 2, Workspace: "w"}})
 	request := b.level.requests[0]
-	c.Check(request.Patience > 4*time.Second && request.Patience <= 5*time.Second, qt.IsTrue, qt.Commentf("a third of the remaining time: %v", request.Patience))
+	c.Check(request.MaxRetryWait > 4*time.Second && request.MaxRetryWait <= 5*time.Second, qt.IsTrue, qt.Commentf("a third of the remaining time: %v", request.MaxRetryWait))
 	c.Check(request.Draw >= 0 && request.Draw < 1, qt.IsTrue)
 	b.level.verdict.RetryAfter = 700 * time.Millisecond
 	c.Check(b.forward(func(*Call) {}).RetryAfter, qt.Equals, 700*time.Millisecond)
