--- a/internal/allowance/classes.go
+++ b/internal/allowance/classes.go
@@ -128,10 +128,10 @@
 const (
 	// worthwhileProbability is the least forecast probability of admission for which a caller is told when to come back.
 	// Forecasts are too high, because callers who come back compete as well: with 0.5, as many requests were served and
-	// callers came back 1.5 times as often.
+	// callers came back 1.3 to 1.5 times as often.
 	worthwhileProbability = 0.75
 	// forecastSpans is the number of distribution times over which the forecast is made: what leaves the window in one
-	// is admitted in that and the next one. With one, callers came back 1.3 to 1.8 times as often.
+	// is admitted in that and the next one. With one, callers came back 1.7 to 2 times as often.
 	forecastSpans = 2
 )
 
