--- a/internal/forward/evacuate.go
+++ b/internal/forward/evacuate.go
@@ -40,6 +40,7 @@
 	reasonRetryBudget = "retry budget is spent"
 	reasonTargetGone  = "target was gone"
 	reasonEnded       = "stream ended before"
+	reasonStays       = "server stays"
 )
 
 // evacuator moves the streams of one daemon away from leaving servers.
@@ -320,9 +321,12 @@
 		began := time.Now()
 		answer, handle := e.copy(m, target, false)
 		held = cmp.Or(handle, held)
-		now := time.Now()
+		now, gone := time.Now(), m.source.GoneAt()
+		if gone.IsZero() {
+			return held, failure{cause: reasonStays}
+		}
 		next, wait := evacuation.AfterCopy(evacuation.Copying{
-			Answer: answer, Repeated: repeated, Took: now.Sub(began), Pause: m.run.call.Route.EventGapTarget, Left: m.source.GoneAt().Sub(now), Known: now.Sub(m.leavesSince()),
+			Answer: answer, Repeated: repeated, Took: now.Sub(began), Pause: m.run.call.Route.EventGapTarget, Left: gone.Sub(now), Known: now.Sub(m.leavesSince()),
 		})
 		switch {
 		case answer != evacuation.Copied:
