--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -19,7 +19,7 @@
 	// known. Both are sums over the daemons that can be reached.
 	Demand demand.Load
 	Parts  demand.Parts
-	// Own is this daemon's own demand by origin, in busy engines. It tells how the demand of a
+	// Own is this daemon's own demand by origin, in busy engines. It shows how the demand of a
 	// workspace divides among the classes.
 	Own map[demand.Origin]float64
 	// Coverage is the share of the known daemons that the sums include. The others are assumed to
--- a/internal/allowance/classes.go
+++ b/internal/allowance/classes.go
@@ -126,7 +126,7 @@
 }
 
 const (
-	// worthwhileProbability is the least forecast probability of admission for which a caller is told when to come back.
+	// worthwhileProbability is the least forecast probability of admission for which a refusal states when to come back.
 	// Forecasts are too high, because callers who come back compete as well: with 0.5, as many requests were served and
 	// callers came back 1.3 to 1.5 times as often.
 	worthwhileProbability = 0.75
--- a/internal/backend/moves.go
+++ b/internal/backend/moves.go
@@ -36,7 +36,7 @@
 	return at
 }
 
-// expectEnd records when the server is expected to be gone and tells its attempts. A repeated
+// expectEnd records when the server is expected to be gone and notifies its attempts. A repeated
 // announcement does not extend the time. The caller holds the lock of the view.
 func (s *server) expectEnd(at time.Time) {
 	if !s.goneAt.IsZero() && !at.Before(s.goneAt) {
--- a/internal/backend/speed.go
+++ b/internal/backend/speed.go
@@ -159,7 +159,7 @@
 	prefill, step speedCenter
 	// known is set once the speeds of minLearnedShare of the ready servers are known, since knownSince,
 	// until those of most are unknown. Otherwise all servers are assumed to be alike: while only
-	// some are in use, their speeds cannot be told from those of the mean server.
+	// some are in use, their speeds cannot be distinguished from those of the mean server.
 	known      bool
 	knownSince time.Time
 	// differ is set if a server is assumed to differ from the mean.
--- a/internal/backend/speedreports.go
+++ b/internal/backend/speedreports.go
@@ -48,7 +48,7 @@
 func (v *View) ObservedSpeeds(now time.Time) []SpeedRecord {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	due := v.mostUrgent(maxReportedObservations, func(s *server) (float64, bool) {
+	due := v.selectUrgent(maxReportedObservations, func(s *server) (float64, bool) {
 		p, t := &s.speeds.prefill, &s.speeds.step
 		urgency := max(p.pending.Deviation(p.known), t.pending.Deviation(t.known))
 		return urgencyOf(urgency >= urgentDeviation, now.Sub(s.speeds.reportedAt)), p.pending.Valid() || t.pending.Valid()
@@ -66,7 +66,7 @@
 func (v *View) ForwardedSpeeds(now time.Time) []SpeedRecord {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	due := v.mostUrgent(maxForwardedSpeeds, func(s *server) (float64, bool) {
+	due := v.selectUrgent(maxForwardedSpeeds, func(s *server) (float64, bool) {
 		p, t := &s.speeds.prefill, &s.speeds.step
 		urgency := max(p.forwarded.Deviation(p.known), t.forwarded.Deviation(t.known))
 		return urgencyOf(urgency >= urgentDeviation, now.Sub(s.speeds.forwardedAt)), p.forwarded.Valid() || t.forwarded.Valid()
@@ -101,7 +101,7 @@
 	if leader {
 		limit = maxReportedSpeeds
 	}
-	due := v.mostUrgent(limit, func(s *server) (float64, bool) {
+	due := v.selectUrgent(limit, func(s *server) (float64, bool) {
 		p, t := &s.speeds.prefill.known, &s.speeds.step.known
 		change := max(math.Abs(p.Log2-s.speeds.sent.prefill), math.Abs(t.Log2-s.speeds.sent.step))
 		sinceSent := now.Sub(s.speeds.sentAt)
@@ -133,9 +133,9 @@
 	return urgency
 }
 
-// mostUrgent returns up to limit servers that are due, those of highest urgency in that order. The caller
+// selectUrgent returns up to limit servers that are due, those of highest urgency in that order. The caller
 // holds the lock.
-func (v *View) mostUrgent(limit int, due func(s *server) (urgency float64, due bool)) []*server {
+func (v *View) selectUrgent(limit int, due func(s *server) (urgency float64, due bool)) []*server {
 	type candidate struct {
 		*server
 		urgency float64
--- a/internal/demand/reading.go
+++ b/internal/demand/reading.go
@@ -9,14 +9,14 @@
 // daemon that restarts use the others meanwhile, so that a few missing daemons hardly change the sum.
 const minWarmShare = 0.8
 
-// Coverage tells which daemons' measurements are in a sum.
+// Coverage describes which daemons' measurements are in a sum.
 type Coverage struct {
 	// Known is the number of daemons of the deployment, Reachable the number of those in the sum, and
 	// Warm the number of those that have measured the demand for long enough.
 	Known, Reachable, Warm int
 }
 
-// Complete reports whether the sum covers enough of the daemons to tell that the demand is low.
+// Complete reports whether the sum covers so many daemons that a low sum means a low demand.
 func (c Coverage) Complete() bool {
 	return c.Warm > 0 && float64(c.Warm) >= minWarmShare*float64(c.Known)
 }
