Learn how engines admit by rank relative to each server's speed

The parts for ranks and for speeds were built side by side: at servers that differ, the wait of an urgent call behind less urgent prompts was compared with that of the mean server, so that a slow server looked like one that ignores ranks.

--- a/internal/backend/yield.go
+++ b/internal/backend/yield.go
@@ -69,7 +69,7 @@
 	work := c.work
 	work.PrefillTokens += max(0, before)
 	work.PromptTokens += max(0, before)
-	slowdown := c.server.slowdownFactor(c.firstEventAt)
-	predicted := time.Duration(slowdown * float64(engines.FirstEvent(work)))
-	c.view.yields[c.need.Service] = c.view.yields[c.need.Service].observe(took-predicted, engines.QueueTime(c.yieldingTokens))
+	slowdown, speed := c.server.slowdownFactor(c.firstEventAt), &c.server.speeds.prefill
+	predicted := time.Duration(slowdown * float64(speed.at(engines.FirstEvent(work))))
+	c.view.yields[c.need.Service] = c.view.yields[c.need.Service].observe(took-predicted, speed.at(engines.QueueTime(c.yieldingTokens)))
 }
