--- a/robustness/onplatform/links_test.go
+++ b/robustness/onplatform/links_test.go
@@ -326,21 +326,35 @@
 	}
 }
 
+// relaysLosePower is the trouble of TestCallersOfDaemonsWithoutLinksWhileRelaysLosePower.
+const relaysLosePower = "all relays lose power"
+
 // TestCallersOfDaemonsWithoutLinksBesideTrouble is the same while daemons die, start and are cut off
 // from each other, and the store is away.
 func TestCallersOfDaemonsWithoutLinksBesideTrouble(t *testing.T) {
 	for name, trouble := range leavingPlays {
-		for _, form := range linkForms {
-			p := lostLinks{daemons: 9, form: form, each: 130 * time.Millisecond, lost: aShare(0.4), trouble: trouble}
-			t.Run(name+", "+form, p.run)
-		}
-		if slices.Contains(leavingAtSize, name) && !raceDetector {
-			p := lostLinks{daemons: 60, form: linksHang, each: 400 * time.Millisecond, lost: aZone, trouble: trouble}
-			t.Run(name+" of many", p.run)
+		if name != relaysLosePower {
+			runLostLinksBeside(t, name, trouble)
 		}
 	}
 }
 
+// TestCallersOfDaemonsWithoutLinksWhileRelaysLosePower is the same while all relays of the zones lose power.
+func TestCallersOfDaemonsWithoutLinksWhileRelaysLosePower(t *testing.T) {
+	runLostLinksBeside(t, relaysLosePower, leavingPlays[relaysLosePower])
+}
+
+func runLostLinksBeside(t *testing.T, name string, trouble func(*leavingBed)) {
+	for _, form := range linkForms {
+		p := lostLinks{daemons: 9, form: form, each: 130 * time.Millisecond, lost: aShare(0.4), trouble: trouble}
+		t.Run(name+", "+form, p.run)
+	}
+	if slices.Contains(leavingAtSize, name) && !raceDetector {
+		p := lostLinks{daemons: 60, form: linksHang, each: 400 * time.Millisecond, lost: aZone, trouble: trouble}
+		t.Run(name+" of many", p.run)
+	}
+}
+
 // TestCallersOfManyDaemonsWithoutLinksToServers is the same at 300 daemons.
 func TestCallersOfManyDaemonsWithoutLinksToServers(t *testing.T) {
 	if raceDetector {
