Order the steps of an allowance's division by what they admit

Cause: a step can admit less than the one before, where requests that were cheap beside more urgent ones no longer are; the share for a class then came from a step that the probability never uses, so that a Retry-After could come too early. Change: such steps are left out, by both.

--- a/internal/allowance/division.go
+++ b/internal/allowance/division.go
@@ -36,7 +36,10 @@
 		for c, tokens := range asked {
 			step.share += tokens * step.probabilities[c] / total
 		}
-		d.steps = append(d.steps, step)
+		// A step can admit less than the one before, if a class that was cheap beside the others no longer is.
+		if n := len(d.steps); n == 0 || step.share > d.steps[n-1].share {
+			d.steps = append(d.steps, step)
+		}
 	}
 	return d
 }
