--- a/internal/backend/speedexchange_test.go
+++ b/internal/backend/speedexchange_test.go
@@ -252,10 +252,8 @@
 	return count / float64(len(p.daemons()))
 }
 
-// TestServerThatTurnsSlowIsLeftAndTriedAgain guards against a lasting speed that follows too slowly, and
-// against one that a server cannot correct because it gets no requests. A server counts as left while it
-// is predicted to take 1.6 times as long as the mean, by its lasting speed or by the slowness that a daemon has
-// observed itself: predicted waits are relied on up to 0.6 of a target.
+// TestServerThatTurnsSlowIsLeftAndTriedAgain guards against a lasting speed that follows too slowly or is never corrected. A
+// server counts as left while it is predicted to take 1.6 times as long as the mean: waits are relied on up to 0.6 of a target.
 func TestServerThatTurnsSlowIsLeftAndTriedAgain(t *testing.T) {
 	for _, fleet := range []struct{ daemons, servers int }{{8, 3}, {88, 3}, {88, 60}} {
 		t.Run(fmt.Sprintf("%d daemons, %d servers", fleet.daemons, fleet.servers), func(t *testing.T) {
--- a/internal/evacuation/steps_test.go
+++ b/internal/evacuation/steps_test.go
@@ -139,10 +139,8 @@
 	}
 }
 
-// TestMovesKeepPromises plays moves against servers whose state the daemon does not see, with answers
-// that are lost, refused or late and servers that are gone at any time. It guards against two servers
-// at work on one run, a run that ends as complete before its last event, and an answer of a request
-// that is not idempotent that comes from a second run.
+// TestMovesKeepPromises guards against two servers at work on one run, streams that end as complete too early, and
+// second runs of requests that are not idempotent, while answers are lost, refused or late and servers are gone.
 func TestMovesKeepPromises(t *testing.T) {
 	moved := 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/robustness/onplatform/ranks_test.go
+++ b/robustness/onplatform/ranks_test.go
@@ -96,10 +96,8 @@
 
 func (c *rankedCaller) share() float64 { return float64(c.inTime) / float64(max(1, c.asked)) }
 
-// TestUrgentCallsComeFirstInABurst guards against whole daemons that refuse urgent calls, or starve
-// others, while less urgent calls ask for half as much again as the engines can do. It also guards
-// against refusals of calls that run, that come late, or that tell callers to come back later than
-// they wait.
+// TestUrgentCallsComeFirstInABurst guards against daemons that refuse urgent calls or starve others in a burst, and
+// against refusals that are false, late, or invite callers later than they wait.
 func TestUrgentCallsComeFirstInABurst(t *testing.T) {
 	var servers []*fake.Server
 	run(t, 3, func(b *bed) {
