--- a/review/case2_test.go
+++ b/review/case2_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"syscall"
@@ -16,190 +18,189 @@
 	"github.com/plankridge/plankridge/platform/fake"
 )
 
-func init() { cases["case2"] = stopOfTheLeaseHolder }
+func init() {
+	cases["case2"], cases["server"] = cutAnswerOfLeavingServer, runStreamServer
+}
 
 const (
-	// workTime is within the 450 ms that an order takes at most by the sheet of swanbourne-orders.
-	workTime = 400 * time.Millisecond
-	// orderTimeout is the route's timeoutMs, and the time limit of the requesters is 4 s.
-	orderTimeout = 2000
-	// keptChannels are opened to the lease holder before it is stopped, each by one requester.
-	keptChannels = 90
-	// firstUse and lastUse are when they are used again, after the SIGTERM.
-	firstUse, lastUse = 3200 * time.Millisecond, 7900 * time.Millisecond
-	// silence is how long the store is silent to the lease holder.
-	silence = 9 * time.Second
-	// stopDelay is the time from the start of the silence to the SIGTERM.
-	stopDelay = 700 * time.Millisecond
-	grace     = 8 * time.Second
+	// streamEvents, eventPause and streamTimeout are within the sheet of order-history-digest of
+	// swanbourne-orders: up to 160 events, pauses of 250 ms, a timeoutMs and time limit of 12 s.
+	streamEvents  = 40
+	eventPause    = 100 * time.Millisecond
+	streamTimeout = 12000
+	// streams are begun shortly before the server reports that it leaves.
+	streams = 12
+	// drainBound is drainMs, and servesOn the "little longer" that the server serves after it.
+	drainBound = 2 * time.Second
+	servesOn   = 500 * time.Millisecond
 )
 
-// order is what a requester saw of one request.
-type order struct {
-	id       string
-	sentAt   time.Duration
-	endedAt  time.Duration
-	status   int
-	complete bool
-	err      error
+// streamServer is a model server in a process of its own.
+type streamServer struct {
+	id, address string
+	command     *exec.Cmd
+	exited      chan struct{}
 }
 
-// stopOfTheLeaseHolder stops the lease holder while the store is silent to it.
-func stopOfTheLeaseHolder() (int, error) {
-	r, err := newRecord()
+// startServer starts a model server as a process.
+func (d *deployment) startServer(id, ip string) (*streamServer, error) {
+	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
-		return notRun, err
+		return nil, err
 	}
-	server := &fake.Server{ID: "mill-desk-1", Behave: func(int, *http.Request) fake.Behaviour { return fake.Behaviour{Delay: workTime} }}
-	d, err := startDeployment(r, 3, func(d *deployment) error {
-		d.putConfig(1, route("yarn-reserve", "/reserve/", "non_idempotent", plainService, orderTimeout))
-		address, err := d.serve("127.83.9.1", server)
-		if err != nil {
-			return err
-		}
-		d.putServer(server.ID, plainService, address, "perth-a", "ready", 1)
-		return nil
-	})
-	defer d.close()
+	s := &streamServer{id: id, address: listener.Addr().String(), exited: make(chan struct{})}
+	_ = listener.Close()
+	s.command = exec.Command(os.Args[0])
+	s.command.Env = append(os.Environ(), "REVIEW_PROGRAM=server", "REVIEW_ID="+id, "REVIEW_LISTEN="+s.address)
+	output, err := s.command.StdoutPipe()
 	if err != nil {
-		return notRun, err
+		return nil, err
+	}
+	if err := s.command.Start(); err != nil {
+		return nil, err
 	}
-	holder := d.leaseHolder()
-	for range 100 {
-		if holder != nil {
-			break
+	go func() {
+		lines := bufio.NewScanner(output)
+		for lines.Scan() {
+			d.line("server %s: %s", id, lines.Text())
 		}
-		time.Sleep(100 * time.Millisecond)
-		holder = d.leaseHolder()
+		_ = s.command.Wait()
+		close(s.exited)
+	}()
+	d.closers = append(d.closers, func() {
+		_ = s.command.Process.Kill()
+		<-s.exited
+	})
+	for range 50 {
+		if conn, err := net.Dial("tcp", s.address); err == nil {
+			return s, conn.Close()
+		}
+		time.Sleep(20 * time.Millisecond)
 	}
-	if holder == nil {
-		return notRun, fmt.Errorf("no daemon holds the lease")
+	return nil, fmt.Errorf("server %s does not listen", id)
+}
+
+// runStreamServer is the process of a model server. Its streams have no length and end with their
+// channels. SIGTERM ends the process.
+func runStreamServer() (int, error) {
+	server := &fake.Server{
+		ID: os.Getenv("REVIEW_ID"), EventCount: streamEvents, EndWithConnection: true,
+		Behave: func(int, *http.Request) fake.Behaviour { return fake.Behaviour{Delay: eventPause} },
 	}
-	// Past the start, so that nothing else is going on.
-	time.Sleep(4 * time.Second)
-	holder = d.leaseHolder()
-	d.line("%s holds the lease", holder.id)
-	channels, err := d.openChannels(holder)
+	listener, err := net.Listen("tcp", os.Getenv("REVIEW_LISTEN"))
 	if err != nil {
 		return notRun, err
 	}
-	if troubled() {
-		holder.storeLink.silent.Store(true)
-		d.line("the store is silent to %s", holder.id)
-		time.AfterFunc(silence, func() {
-			holder.storeLink.silent.Store(false)
-			d.line("the store answers %s again", holder.id)
-		})
-	}
-	time.Sleep(stopDelay)
-	stopped := time.Now()
-	if err := holder.signal(syscall.SIGTERM); err != nil {
-		return notRun, err
-	}
-	d.line("SIGTERM to %s", holder.id)
-	killer := time.AfterFunc(grace, func() {
-		_ = holder.signal(syscall.SIGKILL)
-		d.line("SIGKILL to %s", holder.id)
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/kv-move" {
+			// There is no room for a copy.
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Println("runs", r.Header.Get("Request-Id"))
+		server.ServeHTTP(w, r)
+		fmt.Println("has ended", r.Header.Get("Request-Id"))
 	})
-	defer killer.Stop()
-	orders := useAgain(channels, stopped)
-	select {
-	case <-holder.exited:
-		d.line("%s has exited %.3f s after the SIGTERM", holder.id, time.Since(stopped).Seconds())
-	case <-time.After(grace):
-	}
-	return d.judgeOrders(orders, server), nil
+	return notRun, (&http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}).Serve(listener)
 }
 
-// channel is a kept channel of a requester.
-type channel struct {
-	net.Conn
-	reader *bufio.Reader
-	n      int
+// stream is what a requester saw of one stream.
+type stream struct {
+	id     string
+	status int
+	events int
+	// complete is set if the answer ended as a complete one does.
+	complete bool
+	err      error
 }
 
-// openChannels opens kept channels and has one request answered on each.
-func (d *deployment) openChannels(to *daemon) ([]*channel, error) {
-	channels := make([]*channel, keptChannels)
-	var wait sync.WaitGroup
-	var mu sync.Mutex
-	var failed error
-	for n := range channels {
-		wait.Go(func() {
-			time.Sleep(time.Duration(n) * 25 * time.Millisecond)
-			conn, err := net.Dial("tcp", to.callers)
-			if err == nil {
-				channels[n] = &channel{Conn: conn, reader: bufio.NewReader(conn), n: n}
-				if o := channels[n].send("a", time.Now()); !o.complete {
-					err = fmt.Errorf("request before the stop: status %d, %w", o.status, o.err)
-				}
-			}
+// cutAnswerOfLeavingServer lets a server leave while it answers with streams that end with their
+// channels.
+func cutAnswerOfLeavingServer() (int, error) {
+	r, err := newRecord()
+	if err != nil {
+		return notRun, err
+	}
+	var leaving *streamServer
+	d, err := startDeployment(r, 3, func(d *deployment) error {
+		d.putConfig(1, resumable(route("order-history-digest", "/digest/", "streaming", streamService, streamTimeout)))
+		for i, zone := range []string{"perth-a", "perth-b"} {
+			s, err := d.startServer(fmt.Sprintf("loom-llm-%d", i+1), fmt.Sprintf("127.83.9.%d", i+1))
 			if err != nil {
-				mu.Lock()
-				failed = err
-				mu.Unlock()
+				return err
 			}
-		})
+			if leaving == nil {
+				leaving = s
+			}
+			d.putServer(s.id, streamService, s.address, zone, "ready", 1)
+		}
+		return nil
+	})
+	defer d.close()
+	if err != nil {
+		return notRun, err
+	}
+	time.Sleep(3 * time.Second)
+	seen := make([]stream, streams)
+	var wait sync.WaitGroup
+	for n := range seen {
+		wait.Go(func() { seen[n] = d.readStream(d.daemons[n%len(d.daemons)], n) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	if troubled() {
+		d.putServer(leaving.id, streamService, leaving.address, "perth-a", "draining", 2)
+		time.Sleep(drainBound + servesOn)
+		if err := leaving.command.Process.Signal(syscall.SIGTERM); err != nil {
+			return notRun, err
+		}
+		<-leaving.exited
+		d.store.Remove("servers", leaving.id)
+		d.line("server %s has exited, and its entry is gone", leaving.id)
 	}
 	wait.Wait()
-	d.line("%d channels are open and idle", len(channels))
-	return channels, failed
+	return d.judgeStreams(seen), nil
 }
 
-// send sends one order and reads its answer.
-func (c *channel) send(series string, since time.Time) order {
-	o := order{id: fmt.Sprintf("%s%015x", series, c.n+1), sentAt: time.Since(since)}
-	defer func() { o.endedAt = time.Since(since) }()
-	body := "reserve one bale"
-	_, o.err = fmt.Fprintf(c, "POST /reserve/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: 4000\r\nAuthorization: Token %s\r\nContent-Length: %d\r\n\r\n%s",
-		host, o.id, key, len(body), body)
-	if o.err != nil {
-		return o
+// readStream sends a request and reads the stream to its end.
+func (d *deployment) readStream(to *daemon, n int) stream {
+	s := stream{id: fmt.Sprintf("c%015x", n+1)}
+	conn, err := net.Dial("tcp", to.callers)
+	if err != nil {
+		s.err = err
+		return s
 	}
-	resp, err := http.ReadResponse(c.reader, nil)
+	defer func() { _ = conn.Close() }()
+	body := "sum up the orders of the mill"
+	_, _ = fmt.Fprintf(conn, "POST /digest/x HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Token %s\r\nModel: m\r\nToken-Counts: 11992,280\r\nPrefix-Hash: %x:5382,%x:6610\r\nContent-Length: %d\r\n\r\n%s",
+		host, s.id, streamTimeout, key, 77, 1000+n, len(body), body)
+	d.line("request %s is sent to %s", s.id, to.id)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
-		o.err = err
-		return o
+		s.err = err
+		return s
 	}
+	s.status = resp.StatusCode
 	text, err := io.ReadAll(resp.Body)
-	o.status, o.err = resp.StatusCode, err
-	o.complete = err == nil && (resp.StatusCode != http.StatusOK || strings.HasSuffix(string(text), o.id))
-	return o
-}
-
-// useAgain uses each channel once more, at a time of its own.
-func useAgain(channels []*channel, stopped time.Time) []order {
-	orders := make([]order, len(channels))
-	var wait sync.WaitGroup
-	for i, c := range channels {
-		wait.Go(func() {
-			at := firstUse + time.Duration(i)*(lastUse-firstUse)/time.Duration(len(channels))
-			time.Sleep(time.Until(stopped.Add(at)))
-			orders[i] = c.send("b", stopped)
-			_ = c.Close()
-		})
-	}
-	wait.Wait()
-	return orders
+	s.events, s.complete, s.err = strings.Count(string(text), "\n\n"), err == nil, err
+	d.line("request %s: status %d, %d of %d events, ends as complete %v, transfer encoding %v, %v", s.id, s.status, s.events, streamEvents, s.complete, resp.TransferEncoding, err)
+	return s
 }
 
-// judgeOrders applies the rule LOST: no request that was passed on to a server may end with a closed
-// channel. Those that were not passed on crossed the close and do not count.
-func (d *deployment) judgeOrders(orders []order, server *fake.Server) int {
-	lost, answered, crossed := 0, 0, 0
-	for _, o := range orders {
-		runs := server.RunCount(o.id)
-		d.line("order %s: sent %.3f s after the SIGTERM, ended at %.3f s, status %d, complete %v, runs at the server %d, %v",
-			o.id, o.sentAt.Seconds(), o.endedAt.Seconds(), o.status, o.complete, runs, o.err)
+// judgeStreams applies the rule ORDER: no stream ends as complete before its last event.
+func (d *deployment) judgeStreams(seen []stream) int {
+	whole, cut, short, refused := 0, 0, 0, 0
+	for _, s := range seen {
 		switch {
-		case o.complete:
-			answered++
-		case runs > 0:
-			lost++
+		case s.status != http.StatusOK:
+			refused++
+		case !s.complete:
+			cut++
+		case s.events < streamEvents:
+			short++
 		default:
-			crossed++
+			whole++
 		}
 	}
-	return d.verdict(lost > 0, "of %d orders on kept channels after the SIGTERM %d were answered, %d met a closed channel and did not run, %d ran and their channel was closed without an answer",
-		len(orders), answered, crossed, lost)
+	return d.verdict(short > 0, "of %d streams %d were whole, %d were seen to be cut, %d were refused or failed, %d ended as complete before their last event",
+		len(seen), whole, cut, refused, short)
 }
--- a/review/deployment_test.go
+++ b/review/deployment_test.go
@@ -306,18 +306,20 @@
 
 func (one *daemon) signal(s syscall.Signal) error { return one.command.Process.Signal(s) }
 
-// route returns a route of the operator's configuration. Streams may be resumed, once.
+// route returns a route of the operator's configuration. Its requests go to one server only.
 func route(name, prefix, kind, service string, timeoutMs int) map[string]any {
-	isStream, attempts := kind == "streaming", 1
-	if isStream {
-		attempts = 2
-	}
 	return map[string]any{
 		"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "timeoutMs": timeoutMs, "targetLatencyMs": 300, "priority": 1,
-		"service": service, "maxAttempts": attempts, "gapAimMs": 250, "streamResume": isStream, "sticky": isStream,
+		"service": service, "maxAttempts": 1, "gapAimMs": 250, "streamResume": false, "sticky": kind == "streaming",
 	}
 }
 
+// resumable makes a route of streams one whose streams may be resumed, once.
+func resumable(route map[string]any) map[string]any {
+	route["streamResume"], route["maxAttempts"] = true, 2
+	return route
+}
+
 // putConfig writes the operator's configuration.
 func (d *deployment) putConfig(version int, routes ...map[string]any) {
 	d.store.Put("config", "main", map[string]any{
