--- a/review/case2_test.go
+++ b/review/case2_test.go
@@ -28,8 +28,9 @@
 	streamEvents  = 40
 	eventPause    = 100 * time.Millisecond
 	streamTimeout = 12000
-	// streams are begun shortly before the server reports that it leaves.
-	streams = 12
+	// streams are begun shortly before one of the servers reports that it leaves: 1 of 8 is within the
+	// share of scale_in on the site, 0.13.
+	streams, streamServers = 48, 8
 	// drainBound is drainMs, and servesOn the "little longer" that the server serves after it.
 	drainBound = 2 * time.Second
 	servesOn   = 500 * time.Millisecond
@@ -124,7 +125,8 @@
 	var leaving *streamServer
 	d, err := startDeployment(r, 3, func(d *deployment) error {
 		d.putConfig(1, resumable(route("order-history-digest", "/digest/", "streaming", streamService, streamTimeout)))
-		for i, zone := range []string{"perth-a", "perth-b"} {
+		for i := range streamServers {
+			zone := fmt.Sprintf("perth-%c", 'a'+i%4)
 			s, err := d.startServer(fmt.Sprintf("loom-llm-%d", i+1), fmt.Sprintf("127.83.9.%d", i+1))
 			if err != nil {
 				return err
