Review: case 2 keeps to the limit of answers without a length

In case 2 no answer of any server had a length; the site has x 0.05 for garble "unframed".

Case 2: one of eight servers has each 20th of its answers without a length, and leaves; it leaves with TROUBLE=0 too, where all answers have chunks.

--- a/review/case2_test.go
+++ b/review/case2_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,7 +31,10 @@
 	streamTimeout = 12000
 	// streams are begun shortly before one of the servers reports that it leaves: 1 of 8 is within the
 	// share of scale_in on the site, 0.13.
-	streams, streamServers = 48, 8
+	streams, streamServers = 480, 8
+	// perUnframed is how many answers of the server that leaves there are to one without a length: the
+	// site has x 0.05 for garble "unframed".
+	perUnframed = 20
 	// drainBound is drainMs, and servesOn the "little longer" that the server serves after it.
 	drainBound = 2 * time.Second
 	servesOn   = 500 * time.Millisecond
@@ -43,8 +47,8 @@
 	exited      chan struct{}
 }
 
-// startServer starts a model server as a process.
-func (d *deployment) startServer(id, ip string) (*streamServer, error) {
+// startServer starts a model server as a process. Some answers of one that is unframed have no length.
+func (d *deployment) startServer(id, ip string, unframed bool) (*streamServer, error) {
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
@@ -52,7 +56,7 @@
 	s := &streamServer{id: id, address: listener.Addr().String(), exited: make(chan struct{})}
 	_ = listener.Close()
 	s.command = exec.Command(os.Args[0])
-	s.command.Env = append(os.Environ(), "REVIEW_PROGRAM=server", "REVIEW_ID="+id, "REVIEW_LISTEN="+s.address)
+	s.command.Env = append(os.Environ(), "REVIEW_PROGRAM=server", "REVIEW_ID="+id, "REVIEW_LISTEN="+s.address, fmt.Sprintf("REVIEW_UNFRAMED=%v", unframed))
 	output, err := s.command.StdoutPipe()
 	if err != nil {
 		return nil, err
@@ -81,13 +85,16 @@
 	return nil, fmt.Errorf("server %s does not listen", id)
 }
 
-// runStreamServer is the process of a model server. Its streams have no length and end with their
-// channels. SIGTERM ends the process.
+// runStreamServer is the process of a model server. SIGTERM ends it.
 func runStreamServer() (int, error) {
-	server := &fake.Server{
-		ID: os.Getenv("REVIEW_ID"), EventCount: streamEvents, EndWithConnection: true,
-		Behave: func(int, *http.Request) fake.Behaviour { return fake.Behaviour{Delay: eventPause} },
+	newServer := func(unframed bool) *fake.Server {
+		return &fake.Server{
+			ID: os.Getenv("REVIEW_ID"), EventCount: streamEvents, EndWithConnection: unframed,
+			Behave: func(int, *http.Request) fake.Behaviour { return fake.Behaviour{Delay: eventPause} },
+		}
 	}
+	framed, unframed := newServer(false), newServer(true)
+	var answers atomic.Int64
 	listener, err := net.Listen("tcp", os.Getenv("REVIEW_LISTEN"))
 	if err != nil {
 		return notRun, err
@@ -98,7 +105,11 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		fmt.Println("runs", r.Header.Get("Request-Id"))
+		server, form := framed, "with chunks"
+		if os.Getenv("REVIEW_UNFRAMED") == "true" && answers.Add(1)%perUnframed == 0 {
+			server, form = unframed, "without a length"
+		}
+		fmt.Println("runs", r.Header.Get("Request-Id"), form)
 		server.ServeHTTP(w, r)
 		fmt.Println("has ended", r.Header.Get("Request-Id"))
 	})
@@ -115,8 +126,8 @@
 	err      error
 }
 
-// cutAnswerOfLeavingServer lets a server leave while it answers with streams that end with their
-// channels.
+// cutAnswerOfLeavingServer lets a server leave while a few of its streams have no length and end with
+// their channels. Without the disruption it leaves too, and all its streams have chunks.
 func cutAnswerOfLeavingServer() (int, error) {
 	r, err := newRecord()
 	if err != nil {
@@ -127,7 +138,7 @@
 		d.putConfig(1, resumable(route("order-history-digest", "/digest/", "streaming", streamService, streamTimeout)))
 		for i := range streamServers {
 			zone := fmt.Sprintf("perth-%c", 'a'+i%4)
-			s, err := d.startServer(fmt.Sprintf("loom-llm-%d", i+1), fmt.Sprintf("127.83.9.%d", i+1))
+			s, err := d.startServer(fmt.Sprintf("loom-llm-%d", i+1), fmt.Sprintf("127.83.9.%d", i+1), i == 0 && troubled())
 			if err != nil {
 				return err
 			}
@@ -149,16 +160,14 @@
 		wait.Go(func() { seen[n] = d.readStream(d.daemons[n%len(d.daemons)], n) })
 	}
 	time.Sleep(300 * time.Millisecond)
-	if troubled() {
-		d.putServer(leaving.id, streamService, leaving.address, "perth-a", "draining", 2)
-		time.Sleep(drainBound + servesOn)
-		if err := leaving.command.Process.Signal(syscall.SIGTERM); err != nil {
-			return notRun, err
-		}
-		<-leaving.exited
-		d.store.Remove("servers", leaving.id)
-		d.line("server %s has exited, and its entry is gone", leaving.id)
+	d.putServer(leaving.id, streamService, leaving.address, "perth-a", "draining", 2)
+	time.Sleep(drainBound + servesOn)
+	if err := leaving.command.Process.Signal(syscall.SIGTERM); err != nil {
+		return notRun, err
 	}
+	<-leaving.exited
+	d.store.Remove("servers", leaving.id)
+	d.line("server %s has exited, and its entry is gone", leaving.id)
 	wait.Wait()
 	return d.judgeStreams(seen), nil
 }
