--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -46,12 +46,6 @@
 	housekeepingInterval = time.Second
 	// engineLogInterval is the time between two log lines with the learned engine estimates.
 	engineLogInterval = 10 * time.Second
-	// unreadyDelay is how long the daemon continues to accept requests after it has reported itself
-	// as not ready. The load balancer checks once a second and removes the daemon after two failed
-	// checks.
-	unreadyDelay = 2300 * time.Millisecond
-	// shutdownMargin is how long before the process is killed the shutdown ends.
-	shutdownMargin = 600 * time.Millisecond
 )
 
 // Options configures a Router.
@@ -334,28 +328,6 @@
 	return err
 }
 
-// shutDown shuts down without cutting requests off: the daemon stays reachable until the load
-// balancer has removed it, and answers all requests that it has read.
-func (r *Router) shutDown(kill context.Context) {
-	deadline := time.Now().Add(r.settings.Bounds.DrainTimeout.Std() - shutdownMargin)
-	r.logger.Info("shutting down", "until", deadline)
-	r.draining.Store(true)
-	ctx, cancel := context.WithDeadline(kill, deadline)
-	defer cancel()
-	var tunnels sync.WaitGroup
-	tunnels.Go(func() { r.detours.Drain(ctx) })
-	defer tunnels.Wait()
-	r.elector.Release(ctx)
-	r.node.TriggerReport()
-	select {
-	case <-time.After(unreadyDelay):
-	case <-ctx.Done():
-	}
-	if err := r.callerHTTP.Shutdown(ctx); err != nil {
-		r.logger.Warn("shutdown deadline exceeded, closing connections with requests in flight", "error", err)
-	}
-}
-
 // triggerReport makes the node send its next report at once.
 func (r *Router) triggerReport() { r.node.TriggerReport() }
 
