Drain callers beside the release of the lease, not after it

Cause: the shutdown released the lease before anything else, with the deadline of the whole shutdown as its only bound. A release waits for the renewal in flight and for the read after it, then for its own write and read: up to 1.5 s each. With the 2.3 s for the load balancer, no time was left for the drain. The daemon went on reading requests on idle connections until its deadline, and then closed them with requests in flight.

The release now runs beside the delay and the drain, so no other system can shorten them. It takes no longer than the lease lasts: later the lease is free without it, and waiting would only keep the process. Peers learn at once that the daemon is draining; before, this also came after the release.

--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -16,25 +16,37 @@
 )
 
 // shutDown shuts down without cutting requests off: the daemon stays reachable until the load
-// balancer has removed it, and answers all requests that it has read.
+// balancer has removed it, and answers all requests that it has read. No step that waits for another
+// system comes before the drain of the callers.
 func (r *Router) shutDown(kill context.Context) {
 	deadline := time.Now().Add(r.settings.Bounds.DrainTimeout.Std() - shutdownMargin)
 	r.logger.Info("shutting down", "until", deadline)
 	r.draining.Store(true)
+	r.node.TriggerReport()
 	ctx, cancel := context.WithDeadline(kill, deadline)
 	defer cancel()
-	var tunnels sync.WaitGroup
-	tunnels.Go(func() {
+	var others sync.WaitGroup
+	others.Go(func() {
 		r.logShutdownStep("drain connections of peers", func() { r.detours.Drain(ctx) })
 	})
-	defer tunnels.Wait()
-	r.logShutdownStep("release lease", func() { r.elector.Release(ctx) })
-	r.node.TriggerReport()
+	others.Go(func() {
+		r.logShutdownStep("release lease", func() { r.releaseLease(ctx) })
+	})
 	select {
 	case <-time.After(unreadyDelay):
 	case <-ctx.Done():
 	}
 	r.logShutdownStep("drain callers", func() { r.drainCallers(ctx) })
+	others.Wait()
+}
+
+// releaseLease releases the lease if this daemon holds it. It takes no longer than the lease lasts:
+// later the lease is free without a release.
+func (r *Router) releaseLease(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, r.settings.Bounds.Lease.Std())
+	defer cancel()
+	r.elector.Release(ctx)
+	r.node.TriggerReport()
 }
 
 // drainCallers accepts no more connections and waits until the requests in flight have ended.
