Do not renew a lease that is being released

A usage report that is recorded while the daemon stops waits for the write of the release, and then renews the lease. If the release got no answer and the read after it neither, the daemon knows the lease as its own and takes it again: the deployment has no acting daemon until the renewed lease has expired, though its holder is about to end. A claim that waits behind the release does the same. The token stayed invalid, so no call to the cloud was made with it.

Writes that acquire or renew the lease now end when the release has begun, also those that were waiting for their turn.

--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -232,7 +232,7 @@
 		claim.ReportAfterMs = time.Now().UnixMilli()
 		e.options.Logger.Warn("claiming lease after the store went back to a copy", "era", e.options.Store.Era(), "reports_known", len(claim.UsageReports))
 	}
-	if !e.beginWrite(ctx) {
+	if !e.beginHoldingWrite(ctx) {
 		return
 	}
 	defer e.endWrite()
@@ -295,12 +295,25 @@
 	}
 }
 
+// beginHoldingWrite is beginWrite for a write with which this daemon acquires or renews the lease. It
+// also returns false once the lease is being released.
+func (e *Elector) beginHoldingWrite(ctx context.Context) bool {
+	if !e.beginWrite(ctx) {
+		return false
+	}
+	if e.isReleasing() {
+		e.endWrite()
+		return false
+	}
+	return true
+}
+
 func (e *Elector) endWrite() { <-e.writeSlot }
 
 // renew renews the lease with the changes made by edit, and reports whether the write was
 // acknowledged.
 func (e *Elector) renew(ctx context.Context, edit func(*lease.Record)) bool {
-	if !e.beginWrite(ctx) {
+	if !e.beginHoldingWrite(ctx) {
 		return false
 	}
 	defer e.endWrite()
