Report no fence while the lease is being released

Peers of a stopping lease holder do not try to acquire the lease as long as the holder reports its fencing number. It went on doing so while its release waited for the renewal in flight, until its right to act ended, up to 2.4 s after the stop. Peers count the duration of a lease from their first read of its record, so that the deployment has no acting daemon for as much longer where the release is lost.

The token of a daemon that releases the lease has no fencing number.

TestDaemonDoesNotReportFenceWhileReleasing failed before: fence 1 with the renewal in flight.

--- a/internal/duty/elector.go
+++ b/internal/duty/elector.go
@@ -136,12 +136,16 @@
 	return &Elector{options: options, tracker: keeper, writeSlot: make(chan struct{}, 1)}
 }
 
-// Token returns the fencing token, and whether this daemon may act with it now.
+// Token returns the fencing token, and whether this daemon may act with it now. Its fencing number is
+// zero if not, so that peers that receive it do not wait for a daemon that releases the lease.
 func (e *Elector) Token() (FencingToken, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.releasing {
+		return FencingToken{Holder: e.options.Self}, false
+	}
 	fence, ok := e.tracker.Holds(e.options.Now())
-	return FencingToken{Holder: e.options.Self, Fence: fence}, ok && !e.releasing
+	return FencingToken{Holder: e.options.Self, Fence: fence}, ok
 }
 
 // Run acquires and renews the lease until the context ends.
--- a/internal/duty/release_test.go
+++ b/internal/duty/release_test.go
@@ -179,3 +179,21 @@
 		c.Check(len(s.writes), qt.Equals, 2)
 	})
 }
+
+// TestDaemonDoesNotReportFenceWhileReleasing guards against peers that do not acquire the lease while the holder's last
+// renewal is in flight.
+func TestDaemonDoesNotReportFenceWhileReleasing(t *testing.T) {
+	testRelease(t, func(c *qt.C, s *storedLease, e *Elector) {
+		e.tryAcquire(context.Background())
+		s.onWrite = slowCall(time.Second, nil)
+		go e.renew(context.Background(), nil)
+		time.Sleep(100 * time.Millisecond)
+		go e.Release(context.Background())
+		synctest.Wait()
+		token, holds := e.Token()
+		c.Check(holds, qt.IsFalse)
+		c.Check(token.Fence, qt.Equals, int64(0))
+		time.Sleep(3 * time.Second)
+		c.Check(s.holder(c), qt.Equals, "")
+	})
+}
