Spare one server of each service where the test of versions loses servers

TestAnswersHoldTokensOfOneVersion failed now and then with status 503 from the ledger: the four servers that it kills are the first of a list in the order of a map, and at times these were all three of the service that has to answer at the end. The refusal was right.

--- a/robustness/versions_test.go
+++ b/robustness/versions_test.go
@@ -40,17 +40,24 @@
 	}
 }
 
-// loseServers kills a few servers, one after the other.
+// loseServers kills four servers, one after the other, and spares the last one of each service.
 func loseServers(b *bed) {
+	left := map[string]int{}
+	members := b.d.StandIns.Fleet.Members()
+	for _, vm := range members {
+		left[vm.Service]++
+	}
 	killed := 0
-	for _, vm := range b.d.StandIns.Fleet.Members() {
-		if vm.Role != vmlist.RoleBackend || killed == 4 {
+	for _, vm := range members {
+		if vm.Role != vmlist.RoleBackend || killed == 4 || left[vm.Service] == 1 {
 			continue
 		}
 		killed++
+		left[vm.Service]--
 		time.Sleep(1500 * time.Millisecond)
 		b.d.StandIns.Fleet.Kill(vm.ID)
 	}
+	b.Check(killed, qt.Equals, 4)
 }
 
 // versionByNumber gives servers with an odd and an even last digit different versions.
