Release key slots beside the hand-over of unread answers

On the own interface a daemon that stops handed over its unread answers, one after the other, before it released its slots of idempotency keys. With peers that accept connections and do not respond, each answer took up to 2 s for each of them, without a bound on the whole: no other daemon could serve requests with keys of these slots meanwhile. Found by asking what each step between the stop and the end of the process can wait for; the same class as a drain behind the release of a lease.

Both now run beside each other, within 5 s, and up to 16 answers are handed over at a time, so that one peer without a response does not stop the others.

--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -70,12 +70,25 @@
 	if err := d.dispatcher.Drain(kill); err != nil {
 		return eris.Wrap(err, "wait for requests")
 	}
-	d.dispatcher.HandOverAnswers(kill)
-	d.releaseKeys(kill)
+	d.handOver(kill)
 	d.logger.Info("all requests have ended")
 	return nil
 }
 
+// handOver gives to other daemons what they can continue: the slots of idempotency keys, and the unread
+// answers. Neither waits for the other, since one depends on the store and the other on peers.
+func (d *Daemon) handOver(kill context.Context) {
+	ctx, cancel := context.WithTimeout(kill, handOverTimeout)
+	defer cancel()
+	var release sync.WaitGroup
+	release.Go(func() { d.releaseKeys(ctx) })
+	d.dispatcher.HandOverAnswers(ctx)
+	release.Wait()
+}
+
+// handOverTimeout bounds the hand-over at the end of a shutdown.
+const handOverTimeout = 5 * time.Second
+
 // evacuationMargin is how long before the reclaim deadline the daemon hands over
 // unfinished requests. If less than twice the margin remains, it uses half of the
 // remaining time.
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -334,13 +334,29 @@
 	d.retain(flight)
 }
 
-// HandOverAnswers transfers all finished answers that have not been read to other daemons.
-// Call it after Drain.
+// maxAnswerTransfers bounds the answers that HandOverAnswers transfers at a time. A peer that does not
+// respond delays only some of them.
+const maxAnswerTransfers = 16
+
+// HandOverAnswers transfers all finished answers that have not been read to other daemons, until ctx
+// ends. Call it after Drain.
 func (d *Dispatcher) HandOverAnswers(ctx context.Context) {
 	d.mu.Lock()
 	finished := append([]*Flight(nil), d.finished...)
 	d.mu.Unlock()
-	for _, flight := range finished {
-		d.handOverAnswer(ctx, flight)
+	slots := make(chan struct{}, maxAnswerTransfers)
+	var transfers sync.WaitGroup
+	defer transfers.Wait()
+	for i, flight := range finished {
+		select {
+		case slots <- struct{}{}:
+		case <-ctx.Done():
+			d.options.Logger.Warn("not all unread answers were handed over", "finished", len(finished), "tried", i, "error", ctx.Err())
+			return
+		}
+		transfers.Go(func() {
+			defer func() { <-slots }()
+			d.handOverAnswer(ctx, flight)
+		})
 	}
 }
--- a/robustness/onplatform/shutdown_test.go
+++ b/robustness/onplatform/shutdown_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,3 +117,29 @@
 		}
 	}
 }
+
+// TestUnusedConnectionsCutNoOrdersAtTheEndOfShutdown guards against a first request that is read so late on a connection
+// opened before the listener was closed that the end of the shutdown cuts it.
+func TestUnusedConnectionsCutNoOrdersAtTheEndOfShutdown(t *testing.T) {
+	var server *fake.Server
+	run(t, 1, func(b *bed) { server = orders(b) }, func(b *bed) {
+		b.daemons[0].stop()
+		var callers sync.WaitGroup
+		var lost atomic.Int64
+		for i := range 40 {
+			time.Sleep(55 * time.Millisecond)
+			k := b.connect(b.daemons[0])
+			callers.Go(func() {
+				defer func() { _ = k.Close() }()
+				time.Sleep(time.Duration(i) * 130 * time.Millisecond)
+				id, answered := k.order()
+				if !answered {
+					lost.Add(int64(server.RunCount(id)))
+				}
+			})
+		}
+		callers.Wait()
+		b.Check(<-b.daemons[0].done, qt.IsNil)
+		b.Check(lost.Load(), qt.Equals, int64(0))
+	})
+}
