Release slots of keys that are being claimed at the stop

A daemon that stops while its claim of slots is in flight released nothing, as it held none yet, and the claim took effect after it: the slots belonged to a process that had ended, and requests with their keys were refused until its VM left the list of VMs.

The release now waits for the claim in flight, and no claim begins after it.

TestSlotsClaimedDuringReleaseAreReleased failed before: no homes written by the release when it returned, and slots of the ended process after the claim.

--- a/internal/keys/manager.go
+++ b/internal/keys/manager.go
@@ -121,6 +121,9 @@
 
 	// freeChecks counts, by zone, the consecutive checks with free slots. Only Run uses it.
 	freeChecks map[string]int
+	// homesWrite is full while the homes are being written. It is a channel and not a mutex, so that
+	// waiting can be cancelled.
+	homesWrite chan struct{}
 
 	mu           sync.Mutex
 	homes        *Homes
@@ -143,6 +146,7 @@
 		serving:    map[Home]bool{},
 		starting:   map[request.ID]bool{},
 		freeChecks: map[string]int{},
+		homesWrite: make(chan struct{}, 1),
 		slotsHeld: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "plankridge_key_slots_held", Help: "Slots of idempotency keys that this daemon serves.",
 		}),
@@ -231,7 +235,7 @@
 	self := m.options.Self
 	self.ListedRevision = listed
 	next, changed := m.desiredHomes(homes, self)
-	if changed && !m.putHomes(ctx, next, version) {
+	if changed && !m.claimHomes(ctx, next, version) {
 		return
 	}
 	for zone, slots := range m.unservedSlots() {
@@ -287,6 +291,31 @@
 	return missing
 }
 
+// claimHomes writes homes in which this daemon holds more slots, unless it is leaving.
+func (m *Manager) claimHomes(ctx context.Context, next *Homes, version int64) bool {
+	if !m.beginHomesWrite(ctx) {
+		return false
+	}
+	defer m.endHomesWrite()
+	m.mu.Lock()
+	leaving := m.leaving
+	m.mu.Unlock()
+	return !leaving && m.putHomes(ctx, next, version)
+}
+
+// beginHomesWrite waits until no other write of the homes is in progress. It returns false if the
+// context ends first.
+func (m *Manager) beginHomesWrite(ctx context.Context) bool {
+	select {
+	case m.homesWrite <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (m *Manager) endHomesWrite() { <-m.homesWrite }
+
 // putHomes writes the homes. After an error, the next check decides again: slots are served
 // only once the homes have been read back.
 func (m *Manager) putHomes(ctx context.Context, next *Homes, version int64) bool {
@@ -302,14 +331,18 @@
 	return m.applyHomes(object) == nil
 }
 
-// Release releases all slots. Call it when no request with a key is running here any more, or
-// shortly before the VM is reclaimed.
+// Release releases all slots, also those that are being claimed. Call it when no request with a key
+// is running here any more, or shortly before the VM is reclaimed.
 func (m *Manager) Release(ctx context.Context) {
 	m.mu.Lock()
 	m.leaving = true
 	m.serving = map[Home]bool{}
 	m.slotsHeld.Set(0)
 	m.mu.Unlock()
+	if !m.beginHomesWrite(ctx) {
+		return
+	}
+	defer m.endHomesWrite()
 	for _, record := range m.committer.Pending() {
 		select {
 		case <-m.committer.Append(record):
