Leave half of a short shutdown to the requests in flight

Where the platform kills a process less than 2.9 s after its stop, the wait for the load balancer took all of the shutdown, and the drain began with its time over: requests in flight were cut.

The wait takes at most half of the time that the shutdown has.

--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -11,6 +11,9 @@
 	// as not ready. The load balancer checks once a second and removes the daemon after two failed
 	// checks.
 	unreadyDelay = 2300 * time.Millisecond
+	// maxUnreadyShare bounds unreadyDelay to a share of the time of the shutdown. The rest is for the
+	// requests in flight.
+	maxUnreadyShare = 0.5
 	// shutdownMargin is how long before the process is killed the shutdown ends.
 	shutdownMargin = 600 * time.Millisecond
 )
@@ -19,7 +22,8 @@
 // balancer has removed it, and answers all requests that it has read. No step that waits for another
 // system comes before the drain of the callers.
 func (r *Router) shutDown(kill context.Context) {
-	deadline := time.Now().Add(r.settings.Bounds.DrainTimeout.Std() - shutdownMargin)
+	timeout := r.settings.Bounds.DrainTimeout.Std() - shutdownMargin
+	deadline := time.Now().Add(timeout)
 	r.logger.Info("shutting down", "until", deadline)
 	r.draining.Store(true)
 	r.node.TriggerReport()
@@ -33,7 +37,7 @@
 		r.logShutdownStep("release lease", func() { r.releaseLease(ctx) })
 	})
 	select {
-	case <-time.After(unreadyDelay):
+	case <-time.After(min(unreadyDelay, time.Duration(maxUnreadyShare*float64(timeout)))):
 	case <-ctx.Done():
 	}
 	r.logShutdownStep("drain callers", func() { r.drainCallers(ctx) })
--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -61,6 +61,8 @@
 	// quotaOver and quotaSlack are how far above its allowance a workspace may get, as a share of a
 	// window's allowance and in tokens.
 	quotaOver, quotaSlack float64
+	// drain is the time from a daemon's stop until it is killed; without it there are 8 s.
+	drain time.Duration
 	// withoutRollOuts is set if the operator allows no roll-outs.
 	withoutRollOuts bool
 	// engine holds further fields of the model service's engine in the configuration.
@@ -132,7 +134,7 @@
 		Store:  config.RouterAddress{Address: storeIP + ":1"},
 		Cloud:  config.RouterAddress{Address: cloudIP + ":1"},
 		Bounds: config.RouterBounds{
-			DrainTimeout: config.Duration(8 * time.Second), Lease: config.Duration(3 * time.Second),
+			DrainTimeout: config.Duration(cmp.Or(b.drain, 8*time.Second)), Lease: config.Duration(3 * time.Second),
 			RetryRatio: 0.2, RetryWindow: config.Duration(10 * time.Second), RetryExtra: 50,
 			UsageWindow: config.Duration(5 * time.Second), UsageDue: config.Duration(10 * time.Second),
 			RollOutShare: 0.1, RollOutSlack: 50, RollOutStop: config.Duration(5 * time.Second),
--- a/robustness/onplatform/shutdown_test.go
+++ b/robustness/onplatform/shutdown_test.go
@@ -143,3 +143,22 @@
 		b.Check(lost.Load(), qt.Equals, int64(0))
 	})
 }
+
+// TestShortShutdownCutsNoOrders guards against a shutdown that waits for the load balancer until its time is over.
+func TestShortShutdownCutsNoOrders(t *testing.T) {
+	for _, drain := range []time.Duration{1500 * time.Millisecond, 2 * time.Second, 3 * time.Second} {
+		t.Run(drain.String(), func(t *testing.T) {
+			var server *fake.Server
+			run(t, 1, func(b *bed) {
+				b.drain = drain
+				server = orders(b)
+			}, func(b *bed) {
+				lost := b.useConnections(b.daemons[0], 40, server)
+				time.Sleep(2 * time.Second)
+				b.daemons[0].stop()
+				b.Check(<-b.daemons[0].done, qt.IsNil)
+				b.Check(lost(), qt.Equals, 0)
+			})
+		})
+	}
+}
