Bound what is read of a server that sends bytes without end

A server that sends noise, a header line, header lines or a reason phrase without end in place of a response made a daemon read and keep it until the request's deadline: hundreds of megabytes a second, gigabytes of memory, and a daemon that dies of it takes all its callers with it. A response to another request with a body without end was skipped for as long.

Past a bound the connection is closed and the attempt ends like one without an answer: it counts against the server, and is repeated only where route and retry budget allow. A log line and plankridge_oversized_responses_total name the part. The soak has a server that sends without end.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -72,14 +72,25 @@
 	return fmt.Errorf("%w: status %d", ErrRefused, resp.StatusCode)
 }
 
+// errOversizedEvent means that an engine sent more bytes than an event may have.
+var errOversizedEvent = fmt.Errorf("event has more than %d bytes", maxEventBytes)
+
+// maxEventBytes bounds the bytes that are read for one event of a stream.
+const maxEventBytes = 1 << 20
+
 // readEvents passes the events of a stream on until the last one.
 func readEvents(body io.Reader, sink func(Event) error) error {
-	decoder := json.NewDecoder(body)
+	limited := &io.LimitedReader{R: body, N: maxEventBytes}
+	decoder := json.NewDecoder(limited)
 	for {
 		var event Event
 		if err := decoder.Decode(&event); err != nil {
+			if limited.N <= 0 {
+				err = errOversizedEvent
+			}
 			return fmt.Errorf("%w: %w", ErrBroken, err)
 		}
+		limited.N = maxEventBytes
 		if err := sink(event); err != nil {
 			return err
 		}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -23,6 +23,8 @@
 	movePause *prometheus.HistogramVec
 	// levelDecisions counts the decisions on calls while an admission level binds.
 	levelDecisions *prometheus.CounterVec
+	// oversized counts attempts that ended because a server sent too many bytes for a part of its response.
+	oversized *prometheus.CounterVec
 	// violations counts violated invariants. Any violation is a bug in this program.
 	violations prometheus.Counter
 }
@@ -62,11 +64,14 @@
 		levelDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "plankridge_admission_decisions_total", Help: "Calls while the admission level of their service binds, by class of rank and decision.",
 		}, []string{"service", "class", "decision"}),
+		oversized: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "plankridge_oversized_responses_total", Help: "Attempts that ended because the server sent too many bytes, by part: head, skipped-response or event.",
+		}, []string{"service", "part"}),
 		violations: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "plankridge_call_invariant_violations_total", Help: "Steps that the life of a call does not have.",
 		}),
 	}
-	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.allowance, m.levelDecisions, m.moves, m.movePause, m.violations)
+	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.allowance, m.levelDecisions, m.moves, m.movePause, m.oversized, m.violations)
 	return m
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -12,6 +12,7 @@
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/request"
+	"github.com/plankridge/plankridge/internal/upstream"
 )
 
 const (
@@ -193,7 +194,10 @@
 	if r.scanner.Scan() {
 		return r.scanner.Bytes(), nil
 	}
-	if err := r.scanner.Err(); err != nil {
+	switch err := r.scanner.Err(); {
+	case errors.Is(err, bufio.ErrTooLong):
+		return nil, &upstream.OversizedError{Part: upstream.PartEvent, Limit: maxEventSize}
+	case err != nil:
 		return nil, err
 	}
 	return nil, io.EOF
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -70,6 +70,8 @@
 const (
 	maxIdleConnsPerHost = 64
 	idleConnTimeout     = time.Minute
+	// maxResponseHeadBytes bounds the head of a response.
+	maxResponseHeadBytes = 64 << 10
 )
 
 // Transport returns an HTTP transport that dials through n. With newConnPerRequest,
@@ -83,5 +85,7 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableKeepAlives:   newConnPerRequest,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -90,7 +91,7 @@
 
 // conn is a connection with its read buffer.
 type conn struct {
-	net.Conn
+	*limitedConn
 	address string
 	// via is the daemon through which the connection goes. Such a connection is used once, because
 	// whether it is still open is known to that daemon only.
@@ -103,7 +104,7 @@
 // abort closes the connection and discards unsent data. Otherwise data that a network partition
 // delays would arrive after it heals, and the server would run a request whose caller has gone.
 func (c *conn) abort() {
-	if lingers, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+	if lingers, ok := c.limitedConn.Conn.(interface{ SetLinger(sec int) error }); ok {
 		// On a connection that is already closed there is nothing to discard.
 		_ = lingers.SetLinger(0)
 	}
@@ -144,7 +145,7 @@
 	} else {
 		go func() { x.written <- writeRequest(c, req) }()
 	}
-	resp, err := readHead(c.reader, req, reuse.Matches)
+	resp, err := readHead(c, req, reuse.Matches)
 	if err != nil {
 		x.drop()
 		if cause := context.Cause(ctx); cause != nil {
@@ -175,11 +176,15 @@
 
 // readHead reads the header of the response to req. It skips interim responses and responses to
 // other requests.
-func readHead(r *bufio.Reader, req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+func readHead(c *conn, req *http.Request, matches func(*http.Response) bool) (*http.Response, error) {
+	head, skipped := newPartLimit(PartHead, maxHeadBytes), newPartLimit(PartSkipped, maxSkippedBytes)
+	defer func() { c.limit = nil }()
 	for range maxResponsesRead {
-		resp, err := http.ReadResponse(r, req)
+		c.limit = head
+		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
-			return nil, err
+			// net/http replaces the error of a read in the middle of a header line.
+			return nil, cmp.Or(head.exceeded(), err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -187,8 +192,9 @@
 		if matches == nil || matches(resp) {
 			return resp, nil
 		}
+		c.limit = skipped
 		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return nil, err
+			return nil, cmp.Or(skipped.exceeded(), err)
 		}
 	}
 	return nil, errOtherRequests
@@ -216,7 +222,7 @@
 			break
 		}
 		idle := now.Sub(c.idleSince)
-		if idle <= reuse.MaxIdle && idle < c.idleLimit && isQuiet(c.Conn) {
+		if idle <= reuse.MaxIdle && idle < c.idleLimit && isQuiet(c.limitedConn.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -240,7 +246,8 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: raw, address: address, via: via, reader: bufio.NewReaderSize(raw, readBufferSize)}, nil
+	limited := &limitedConn{Conn: raw}
+	return &conn{limitedConn: limited, address: address, via: via, reader: bufio.NewReaderSize(limited, readBufferSize)}, nil
 }
 
 // viaOf returns the daemon through which a connection goes, or "" for a direct connection.
--- a/robustness/soak/faults_test.go
+++ b/robustness/soak/faults_test.go
@@ -96,6 +96,12 @@
 		time.Sleep(awayFor)
 		d.comeBack(s)
 	}},
+	{"server sends without end", func(d *deployment, r *rand.Rand, lasts time.Duration) {
+		s := one(r, d.servers[:6])
+		s.say(fake.Behaviour{Endless: one(r, endlessForms)})
+		time.Sleep(lasts)
+		s.say(fake.Behaviour{})
+	}},
 	{"servers lose answers", func(d *deployment, r *rand.Rand, lasts time.Duration) { d.loseAnswers(r, lasts) }},
 	{"configuration changes", func(d *deployment, _ *rand.Rand, lasts time.Duration) {
 		d.configure(false)
@@ -179,3 +185,11 @@
 func anyDaemon(busy map[string]bool) bool {
 	return busy["daemon paused"] || busy["daemon killed"] || busy["daemon stopped"]
 }
+
+// endlessForms are bytes without end that are no answer.
+var endlessForms = []*fake.Endless{
+	{Repeat: "x"},
+	{Begin: "HTTP/1.1 200 O", Repeat: "K"},
+	{Begin: "HTTP/1.1 200 OK\r\n", Repeat: "A: b\r\n"},
+	{Begin: "HTTP/1.1 200 OK\r\nRequest-Id: other\r\n\r\n", Repeat: "x"},
+}
