Make each call about the memory of a run on a connection of its own

The answers to these calls name no call.

Idle connections to the server stay for its requests.

Each call costs one more connection; a leaving server gets some for each of its streams.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -74,6 +74,8 @@
 type Reuse struct {
 	// MaxIdle is the longest idle time of a reused connection; zero always opens a new one.
 	MaxIdle time.Duration
+	// New opens a new connection and leaves the idle ones to other requests.
+	New bool
 	// Matches reports whether a response belongs to this request. Other responses, left over
 	// from an earlier request, are skipped. Nil accepts every response.
 	Matches func(*http.Response) bool
@@ -216,7 +218,7 @@
 // acquire returns an idle connection that may be reused, or a new one.
 func (p *Pool) acquire(ctx context.Context, address string, reuse Reuse) (*conn, error) {
 	now := time.Now()
-	for {
+	for !reuse.New {
 		c := p.pop(address)
 		if c == nil {
 			break
