Repeat a request at the same server on a new connection

A server that has had the request before now gets it on a new connection. The check of the idle time let a connection through that had been idle for no time at all, where none was to be reused.

TestLateCopyOfARefusalIsNotTheAnswerToTheNextAttempt failed before: status 200 with 2 runs; passes now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -156,7 +156,7 @@
 
 		FetchFrom:    choice.FetchFrom,
 		ContinueFrom: r.continueFrom(),
-		MaxIdle:      r.maxIdle(),
+		MaxIdle:      r.maxIdle(choice.ID),
 		MaySend:      func() bool { return choice.MaySend(time.Now()) },
 	}
 }
@@ -178,10 +178,11 @@
 }
 
 // maxIdle returns how long a reused connection for the call may have been idle. After an attempt
-// without an answer a new connection is opened, because the link may have failed under the idle ones, and
-// for the continuation of a run, so that it is known not to be sent if its server is gone.
-func (r *run) maxIdle() time.Duration {
-	if r.unanswered || r.continuation != nil {
+// without an answer a new connection is opened, because the link may have failed under the idle ones; for
+// the continuation of a run, so that it is known not to be sent if its server is gone; and to a server
+// that has had the call before, because a late copy of its first answer has the call's ID too.
+func (r *run) maxIdle(server string) time.Duration {
+	if r.unanswered || r.continuation != nil || r.tried[server] {
 		return 0
 	}
 	if r.call.Route.Kind == catalog.Idempotent {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -224,7 +224,7 @@
 			break
 		}
 		idle := now.Sub(c.idleSince)
-		if idle <= reuse.MaxIdle && idle < c.idleLimit && isQuiet(c.limitedConn.Conn) {
+		if reuse.MaxIdle > 0 && idle <= reuse.MaxIdle && idle < c.idleLimit && isQuiet(c.limitedConn.Conn) {
 			return c, nil
 		}
 		_ = c.Close()
