Resume a stream without a length whose leaving server has exited

A stream that may be resumed, with an attempt left, is now resumed after its last event; if it was whole, nothing follows. Plain answers and streams without an attempt left end as before, since a whole answer would be lost to its caller.

--- a/internal/forward/end.go
+++ b/internal/forward/end.go
@@ -24,8 +24,11 @@
 	// endComplete means that the answer is complete.
 	endComplete answerEnd = iota
 	// endUnconfirmed means that the answer ended with its connection, as a complete one does, and
-	// that the server does not answer a probe, or leaves and may have exited after it.
+	// that the server does not answer a probe.
 	endUnconfirmed
+	// endServerLeft means that the answer ended with its connection, and that the server, which was
+	// leaving, has exited: before the end of the answer or after it.
+	endServerLeft
 	// endServerExited means that the answer ended with its connection because the server exited.
 	endServerExited
 )
@@ -48,8 +51,21 @@
 		return endComplete
 	case errors.Is(context.Cause(ctx), errRestarted):
 		return endServerExited
-	case liveness == upstream.NotListening && !choice.Leaving():
+	case liveness == upstream.NotListening && choice.Leaving():
+		return endServerLeft
+	case liveness == upstream.NotListening:
 		return endServerExited
 	}
 	return endUnconfirmed
 }
+
+// maybeIncomplete reports whether a stream with the given end has to be resumed. One whose leaving server
+// has exited is resumed if it can be: if it was complete, nothing follows.
+func (r *run) maybeIncomplete(end answerEnd) bool {
+	return end == endServerExited || end == endServerLeft && r.canResume()
+}
+
+// canResume reports whether the stream may be resumed by another attempt.
+func (r *run) canResume() bool {
+	return r.call.Route.Resumable && r.sentAttempts < r.call.Route.MaxAttempts
+}
--- a/internal/forward/moves.go
+++ b/internal/forward/moves.go
@@ -120,7 +120,7 @@
 	cancel := r.cancelAttempt
 	m := &movable{
 		run: r, source: choice, abandon: func() { cancel(errLeaving) }, drop: answer.Exchange.Drop,
-		need: r.need(), resumable: r.call.Route.Resumable && r.sentAttempts < r.call.Route.MaxAttempts,
+		need: r.need(), resumable: r.canResume(),
 	}
 	choice.OnLeaving(func() { r.evacuator.add(m) })
 	return m
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -84,7 +84,7 @@
 // endStream ends a stream at the end of its answer. begun is set if this attempt's server wrote any of it.
 func (r *run) endStream(ctx context.Context, choice *backend.Choice, answer *Answer, begun bool) result {
 	end := r.checkEnd(ctx, choice, answer)
-	if end == endServerExited {
+	if r.maybeIncomplete(end) {
 		return r.endBroken(ctx, "server-ended")
 	}
 	r.sendHeader(answer)
