Guard the stand-in store of the release tests against data races

The race detector found that two tests read the stored record while a goroutine of the test, or the elector under test, had written it without a lock.

--- a/internal/duty/release_test.go
+++ b/internal/duty/release_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,6 +20,7 @@
 // storedLease is a store that holds only the lease object, and whose calls may be slow or fail.
 type storedLease struct {
 	store.Store
+	mu     sync.Mutex
 	object store.Object
 	// writes are the records that were sent.
 	writes []lease.Record
@@ -37,6 +39,8 @@
 			return store.Object{}, err
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.object.Revision == 0 {
 		return store.Object{}, store.ErrNotFound
 	}
@@ -50,19 +54,31 @@
 
 // Replace implements store.Store.
 func (s *storedLease) Replace(ctx context.Context, _, _ string, revision int64, spec any) (store.Object, error) {
+	s.mu.Lock()
 	s.writes = append(s.writes, spec.(lease.Record))
+	s.mu.Unlock()
 	if s.onWrite != nil {
 		if err := s.onWrite(ctx); err != nil {
 			return store.Object{}, err
 		}
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if revision != s.object.Revision {
 		return store.Object{}, store.ErrConflict
 	}
-	return s.apply(spec)
+	return s.applyLocked(spec)
 }
 
+// apply makes a write take effect whatever its condition.
 func (s *storedLease) apply(spec any) (store.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.applyLocked(spec)
+}
+
+// applyLocked is apply for a caller that holds the lock.
+func (s *storedLease) applyLocked(spec any) (store.Object, error) {
 	raw, err := json.Marshal(spec)
 	s.object = store.Object{Spec: raw, Revision: s.object.Revision + 1}
 	return s.object, err
@@ -70,6 +86,8 @@
 
 // holder returns the holder by the stored record.
 func (s *storedLease) holder(c *qt.C) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var record lease.Record
 	c.Assert(json.Unmarshal(s.object.Spec, &record), qt.IsNil)
 	return record.Holder
