--- a/internal/network/head_test.go
+++ b/internal/network/head_test.go
@@ -1,6 +1,7 @@
 package network
 
 import (
+	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -47,6 +48,9 @@
 			return
 		}
 		defer func() { _ = conn.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+			return
+		}
 		_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\n"))
 		lines := []byte(strings.Repeat("A: b\r\n", 4096))
 		for range 4096 {
