Resume streams only as an assignment that is known to be recent

What callers saw: during a release one daemon was out of step for some seconds, cut off from the others or standing still, while servers of a new version joined. Streams that had begun on these servers through other daemons broke, were taken up at that daemon and went on at a server of the earlier version, with nothing in the answer to show it.

Cause: `Resume` read the assignment of streams to versions however old it was, and buckets of a version without ready servers moved at once, without the daemons that could not be reached: "who does not know of the move can go on only where nothing serves". But a daemon that is cut off still reaches servers that the others do not list any more. Class: a decision from a cached fact without a bound on the fact's age.

Change: a daemon keeps the last time at which its assignment is known to have been the newest one, from calls of the store and from answers to its own reports (never from when a datagram was received: a paused daemon reads it late). After 2.5 s without it resumes only streams that it began or that were reported to it. Buckets of a version without servers move in two steps; the second follows once all daemons have adopted the first, or 2.7 s later, when no daemon resumes by the assignment before. While it is not confirmed a daemon reports all streams that begin, so that a zone that is cut off resumes its own.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -103,9 +103,9 @@
 
 // Sink processes the data received from peers.
 type Sink interface {
-	// HandleReport merges a peer's report. newProcess is set for the first report of a
-	// process.
-	HandleReport(status *gossippb.Status, newProcess bool)
+	// HandleReport merges a peer's report. notBefore is a time of the steady clock before
+	// which the peer cannot have written it, or zero if that is not known.
+	HandleReport(status *gossippb.Status, notBefore time.Time)
 	// NeedsPull reports whether a Pull call to the peer would return newer data.
 	NeedsPull(status *gossippb.Status) bool
 	// HandlePullReply merges the reply to a Pull call. It reports whether the peer must
@@ -145,6 +145,9 @@
 	// noticeLimiter limits the rate of notices.
 	noticeLimiter *rate.Limiter
 
+	// sentTimes holds when the last own reports were sent.
+	sentTimes sentTimes
+
 	mu       sync.Mutex
 	sequence uint64
 	// pulls holds the state of the Pull calls in progress, by peer address.
@@ -289,7 +292,7 @@
 	if newProcess {
 		n.options.Logger.Info("first report received from peer", "peer", status.GetVm(), "incarnation", status.GetIncarnation(), "config_version", status.GetConfigVersion())
 	}
-	n.options.Sink.HandleReport(status, newProcess)
+	n.options.Sink.HandleReport(status, n.notBefore(status))
 	if status.GetOwn() != nil {
 		n.redirectReporter(status, now)
 	}
@@ -311,11 +314,8 @@
 	if plan.Relay && status.GetZone() == n.options.Zone {
 		return
 	}
-	n.mu.Lock()
-	n.sequence++
-	sequence := n.sequence
-	n.mu.Unlock()
-	reply := n.newStatus(sequence)
+	reply := n.newStatus(n.nextSequence())
+	answered{incarnation: status.GetIncarnation(), sequence: status.GetSequence()}.encode(reply)
 	for _, p := range n.options.Members.relayCandidates(status.GetZone(), now) {
 		reply.Known = append(reply.Known, p.encode())
 	}
--- a/internal/gossip/send.go
+++ b/internal/gossip/send.go
@@ -16,23 +16,21 @@
 		n.options.Logger.Info("peer forgotten", "peer", forgotten.VM, "silent_s", now.Sub(forgotten.lastSeen()).Seconds())
 	}
 	plan := n.options.Members.Plan(n.options.Source.LocalState(), now)
-	n.mu.Lock()
-	n.sequence++
-	sequence := n.sequence
-	n.mu.Unlock()
+	sequence := n.nextSequence()
+	answers := n.options.Members.answeredReports()
 	own := n.options.Source.OwnCounts(sequence)
 	var speeds []*gossippb.ServerSpeed
 	if len(plan.ReportTo) > 0 || plan.Leader {
 		speeds = n.options.Source.Speeds(ZoneRelays, plan, now)
 	}
 	// The few datagrams to other zones go first: a link that is full drops the last ones of a round.
-	n.sendToRemoteZones(plan, sequence, now)
-	n.sendToZone(plan, own, speeds, sequence, now)
+	n.sendToRemoteZones(plan, answers, sequence, now)
+	n.sendToZone(plan, answers, own, speeds, sequence, now)
 	if len(plan.ReportTo) > 0 && !plan.Relay {
 		report := n.newStatus(sequence)
 		report.Own, report.Speeds = own, speeds
 		report.Uses = n.usesFor(plan.ReportTo, now)
-		n.sendToAll(report, plan.ReportTo, now)
+		n.sendToAll(report, answers, plan.ReportTo, now)
 	}
 	if len(n.options.Members.Reachable(now)) == 0 {
 		report := n.newStatus(sequence)
@@ -46,7 +44,7 @@
 // sendToZone sends to the daemons of the zone, from a relay or from a daemon that follows
 // the store in place of one. The common part is encoded once and the fields for each
 // receiver are appended, since protobuf merges concatenated messages.
-func (n *Node) sendToZone(plan Plan, own *gossippb.Counts, speeds []*gossippb.ServerSpeed, sequence uint64, now time.Time) {
+func (n *Node) sendToZone(plan Plan, answers map[string]answered, own *gossippb.Counts, speeds []*gossippb.ServerSpeed, sequence uint64, now time.Time) {
 	if len(plan.ZonePeers) == 0 {
 		return
 	}
@@ -71,6 +69,7 @@
 	uses := n.usesFor(plan.ZonePeers, now)
 	for _, peer := range plan.ZonePeers {
 		extra := &gossippb.Status{}
+		answers[peer.VM].encode(extra)
 		if peer.lacksUses(uses, now) {
 			extra.Uses = uses
 		}
@@ -107,7 +106,7 @@
 
 // sendToRemoteZones sends the leader's zone totals to the relays of other zones and, in
 // some reports, to the hint address of a forgotten daemon.
-func (n *Node) sendToRemoteZones(plan Plan, sequence uint64, now time.Time) {
+func (n *Node) sendToRemoteZones(plan Plan, answers map[string]answered, sequence uint64, now time.Time) {
 	hint := n.nextHint(plan, sequence)
 	if len(plan.RemoteRelays) == 0 && hint == "" {
 		return
@@ -120,7 +119,7 @@
 		summary.Known = memberList(n.options.Members.inRelayOrder(now), maxListedPerRemoteZone, now)
 		summary.Helpers = n.options.Members.zoneHelpers(n.options.Source.LocalState(), sequence/reportsPerMemberList, now)
 	}
-	n.sendToAll(summary, plan.RemoteRelays, now)
+	n.sendToAll(summary, answers, plan.RemoteRelays, now)
 	if hint != "" {
 		n.sendTo(summary, hint)
 	}
@@ -163,11 +162,18 @@
 	return status
 }
 
-// sendToAll sends the same status to several peers.
-func (n *Node) sendToAll(status *gossippb.Status, peers []Peer, now time.Time) {
+// sendToAll sends a status to several peers, each with the answer to its last report.
+func (n *Node) sendToAll(status *gossippb.Status, answers map[string]answered, peers []Peer, now time.Time) {
+	raw, err := proto.Marshal(status)
+	if err != nil {
+		n.options.Logger.Error("report could not be encoded", "error", err)
+		return
+	}
 	for _, peer := range peers {
 		n.options.Members.recordSent(peer.VM, now)
-		n.sendTo(status, peer.Address)
+		extra := &gossippb.Status{}
+		answers[peer.VM].encode(extra)
+		n.sendMerged(raw, extra, peer.Address)
 	}
 }
 
--- a/internal/router/fuzz_test.go
+++ b/internal/router/fuzz_test.go
@@ -61,7 +61,7 @@
 		r := newTestRouter(t)
 		r.state.OwnCounts(1)
 		for range 2 {
-			r.state.HandleReport(&status, true)
+			r.state.HandleReport(&status, time.Now())
 			r.state.NeedsPull(&status)
 		}
 		now := time.Now()
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -41,7 +41,7 @@
 		status.RollOuts, status.RollOutsRead = encodeRollOuts(s.router.rollOuts.Statuses(time.Now())), s.router.rollOuts.Revision()
 	}
 	status.Held = encodeHeld(s.quarantine.Reports(time.Now()))
-	status.StreamAssignment = s.streamVersions.adopted()
+	status.StreamAssignment, status.StreamAssignmentAgeMs = s.streamVersions.adoptedWithAge()
 	status.Begun = s.streamVersions.report(status.GetSequence(), time.Now())
 	now := time.Now()
 	status.Limits = encodeLimits(s.view.Limits(status.GetSequence(), now), now)
@@ -151,7 +151,7 @@
 }
 
 // HandleReport implements gossip.Sink.
-func (s *state) HandleReport(status *gossippb.Status, _ bool) {
+func (s *state) HandleReport(status *gossippb.Status, notBefore time.Time) {
 	now := time.Now()
 	s.mu.Lock()
 	s.confirmList(status.GetServersDigest(), status.GetServersAgeMs(), now)
@@ -163,6 +163,7 @@
 	s.mergeLeavingNotices(status, now)
 	s.mergeSpeeds(status, now)
 	s.streamVersions.mergeReport(status, now)
+	s.streamVersions.confirm(status, notBefore)
 	if own := status.GetOwn(); own != nil && status.GetZone() == s.router.settings.VM.Zone {
 		s.addMemberReport(status, own, now)
 	}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -37,6 +37,7 @@
 	requestsHeldBack = describe("requests_held_back", "What requests ask that ended the servers that ran them and is held back.")
 	daemonRole       = describe("role", "1 while the daemon has the role.", "role")
 	streamSerial     = describe("stream_assignment_serial", "Serial of the assignment of streams to versions in force; -1 before it is known.")
+	streamAge        = describe("stream_assignment_age_seconds", "Time since the assignment of streams to versions was last known to be the newest one; -1 if it never was.")
 	streamBuckets    = describe("stream_buckets", "Buckets of streams by the version at which they begin, and those that move to another.", "service", "version", "state")
 	retriesAllowed   = describe("retries_allowed", "Retries that all daemons may send in a window, as far as this one knows.", "service")
 	retriesSpent     = describe("retries_spent", "Retries that all daemons have sent in the last window, as far as this one knows.", "service")
@@ -55,7 +56,7 @@
 
 // Describe implements prometheus.Collector.
 func (sc stateCollector) Describe(descs chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serverSpeed, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, streamSerial, streamBuckets, retriesAllowed, retriesSpent, admissionShare, admissionUtilization, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
+	for _, d := range []*prometheus.Desc{configVersion, configAge, serversListed, serversWithLimit, serverSpeed, serversAge, serversRevision, storeFailing, leaseFence, daemonCount, requestsHeldBack, daemonRole, streamSerial, streamAge, streamBuckets, retriesAllowed, retriesSpent, admissionShare, admissionUtilization, rollOutState, rollOutHalted, rollOutShare, rollOutSent} {
 		descs <- d
 	}
 }
@@ -108,7 +109,13 @@
 
 // collectStreamVersions exports the assignment of streams to versions.
 func (sc stateCollector) collectStreamVersions(gauge func(d *prometheus.Desc, value float64, labels ...string)) {
-	gauge(streamSerial, float64(sc.state.streamVersions.adopted()-1))
+	adopted, ageMs := sc.state.streamVersions.adoptedWithAge()
+	gauge(streamSerial, float64(adopted-1))
+	age := -1.0
+	if ageMs > 0 {
+		age = float64(ageMs) / 1000
+	}
+	gauge(streamAge, age)
 	a := sc.state.streamVersions.get()
 	if a == nil {
 		return
--- a/internal/router/streamversions.go
+++ b/internal/router/streamversions.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/forward"
 	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+	"github.com/plankridge/plankridge/internal/steady"
 	"github.com/plankridge/plankridge/internal/store"
 	"github.com/plankridge/plankridge/internal/streamversion"
 )
@@ -22,6 +24,11 @@
 	assignmentInterval = 100 * time.Millisecond
 	// assignmentRetryInterval is the time between two calls while the store refuses or does not answer.
 	assignmentRetryInterval = 500 * time.Millisecond
+	// assigningReadAge is the age of the confirmation from which on the daemon that assigns reads the
+	// store, and followingReadAge that of the other daemons that follow the store, in case its
+	// reports do not arrive.
+	assigningReadAge = 700 * time.Millisecond
+	followingReadAge = 1200 * time.Millisecond
 )
 
 // streamVersions holds the assignment of resumable streams to the versions of their service. It
@@ -30,12 +37,18 @@
 	*Router
 
 	mu sync.Mutex
-	// assignment is the newest assignment known, or nil before it has been read.
-	assignment *streamversion.Assignment
+	// assignment is the newest assignment known, or nil before it has been read. adoptedAt is when it
+	// was adopted, and confirmation the last time at which it is known to have been the newest one.
+	// Both are times of the steady clock.
+	assignment   *streamversion.Assignment
+	adoptedAt    time.Time
+	confirmation streamversion.Confirmation
 	// loaded is closed when the assignment is first known.
 	loaded chan struct{}
 	// begun holds the versions of streams that have begun lately.
 	begun *streamversion.Begun
+	// wasUnconfirmed is set if the assignment was not confirmed at the last report.
+	wasUnconfirmed atomic.Bool
 
 	// stored is what this daemon knows of the object in the store. Only maintain uses it.
 	stored storedAssignment
@@ -64,6 +77,9 @@
 	return s.assignment
 }
 
+// maxConfirmationAgeMs bounds the age that a peer reports, in milliseconds.
+const maxConfirmationAgeMs = int64(time.Hour / time.Millisecond)
+
 // adopted returns one more than the serial of the assignment that this daemon has adopted, or zero.
 func (s *streamVersions) adopted() int64 {
 	if a := s.get(); a != nil {
@@ -72,6 +88,43 @@
 	return 0
 }
 
+// confirmed returns the newest assignment known, and whether streams may be resumed as it says. The
+// clock is read last: a daemon that is paused in between finds its assignment expired.
+func (s *streamVersions) confirmed() (*streamversion.Assignment, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.assignment, s.assignment != nil && s.confirmation.Valid(s.assignment.Serial, steady.Now())
+}
+
+// adoptedWithAge returns one more than the serial of the assignment that this daemon has adopted, or
+// zero, and the time in milliseconds since it was last known to be the newest one, or zero.
+func (s *streamVersions) adoptedWithAge() (adopted, ageMs int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.assignment == nil {
+		return 0, 0
+	}
+	age, known := s.confirmation.Age(s.assignment.Serial, steady.Now())
+	if !known {
+		return s.assignment.Serial + 1, 0
+	}
+	return s.assignment.Serial + 1, max(1, age.Milliseconds()+1)
+}
+
+// confirm evaluates what a peer's report, which it cannot have written before a time, says of the
+// newest assignment.
+func (s *streamVersions) confirm(status *gossippb.Status, notBefore time.Time) {
+	if notBefore.IsZero() || status.GetStreamAssignmentAgeMs() <= 0 {
+		return
+	}
+	age := time.Duration(min(status.GetStreamAssignmentAgeMs(), maxConfirmationAgeMs)) * time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.assignment != nil && status.GetStreamAssignment() == s.assignment.Serial+1 {
+		s.confirmation.Observe(s.assignment.Serial, notBefore.Add(-age))
+	}
+}
+
 // adopt puts an assignment in force if it is newer than the current one.
 func (s *streamVersions) adopt(a *streamversion.Assignment, source string) {
 	s.mu.Lock()
@@ -80,7 +133,10 @@
 		s.mu.Unlock()
 		return
 	}
-	s.assignment = a
+	s.assignment, s.adoptedAt = a, steady.Now()
+	if before != nil {
+		s.confirmation.Observe(a.Serial, time.Time{})
+	}
 	if before == nil {
 		close(s.loaded)
 	}
@@ -118,7 +174,7 @@
 
 // Resume implements forward.StreamVersions.
 func (s *streamVersions) Resume(service, streamID string, begunAfter time.Time) (forward.StreamVersion, error) {
-	a := s.get()
+	a, confirmed := s.confirmed()
 	if a == nil {
 		return forward.StreamVersion{}, streamversion.ErrNotLoaded
 	}
@@ -126,6 +182,8 @@
 	switch {
 	case !found:
 		return forward.StreamVersion{}, streamversion.ErrUnassigned
+	case !confirmed:
+		return s.resumeReported(service, streamID, streamversion.ErrUnconfirmed)
 	case streamID == "":
 		// The caller does not tell which stream it takes up.
 		versions := a.Services[service].Versions(begunAfter)
@@ -135,14 +193,20 @@
 		return forward.StreamVersion{Version: versions[0], Source: fromOnlyVersion}, nil
 	}
 	version, err := bucket.Began(begunAfter)
-	source := fromAssignment
 	if err != nil {
-		if version, found = s.begun.Version(service, streamID, time.Now()); !found {
-			return forward.StreamVersion{}, err
-		}
-		source = fromReport
+		return s.resumeReported(service, streamID, err)
+	}
+	return forward.StreamVersion{Version: version, Candidate: version == s.candidateVersion(service), Source: fromAssignment}, nil
+}
+
+// resumeReported returns the version of a stream that the assignment does not tell, for the given
+// reason, if this daemon or one that has reported it began the stream.
+func (s *streamVersions) resumeReported(service, streamID string, reason error) (forward.StreamVersion, error) {
+	version, found := s.begun.Version(service, streamID, time.Now())
+	if !found {
+		return forward.StreamVersion{}, reason
 	}
-	return forward.StreamVersion{Version: version, Candidate: version == s.candidateVersion(service), Source: source}, nil
+	return forward.StreamVersion{Version: version, Candidate: version == s.candidateVersion(service), Source: fromReport}, nil
 }
 
 // Began implements forward.StreamVersions.
@@ -152,12 +216,18 @@
 
 // report returns the streams for this daemon's report of a sequence number.
 func (s *streamVersions) report(sequence uint64, now time.Time) []*gossippb.BegunStreams {
-	a := s.get()
+	a, confirmed := s.confirmed()
 	if a == nil {
 		return nil
 	}
+	s.recordConfirmed(a, confirmed)
+	// While the assignment is not confirmed, only reports tell the version of a stream.
+	undetermined := a.UndeterminedBuckets(now)
+	if !confirmed {
+		undetermined = a.AllBuckets()
+	}
 	var encoded []*gossippb.BegunStreams
-	for _, r := range s.begun.Report(a, sequence, now) {
+	for _, r := range s.begun.Report(undetermined, sequence, now) {
 		begun := &gossippb.BegunStreams{Service: r.Service, Version: r.Version}
 		for _, key := range r.Streams {
 			begun.Streams = append(begun.Streams, uint64(key))
@@ -167,6 +237,18 @@
 	return encoded
 }
 
+// recordConfirmed records whether the assignment is confirmed. What was reported while it was not may
+// have reached nobody.
+func (s *streamVersions) recordConfirmed(a *streamversion.Assignment, confirmed bool) {
+	switch wasUnconfirmed := s.wasUnconfirmed.Swap(!confirmed); {
+	case !wasUnconfirmed && !confirmed:
+		s.logger.Warn("assignment of streams to versions may be outdated, only reported streams are resumed", "serial", a.Serial)
+	case wasUnconfirmed && confirmed:
+		s.begun.ReportAgain()
+		s.logger.Info("assignment of streams to versions is confirmed again", "serial", a.Serial)
+	}
+}
+
 // mergeReport adds the streams that a peer reports. Relays pass on those of their zone.
 func (s *streamVersions) mergeReport(status *gossippb.Status, now time.Time) {
 	if len(status.GetBegun()) == 0 {
@@ -220,13 +302,20 @@
 }
 
 func (s *streamVersions) evaluate(ctx context.Context, now time.Time) {
-	if !s.following.Load() || now.Sub(s.stored.failedAt) < assignmentRetryInterval || !s.shouldAssign(now) {
+	if !s.following.Load() || now.Sub(s.stored.failedAt) < assignmentRetryInterval {
 		return
 	}
 	demands := s.demands(now)
 	if len(demands) == 0 {
 		return
 	}
+	assigns := s.shouldAssign(now)
+	if s.needsConfirmation(assigns) && !s.state.storeUnavailable() {
+		s.read(ctx)
+	}
+	if !assigns {
+		return
+	}
 	wentBack := s.objectStore.Era() != s.stored.era
 	if wentBack {
 		s.stored.era, s.stored.current = s.objectStore.Era(), false
@@ -242,7 +331,7 @@
 // change writes the assignment that follows, if it differs or the store holds an older one. Calls to
 // the store cost money, so its object is read only then.
 func (s *streamVersions) change(ctx context.Context, a *streamversion.Assignment, demands map[string]streamversion.Demand, now time.Time) {
-	next, changed := a.Plan(demands, s.adoptedByAll(a, now), now)
+	next, changed := a.Plan(demands, s.progress(a, now), now)
 	if !changed && (!s.stored.current || s.stored.serial >= a.Serial) {
 		return
 	}
@@ -273,6 +362,7 @@
 
 // read reads the assignment from the store.
 func (s *streamVersions) read(ctx context.Context) {
+	begun := steady.Now()
 	object, err := s.objectStore.Get(ctx, assignmentKind, assignmentName)
 	a := &streamversion.Assignment{}
 	switch {
@@ -288,12 +378,23 @@
 	}
 	s.stored.current, s.stored.revision, s.stored.serial = true, object.Revision, a.Serial
 	s.adopt(a, sourceStore)
+	s.confirmAsOf(a.Serial, begun)
+}
+
+// confirmAsOf records that the store held the assignment of a serial after a time.
+func (s *streamVersions) confirmAsOf(serial int64, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.assignment != nil && s.assignment.Serial == serial {
+		s.confirmation.Observe(serial, at)
+	}
 }
 
 // write writes an assignment to the store, and puts it in force if the store has taken it.
 func (s *streamVersions) write(ctx context.Context, a *streamversion.Assignment) {
 	var object store.Object
 	var err error
+	begun := steady.Now()
 	if s.stored.revision == 0 {
 		object, err = s.objectStore.Create(ctx, assignmentKind, assignmentName, a)
 	} else {
@@ -307,6 +408,7 @@
 	}
 	s.stored.revision, s.stored.serial = object.Revision, a.Serial
 	s.adopt(a, "own write")
+	s.confirmAsOf(a.Serial, begun)
 }
 
 func (s *streamVersions) fail(message string, err error) {
@@ -341,10 +443,39 @@
 	return streamversion.Trial{Version: version, Moved: moved, Shared: shared}
 }
 
-// adoptedByAll reports whether all daemons of the deployment have adopted an assignment.
+// needsConfirmation reports whether this daemon, which follows the store, should read the assignment
+// to learn whether it is still the newest one.
+func (s *streamVersions) needsConfirmation(assigns bool) bool {
+	maxAge := followingReadAge
+	if assigns {
+		maxAge = assigningReadAge
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.assignment == nil {
+		return false
+	}
+	now := steady.Now()
+	age, known := s.confirmation.Age(s.assignment.Serial, now)
+	if !known {
+		age = now.Sub(s.adoptedAt)
+	}
+	return age >= maxAge
+}
+
+// progress returns how far an assignment has spread.
+func (s *streamVersions) progress(a *streamversion.Assignment, now time.Time) streamversion.Progress {
+	s.mu.Lock()
+	since := s.adoptedAt
+	s.mu.Unlock()
+	return streamversion.ProgressOf(s.adoptedByAll(a, now), since, steady.Now())
+}
+
+// adoptedByAll reports whether all daemons of the deployment have adopted an assignment. A daemon that
+// has not read the list of daemons since its start does not know all of them.
 func (s *streamVersions) adoptedByAll(a *streamversion.Assignment, now time.Time) bool {
 	reach, complete := s.state.reach(now)
-	return complete && reach.StreamAssignment > a.Serial
+	return s.registered.Load() && complete && reach.Known > len(s.members.Known(now)) && reach.StreamAssignment > a.Serial
 }
 
 // packed returns the assignment for a peer that has adopted an earlier one, or nil.
--- /dev/null
+++ b/internal/router/streamversions_test.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/gossip/gossippb"
+	"github.com/plankridge/plankridge/internal/steady"
+	"github.com/plankridge/plankridge/internal/streamversion"
+)
+
+// assigned returns an assignment of a serial that assigns all streams of a service to one version.
+func assigned(serial int64, service, version string) *streamversion.Assignment {
+	buckets := make([]streamversion.Bucket, streamversion.BucketCount)
+	for i := range buckets {
+		buckets[i].Version = version
+	}
+	return &streamversion.Assignment{Serial: serial, Services: map[string]streamversion.Service{service: {Buckets: buckets}}}
+}
+
+// withAssignment runs a test of a router that has adopted an assignment of the service llm to v1.
+func withAssignment(t *testing.T, test func(c *qt.C, s *streamVersions)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestRouter(t).state.streamVersions
+		s.adopt(assigned(3, "llm", "v1"), "test")
+		test(qt.New(t), s)
+	})
+}
+
+func TestPausedDaemonResumesOnlyStreamsThatItKnows(t *testing.T) {
+	withAssignment(t, func(c *qt.C, s *streamVersions) {
+		s.confirmAsOf(3, steady.Now())
+		s.Began("llm", "own", "v1")
+		got, err := s.Resume("llm", "other", time.Now().Add(-time.Minute))
+		c.Assert(err, qt.IsNil)
+		c.Check(got.Version, qt.Equals, "v1")
+		time.Sleep(streamversion.ConfirmationBound + time.Second)
+		_, err = s.Resume("llm", "other", time.Now().Add(-time.Minute))
+		c.Check(err, qt.ErrorIs, streamversion.ErrUnconfirmed)
+		_, err = s.Resume("llm", "", time.Now().Add(-time.Minute))
+		c.Check(err, qt.ErrorIs, streamversion.ErrUnconfirmed)
+		got, err = s.Resume("llm", "own", time.Now().Add(-time.Minute))
+		c.Assert(err, qt.IsNil)
+		c.Check(got.Version, qt.Equals, "v1")
+	})
+}
+
+func TestOnlyAnAnswerToAReportConfirmsTheAssignment(t *testing.T) {
+	withAssignment(t, func(c *qt.C, s *streamVersions) {
+		resumes := func() bool {
+			_, err := s.Resume("llm", "other", time.Now())
+			return err == nil
+		}
+		sent := steady.Now()
+		s.confirm(&gossippb.Status{StreamAssignment: 4, StreamAssignmentAgeMs: 1}, time.Time{})
+		c.Check(resumes(), qt.IsFalse, qt.Commentf("it may have been written at any time"))
+		s.confirm(&gossippb.Status{StreamAssignment: 3, StreamAssignmentAgeMs: 1}, sent)
+		c.Check(resumes(), qt.IsFalse, qt.Commentf("the peer has an earlier assignment"))
+		s.confirm(&gossippb.Status{StreamAssignment: 4}, sent)
+		c.Check(resumes(), qt.IsFalse, qt.Commentf("the peer does not know the age"))
+		s.confirm(&gossippb.Status{StreamAssignment: 4, StreamAssignmentAgeMs: streamversion.ConfirmationBound.Milliseconds() + 1}, sent)
+		c.Check(resumes(), qt.IsFalse)
+		s.confirm(&gossippb.Status{StreamAssignment: 4, StreamAssignmentAgeMs: 1}, sent)
+		c.Check(resumes(), qt.IsTrue)
+		adopted, ageMs := s.adoptedWithAge()
+		c.Check(adopted, qt.Equals, int64(4))
+		c.Check(ageMs > 0 && ageMs < 100, qt.IsTrue, qt.Commentf("%d", ageMs))
+	})
+}
--- a/internal/streamversion/assignment.go
+++ b/internal/streamversion/assignment.go
@@ -27,6 +27,8 @@
 	ErrNotLoaded = errors.New("versions of streams are not known yet")
 	// ErrUnassigned means that the streams of the service have not been assigned yet.
 	ErrUnassigned = errors.New("streams of the service are not assigned to versions yet")
+	// ErrUnconfirmed means that other daemons may use a newer assignment.
+	ErrUnconfirmed = errors.New("assignment of streams to versions may be outdated here")
 	// ErrAmbiguous means that the stream may have begun at several versions.
 	ErrAmbiguous = errors.New("version that began the stream is not known")
 )
--- a/internal/streamversion/begun.go
+++ b/internal/streamversion/begun.go
@@ -88,14 +88,13 @@
 	Streams          []Key
 }
 
-// Report returns the streams for the report of a sequence number: those whose version the assignment
-// does not tell, and which few reports have contained.
-func (b *Begun) Report(a *Assignment, sequence uint64, now time.Time) []Report {
+// Report returns the streams for the report of a sequence number: those of the given buckets, which
+// few reports have contained.
+func (b *Begun) Report(of Buckets, sequence uint64, now time.Time) []Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.prune(now)
-	moving := a.movingBuckets(now)
-	if len(moving) == 0 {
+	if len(of) == 0 {
 		return nil
 	}
 	reports, count := map[[2]string]*Report{}, 0
@@ -103,7 +102,7 @@
 		if count >= maxReported {
 			break
 		}
-		if !s.forwarded || !moving[s.service][key.bucket()] || s.firstReport != 0 && sequence >= s.firstReport+reportRepeats {
+		if !s.forwarded || !of[s.service][key.bucket()] || s.firstReport != 0 && sequence >= s.firstReport+reportRepeats {
 			continue
 		}
 		if s.firstReport == 0 {
@@ -123,22 +122,43 @@
 	return all
 }
 
-// movingBuckets returns the buckets by service whose streams of the last begunRetention have begun at
+// ReportAgain makes the next reports contain all streams again, as peers may not have received the
+// earlier ones.
+func (b *Begun) ReportAgain() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.streams {
+		s.firstReport = 0
+	}
+}
+
+// Buckets are buckets by service.
+type Buckets map[string]map[int]bool
+
+// UndeterminedBuckets returns the buckets whose streams of the last begunRetention have begun at
 // several versions.
-func (a *Assignment) movingBuckets(now time.Time) map[string]map[int]bool {
-	moving := map[string]map[int]bool{}
+func (a *Assignment) UndeterminedBuckets(now time.Time) Buckets {
+	return a.selectBuckets(func(b Bucket) bool { return len(b.candidates(now.Add(-begunRetention))) > 1 })
+}
+
+// AllBuckets returns the buckets of all services.
+func (a *Assignment) AllBuckets() Buckets { return a.selectBuckets(func(Bucket) bool { return true }) }
+
+// selectBuckets returns the buckets that pass a check.
+func (a *Assignment) selectBuckets(selected func(Bucket) bool) Buckets {
+	buckets := Buckets{}
 	for service, s := range a.Services {
 		for i, b := range s.Buckets {
-			if len(b.candidates(now.Add(-begunRetention))) < 2 {
+			if !selected(b) {
 				continue
 			}
-			if moving[service] == nil {
-				moving[service] = map[int]bool{}
+			if buckets[service] == nil {
+				buckets[service] = map[int]bool{}
 			}
-			moving[service][i] = true
+			buckets[service][i] = true
 		}
 	}
-	return moving
+	return buckets
 }
 
 // add adds a stream. The caller holds the lock.
--- a/internal/streamversion/begun_test.go
+++ b/internal/streamversion/begun_test.go
@@ -13,7 +13,7 @@
 	a, _ := settled(&Assignment{}, capacity(map[string]int{"v1": 400}), start)
 	leaving := capacity(map[string]int{"v2": 400})
 	leaving["llm"].Capacity["v1"] = Capacity{Leaving: true}
-	a, _ = a.Plan(leaving, true, start)
+	a, _ = a.Plan(leaving, AdoptedByAll, start)
 	return a
 }
 
@@ -22,8 +22,8 @@
 	settledAssignment, _ := settled(&Assignment{}, capacity(map[string]int{"v1": 400}), start)
 	b := NewBegun()
 	b.Record("llm", "one", "v1", start)
-	c.Check(b.Report(settledAssignment, 1, start), qt.HasLen, 0)
-	moving := movingAssignment()
+	c.Check(b.Report(settledAssignment.UndeterminedBuckets(start), 1, start), qt.HasLen, 0)
+	moving := movingAssignment().UndeterminedBuckets(start)
 	want := []Report{{Service: "llm", Version: "v1", Streams: []Key{KeyOf("one")}}}
 	c.Check(b.Report(moving, 7, start), qt.DeepEquals, want, qt.Commentf("a stream that began before its bucket moved is reported too"))
 	c.Check(b.Report(moving, 7, start), qt.DeepEquals, want, qt.Commentf("the same report to another peer"))
@@ -31,9 +31,23 @@
 	c.Check(b.Report(moving, 9, start), qt.HasLen, 0)
 }
 
+func TestStreamsReportedToNobodyAreReportedAgain(t *testing.T) {
+	c := qt.New(t)
+	assignment, _ := settled(&Assignment{}, capacity(map[string]int{"v1": 400}), start)
+	b := NewBegun()
+	b.Record("llm", "one", "v1", start)
+	for sequence := range uint64(5) {
+		b.Report(assignment.AllBuckets(), sequence+1, start)
+	}
+	moving := movingAssignment().UndeterminedBuckets(start)
+	c.Check(b.Report(moving, 6, start), qt.HasLen, 0)
+	b.ReportAgain()
+	c.Check(b.Report(moving, 7, start), qt.HasLen, 1)
+}
+
 func TestReportedStreamsArePassedOnByRelaysOnly(t *testing.T) {
 	c := qt.New(t)
-	moving := movingAssignment()
+	moving := movingAssignment().UndeterminedBuckets(start)
 	reported := []Report{{Service: "llm", Version: "v1", Streams: []Key{KeyOf("one")}}}
 	relay, other := NewBegun(), NewBegun()
 	relay.Merge(reported, true, start)
@@ -58,5 +72,5 @@
 	c.Check(len(b.streams) <= maxBegun, qt.IsTrue)
 	_, found := b.Version("llm", fmt.Sprint(maxBegun+9), start)
 	c.Check(found, qt.IsTrue, qt.Commentf("the newest stream is kept"))
-	c.Check(b.Report(movingAssignment(), 1, start)[0].Streams, qt.HasLen, maxReported)
+	c.Check(b.Report(movingAssignment().UndeterminedBuckets(start), 1, start)[0].Streams, qt.HasLen, maxReported)
 }
--- a/internal/streamversion/plan.go
+++ b/internal/streamversion/plan.go
@@ -47,16 +47,16 @@
 	Trial Trial
 }
 
-// Plan returns the assignment that follows, and false if nothing changes. adopted is set if all
-// daemons of the deployment have adopted this one.
-func (a *Assignment) Plan(demands map[string]Demand, adopted bool, now time.Time) (*Assignment, bool) {
+// Plan returns the assignment that follows, and false if nothing changes. progress is how far this
+// one has spread.
+func (a *Assignment) Plan(demands map[string]Demand, progress Progress, now time.Time) (*Assignment, bool) {
 	next := &Assignment{Serial: a.Serial + 1, Services: maps.Clone(a.Services)}
 	if next.Services == nil {
 		next.Services = map[string]Service{}
 	}
 	changed := false
 	for service, demand := range demands {
-		p := planner{demand: demand, adopted: adopted, now: now, buckets: a.Services[service].clone().Buckets}
+		p := planner{demand: demand, progress: progress, now: now, buckets: a.Services[service].clone().Buckets}
 		if p.plan() {
 			next.Services[service] = Service{Buckets: p.buckets}
 			changed = true
@@ -67,11 +67,11 @@
 
 // planner makes one step for one service.
 type planner struct {
-	demand  Demand
-	adopted bool
-	now     time.Time
-	buckets []Bucket
-	changed bool
+	demand   Demand
+	progress Progress
+	now      time.Time
+	buckets  []Bucket
+	changed  bool
 }
 
 func (p *planner) plan() bool {
@@ -82,7 +82,7 @@
 	if len(p.buckets) != BucketCount {
 		return p.create(total)
 	}
-	if p.adopted {
+	if p.progress == AdoptedByAll {
 		p.closeEarlier()
 		p.commit()
 	}
@@ -159,8 +159,10 @@
 // served reports whether a version has ready servers.
 func (p *planner) served(version string) bool { return p.demand.Capacity[version].Slots > 0 }
 
-// replaceUnserved moves the buckets of versions without ready servers. If servers that leave can still
-// begin streams, the other daemons learn of the move first.
+// replaceUnserved moves the buckets of versions without ready servers, in two steps: a daemon that
+// cannot be reached may still reach servers of the version, and resumes streams there until its
+// assignment has expired. If servers that leave can still begin streams, all daemons adopt the move
+// first.
 func (p *planner) replaceUnserved() {
 	for i := range p.buckets {
 		b := &p.buckets[i]
@@ -171,12 +173,11 @@
 		if target == "" || !p.served(target) {
 			target = p.neediest()
 		}
-		if !p.demand.Capacity[b.Version].Leaving {
+		switch {
+		case b.Next != target:
+			p.prepareMove(b, target)
+		case p.progress == Expired && !p.demand.Capacity[b.Version].Leaving:
 			p.moveTo(b, target)
-			continue
-		}
-		if b.Next != target {
-			b.Next, b.Shared, p.changed = target, false, true
 		}
 	}
 }
@@ -302,6 +303,14 @@
 	b.Earlier = slices.DeleteFunc(b.Earlier, func(e Earlier) bool { return e.Version == version })
 }
 
+// prepareMove makes a version the next one of a bucket.
+func (p *planner) prepareMove(b *Bucket, version string) {
+	if b.Next != "" {
+		p.cancelMove(b)
+	}
+	b.Next, b.Shared, p.changed = version, false, true
+}
+
 // cancelMove ends the move of a bucket that has not been made.
 func (p *planner) cancelMove(b *Bucket) {
 	if b.Shared {
@@ -335,7 +344,7 @@
 		case b.Next != trial.Version:
 			p.cancelMove(b)
 			b.Next = trial.Version
-		case p.adopted && !b.Shared:
+		case p.progress == AdoptedByAll && !b.Shared:
 			b.Shared, p.changed = true, true
 		}
 	}
