--- a/internal/router/streamversions.go
+++ b/internal/router/streamversions.go
@@ -67,7 +67,9 @@
 }
 
 func newStreamVersions(r *Router) *streamVersions {
-	return &streamVersions{Router: r, loaded: make(chan struct{}), begun: streamversion.NewBegun()}
+	s := &streamVersions{Router: r, loaded: make(chan struct{}), begun: streamversion.NewBegun()}
+	s.wasUnconfirmed.Store(true)
+	return s
 }
 
 // get returns the newest assignment known, or nil.
@@ -245,7 +247,7 @@
 		s.logger.Warn("assignment of streams to versions may be outdated, only reported streams are resumed", "serial", a.Serial)
 	case wasUnconfirmed && confirmed:
 		s.begun.ReportAgain()
-		s.logger.Info("assignment of streams to versions is confirmed again", "serial", a.Serial)
+		s.logger.Info("assignment of streams to versions is confirmed", "serial", a.Serial)
 	}
 }
 
