Resume no stream whose version is stated in two ways

What callers saw: a stream that one daemon has reported at one version, and another daemon or the bucket has at another one, went on at one of the two, which may not be the one that wrote the events that the caller had.

Cause: `Begun.Merge` kept the first statement of a stream and `Begun.Record` the last one, so two daemons answered differently, and `Resume` did not look at the records at all where the bucket has a single version. The record was kept by the ID of the request alone: a take-up of another service that named the request overwrote the record of the stream's own service.

Change: records are kept by service and stream. A second version marks the record as contradicted, which counts as unknown; both versions are reported again, so that daemons that have received one of them refuse too. A stream that is recorded at another version than that of its bucket is refused with `ErrAmbiguous`.

--- a/internal/router/streamversions.go
+++ b/internal/router/streamversions.go
@@ -196,6 +196,9 @@
 	if err != nil {
 		return s.resumeReported(service, streamID, err)
 	}
+	if s.begun.Contradicts(service, streamID, version, time.Now()) {
+		return forward.StreamVersion{}, streamversion.ErrAmbiguous
+	}
 	return forward.StreamVersion{Version: version, Candidate: version == s.candidateVersion(service), Source: fromAssignment}, nil
 }
 
--- a/internal/router/streamversions_test.go
+++ b/internal/router/streamversions_test.go
@@ -70,3 +70,26 @@
 		c.Check(ageMs > 0 && ageMs < 100, qt.IsTrue, qt.Commentf("%d", ageMs))
 	})
 }
+
+// TestStreamThatIsSaidToHaveBegunElsewhereIsNotResumedByTheAssignment guards against a stream that goes on at
+// the version of its bucket although this daemon, or a report, knows that it began at another one.
+func TestStreamThatIsSaidToHaveBegunElsewhereIsNotResumedByTheAssignment(t *testing.T) {
+	withAssignment(t, func(c *qt.C, s *streamVersions) {
+		s.confirmAsOf(3, steady.Now())
+		s.Began("llm", "own", "v2")
+		s.mergeReport(&gossippb.Status{Begun: []*gossippb.BegunStreams{
+			{Service: "llm", Version: "v2", Streams: []uint64{uint64(streamversion.KeyOf("reported"))}},
+			{Service: "llm", Version: "v1", Streams: []uint64{uint64(streamversion.KeyOf("same"))}},
+		}}, time.Now())
+		s.Began("chat", "same", "v2")
+		for _, id := range []string{"own", "reported"} {
+			_, err := s.Resume("llm", id, time.Now())
+			c.Check(err, qt.ErrorIs, streamversion.ErrAmbiguous, qt.Commentf(id))
+		}
+		for _, id := range []string{"same", "unknown"} {
+			got, err := s.Resume("llm", id, time.Now())
+			c.Assert(err, qt.IsNil, qt.Commentf(id))
+			c.Check(got.Version, qt.Equals, "v1")
+		}
+	})
+}
--- a/internal/streamversion/begun.go
+++ b/internal/streamversion/begun.go
@@ -35,13 +35,22 @@
 // them have died. It is safe for concurrent use.
 type Begun struct {
 	mu       sync.Mutex
-	streams  map[Key]*begunStream
+	streams  map[begunKey]*begunStream
 	prunedAt time.Time
 }
 
+// begunKey identifies a stream by its service too: a caller may name a request of another service.
+type begunKey struct {
+	service string
+	stream  Key
+}
+
 type begunStream struct {
-	service, version string
-	at               time.Time
+	version string
+	// other is a second version at which a stream of the same ID is said to have begun, or empty. The
+	// version is not known then.
+	other string
+	at    time.Time
 	// forwarded is set if the stream is passed on in reports, from the report of sequence number
 	// firstReport on.
 	forwarded   bool
@@ -49,13 +58,16 @@
 }
 
 // NewBegun returns an empty Begun.
-func NewBegun() *Begun { return &Begun{streams: map[Key]*begunStream{}} }
+func NewBegun() *Begun { return &Begun{streams: map[begunKey]*begunStream{}} }
 
 // Record records that a stream has begun or gone on at this daemon.
 func (b *Begun) Record(service, streamID, version string, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.add(KeyOf(streamID), &begunStream{service: service, version: version, at: now, forwarded: true}, now)
+	key := begunKey{service, KeyOf(streamID)}
+	b.observe(key, version, true, now)
+	s := b.streams[key]
+	s.at, s.forwarded, s.firstReport = now, true, 0
 }
 
 // Merge adds the streams of a peer's report. forward is set if this daemon passes them on.
@@ -64,24 +76,52 @@
 	defer b.mu.Unlock()
 	for _, r := range reported {
 		for _, key := range r.Streams {
-			if b.streams[key] == nil {
-				b.add(key, &begunStream{service: r.Service, version: r.Version, at: now, forwarded: forward}, now)
-			}
+			b.observe(begunKey{r.Service, key}, r.Version, forward, now)
 		}
 	}
 }
 
+// observe adds what is said of a stream. What contradicts an earlier statement is reported again, as
+// daemons that know only one of them would resume the stream. The caller holds the lock.
+func (b *Begun) observe(key begunKey, version string, forward bool, now time.Time) {
+	s := b.streams[key]
+	if s == nil || now.Sub(s.at) >= begunRetention {
+		b.add(key, &begunStream{version: version, at: now, forwarded: forward}, now)
+		return
+	}
+	if version != s.version && s.other == "" {
+		s.other, s.at, s.firstReport, s.forwarded = version, now, 0, s.forwarded || forward
+	}
+}
+
 // Version returns the version at which a stream is known to have begun.
 func (b *Begun) Version(service, streamID string, now time.Time) (string, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.streams[KeyOf(streamID)]
-	if s == nil || s.service != service || now.Sub(s.at) >= begunRetention {
+	s := b.get(service, streamID, now)
+	if s == nil || s.other != "" {
 		return "", false
 	}
 	return s.version, true
 }
 
+// Contradicts reports whether a stream is said to have begun at another version than the given one.
+func (b *Begun) Contradicts(service, streamID, version string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.get(service, streamID, now)
+	return s != nil && (s.version != version || s.other != "")
+}
+
+// get returns what is known of a stream, or nil. The caller holds the lock.
+func (b *Begun) get(service, streamID string, now time.Time) *begunStream {
+	s := b.streams[begunKey{service, KeyOf(streamID)}]
+	if s == nil || now.Sub(s.at) >= begunRetention {
+		return nil
+	}
+	return s
+}
+
 // Report holds streams that began at one version of a service.
 type Report struct {
 	Service, Version string
@@ -102,18 +142,20 @@
 		if count >= maxReported {
 			break
 		}
-		if !s.forwarded || !of[s.service][key.bucket()] || s.firstReport != 0 && sequence >= s.firstReport+reportRepeats {
+		if !s.forwarded || !of[key.service][key.stream.bucket()] || s.firstReport != 0 && sequence >= s.firstReport+reportRepeats {
 			continue
 		}
 		if s.firstReport == 0 {
 			s.firstReport = sequence
 		}
-		group := [2]string{s.service, s.version}
-		if reports[group] == nil {
-			reports[group] = &Report{Service: s.service, Version: s.version}
+		for _, version := range s.versions() {
+			group := [2]string{key.service, version}
+			if reports[group] == nil {
+				reports[group] = &Report{Service: key.service, Version: version}
+			}
+			reports[group].Streams = append(reports[group].Streams, key.stream)
+			count++
 		}
-		reports[group].Streams = append(reports[group].Streams, key)
-		count++
 	}
 	var all []Report
 	for _, r := range reports {
@@ -122,6 +164,14 @@
 	return all
 }
 
+// versions returns the versions at which the stream is said to have begun.
+func (s *begunStream) versions() []string {
+	if s.other != "" {
+		return []string{s.version, s.other}
+	}
+	return []string{s.version}
+}
+
 // ReportAgain makes the next reports contain all streams again, as peers may not have received the
 // earlier ones.
 func (b *Begun) ReportAgain() {
@@ -162,7 +212,7 @@
 }
 
 // add adds a stream. The caller holds the lock.
-func (b *Begun) add(key Key, s *begunStream, now time.Time) {
+func (b *Begun) add(key begunKey, s *begunStream, now time.Time) {
 	if len(b.streams) >= maxBegun {
 		b.prune(now)
 		b.evictOldest()
@@ -176,7 +226,7 @@
 		return
 	}
 	b.prunedAt = now
-	maps.DeleteFunc(b.streams, func(_ Key, s *begunStream) bool { return now.Sub(s.at) >= begunRetention })
+	maps.DeleteFunc(b.streams, func(_ begunKey, s *begunStream) bool { return now.Sub(s.at) >= begunRetention })
 }
 
 // evictOldest forgets the older half of the streams if there are too many. The caller holds the lock.
@@ -184,7 +234,7 @@
 	if len(b.streams) < maxBegun {
 		return
 	}
-	keys := slices.SortedFunc(maps.Keys(b.streams), func(x, y Key) int {
+	keys := slices.SortedFunc(maps.Keys(b.streams), func(x, y begunKey) int {
 		return cmp.Compare(b.streams[x].at.UnixNano(), b.streams[y].at.UnixNano())
 	})
 	for _, key := range keys[:len(keys)/2] {
