--- a/internal/standin/memnet/memnet.go
+++ b/internal/standin/memnet/memnet.go
@@ -20,8 +20,10 @@
 	refused   map[[2]string]bool
 	silent    map[[2]string]bool
 	dark      map[string]bool
-	conns     map[[2]string][]*conn
-	traffic   map[string]*Traffic
+	// paused holds the datagrams that wait for paused hosts.
+	paused  map[string][]waitingDatagram
+	conns   map[[2]string][]*conn
+	traffic map[string]*Traffic
 }
 
 // New returns an empty network.
@@ -33,6 +35,7 @@
 		refused:   map[[2]string]bool{},
 		silent:    map[[2]string]bool{},
 		dark:      map[string]bool{},
+		paused:    map[string][]waitingDatagram{},
 		conns:     map[[2]string][]*conn{},
 		traffic:   map[string]*Traffic{},
 	}
--- a/internal/standin/memnet/packet.go
+++ b/internal/standin/memnet/packet.go
@@ -58,15 +58,24 @@
 	ip, _, _ := strings.Cut(to.String(), ":")
 	p.net.mu.Lock()
 	target, cut := p.net.packets[to.String()], p.net.cut[link(p.ip, ip)] || p.net.isQuiet(p.ip, ip)
+	sent := datagram{address(p.address), append([]byte(nil), data...)}
+	if target != nil && p.net.waitsForPaused(p.ip, ip) {
+		p.net.paused[ip] = append(p.net.paused[ip], waitingDatagram{to: target, datagram: sent})
+	}
 	p.net.mu.Unlock()
 	if target == nil || cut {
 		return len(data), nil
 	}
+	target.deliver(sent)
+	return len(data), nil
+}
+
+// deliver adds a datagram to the queue, or drops it if the queue is full.
+func (p *packetConn) deliver(d datagram) {
 	select {
-	case target.queue <- datagram{address(p.address), append([]byte(nil), data...)}:
+	case p.queue <- d:
 	default:
 	}
-	return len(data), nil
 }
 
 // Close implements net.PacketConn.
--- a/internal/standin/memnet/silence.go
+++ b/internal/standin/memnet/silence.go
@@ -77,7 +77,9 @@
 }
 
 // isQuiet is quiet for a caller that holds the lock.
-func (n *Net) isQuiet(a, b string) bool { return n.silent[link(a, b)] || n.dark[a] || n.dark[b] }
+func (n *Net) isQuiet(a, b string) bool {
+	return n.silent[link(a, b)] || n.dark[a] || n.dark[b] || n.isPaused(a) || n.isPaused(b)
+}
 
 // hold holds the connections of a pair of hosts; the caller holds the lock.
 func (n *Net) hold(pair [2]string) {
--- a/internal/standin/memnet/silence_test.go
+++ b/internal/standin/memnet/silence_test.go
@@ -71,3 +71,36 @@
 		})
 	}
 }
+
+func TestPausedHostReadsLaterWhatWasSentToIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		n := New()
+		client, server := openPair(c, n)
+		from, err := n.Host(clientIP).ListenPacket(clientIP + ":90")
+		c.Assert(err, qt.IsNil)
+		to, err := n.Host(serverIP).ListenPacket(serverIP + ":90")
+		c.Assert(err, qt.IsNil)
+		n.Pause(serverIP)
+		_, err = client.Write([]byte("bytes"))
+		c.Assert(err, qt.IsNil)
+		_, _ = from.WriteTo([]byte("datagram"), to.LocalAddr())
+		_, _ = to.WriteTo([]byte("of a paused host"), from.LocalAddr())
+		begun, received := time.Now(), make(chan time.Duration, 2)
+		go func() {
+			_, _ = server.Read(make([]byte, 10))
+			received <- time.Since(begun)
+		}()
+		go func() {
+			_, _, _ = to.ReadFrom(make([]byte, 10))
+			received <- time.Since(begun)
+		}()
+		time.Sleep(2 * probesFail)
+		n.Continue(serverIP)
+		c.Check(<-received, qt.Equals, 2*probesFail)
+		c.Check(<-received, qt.Equals, 2*probesFail)
+		c.Assert(from.Close(), qt.IsNil)
+		_, _, err = from.ReadFrom(make([]byte, 20))
+		c.Check(err, qt.ErrorIs, net.ErrClosed)
+	})
+}
