Refuse an assignment of streams that no daemon can have written

What callers saw: another program overwrote the object that assigns streams to software versions. With a serial at the end of the range all new streams were refused with 503 for good, as no later assignment could replace it. With text that cannot be decoded, and all daemons killed after that, the streams from before went on at another version.

Cause: the object was decoded without a check of its values. The serial after the highest one is negative, so that no daemon adopted it. A service whose object was lost was assigned as if no stream had begun before.

Change: `streamversion.Decode` refuses a serial out of range, services with other than 128 buckets and buckets without a version, from the store and from peers. What is refused counts as lost: a daemon that has an assignment writes it again; if none has, the buckets get an earlier version that is not known, so that streams from before are ambiguous, and new ones begin at once. An end of an earlier version that lies far ahead is set again.

Not told apart: an object that is deleted while all daemons are down, and a sound assignment that another program wrote.

--- a/internal/router/streamversions.go
+++ b/internal/router/streamversions.go
@@ -66,6 +66,9 @@
 	failedAt time.Time
 }
 
+// unreadableSerial stands for the serial of an object that cannot be decoded. Any assignment replaces it.
+const unreadableSerial = -1
+
 func newStreamVersions(r *Router) *streamVersions {
 	return &streamVersions{Router: r, loaded: make(chan struct{}), begun: streamversion.NewBegun()}
 }
@@ -371,9 +374,12 @@
 		s.fail("failed to read the assignment of streams to versions", err)
 		return
 	default:
-		if err := json.Unmarshal(object.Spec, a); err != nil {
+		if a, err = streamversion.DecodeStored(object.Spec); err != nil {
+			s.logger.Error("failed to decode the assignment of streams to versions", "revision", object.Revision, "error", err)
 			s.badObjects.record(&store.BadObject{Kind: assignmentKind, Name: assignmentName, Fault: store.FaultUnreadable}, time.Now())
-			a = &streamversion.Assignment{}
+			s.stored.current, s.stored.revision, s.stored.serial = true, object.Revision, unreadableSerial
+			s.adopt(streamversion.Lost(), sourceStore)
+			return
 		}
 	}
 	s.stored.current, s.stored.revision, s.stored.serial = true, object.Revision, a.Serial
@@ -497,10 +503,10 @@
 	if len(reply.GetPackedStreamAssignment()) == 0 {
 		return
 	}
+	var a *streamversion.Assignment
 	raw, err := unpack(reply.GetPackedStreamAssignment())
-	a := &streamversion.Assignment{}
 	if err == nil {
-		err = json.Unmarshal(raw, a)
+		a, err = streamversion.Decode(raw)
 	}
 	if err != nil {
 		s.logger.Error("failed to decode the assignment of streams to versions from peer", "error", err, "from", reply.GetVm())
--- a/internal/streamversion/assignment.go
+++ b/internal/streamversion/assignment.go
@@ -39,6 +39,9 @@
 	// Serial rises with each change. Of two assignments, the one with the higher serial is in force.
 	Serial   int64              `json:"serial"`
 	Services map[string]Service `json:"services"`
+	// FollowsLost is set if an earlier assignment was lost, so that streams of services that are not
+	// assigned here may have begun.
+	FollowsLost bool `json:"follows_lost,omitempty"`
 }
 
 // Service holds the buckets of one service.
--- a/internal/streamversion/plan.go
+++ b/internal/streamversion/plan.go
@@ -18,6 +18,8 @@
 	// maxMoving is the number of a service's buckets that move at a time while their version has
 	// servers. Streams of moving buckets cannot be resumed if their daemon dies.
 	maxMoving = BucketCount / 3
+	// maxClockSkew is how far the wall clocks of daemons may differ. No daemon writes a later end.
+	maxClockSkew = time.Minute
 	// maxImbalance is the factor by which the buckets of a version may exceed or fall short of its
 	// share of the servers' capacity before buckets move.
 	maxImbalance = 1.25
@@ -50,13 +52,13 @@
 // Plan returns the assignment that follows, and false if nothing changes. progress is how far this
 // one has spread.
 func (a *Assignment) Plan(demands map[string]Demand, progress Progress, now time.Time) (*Assignment, bool) {
-	next := &Assignment{Serial: a.Serial + 1, Services: maps.Clone(a.Services)}
+	next := &Assignment{Serial: a.Serial + 1, Services: maps.Clone(a.Services), FollowsLost: a.FollowsLost}
 	if next.Services == nil {
 		next.Services = map[string]Service{}
 	}
 	changed := false
 	for service, demand := range demands {
-		p := planner{demand: demand, progress: progress, now: now, buckets: a.Services[service].clone().Buckets}
+		p := planner{demand: demand, progress: progress, now: now, buckets: a.Services[service].clone().Buckets, followsLost: a.FollowsLost}
 		if p.plan() {
 			next.Services[service] = Service{Buckets: p.buckets}
 			changed = true
@@ -72,6 +74,8 @@
 	now      time.Time
 	buckets  []Bucket
 	changed  bool
+	// followsLost is set if streams may have begun before the service is assigned for the first time.
+	followsLost bool
 }
 
 func (p *planner) plan() bool {
@@ -96,7 +100,8 @@
 	return p.changed
 }
 
-// create assigns the streams of a service for the first time. None have begun before.
+// create assigns the streams of a service for the first time. None have begun before, unless an earlier
+// assignment was lost.
 func (p *planner) create(total int) bool {
 	if total == 0 {
 		return false
@@ -106,6 +111,9 @@
 	for i := range p.buckets {
 		b := &p.buckets[i]
 		b.Version = mostWanted(counts, targets)
+		if p.followsLost {
+			b.addEarlier(unknownVersion)
+		}
 		counts[b.Version]++
 	}
 	return true
@@ -115,7 +123,7 @@
 func (p *planner) closeEarlier() {
 	for i := range p.buckets {
 		for j := range p.buckets[i].Earlier {
-			if e := &p.buckets[i].Earlier[j]; e.UntilMs == 0 {
+			if e := &p.buckets[i].Earlier[j]; e.UntilMs == 0 || e.UntilMs > p.now.Add(maxClockSkew).UnixMilli() {
 				e.UntilMs, p.changed = p.now.Add(beginDelay).UnixMilli(), true
 			}
 		}
