--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -199,6 +199,16 @@
 	Leaving bool
 }
 
+// usableSlots returns the number of requests that a server runs at once: as many as it states, and no
+// more than the engines of its service are configured for. The caller holds the lock.
+func (v *View) usableSlots(s *server) int {
+	slots := max(1, s.Slots)
+	if configured := v.traits[s.Service].Slots; configured > 0 {
+		return min(slots, configured)
+	}
+	return slots
+}
+
 // VersionCapacities returns the capacity of each version that requests may use without being assigned
 // to the candidate of a roll-out.
 func (v *View) VersionCapacities(now time.Time) []VersionCapacity {
@@ -215,7 +225,7 @@
 		c := capacities[g]
 		c.Service, c.Version = s.Service, s.Version
 		if ready {
-			c.Slots += max(1, s.Slots)
+			c.Slots += v.usableSlots(s)
 		} else {
 			c.Leaving = true
 		}
--- a/internal/streamversion/decode_test.go
+++ b/internal/streamversion/decode_test.go
@@ -9,8 +9,53 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 )
 
+// TestHugeCapacityDoesNotStopPlanning guards against sums and products of slots that overflow: the planner divided by zero or looped for years.
+func TestHugeCapacityDoesNotStopPlanning(t *testing.T) {
+	for name, slots := range map[string]map[string]int{
+		"one":                  {"v1": math.MaxInt},
+		"sum is zero":          {"v1": math.MaxInt, "v2": math.MaxInt, "v3": 2},
+		"sum is negative":      {"v1": math.MaxInt, "v2": 6},
+		"product is negative":  {"v1": math.MaxInt / 100, "v2": 6},
+		"targets are negative": {"v1": 1 << 56, "v2": math.MaxInt, "v3": math.MaxInt - 1<<56 + 8},
+		"negative":             {"v1": math.MinInt, "v2": 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			a, _ := settled(&Assignment{}, capacity(slots), start)
+			assigned := 0
+			for version, count := range counts(a) {
+				c.Check(slots[version] > 0, qt.IsTrue, qt.Commentf("%s has %d buckets", version, count))
+				assigned += count
+			}
+			c.Check(assigned, qt.Equals, BucketCount)
+		})
+	}
+}
+
+// TestPlanOfAnyCapacity checks that the planner ends and assigns all buckets to versions with servers, whatever the servers state.
+func TestPlanOfAnyCapacity(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.MapOfN(rapid.StringMatching("v[0-9]"), rapid.OneOf(rapid.Int(), rapid.IntRange(0, 9)), 1, 6).Draw(t, "slots")
+		a, changed := (&Assignment{}).Plan(capacity(slots), AdoptedByAll, start)
+		if !changed {
+			return
+		}
+		total := 0
+		for version, count := range counts(a) {
+			if slots[version] <= 0 {
+				t.Fatalf("%d buckets of %s, which has no servers", count, version)
+			}
+			total += count
+		}
+		if total != BucketCount {
+			t.Fatalf("%d buckets", total)
+		}
+	})
+}
+
 // encoded returns the stored form of an assignment, with one text of it replaced.
 func encoded(replaced, by string) []byte {
 	a, _ := settled(&Assignment{}, capacity(map[string]int{"v1": 6}), start)
--- a/internal/streamversion/plan.go
+++ b/internal/streamversion/plan.go
@@ -20,6 +20,8 @@
 	maxMoving = BucketCount / 3
 	// maxClockSkew is how far the wall clocks of daemons may differ. No daemon writes a later end.
 	maxClockSkew = time.Minute
+	// maxSlots bounds the slots of one version, so that sums and products do not overflow.
+	maxSlots = 1 << 32
 	// maxImbalance is the factor by which the buckets of a version may exceed or fall short of its
 	// share of the servers' capacity before buckets move.
 	maxImbalance = 1.25
@@ -49,6 +51,17 @@
 	Trial Trial
 }
 
+// bounded returns the demand with the slots of each version within 0 and maxSlots.
+func (d Demand) bounded() Demand {
+	bounded := make(map[string]Capacity, len(d.Capacity))
+	for version, c := range d.Capacity {
+		c.Slots = min(maxSlots, max(0, c.Slots))
+		bounded[version] = c
+	}
+	d.Capacity = bounded
+	return d
+}
+
 // Plan returns the assignment that follows, and false if nothing changes. progress is how far this
 // one has spread.
 func (a *Assignment) Plan(demands map[string]Demand, progress Progress, now time.Time) (*Assignment, bool) {
@@ -58,7 +71,7 @@
 	}
 	changed := false
 	for service, demand := range demands {
-		p := planner{demand: demand, progress: progress, now: now, buckets: a.Services[service].clone().Buckets, followsLost: a.FollowsLost}
+		p := planner{demand: demand.bounded(), progress: progress, now: now, buckets: a.Services[service].clone().Buckets, followsLost: a.FollowsLost}
 		if p.plan() {
 			next.Services[service] = Service{Buckets: p.buckets}
 			changed = true
