Take no stream for younger than the time limit of its caller suggests

What operators saw: after the death of all daemons, with two versions in service or the servers of the earlier one just gone, take-ups were answered 200 and ran to the end, but the text was joined from two versions.

Cause: an earlier version of a bucket does not count for streams that began after its end, and the time of the begin was inferred. `firsttry.AgeBound` subtracts the caller's time limit from the most frequent one of the route: a caller with 4.9 s left on a route where most wait 5 s was taken to be 0.1 s old, also if it had waited 3.1 of 8 s. Without that inference the route's timeout was taken for the age, which callers refute that try several times in a row, state the same limit each time, none, or wait for longer than the timeout.

Change: a stream may be as old as 30 s, or as its route's timeout or its caller's limit if that is longer. The same time is how long streams that have begun are reported and remembered, so that take-ups at daemons that are up go on.

--- a/internal/forward/streamversion.go
+++ b/internal/forward/streamversion.go
@@ -9,8 +9,8 @@
 	"github.com/plankridge/plankridge/internal/streamversion"
 )
 
-// streamAgeMargin is added to the age of a stream that the timeout of its caller tells. It covers the
-// differences between the clocks of VMs.
+// streamAgeMargin is added to the age that a stream may have. It covers the differences between the
+// clocks of VMs.
 const streamAgeMargin = time.Second
 
 // errVersionMoved means that new streams do not begin at the version of an attempt any more.
@@ -63,16 +63,11 @@
 	return refusal
 }
 
-// begunAfter returns a time before the first event of the stream that the caller takes up. Callers
-// that state in each try how long they still wait tell when they first tried.
+// begunAfter returns a time before the first event of the stream that the caller takes up. The time
+// that the caller still waits does not tell how long it has waited: callers of one route differ.
 func (r *run) begunAfter() time.Time {
-	route := r.call.Route
-	if r.options.CallerTimeouts != nil {
-		if age, known := r.options.CallerTimeouts.AgeBound(route.Name, r.call.CallerTimeout); known {
-			return r.call.Arrived.Add(-age - streamAgeMargin)
-		}
-	}
-	return r.call.Arrived.Add(-max(route.Timeout, r.call.CallerTimeout) - streamAgeMargin)
+	age := max(streamversion.MaxStreamAge, r.call.Route.Timeout, r.call.CallerTimeout)
+	return r.call.Arrived.Add(-age - streamAgeMargin)
 }
 
 // mayBeginStream reports whether the stream may begin at the server of an attempt. The assignment may
--- a/internal/streamversion/begun.go
+++ b/internal/streamversion/begun.go
@@ -12,7 +12,7 @@
 
 const (
 	// begunRetention is how long it is remembered at which version a stream began.
-	begunRetention = 30 * time.Second
+	begunRetention = MaxStreamAge + time.Second
 	// maxBegun bounds the remembered streams. The oldest ones are forgotten first.
 	maxBegun = 1 << 16
 	// reportRepeats is the number of reports that contain a stream. Reports may be lost.
--- a/internal/streamversion/plan.go
+++ b/internal/streamversion/plan.go
@@ -10,6 +10,10 @@
 	// beginDelay is how long after all daemons know that a bucket has moved a request that was
 	// admitted before may still begin its stream at the earlier version.
 	beginDelay = 500 * time.Millisecond
+	// MaxStreamAge is the age up to which a stream is resumed by the assignment alone, unless its route
+	// or its caller states a longer time. Callers try several times in a row, each time for as long as the
+	// route allows.
+	MaxStreamAge = 30 * time.Second
 	// earlierRetention is how long an earlier version is kept at least. No caller waits longer for a
 	// stream.
 	earlierRetention = 2 * time.Minute
--- a/robustness/onplatform/versions_test.go
+++ b/robustness/onplatform/versions_test.go
@@ -67,6 +67,8 @@
 	servers map[string][]*versionedServer
 	started int
 	streams []*callerStream
+	// copied is a copy of the store from before the servers changed.
+	copied fake.Copy
 }
 
 // versionedServer is a server of one version, ready from start until it drains.
@@ -244,10 +246,16 @@
 }
 
 func (s *streamsBed) try(stream *callerStream, daemon int, deadline time.Time) streamTry {
-	c := call{method: "POST", path: "/s/x", key: testKey, ip: s.ips[daemon], tokens: "150,60", deadline: time.Until(deadline), header: map[string]string{}}
+	limit := time.Until(deadline)
 	if s.play.fixedTimeout {
-		c.deadline = streamTimeout
+		limit = streamTimeout
 	}
+	return s.tryWith(stream, daemon, limit, deadline)
+}
+
+// tryWith makes a try that states a time limit, or none if it is zero.
+func (s *streamsBed) tryWith(stream *callerStream, daemon int, limit time.Duration, deadline time.Time) streamTry {
+	c := call{method: "POST", path: "/s/x", key: testKey, ip: s.ips[daemon], tokens: "150,60", deadline: limit, header: map[string]string{}}
 	try := streamTry{daemon: daemon, sent: time.Now(), resumes: stream.first != ""}
 	for version := range stream.versions {
 		try.version = version
