Take no first tries with a shorter time limit for retries

What callers saw: on a route where most callers wait 8 s, those that always wait 5 s counted as 3 s old from their first try on. They were served behind all others, at the lowest rank, and first refused where capacity is short.

Cause: the age is inferred from the most frequent limit of the route. That a shorter limit which many requests state is that of first tries was considered for the question whether a request is a retry, but not for its age.

Change: one inference for both. The limit of a twentieth of a route's requests has no age. The bound on the age, which nothing uses any more, is gone.

The test failed before: `got: s"3s", want: s"0s", 5s`. Ages after the death of all are recognized as before (TestRestoredTimeoutsAreUsed, TestCallersInTimeGoFirstAfterTheDeathOfAll). The test of the bound is replaced by one that asks for the same of the age, with the same limits.

--- a/internal/firsttry/firsttry.go
+++ b/internal/firsttry/firsttry.go
@@ -43,8 +43,13 @@
 // NewCallerTimeouts returns CallerTimeouts without observations.
 func NewCallerTimeouts() *CallerTimeouts { return &CallerTimeouts{routes: map[string]*routeTimeouts{}} }
 
-// Age records the timeout of a request and returns how long ago its caller first tried. It returns
-// zero if this is unknown.
+// maxRetryShare is the share of a route's requests from which on a timeout counts as that of first
+// tries of some callers. The timeouts of retries differ from each other.
+const maxRetryShare = 0.05
+
+// Age records the timeout of a request and returns how long ago its caller probably first tried. It
+// returns zero if the timeout may be that of a first try. Callers with several timeouts on one route
+// make it wrong, so it may decide who goes first, but not what is true.
 func (c *CallerTimeouts) Age(routeName string, timeout time.Duration) time.Duration {
 	if timeout <= 0 {
 		return 0
@@ -56,34 +61,13 @@
 		r = &routeTimeouts{weights: map[time.Duration]float64{}}
 		c.routes[routeName] = r
 	}
-	r.add(timeout.Round(timeoutResolution), 1)
-	usual, known := r.usual()
-	if !known {
-		return 0
-	}
-	return max(0, usual-timeout.Round(timeoutResolution))
-}
-
-// maxRetryShare is the share of a route's requests from which on a timeout counts as that of first
-// tries of some callers. The timeouts of retries differ from each other.
-const maxRetryShare = 0.05
-
-// AgeBound returns how long ago at most the caller of a request first tried, and false if the timeout
-// does not tell: it is that of a first try, or that of all tries of some callers. The request must
-// have been passed to Age before.
-func (c *CallerTimeouts) AgeBound(routeName string, timeout time.Duration) (time.Duration, bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := c.routes[routeName]
-	if r == nil || timeout <= 0 {
-		return 0, false
-	}
-	usual, known := r.usual()
 	rounded := timeout.Round(timeoutResolution)
+	r.add(rounded, 1)
+	usual, known := r.usual()
 	if !known || rounded+timeoutResolution >= usual || r.weights[rounded] > maxRetryShare*r.totalWeight {
-		return 0, false
+		return 0
 	}
-	return usual - rounded + timeoutResolution, true
+	return usual - rounded
 }
 
 func (r *routeTimeouts) add(timeout time.Duration, weight float64) {
--- a/internal/firsttry/firsttry_test.go
+++ b/internal/firsttry/firsttry_test.go
@@ -70,7 +70,9 @@
 	c.Check(timeouts.Age("r", usual/2-time.Second), qt.Equals, time.Second)
 }
 
-func TestAgeBoundIsUnknownForTimeoutsOfFirstTries(t *testing.T) {
+// TestFirstTriesWithAShorterLimitHaveNoAge guards against callers with a limit of their own that are
+// served last, as if they had tried before.
+func TestFirstTriesWithAShorterLimitHaveNoAge(t *testing.T) {
 	c := qt.New(t)
 	timeouts := NewCallerTimeouts()
 	for i := range 100 {
@@ -79,14 +81,9 @@
 			timeouts.Age("route", 5*time.Second)
 		}
 	}
-	timeouts.Age("route", 7300*time.Millisecond)
-	bound, known := timeouts.AgeBound("route", 7300*time.Millisecond)
-	c.Check(known, qt.IsTrue)
-	c.Check(bound, qt.Equals, 700*time.Millisecond+timeoutResolution)
+	c.Check(timeouts.Age("route", 7300*time.Millisecond), qt.Equals, 700*time.Millisecond)
 	for _, timeout := range []time.Duration{0, 8 * time.Second, 9 * time.Second, 5 * time.Second} {
-		_, known = timeouts.AgeBound("route", timeout)
-		c.Check(known, qt.IsFalse, qt.Commentf("%v", timeout))
+		c.Check(timeouts.Age("route", timeout), qt.Equals, time.Duration(0), qt.Commentf("%v", timeout))
 	}
-	_, known = timeouts.AgeBound("another", 5*time.Second)
-	c.Check(known, qt.IsFalse)
+	c.Check(timeouts.Age("another", 5*time.Second), qt.Equals, time.Duration(0))
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -135,8 +135,8 @@
 	lastEventID string
 	// cost is the number of tokens that the call consumes of its workspace's allowance.
 	cost float64
-	// callerAge is the time from the caller's first try to this request. isRetry is set if the caller
-	// has certainly tried before.
+	// callerAge is the time from the caller's first try to this request, as far as its stated time limit
+	// suggests one. isRetry is set if it does.
 	callerAge time.Duration
 	isRetry   bool
 	// fingerprint is what the quarantine recognizes the request by.
@@ -178,7 +178,7 @@
 	}
 	if f.options.CallerTimeouts != nil {
 		r.callerAge = f.options.CallerTimeouts.Age(call.Route.Name, call.CallerTimeout)
-		_, r.isRetry = f.options.CallerTimeouts.AgeBound(call.Route.Name, call.CallerTimeout)
+		r.isRetry = r.callerAge > 0
 	}
 	err := r.runWithinAllowance(ctx)
 	r.dropContinuation()
