Read store responses in linear time, whatever one entry holds

Operators saw daemons that stopped following the list of servers, or ended, after another program left one entry that was nested very deeply.

Cause: encoding/json gives up at 10,000 levels. The recovery that followed began again at each brace, so its time grew with the square of the entry, and it took any object with a metadata name inside the entry for an entry of the list. The revision, the mark of further pages and an object's revision were found by patterns that also match inside a spec.

Responses are now split by internal/jsonscan, which counts brackets without recursion and reads each byte once; every entry and event is then decoded by itself. Where one is not JSON, the next is found by its first member, also if quotes or brackets are missing or too many. The response's own members are read before and after the array only. An unreadable entry is reported by its name and revision, from its metadata, which the store writes; a change to such an entry needs no new list. Revisions out of range count as missing, and a response with such a revision is refused, because it would be taken for one of another era.

Known limit: bytes that make the whole response valid JSON, or parts of an entry that is not JSON which carry revisions like the store's, cannot be told from entries.

TestElementsInLinearTime counts the bytes read.

--- a/internal/store/era.go
+++ b/internal/store/era.go
@@ -4,6 +4,9 @@
 // the integers that JSON numbers represent exactly.
 const eraBits = 40
 
+// MaxRevision is the highest revision within an era.
+const MaxRevision = 1<<eraBits - 1
+
 // QualifiedRevision combines a revision of the store with the store's era, which rises by one each
 // time the store goes back to an older copy and assigns revisions again. Qualified revisions of
 // later eras are higher than all of earlier ones.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -25,6 +25,9 @@
 	// ErrOutcomeUnknown means that a call got no usable answer. It may have taken
 	// effect or may still do so later.
 	ErrOutcomeUnknown = errors.New("store gave no answer")
+	// ErrInvalidResponse means that the response to a list or a watch cannot be decoded. Such an
+	// error also wraps ErrOutcomeUnknown.
+	ErrInvalidResponse = errors.New("store gave an invalid response")
 )
 
 // Object is a stored object with its spec and status as JSON.
