Bound the lists that undecodable events and watches cause

Operators saw daemons that stopped following the list of servers, or called the store without end, while an odd entry stayed or changed often.

Cause: each watch with an event that cannot be decoded was followed by a list at once, without the delay that gathers changes; a list that succeeded reset the retry delay although no watch could be decoded; a list of a store without a revision was repeated at once.

--- a/internal/store/follow.go
+++ b/internal/store/follow.go
@@ -47,9 +47,15 @@
 	// asOf is the earliest time at which the store can have produced the last answer.
 	asOf time.Time
 	// changed reports whether the last watch call returned events.
-	changed    bool
+	changed bool
+	// empty reports whether the last list had no revision to watch from.
+	empty      bool
 	retryDelay time.Duration
-	options    FollowOptions
+	// undecodable reports whether the response to the last watch could not be decoded.
+	undecodable bool
+	// relists limits the lists because of events that cannot be decoded.
+	relists relistSchedule
+	options FollowOptions
 
 	// wake ends the wait of an inactive follower.
 	wake chan struct{}
@@ -147,11 +153,12 @@
 func (f *Follower) poll(ctx context.Context) error {
 	watchCtx, cancel := f.newWatchContext(ctx)
 	defer cancel()
-	if f.next == 0 {
+	begun := time.Now()
+	if f.next == 0 || f.relists.isDue(begun) {
 		return f.list(ctx)
 	}
-	begun := time.Now()
-	changes, err := f.store.Watch(watchCtx, f.kind, f.next, f.options.WatchTimeout())
+	changes, err := f.store.Watch(watchCtx, f.kind, f.next, f.relists.limit(f.options.WatchTimeout(), begun))
+	f.undecodable = errors.Is(err, ErrInvalidResponse)
 	switch {
 	case errors.Is(err, ErrCompacted):
 		f.logger.Info("watch history was compacted, listing again", "kind", f.kind, "revision", f.next)
@@ -165,20 +172,27 @@
 		f.next = 0
 		return err
 	}
-	f.asOf = time.Now().Add(-maxAnswerDelay)
-	f.changed = len(changes.Events) > 0
-	if f.changed {
+	f.apply(changes, begun, time.Now())
+	return nil
+}
+
+// apply applies what a watch that began at the given time has returned.
+func (f *Follower) apply(changes Changes, begun, now time.Time) {
+	f.asOf = now.Add(-maxAnswerDelay)
+	f.changed = len(changes.Events)+changes.SkippedEvents > 0
+	if !f.changed {
+		f.advanceQuietly(changes.Revision, begun, now)
+		return
+	}
+	if len(changes.Events) > 0 {
 		f.consumer.Apply(changes.Events, changes.Revision)
-		f.next, f.quiet = changes.Revision, quietRevision{}
-	} else {
-		f.advanceQuietly(changes.Revision, begun, time.Now())
 	}
+	f.next, f.quiet = changes.Revision, quietRevision{}
 	if changes.SkippedEvents > 0 {
 		// The list shows which objects are affected: they are missing there.
 		f.logger.Warn("watch events cannot be decoded, listing again", "kind", f.kind, "events", changes.SkippedEvents, "revision", f.next)
-		f.next = 0
+		f.relists.request(now)
 	}
-	return nil
 }
 
 // quietRevision is a revision of the store that a watch has returned without changes, and when.
@@ -204,13 +218,21 @@
 }
 
 // delayNextPoll waits for BatchDelay after changes, so that the next watch returns
-// several at once. The consumer has already received the earlier ones.
+// several at once. The consumer has already received the earlier ones. After a list of a
+// store that holds nothing it waits for minRetryDelay.
 func (f *Follower) delayNextPoll(ctx context.Context) {
-	if !f.changed || f.options.BatchDelay <= 0 {
+	var delay time.Duration
+	switch {
+	case f.empty:
+		delay = minRetryDelay
+	case f.changed:
+		delay = f.options.BatchDelay
+	}
+	f.changed, f.empty = false, false
+	if delay <= 0 {
 		return
 	}
-	f.changed = false
-	timer := time.NewTimer(f.options.BatchDelay)
+	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -228,7 +250,8 @@
 		f.logger.Warn("list objects cannot be decoded", "kind", f.kind, "objects", page.SkippedObjects, "revision", page.Revision)
 	}
 	f.consumer.Replace(page, f.failed)
-	f.next, f.quiet, f.asOf = page.Revision, quietRevision{}, start
+	f.relists.listed(start)
+	f.next, f.quiet, f.asOf, f.empty = page.Revision, quietRevision{}, start, page.Revision == 0
 	return nil
 }
 
@@ -236,7 +259,11 @@
 	if f.failed {
 		f.logger.Info("store answers again", "kind", f.kind, "revision", f.next)
 	}
-	f.failed, f.retryDelay = false, minRetryDelay
+	f.failed = false
+	if !f.undecodable {
+		// Where lists can be decoded and watches can't, the delay grows all the same.
+		f.retryDelay = minRetryDelay
+	}
 	f.consumer.Advance(f.next, f.asOf, false)
 }
 
