List values beside one that cannot be decoded

A list of values failed as a whole if another program had written one of them, so that the key log of an hour was never removed after its retention.

The list now returns each value, and an error for each that cannot be decoded. The key log is still not taken over without all of its batches, because a key could run twice; the error names the batch.

--- a/internal/keys/serve.go
+++ b/internal/keys/serve.go
@@ -68,6 +68,10 @@
 			return nil, eris.Wrap(err, "list key log")
 		}
 		for _, object := range objects {
+			if object.Err != nil {
+				// Without its records a key could run twice.
+				return nil, eris.Wrap(object.Err, "read key log")
+			}
 			var batch []Record
 			if err := json.Unmarshal(object.Data, &batch); err != nil {
 				return nil, eris.Wrapf(err, "decode batch %s", object.Key)
--- a/internal/store/values.go
+++ b/internal/store/values.go
@@ -27,6 +27,8 @@
 	// Version is the store's revision at the last change, which grows with each
 	// change of any object. Zero means that the value does not exist.
 	Version int64
+	// Err is set in a list if the value cannot be decoded. Then there is no data.
+	Err error
 }
 
 // Values is a key-value view of the objects of one kind.
@@ -37,7 +39,8 @@
 	// ErrConflict otherwise. It returns ErrOutcomeUnknown if the write may or may
 	// not have taken effect.
 	Put(ctx context.Context, key string, data []byte, expected int64) (Value, error)
-	// List returns the values whose keys begin with the prefix.
+	// List returns the values whose keys begin with the prefix. One that cannot be decoded, because
+	// another program wrote it, has an error and leaves the others as they are.
 	List(ctx context.Context, prefix string) ([]Value, error)
 	// Delete removes a value. It returns nil if the value does not exist.
 	Delete(ctx context.Context, key string) error
@@ -58,9 +61,11 @@
 
 func decodeValue(object Object) (Value, error) {
 	value := Value{Key: object.Name, Version: object.Revision}
-	if err := json.Unmarshal(object.Spec, &value.Data); err != nil {
+	var data []byte
+	if err := json.Unmarshal(object.Spec, &data); err != nil {
 		return value, fmt.Errorf("decode value %s: %w", object.Name, err)
 	}
+	value.Data = data
 	return value, nil
 }
 
@@ -104,9 +109,7 @@
 			continue
 		}
 		value, err := decodeValue(object)
-		if err != nil {
-			return nil, err
-		}
+		value.Err = err
 		values = append(values, value)
 	}
 	return values, nil
