--- a/internal/jsonscan/jsonscan.go
+++ b/internal/jsonscan/jsonscan.go
@@ -141,8 +141,11 @@
 // Tail returns the members that follow an array at the end of an object, from the array's closing
 // bracket on. It returns false if one of them is an object or array, or raw is no such text.
 func Tail(raw []byte) (members map[string][]byte, ok bool) {
+	if len(raw) == 0 || raw[0] != ']' {
+		return nil, false
+	}
 	pos := skipSpace(raw, 1)
-	if pos == len(raw) || raw[0] != ']' {
+	if pos == len(raw) {
 		return nil, false
 	}
 	object := []byte{'{'}
--- a/internal/jsonscan/jsonscan_test.go
+++ b/internal/jsonscan/jsonscan_test.go
@@ -71,6 +71,7 @@
 }
 
 func FuzzElements(f *testing.F) {
+	f.Add([]byte(``))
 	f.Add([]byte(`{"id":1,"a":[1,{"id":2,"a":[1,{"id":3},{"id":4`))
 	f.Add([]byte(`{"id":1}},"a":2},{"id":3}]`))
 	f.Add([]byte(`{"id":"},{"id":{}}, {"id":"a}`))
