Send no requests to an entry at the daemon's own address

What callers saw: another writer listed a server at the address at which a daemon takes requests. The daemon sent requests to itself: with a key callers got 502 where it has to say 503, and those of public routes went round and round, each turn counted and routed as a request of its own.

Cause: any address was taken for that of a server.

Change: an entry at an address at which this daemon listens is a bad object for it, field `address`. It stays in the digest of the list, so that daemons which list it do not take their lists for different and fetch them again.

Evidence, on the code before: with keys got 502, want 503, five times; on a public route, as TestEntryAtADaemonsAddressGetsNoRequests has it, the test did not end within 10 minutes of real time (stopped by hand). TestEntryAtOwnAddressIsNotUsed holds the digest. After: 503 at once, 5 calls counted for 5 requests, 0.1 s.

Left: an entry at another daemon's address. Requests go through that daemon, which does not use the entry.

--- a/internal/router/listing.go
+++ b/internal/router/listing.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strconv"
 	"time"
 
@@ -27,6 +28,8 @@
 	removalsSince int64
 	// digest is a digest of the listed servers and their state. It does not depend on their order.
 	digest uint64
+	// ownAddresses are the addresses at which this daemon listens. No server is there.
+	ownAddresses []string
 }
 
 // listEntry is an entry with its contribution to the digest and its decoded form.
@@ -44,8 +47,8 @@
 	at       time.Time
 }
 
-func newServerList() *serverList {
-	return &serverList{entries: map[string]listEntry{}, removals: map[string]removal{}}
+func newServerList(ownAddresses ...string) *serverList {
+	return &serverList{entries: map[string]listEntry{}, removals: map[string]removal{}, ownAddresses: ownAddresses}
 }
 
 // replace replaces the list by one as of the given revision and returns the entries that can be
@@ -119,6 +122,10 @@
 		e.digest = xxhash.Sum64String(object.Name + "|" + entry.Address + "|" + entry.Version + "|" +
 			strconv.FormatInt(entry.StartTimeMs, 16) + "|" + strconv.FormatBool(entry.Draining))
 	}
+	if err == nil && slices.Contains(l.ownAddresses, entry.Address) {
+		// Its requests would come back to this daemon. The digest is that of the daemons that list it.
+		e.err = &store.BadObject{Kind: platform.KindServers, Name: object.Name, Fault: store.FaultWrongValue, Field: "address"}
+	}
 	l.entries[object.Name] = e
 	l.digest += e.digest
 }
--- a/internal/router/listing_test.go
+++ b/internal/router/listing_test.go
@@ -66,3 +66,16 @@
 		now = now.Add(200 * time.Millisecond)
 	}
 }
+
+// TestEntryAtOwnAddressIsNotUsed guards against requests that a daemon sends to itself, and against lists that differ between daemons because of it.
+func TestEntryAtOwnAddressIsNotUsed(t *testing.T) {
+	c := qt.New(t)
+	l, other := newServerList("10.0.0.1:80"), newServerList("10.0.0.9:80")
+	objects := []store.Object{serverObject(1, 1), serverObject(2, 2)}
+	entries, invalid, _ := l.replace(objects, 10, time.Unix(1000, 0))
+	c.Assert(entries, qt.HasLen, 1)
+	c.Check(entries[0].ID, qt.Equals, "i-2")
+	c.Check(invalid, qt.HasLen, 1)
+	other.replace(objects, 10, time.Unix(1000, 0))
+	c.Check(l.digest, qt.Equals, other.digest)
+}
--- a/internal/router/state.go
+++ b/internal/router/state.go
@@ -117,10 +117,11 @@
 	view.SetDrainBound(r.settings.Bounds.EffectiveDrainBound())
 	limiter := newLimiters(toleranceOf(r.settings.Bounds), retryBounds(r.settings.Bounds), r.logger, r.triggerReport)
 	view.SetLimiter(serverLimits{limiter})
+	listen := r.settings.Listen
 	return &state{
 		router: r, view: view, limiter: limiter, ledger: newLedger(r.settings),
 		demand: demand.NewMeter(), demandHistory: demand.NewHistory(), admission: admission.NewController(), firstTryLimits: firsttry.NewCallerTimeouts(), aggregator: rollup.New(), sentCounts: map[uint64]rollup.Counts{},
-		streamVersions: newStreamVersions(r), quarantine: r.newQuarantine(), started: now, configured: make(chan struct{}), serverList: newServerList(), differsSince: map[string]time.Time{},
+		streamVersions: newStreamVersions(r), quarantine: r.newQuarantine(), started: now, configured: make(chan struct{}), serverList: newServerList(listen.Callers, listen.Readiness, listen.Peers, listen.Metrics), differsSince: map[string]time.Time{},
 	}
 }
 
--- a/robustness/onplatform/oddservers_test.go
+++ b/robustness/onplatform/oddservers_test.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -131,3 +134,28 @@
 		}
 	}
 }
+
+// TestEntryAtADaemonsAddressGetsNoRequests guards against requests that a daemon sends to itself, again and again, and counts each time.
+func TestEntryAtADaemonsAddressGetsNoRequests(t *testing.T) {
+	run(t, 1, func(b *bed) {
+		b.store.PutRaw("servers", "x-9", oddServer(plain, "address", "10.1.0.1:80"))
+		route := plainRoute("/a/", "idempotent", 2)
+		route["public"] = true
+		b.configure(routes{route})
+	}, func(b *bed) {
+		for range 5 {
+			b.Check(b.send(call{method: "GET", path: "/a/x", key: testKey}).status, qt.Equals, http.StatusServiceUnavailable)
+		}
+		b.Check(b.callCount(b.daemons[0]), qt.Equals, 5)
+	})
+}
+
+// callCount returns the number of calls that a daemon has handled.
+func (b *bed) callCount(d *daemon) (count int) {
+	for _, found := range regexp.MustCompile(`plankridge_calls_total\{.*\} (\d+)`).FindAllStringSubmatch(b.metrics(d), -1) {
+		calls, err := strconv.Atoi(found[1])
+		b.Assert(err, qt.IsNil)
+		count += calls
+	}
+	return count
+}
