Ignore daemons and rates in the lease's record that no holder can have written

What callers saw: another writer left one large number in the record of the lease, all daemons died, and from then on each request of a workspace with an allowance was answered 429.

Cause: daemons that start restore the number of daemons and the demand of workspaces from the record, whatever they are. The allowance is divided by them, and the refused demand is recorded again.

Change: more than 10,000 daemons, and rates below zero or above 10^9 tokens a second, are not restored. A rate that is not known is assumed, as before.

Evidence: TestOddLeaseRecordRefusesNobodyForGood on the code before: 48 of 48 requests refused 15 s after the start with `asked` 1e15, 2^53, 2^63-1, 1e300 and -1e300 and with `daemons` 2^53 and 2^63-1.

--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/allowance"
@@ -35,7 +36,10 @@
 // reports whether the usage of the workspaces was restored. listed is the number of daemons in the
 // store's list, which may be incomplete.
 func (s *state) restoreSnapshot(snapshot lease.Snapshot, listed int, now time.Time) bool {
-	daemons := max(listed, snapshot.Daemons)
+	daemons := listed
+	if snapshot.Daemons <= maxRecordedDaemons {
+		daemons = max(listed, snapshot.Daemons)
+	}
 	s.view.MergeEngineEstimates(snapshot.EngineEstimates)
 	s.view.RestoreSpeeds(unpackSpeeds(snapshot.ServerSpeeds))
 	s.firstTryLimits.Restore(snapshot.FirstTryLimits)
@@ -56,10 +60,25 @@
 	return restored
 }
 
+const (
+	// maxRecordedDaemons and maxRecordedRate bound what a holder of the lease can have written: 30 times
+	// the daemons and 500 times the tokens a second of the largest deployment.
+	maxRecordedDaemons = 10_000
+	maxRecordedRate    = 1e9
+)
+
+// plausibleRates returns the recorded rates without those that no holder of the lease can have written,
+// or nil if none are recorded.
+func plausibleRates(recorded map[string]float64) map[string]float64 {
+	rates := maps.Clone(recorded)
+	maps.DeleteFunc(rates, func(_ string, rate float64) bool { return !(rate >= 0 && rate <= maxRecordedRate) })
+	return rates
+}
+
 // restoreAllowances restores the usage of the workspaces from a snapshot, or starts with none at
 // the first start of the deployment. It returns false if neither applies.
 func (s *state) restoreAllowances(recorded lease.Snapshot) bool {
-	snapshot := allowance.Snapshot{Usage: recorded.RecentUses, Demand: recorded.DemandRates, Warmup: recorded.Warmup, Age: max(0, s.started.Sub(time.UnixMilli(recorded.WrittenAtMs)))}
+	snapshot := allowance.Snapshot{Usage: recorded.RecentUses, Demand: plausibleRates(recorded.DemandRates), Warmup: recorded.Warmup, Age: max(0, s.started.Sub(time.UnixMilli(recorded.WrittenAtMs)))}
 	if recorded.WrittenAtMs == 0 {
 		if !s.router.settings.Peers.Bootstrap {
 			return false
