Ignore usage windows that have not begun

What operators saw: another writer left counts of a window far ahead in the record of the lease, or among the counts that daemons exchange through the store. From the next start on most requests were missing in the reports of usage.

Cause: the ledger keeps the windows before the latest one that it knows; one far ahead displaces all true ones, at each daemon that a report reaches.

Change: received windows that lie more than two ahead of the daemon's clock are ignored, and counts out of range too, from the store and from peers.

--- a/internal/duty/exchange.go
+++ b/internal/duty/exchange.go
@@ -101,12 +101,13 @@
 			e.Logger.Error("failed to decode published usage counts", "daemon", object.Name, "error", err)
 			continue
 		}
+		windows := e.Ledger.Plausible(counts.Windows, time.Now())
 		switch {
 		case object.Name == e.Self:
 		case counts.WholeZone && counts.Zone != zone:
-			e.Ledger.MergeZone(counts.Zone, counts.Windows)
+			e.Ledger.MergeZone(counts.Zone, windows)
 		case !counts.WholeZone && counts.Zone == zone:
-			e.Ledger.MergePeer(object.Name, counts.Incarnation, counts.Windows)
+			e.Ledger.MergePeer(object.Name, counts.Incarnation, windows)
 		}
 	}
 }
--- a/internal/router/gossip.go
+++ b/internal/router/gossip.go
@@ -193,7 +193,7 @@
 // addMemberReport adds the report of a daemon of the zone.
 func (s *state) addMemberReport(status *gossippb.Status, own *gossippb.Counts, now time.Time) {
 	uptime := time.Duration(status.GetUptimeMs()) * time.Millisecond
-	s.ledger.MergePeer(status.GetVm(), status.GetIncarnation(), decodeWindows(own.GetWindows()))
+	s.ledger.MergePeer(status.GetVm(), status.GetIncarnation(), s.ledger.Plausible(decodeWindows(own.GetWindows()), now))
 	s.aggregator.AddReport(rollup.Report{
 		VM: status.GetVm(), Incarnation: status.GetIncarnation(), Sequence: status.GetSequence(),
 		JustStarted: uptime < justStartedFor, Counts: decodeCounts(own),
@@ -202,7 +202,7 @@
 
 // addZoneSummary adds the sums of another zone.
 func (s *state) addZoneSummary(status *gossippb.Status, sum *gossippb.Counts, now time.Time) {
-	s.ledger.MergeZone(status.GetZone(), decodeWindows(sum.GetWindows()))
+	s.ledger.MergeZone(status.GetZone(), s.ledger.Plausible(decodeWindows(sum.GetWindows()), now))
 	s.aggregator.AddSummary(rollup.Summary{
 		Zone: status.GetZone(), VM: status.GetVm(), Incarnation: status.GetIncarnation(),
 		JustStarted: time.Duration(status.GetUptimeMs())*time.Millisecond < justStartedFor,
@@ -214,7 +214,7 @@
 // accepts those of another leader.
 func (s *state) applyLeaderTotals(status *gossippb.Status, all *gossippb.Counts, now time.Time) {
 	if len(all.GetWindows()) > 0 {
-		s.ledger.MergeAll(decodeWindows(all.GetWindows()))
+		s.ledger.MergeAll(s.ledger.Plausible(decodeWindows(all.GetWindows()), now))
 	}
 	plan := s.router.plan(now)
 	if plan.Leader || (status.GetVm() != plan.LeaderVM && !s.mayAcceptLeader(status.GetVm(), now)) {
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -44,7 +44,7 @@
 	s.view.RestoreSpeeds(unpackSpeeds(snapshot.ServerSpeeds))
 	s.firstTryLimits.Restore(snapshot.FirstTryLimits)
 	// Counts never decrease, so larger counts from daemons that are still running take precedence.
-	s.ledger.MergeAll(snapshot.RequestWindows)
+	s.ledger.MergeAll(s.ledger.Plausible(snapshot.RequestWindows, now))
 	s.restoreDemand(snapshot.Demand, snapshot.DemandWrittenMs)
 	restored := s.restoreAllowances(snapshot)
 	if snapshot.RollOuts != nil {
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -46,6 +46,27 @@
 // End returns the end of a window.
 func (l *Ledger) End(id int64) time.Time { return time.Unix(0, (id+1)*int64(l.window)) }
 
+// maxWindowsAhead is how many windows the clock of another daemon may be ahead.
+const maxWindowsAhead = 2
+
+// maxCount bounds the requests of a workspace in a window, so that sums do not overflow.
+const maxCount = 1 << 40
+
+// Plausible returns the received windows without those that have not begun yet, and without counts out
+// of range. A window far ahead would displace all true ones.
+func (l *Ledger) Plausible(received map[int64]Counts, now time.Time) map[int64]Counts {
+	latest := l.WindowAt(now) + maxWindowsAhead
+	plausible := map[int64]Counts{}
+	for id, counts := range received {
+		if id < 0 || id > latest {
+			continue
+		}
+		plausible[id] = maps.Clone(counts)
+		maps.DeleteFunc(plausible[id], func(_ string, n int64) bool { return n < 0 || n > maxCount })
+	}
+	return plausible
+}
+
 // RequestStarted counts a request that started at the given time.
 func (l *Ledger) RequestStarted(workspace string, at time.Time) {
 	id := l.WindowAt(at)
--- a/robustness/onplatform/oddrecord_test.go
+++ b/robustness/onplatform/oddrecord_test.go
@@ -36,3 +36,33 @@
 		}
 	}
 }
+
+// TestOddUsageWindowHidesNoUsage guards against usage that is not reported because another writer left counts of a window far ahead.
+func TestOddUsageWindowHidesNoUsage(t *testing.T) {
+	for _, window := range []string{"4611686018427387904", "9223372036854775807", "-9223372036854775808", "199999999"} {
+		t.Run(window, func(t *testing.T) {
+			run(t, 3, twoServices, func(b *bed) {
+				b.Check(b.refusals(8), qt.HasLen, 0)
+				b.killAll()
+				var record map[string]any
+				b.decode(b.store.Object("plankridge-leases", "cloud"), &record)
+				record["memory"].(map[string]any)["windows"] = map[string]any{window: map[string]any{workspace: 7}}
+				b.store.Put("plankridge-leases", "cloud", record)
+				b.startAll()
+				time.Sleep(12 * time.Second)
+				before := b.reportedUsage()
+				b.Check(b.refusals(8), qt.HasLen, 0)
+				time.Sleep(12 * time.Second)
+				b.Check(b.reportedUsage()-before, qt.Equals, int64(48))
+			})
+		})
+	}
+}
+
+// reportedUsage returns the requests of the workspace that were reported to the cloud.
+func (b *bed) reportedUsage() (requests int64) {
+	for _, report := range b.cloud.Reports() {
+		requests += report.Counts[workspace]
+	}
+	return requests
+}
