Keep streams off servers that start again at another version

What callers saw: a server started again under its ID with another software version. Its streams broke, and went on within the same answer at that server, whose entry still had the earlier version; or a stream that began there before its new entry arrived was taken for one of the earlier version, cancelled when the entry arrived, and went on at a server of that version.

Cause: the version of an attempt is that of the entry by which its server was picked, and nothing compared it with later entries. `Expect-Instance` names the ID only, and no answer names a version.

Change, all without calls or state elsewhere: - The entry of a server is looked at again before an attempt is sent and before its first event is forwarded; a run is not moved to a server that has got another version since the move was planned. - If the entry of the server that wrote the events has another version by the end of the attempt, the stream does not go on in the answer, and the new version is recorded too, which contradicts the record: daemons that get the report refuse take-ups. Contradicted records are reported whether their bucket moves or not. - A server that has broken the connection is not used again for the same stream in the same answer, where servers report when they started, or are of several versions. Elsewhere a restart has a new ID, and the only server may go on with its stream.

Ruled out: kept connections (they end with the process), addresses used again (another ID, answered 421), an entry of an earlier incarnation or of an older copy of the store (`supersedes`, `hasLeftBefore`).

Left: a daemon that does not get the new entries.

--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -75,6 +75,17 @@
 // Prompt returns the load of the attempt's prompt before it is processed.
 func (c *Choice) Prompt() Load { return PromptLoad(c.class, c.PrefillTokens) }
 
+// ListedVersion returns the version of the server's software as of its current entry. It differs from
+// Version if the entry has changed, or the server has started again, since it was picked.
+func (c *Choice) ListedVersion() string {
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	if s := c.view.servers[c.ID]; s != nil {
+		return s.Version
+	}
+	return c.Version
+}
+
 // RecordEvent records that an event of the answer was received. The first event shows that the
 // prompt has been processed.
 func (c *Choice) RecordEvent(now time.Time) {
--- a/internal/backend/leaving.go
+++ b/internal/backend/leaving.go
@@ -144,7 +144,7 @@
 func (c *Choice) MaySend(now time.Time) bool {
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
-	if c.view.servers[c.ID] != c.server {
+	if c.view.servers[c.ID] != c.server || c.server.Version != c.Version {
 		return false
 	}
 	if c.lastResort && c.server.usableAsLastResort(now) {
--- a/internal/backend/moves.go
+++ b/internal/backend/moves.go
@@ -119,12 +119,12 @@
 }
 
 // BeginMoved adds an attempt to the load of a server that continues a run from a copy. It returns false
-// if the server may not be sent requests.
+// if the server may not be sent requests, or is of another version than the run.
 func (v *View) BeginMoved(need Need, id string, now time.Time) (*Choice, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	s := v.servers[id]
-	if s == nil || !s.ready() && !s.usableAsLastResort(now) {
+	if s == nil || !s.ready() && !s.usableAsLastResort(now) || need.Version != "" && s.Version != need.Version {
 		return nil, false
 	}
 	need.Resumed = true
--- a/internal/backend/pick.go
+++ b/internal/backend/pick.go
@@ -24,6 +24,8 @@
 	Target time.Duration
 	// Tried holds the IDs of servers to avoid.
 	Tried map[string]bool
+	// Excluded holds the IDs of servers that must not be picked.
+	Excluded map[string]bool
 	// Final is set for the last attempt of a request.
 	Final bool
 	// Class is the class of the request's rank; see route.RankClass.
@@ -155,7 +157,7 @@
 	routeServers := make([]route.Server, 0, len(servers))
 	meanServiceTime := v.serviceSpeedsOf(need.Service).meanServiceTime
 	for _, s := range servers {
-		if need.ServerID != "" && s.ID != need.ServerID {
+		if need.ServerID != "" && s.ID != need.ServerID || need.Excluded[s.ID] {
 			continue
 		}
 		load := s.load(now)
--- a/internal/backend/versions.go
+++ b/internal/backend/versions.go
@@ -160,6 +160,24 @@
 	Servers, Running int
 }
 
+// MayChangeVersion reports whether a server of a service may start again under its ID at another version:
+// its servers report incarnations, or are of several versions.
+func (v *View) MayChangeVersion(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var first *server
+	for _, s := range v.servers {
+		if s.Service != service {
+			continue
+		}
+		if s.StartTimeMs != 0 || first != nil && s.Version != first.Version {
+			return true
+		}
+		first = s
+	}
+	return false
+}
+
 // CountVersions counts the listed servers by service and version. It ignores entries that are newer
 // than the given revision of the store.
 func (v *View) CountVersions(revision int64, now time.Time) []VersionCount {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -116,10 +116,16 @@
 	sentAttempts   int
 	unsentAttempts int
 	tried          map[string]bool
+	// broken holds the servers that have broken the connection of an attempt.
+	broken map[string]bool
 	// candidate is set while the call goes to the candidate version of a roll-out.
 	candidate bool
 	// stream is the version at which a resumable stream runs. It is final once the stream has begun.
 	stream StreamVersion
+	// writer is the attempt whose events the caller has got last, or nil. versionUncertain is set if
+	// these may be of another version than that of stream.
+	writer           *backend.Choice
+	versionUncertain bool
 	// lifecycle decides whether a retry is safe and which outcome may be reported.
 	lifecycle *request.Lifecycle
 	// stepMu guards the steps of lifecycle that may come from a move of the running stream.
@@ -173,7 +179,7 @@
 // not be completed.
 func (f *Forwarder) Forward(ctx context.Context, call *Call, reply Reply) error {
 	r := &run{
-		Forwarder: f, call: call, reply: reply, tried: map[string]bool{}, lastEventID: call.LastEventID,
+		Forwarder: f, call: call, reply: reply, tried: map[string]bool{}, broken: map[string]bool{}, lastEventID: call.LastEventID,
 		lifecycle: request.NewLifecycle(call.Route.Retryable()), fingerprint: call.fingerprint(),
 	}
 	if f.options.CallerTimeouts != nil {
@@ -312,6 +318,7 @@
 	result := r.try(ctx, choice)
 	ended := time.Now()
 	choice.End(result.outcome, ended)
+	r.checkWriter(choice)
 	r.recordAttempt(choice, result.logLabel, now, ended)
 	r.reportToRollOut(choice, result, ended.Sub(now))
 	r.reportBroken(choice.Entry, result, now, ended)
@@ -319,6 +326,9 @@
 		return true, result.err
 	}
 	r.tried[choice.ID] = true
+	if result.connBroken {
+		r.broken[choice.ID] = true
+	}
 	if ctx.Err() != nil {
 		return true, r.giveUp(ctx, &Refusal{Status: http.StatusGatewayTimeout, Reason: "timeout"})
 	}
@@ -347,6 +357,10 @@
 	need := backend.Need{Service: r.call.Service, Zone: r.options.Zone, Target: r.call.Route.LatencyTarget, Tried: r.tried, Candidate: r.candidate, Version: r.stream.Version, SampleSeed: xxhash.Sum64String(r.call.ID)}
 	need.Remaining = time.Until(r.call.Deadline())
 	need.Final = r.sentAttempts+1 >= r.call.Route.MaxAttempts
+	if len(r.broken) > 0 && r.hasStreamVersion() && r.begunStream() && r.options.View.MayChangeVersion(r.call.Service) {
+		// A server that has broken the connection may have started again.
+		need.Excluded = r.broken
+	}
 	if p := r.call.Prompt; p != nil {
 		need.Deferred, need.Class = r.overdue(), route.RankClass(r.call.Rank)
 		need.PromptTokens, need.Parts, need.Answer, need.Resumed = p.Tokens, p.Parts, pace.AnswerSize{MaxTokens: p.MaxOutput, HintedTokens: p.LikelyOutput}, r.lastEventID != ""
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -115,10 +115,11 @@
 			return nil
 		}
 	}
-	if !r.begunStream() && !r.mayBeginStream(choice, now) {
+	if !r.mayForward(choice, now) {
 		return errVersionMoved
 	}
 	r.recordBegun(choice)
+	r.writer = choice
 	r.recordPause(now)
 	r.sendHeader(answer)
 	if err := r.reply.Write(event); err != nil {
--- a/internal/forward/streamversion.go
+++ b/internal/forward/streamversion.go
@@ -75,10 +75,35 @@
 	return r.call.Arrived.Add(-max(route.Timeout, r.call.CallerTimeout) - streamAgeMargin)
 }
 
+// mayForward reports whether an event of an attempt may be sent to the caller. The server may have got
+// another version since it was picked.
+func (r *run) mayForward(choice *backend.Choice, now time.Time) bool {
+	if !r.hasStreamVersion() || r.writer == choice {
+		return true
+	}
+	return choice.ListedVersion() == choice.Version && (r.begunStream() || r.mayBeginStream(choice, now))
+}
+
+// checkWriter checks, at the end of an attempt whose events the caller has, whether the server has got
+// another version meanwhile. The server may have written the events at either version.
+func (r *run) checkWriter(choice *backend.Choice) {
+	if !r.hasStreamVersion() || r.writer != choice {
+		return
+	}
+	listed := choice.ListedVersion()
+	if listed == choice.Version {
+		return
+	}
+	r.versionUncertain = true
+	if r.streamID() != "" {
+		r.options.StreamVersions.Began(r.call.Service, r.streamID(), listed)
+	}
+}
+
 // mayBeginStream reports whether the stream may begin at the server of an attempt. The assignment may
 // have changed since the attempt was sent.
 func (r *run) mayBeginStream(choice *backend.Choice, now time.Time) bool {
-	return !r.hasStreamVersion() || r.options.StreamVersions.MayBegin(r.call.Service, r.call.ID, choice.Version, now)
+	return r.options.StreamVersions.MayBegin(r.call.Service, r.call.ID, choice.Version, now)
 }
 
 // streamID returns the ID of the request that brought the first event of the stream.
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -8,6 +8,7 @@
 
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/rollout"
+	"github.com/plankridge/plankridge/internal/streamversion"
 )
 
 // versionSalt makes the draw of the version independent of the draw of servers.
@@ -34,6 +35,9 @@
 // requests have moved to the candidate, and streams that have begun go on at their version.
 func (r *run) chooseRetryVersion() *Refusal {
 	if r.begunStream() && r.hasStreamVersion() {
+		if r.versionUncertain {
+			return streamVersionRefusal(streamversion.ErrAmbiguous)
+		}
 		return nil
 	}
 	if r.options.RollOuts != nil {
--- a/internal/router/streamversions.go
+++ b/internal/router/streamversions.go
@@ -214,7 +214,10 @@
 
 // Began implements forward.StreamVersions.
 func (s *streamVersions) Began(service, streamID, version string) {
-	s.begun.Record(service, streamID, version, time.Now())
+	if s.begun.Record(service, streamID, version, time.Now()) {
+		s.logger.Info("version of a stream is not known any more", "service", service, "stream", streamID, "version", version)
+		s.node.TriggerReport()
+	}
 }
 
 // report returns the streams for this daemon's report of a sequence number.
--- a/internal/streamversion/begun.go
+++ b/internal/streamversion/begun.go
@@ -37,6 +37,8 @@
 	mu       sync.Mutex
 	streams  map[begunKey]*begunStream
 	prunedAt time.Time
+	// contradictedAt is when a stream was last found to be stated at two versions.
+	contradictedAt time.Time
 }
 
 // begunKey identifies a stream by its service too: a caller may name a request of another service.
@@ -60,14 +62,16 @@
 // NewBegun returns an empty Begun.
 func NewBegun() *Begun { return &Begun{streams: map[begunKey]*begunStream{}} }
 
-// Record records that a stream has begun or gone on at this daemon.
-func (b *Begun) Record(service, streamID, version string, now time.Time) {
+// Record records that a stream has begun or gone on at this daemon. It returns true if an earlier statement
+// contradicts that.
+func (b *Begun) Record(service, streamID, version string, now time.Time) (contradicted bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	key := begunKey{service, KeyOf(streamID)}
 	b.observe(key, version, true, now)
 	s := b.streams[key]
 	s.at, s.forwarded, s.firstReport = now, true, 0
+	return s.other != ""
 }
 
 // Merge adds the streams of a peer's report. forward is set if this daemon passes them on.
@@ -90,6 +94,7 @@
 		return
 	}
 	if version != s.version && s.other == "" {
+		b.contradictedAt = now
 		s.other, s.at, s.firstReport, s.forwarded = version, now, 0, s.forwarded || forward
 	}
 }
@@ -128,13 +133,13 @@
 	Streams          []Key
 }
 
-// Report returns the streams for the report of a sequence number: those of the given buckets, which
-// few reports have contained.
+// Report returns the streams for the report of a sequence number, which few reports have contained: those
+// of the given buckets, and those whose version is stated in two ways.
 func (b *Begun) Report(of Buckets, sequence uint64, now time.Time) []Report {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.prune(now)
-	if len(of) == 0 {
+	if len(of) == 0 && now.Sub(b.contradictedAt) >= begunRetention {
 		return nil
 	}
 	reports, count := map[[2]string]*Report{}, 0
@@ -142,7 +147,7 @@
 		if count >= maxReported {
 			break
 		}
-		if !s.forwarded || !of[key.service][key.stream.bucket()] || s.firstReport != 0 && sequence >= s.firstReport+reportRepeats {
+		if !s.forwarded || s.other == "" && !of[key.service][key.stream.bucket()] || s.firstReport != 0 && sequence >= s.firstReport+reportRepeats {
 			continue
 		}
 		if s.firstReport == 0 {
