Play moves and lost links beside daemons that are out of step

No test played streams of several versions whose servers leave at short notice, so that running streams are moved, nor daemons that reach servers through other daemons only, while daemons are paused or cut off. A play in which no stream is moved fails.

--- a/robustness/onplatform/versions_test.go
+++ b/robustness/onplatform/versions_test.go
@@ -50,6 +50,8 @@
 	// fixedTimeout makes callers state the same timeout in each try.
 	fixedTimeout bool
 	rollOuts     bool
+	// moves lets servers copy the memory of running streams to each other.
+	moves bool
 	// badCandidate makes servers of v2 fail half of the requests.
 	badCandidate bool
 	// changes lets servers come and go, trouble happens to daemons and the store.
@@ -60,8 +62,9 @@
 // streamsBed is a deployment under such a play.
 type streamsBed struct {
 	*leavingBed
-	play streamsPlayed
-	seed uint64
+	play  streamsPlayed
+	seed  uint64
+	moves fake.Moves
 
 	mu      sync.Mutex
 	servers map[string][]*versionedServer
@@ -117,6 +120,10 @@
 		b.places = map[string]string{}
 		b.withoutRollOuts = !p.rollOuts
 		b.store.SetPageSize(500)
+		if p.moves {
+			s.moves.CopyTime, s.moves.Keep = 20*time.Millisecond, 5*time.Second
+			b.engine = map[string]any{"moves": true, "handleS": 5, "kvTokenBytes": 35136, "linkMbps": 260000}
+		}
 		for _, version := range p.versions {
 			for range serversPerVersion {
 				s.addVersion(version)
@@ -139,6 +146,9 @@
 	id := fmt.Sprintf("i-%04d", n)
 	s.places[id] = fmt.Sprintf("10.5.0.%d:80", n)
 	s.mu.Unlock()
+	if s.play.moves {
+		s.moves.Add(s.serverAddress(id), server.Server)
+	}
 	s.startServer(id, server.Server)
 	s.listEngine(server, "ready")
 }
@@ -325,6 +335,16 @@
 		s.seed, len(s.ips), len(s.streams), joined, begun, resumed, unavailable, reasons)
 	c.Check(joined <= maxJoined, qt.IsTrue, qt.Commentf("seed %d: %d of %d streams hold events of two versions", s.seed, joined, len(s.streams)))
 	c.Check(resumed.made < minResumed || resumed.share() >= minResumedRatio*begun.share(), qt.IsTrue, qt.Commentf("seed %d: resumed %+v, begun %+v", s.seed, resumed, begun))
+	if s.play.moves {
+		moved := 0
+		for _, servers := range s.servers {
+			for _, server := range servers {
+				moved += server.CopiesTaken()
+			}
+		}
+		t.Logf("seed %d: %d streams moved", s.seed, moved)
+		c.Check(moved > 0, qt.IsTrue)
+	}
 	c.Check(begun.share() >= 0.9, qt.IsTrue, qt.Commentf("seed %d: begun %+v", s.seed, begun))
 }
 
--- a/robustness/onplatform/versionscuts_test.go
+++ b/robustness/onplatform/versionscuts_test.go
@@ -1,6 +1,9 @@
 package onplatform
 
 import (
+	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -47,6 +50,18 @@
 	}
 }
 
+// toServers changes the links of a daemon to all servers.
+func toServers(change func(l *leavingBed, a, b string)) func(l *leavingBed, daemon int) {
+	return func(l *leavingBed, daemon int) {
+		for n := range maxServers {
+			change(l, l.daemons[daemon].ip, fmt.Sprintf("10.5.0.%d", n+1))
+		}
+	}
+}
+
+// maxServers is more than the number of servers of a play.
+const maxServers = 40
+
 func silenceLink(l *leavingBed, a, b string) { l.net.Silence(a, b) }
 func speakLink(l *leavingBed, a, b string)   { l.net.Speak(a, b) }
 func cutLink(l *leavingBed, a, b string)     { l.net.Cut(a, b) }
@@ -59,6 +74,7 @@
 var outOfStepTroubles = map[string]func(l *leavingBed){
 	"daemons are cut off":                         someOutOfStep(2, toOthers(cutLink, true), toOthers(healLink, true), anyDaemon),
 	"daemons are cut off silently":                someOutOfStep(2, toOthers(silenceLink, true), toOthers(speakLink, true), anyDaemon),
+	"links to the servers are lost":               someOutOfStep(2, toServers(cutLink), toServers(healLink), anyDaemon),
 	"daemons are paused":                          someOutOfStep(2, pauseDaemon, continueDaemon, anyDaemon),
 	"the assigning daemon is paused":              someOutOfStep(2, pauseDaemon, continueDaemon, assigningDaemon),
 	"the assigning daemon is cut off from others": someOutOfStep(2, toOthers(silenceLink, false), toOthers(speakLink, false), assigningDaemon),
@@ -78,6 +94,48 @@
 	rollOut(s)
 }
 
+// reclaimFor is how long after its notice a reclaimed server is gone, and reclaimGap the time between two.
+const (
+	reclaimFor = 700 * time.Millisecond
+	reclaimGap = 300 * time.Millisecond
+)
+
+// reclaim lets a server leave at short notice.
+func (s *streamsBed) reclaim(server *versionedServer) {
+	s.mu.Lock()
+	server.drains = time.Now()
+	s.mu.Unlock()
+	s.store.Put("servers", server.ID, map[string]any{
+		"service": model, "address": s.serverAddress(server.ID), "zone": "zone-1", "version": server.Version, "slots": 64, "state": "draining",
+		"coldLeftMs": 0, "seq": 2, "spot": true, "leaves_ms": reclaimFor.Milliseconds(),
+	})
+	time.Sleep(reclaimFor)
+	server.TakeDown()
+	ip, _, _ := strings.Cut(s.serverAddress(server.ID), ":")
+	for _, daemon := range s.ips {
+		s.net.RefuseNew(daemon, ip)
+	}
+	s.store.Remove("servers", server.ID)
+}
+
+// serversAreReclaimed reclaims servers of all versions, and starts others of the same and of a third one.
+func serversAreReclaimed(s *streamsBed) {
+	time.Sleep(2 * time.Second)
+	var leaving sync.WaitGroup
+	for i := range serversPerVersion {
+		s.addVersion("v3")
+		for _, version := range s.play.versions {
+			if i < serversPerVersion-1 {
+				s.addVersion(version)
+			}
+			server := s.ready(version, time.Now())[0]
+			leaving.Go(func() { s.reclaim(server) })
+			time.Sleep(reclaimGap)
+		}
+	}
+	leaving.Wait()
+}
+
 // outOfStepChanges are the changes of versions meanwhile.
 var outOfStepChanges = map[string]streamsPlayed{
 	"a version is replaced":               {versions: []string{"v1"}, changes: versionIsReplaced},
@@ -85,6 +143,7 @@
 	"a roll-out":                          {versions: []string{"v1"}, rollOuts: true, changes: rollOut},
 	"a roll-out that is halted":           {versions: []string{"v1"}, rollOuts: true, badCandidate: true, changes: rollOut},
 	"a version joins beside a roll-out":   {versions: []string{"v1"}, rollOuts: true, changes: versionJoinsARollOut},
+	"servers are reclaimed":               {versions: twoVersions, moves: true, changes: serversAreReclaimed},
 	"one joins beside one that is halted": {versions: []string{"v1"}, rollOuts: true, badCandidate: true, changes: versionJoinsARollOut},
 }
 
