Resume no streams by an assignment made in place of a lost one

What operators saw: take-ups after the death of all daemons went on at another version where the stored assignment of streams to versions was unreadable, incomplete, missing, or from a copy of the store; with an odd serial or bucket new streams were refused for seconds as well.

Cause: what could not be read counted as empty, and streams of an empty assignment were assigned as if none had begun before. Buckets, versions and serials of other writers were taken as they stood, and the era of the store was not compared.

Change: `Decode` checks what is stored and what peers send. A lost assignment is marked, and the one in its place says that streams of before may have begun at any version, until all daemons have adopted it and streams of before are old. Daemons that have an assignment keep it and write it again. That nothing has run before follows from the list of daemons.

--- a/internal/router/register.go
+++ b/internal/router/register.go
@@ -111,6 +111,9 @@
 	return time.UnixMilli(first), len(page.Objects) > 0
 }
 
+// firstStartSpread is the time within which the daemons of a deployment start for the first time.
+const firstStartSpread = 2 * time.Second
+
 // listDaemons lists the entries of the daemons. Except at the first start of the deployment, a list
 // that is some seconds old contains enough daemons to find all others.
 func (r *Router) listDaemons(ctx context.Context) (store.Page, error) {
@@ -127,6 +130,9 @@
 	if revision == 0 {
 		own.SinceMs = r.state.started.UnixMilli()
 	}
+	if first, known := earliestStart(page); len(page.Objects) > 0 && (!known || r.state.started.Sub(first) > firstStartSpread) {
+		r.ranBefore.Store(true)
+	}
 	defer func() {
 		r.registered.Store(true)
 		select {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -79,6 +79,8 @@
 	serverFollower *store.Follower
 	// registered is set once this daemon knows the others.
 	registered atomic.Bool
+	// ranBefore is set, before registered, if daemons of the deployment have run before this one started.
+	ranBefore atomic.Bool
 	// peersLearned receives a value when registered is set, so that the roles are evaluated at
 	// once. After all daemons have restarted, a daemon knows the others 15 to 60 ms after its
 	// start, while the next regular evaluation is at 100 ms.
--- a/internal/router/streamversions.go
+++ b/internal/router/streamversions.go
@@ -331,8 +331,11 @@
 // change writes the assignment that follows, if it differs or the store holds an older one. Calls to
 // the store cost money, so its object is read only then.
 func (s *streamVersions) change(ctx context.Context, a *streamversion.Assignment, demands map[string]streamversion.Demand, now time.Time) {
+	if a.Lost && s.peerHasAssignment(now) {
+		return
+	}
 	next, changed := a.Plan(demands, s.progress(a, now), now)
-	if !changed && (!s.stored.current || s.stored.serial >= a.Serial) {
+	if !changed && (!s.stored.current || s.stored.serial >= a.Serial && a.Era >= s.objectStore.Era()) {
 		return
 	}
 	if !s.stored.current {
@@ -343,6 +346,17 @@
 	}
 }
 
+// peerHasAssignment reports whether a reachable daemon has adopted an assignment that is not lost. It is
+// about to arrive here.
+func (s *streamVersions) peerHasAssignment(now time.Time) bool {
+	for _, peer := range s.members.Reachable(now) {
+		if peer.StreamAssignment > 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // shouldAssign reports whether this daemon is the first one by name among the reachable daemons that
 // follow the store. Daemons of an earlier release, which know no assignments, do not count.
 // Conditional writes keep several such daemons apart.
@@ -364,23 +378,33 @@
 func (s *streamVersions) read(ctx context.Context) {
 	begun := steady.Now()
 	object, err := s.objectStore.Get(ctx, assignmentKind, assignmentName)
-	a := &streamversion.Assignment{}
-	switch {
-	case errors.Is(err, store.ErrNotFound):
-	case err != nil:
+	if err != nil && !errors.Is(err, store.ErrNotFound) {
 		s.fail("failed to read the assignment of streams to versions", err)
 		return
-	default:
-		if err := json.Unmarshal(object.Spec, a); err != nil {
-			s.badObjects.record(&store.BadObject{Kind: assignmentKind, Name: assignmentName, Fault: store.FaultUnreadable}, time.Now())
-			a = &streamversion.Assignment{}
-		}
 	}
+	a := s.fromStore(object, err == nil)
 	s.stored.current, s.stored.revision, s.stored.serial = true, object.Revision, a.Serial
 	s.adopt(a, sourceStore)
 	s.confirmAsOf(a.Serial, begun)
 }
 
+// fromStore returns the assignment in the store. If it is lost, nothing of it is used unless this daemon
+// has adopted it before.
+func (s *streamVersions) fromStore(object store.Object, found bool) *streamversion.Assignment {
+	if !found {
+		return &streamversion.Assignment{Lost: s.ranBefore.Load() || !s.registered.Load() || s.objectStore.Era() > 0}
+	}
+	a, err := streamversion.Decode(object.Spec)
+	if err != nil {
+		s.badObjects.record(&store.BadObject{Kind: assignmentKind, Name: assignmentName, Fault: store.FaultUnreadable}, time.Now())
+		return &streamversion.Assignment{Lost: true}
+	}
+	if known := s.get(); a.Era < s.objectStore.Era() && (known == nil || known.Lost) {
+		return &streamversion.Assignment{Lost: true}
+	}
+	return a
+}
+
 // confirmAsOf records that the store held the assignment of a serial after a time.
 func (s *streamVersions) confirmAsOf(serial int64, at time.Time) {
 	s.mu.Lock()
@@ -395,6 +419,7 @@
 	var object store.Object
 	var err error
 	begun := steady.Now()
+	a.Era = s.objectStore.Era()
 	if s.stored.revision == 0 {
 		object, err = s.objectStore.Create(ctx, assignmentKind, assignmentName, a)
 	} else {
@@ -498,9 +523,9 @@
 		return
 	}
 	raw, err := unpack(reply.GetPackedStreamAssignment())
-	a := &streamversion.Assignment{}
+	var a *streamversion.Assignment
 	if err == nil {
-		err = json.Unmarshal(raw, a)
+		a, err = streamversion.Decode(raw)
 	}
 	if err != nil {
 		s.logger.Error("failed to decode the assignment of streams to versions from peer", "error", err, "from", reply.GetVm())
--- a/internal/streamversion/assignment.go
+++ b/internal/streamversion/assignment.go
@@ -39,6 +39,10 @@
 	// Serial rises with each change. Of two assignments, the one with the higher serial is in force.
 	Serial   int64              `json:"serial"`
 	Services map[string]Service `json:"services"`
+	// Era is the era of the store as of the write.
+	Era int64 `json:"era,omitempty"`
+	// Lost is set if the stored assignment is lost and streams may have begun as it said.
+	Lost bool `json:"-"`
 }
 
 // Service holds the buckets of one service.
@@ -65,6 +69,8 @@
 	// UntilMs is the wall-clock time, in milliseconds since 1970, after which no stream of the bucket
 	// began there. It is zero while some daemons may not know that the bucket has moved.
 	UntilMs int64 `json:"until_ms,omitempty"`
+	// AnyVersion is set if streams may have begun at any version. Version is empty then.
+	AnyVersion bool `json:"any_version,omitempty"`
 }
 
 // bucketSalt makes the buckets of streams independent of other uses of their IDs.
@@ -105,6 +111,9 @@
 	return candidates[0], nil
 }
 
+// anyVersion stands for versions that are not known. No server has this version.
+const anyVersion = "\x00any"
+
 // candidates returns the versions at which a stream may have begun at the given time or later.
 func (b Bucket) candidates(begunAfter time.Time) []string {
 	versions := []string{b.Version}
@@ -112,7 +121,11 @@
 		versions = append(versions, b.Next)
 	}
 	for _, e := range b.Earlier {
-		if e.UntilMs == 0 || e.UntilMs >= begunAfter.UnixMilli() {
+		switch {
+		case e.UntilMs != 0 && e.UntilMs < begunAfter.UnixMilli():
+		case e.AnyVersion:
+			versions = append(versions, anyVersion)
+		default:
 			versions = append(versions, e.Version)
 		}
 	}
--- a/internal/streamversion/plan.go
+++ b/internal/streamversion/plan.go
@@ -54,13 +54,13 @@
 // Plan returns the assignment that follows, and false if nothing changes. progress is how far this
 // one has spread.
 func (a *Assignment) Plan(demands map[string]Demand, progress Progress, now time.Time) (*Assignment, bool) {
-	next := &Assignment{Serial: a.Serial + 1, Services: maps.Clone(a.Services)}
+	next := &Assignment{Serial: a.nextSerial(now), Services: maps.Clone(a.Services)}
 	if next.Services == nil {
 		next.Services = map[string]Service{}
 	}
 	changed := false
 	for service, demand := range demands {
-		p := planner{demand: demand, progress: progress, now: now, buckets: a.Services[service].clone().Buckets}
+		p := planner{demand: demand, progress: progress, now: now, buckets: a.Services[service].clone().Buckets, lost: a.Lost}
 		if p.plan() {
 			next.Services[service] = Service{Buckets: p.buckets}
 			changed = true
@@ -76,6 +76,8 @@
 	now      time.Time
 	buckets  []Bucket
 	changed  bool
+	// lost is set if streams may have begun as an assignment said that is lost.
+	lost bool
 }
 
 func (p *planner) plan() bool {
@@ -100,7 +102,8 @@
 	return p.changed
 }
 
-// create assigns the streams of a service for the first time. None have begun before.
+// create assigns the streams of a service for the first time. None have begun before, unless an earlier
+// assignment is lost.
 func (p *planner) create(total int) bool {
 	if total == 0 {
 		return false
@@ -111,6 +114,9 @@
 		b := &p.buckets[i]
 		b.Version = mostWanted(counts, targets)
 		counts[b.Version]++
+		if p.lost {
+			b.Earlier = []Earlier{{AnyVersion: true}}
+		}
 	}
 	return true
 }
@@ -304,7 +310,7 @@
 		p.cancelMove(b)
 	}
 	b.Version, b.Next, b.Shared, p.changed = version, "", false, true
-	b.Earlier = slices.DeleteFunc(b.Earlier, func(e Earlier) bool { return e.Version == version })
+	b.removeEarlier(version)
 }
 
 // prepareMove makes a version the next one of a bucket.
@@ -325,10 +331,15 @@
 
 // addEarlier records that streams of the bucket may have begun at a version until now.
 func (b *Bucket) addEarlier(version string) {
-	b.Earlier = slices.DeleteFunc(b.Earlier, func(e Earlier) bool { return e.Version == version })
+	b.removeEarlier(version)
 	b.Earlier = append(b.Earlier, Earlier{Version: version})
 }
 
+// removeEarlier removes a version from the earlier ones.
+func (b *Bucket) removeEarlier(version string) {
+	b.Earlier = slices.DeleteFunc(b.Earlier, func(e Earlier) bool { return !e.AnyVersion && e.Version == version })
+}
+
 // trialBuckets returns the number of buckets that a share stands for.
 func (p *planner) trialBuckets(share float64) int {
 	return min(BucketCount, int(share*BucketCount+0.5))
--- a/robustness/onplatform/aftercrash_test.go
+++ b/robustness/onplatform/aftercrash_test.go
@@ -39,8 +39,9 @@
 	sideBySide bool
 	// restart starts the daemons that have died, in place of all at once.
 	restart func(s *streamsBed)
-	// newBeginAtOnce is set if new streams may not be refused.
-	newBeginAtOnce bool
+	// newBeginAtOnce is set if new streams may not be refused, and resumes if half of the streams that are
+	// taken up have to go on.
+	newBeginAtOnce, resumes bool
 }
 
 func equalShares(draw float64) time.Duration {
@@ -101,6 +102,9 @@
 		p.playOut(s)
 		refused := s.checkJoined(t)
 		s.Check(!p.newBeginAtOnce || refused <= maxRefusedNew, qt.IsTrue, qt.Commentf("seed %d: %d tries that begin a stream refused", seed, refused))
+		resumed := s.resumedStreams()
+		t.Logf("seed %d: streams taken up whose version serves: %+v", seed, resumed)
+		s.Check(!p.resumes || resumed.made < minResumed || resumed.share() >= minResumedRatio, qt.IsTrue, qt.Commentf("seed %d: resumed %+v", seed, resumed))
 	})
 }
 
@@ -172,6 +176,25 @@
 	s.streams = append(s.streams, stream)
 }
 
+// resumedStreams counts the streams that are taken up while two servers of their version serve, and those
+// that go on.
+func (s *streamsBed) resumedStreams() (resumed streamCounts) {
+	for _, stream := range s.streams {
+		counts := streamCounts{}
+		for _, try := range stream.tries {
+			if !try.resumes || try.status == 0 || len(s.ready(try.version, try.sent)) < minVersionServers {
+				continue
+			}
+			counts.made = 1
+			if try.fresh > 0 {
+				counts.went = 1
+			}
+		}
+		resumed.add(counts)
+	}
+	return resumed
+}
+
 // maxRefusedNew is the number of tries that begin a stream which daemons may refuse while they start.
 const maxRefusedNew = 16
 
@@ -243,3 +266,156 @@
 		}
 	}
 }
+
+// oneByOne starts the daemons again, one every second.
+func oneByOne(s *streamsBed) {
+	for i := range s.ips {
+		s.startAgain(i)
+		time.Sleep(time.Second)
+	}
+}
+
+// inHalves starts the daemons again in two halves that do not reach each other for some seconds.
+func inHalves(s *streamsBed) {
+	half := halfOfTheDaemons(s)
+	s.betweenHalves(half, s.net.Cut)
+	s.startAgain(0, 1, 2, 3, 4, 5)
+	time.Sleep(4 * time.Second)
+	s.betweenHalves(half, s.net.Heal)
+}
+
+// firstHalfLater starts the first daemons by name later than the others, which do not reach them at first.
+func firstHalfLater(s *streamsBed) {
+	half := halfOfTheDaemons(s)
+	s.betweenHalves(half, s.net.Cut)
+	s.startAgain(half...)
+	time.Sleep(2 * time.Second)
+	s.startAgain(0, 1, 2)
+	time.Sleep(3 * time.Second)
+	s.betweenHalves(half, s.net.Heal)
+}
+
+// betweenHalves changes the links between one half of the daemons and the other one.
+func (s *streamsBed) betweenHalves(half []int, change func(from, to string)) {
+	for _, i := range half {
+		for j := range len(s.ips) - len(half) {
+			change(s.ips[i], s.ips[j])
+		}
+	}
+}
+
+// TestStreamsKeepTheirVersionWhereDaemonsComeBackApart guards against buckets that a daemon moves which
+// has just started and takes those that it knows for all daemons.
+func TestStreamsKeepTheirVersionWhereDaemonsComeBackApart(t *testing.T) {
+	for order, restart := range map[string]func(s *streamsBed){"one by one": oneByOne, "in halves": inHalves, "first half later": firstHalfLater} {
+		for versions, p := range map[string]crashPlay{
+			"v2 just came":                  crashPlays["v2 just came"],
+			"v1 just gone":                  crashPlays["v1 just gone"],
+			"v1 removed while all are down": crashPlays["v1 removed while all are down"],
+			"v2 comes while all are down":   {whileDown: addV2Once},
+		} {
+			p.restart, p.habit = restart, habits["longer than the route's timeout"]
+			t.Run(order+", "+versions, p.run)
+		}
+	}
+}
+
+// addV2Once adds the servers of v2, unless they have been added.
+func addV2Once(s *streamsBed) {
+	if len(s.ready("v2", time.Now())) == 0 {
+		v2Joins(0, 0)(s)
+	}
+}
+
+const (
+	assignmentKind = "plankridge-stream-versions"
+	assignmentName = "assignment"
+)
+
+// storedAssignment returns the assignment of streams to versions in the store.
+func (s *streamsBed) storedAssignment() map[string]any {
+	stored := map[string]any{}
+	s.decode(s.store.Object(assignmentKind, assignmentName), &stored)
+	return stored
+}
+
+// changeBuckets changes the buckets of the model service in the store.
+func changeBuckets(change func(buckets []any) []any) func(s *streamsBed) {
+	return func(s *streamsBed) {
+		stored := s.storedAssignment()
+		services, _ := stored["services"].(map[string]any)
+		if service, assigned := services[model].(map[string]any); assigned {
+			service["buckets"] = change(service["buckets"].([]any))
+			s.store.Put(assignmentKind, assignmentName, stored)
+		}
+	}
+}
+
+// emptyVersions makes the version of every second bucket empty.
+func emptyVersions(buckets []any) []any {
+	for i := 0; i < len(buckets); i += 2 {
+		buckets[i] = map[string]any{"version": ""}
+	}
+	return buckets
+}
+
+// fewBuckets returns some of the buckets.
+func fewBuckets(buckets []any) []any { return buckets[:len(buckets)/2] }
+
+// withSerial writes the assignment again with another serial and without earlier versions.
+func withSerial(serial int64) func(s *streamsBed) {
+	return func(s *streamsBed) {
+		changeBuckets(func(buckets []any) []any {
+			for i := range buckets {
+				buckets[i] = map[string]any{"version": "v1"}
+			}
+			return buckets
+		})(s)
+		stored := s.storedAssignment()
+		stored["serial"] = serial
+		s.store.Put(assignmentKind, assignmentName, stored)
+	}
+}
+
+// lostAssignments are ways in which the stored assignment is lost, by name.
+var lostAssignments = map[string]func(s *streamsBed){
+	"removed":         func(s *streamsBed) { s.store.Remove(assignmentKind, assignmentName) },
+	"no JSON":         func(s *streamsBed) { s.store.PutRaw(assignmentKind, assignmentName, `{"serial": 3, "serv`) },
+	"empty":           func(s *streamsBed) { s.store.Put(assignmentKind, assignmentName, map[string]any{}) },
+	"buckets missing": changeBuckets(fewBuckets),
+	"empty versions":  changeBuckets(emptyVersions),
+	"negative serial": withSerial(-7),
+	"serial too high": withSerial(1<<62 - 1),
+	"from a copy":     goBackToV1,
+}
+
+// goBackToV1 lets the store go back to an assignment of all streams to v1. The servers are listed again.
+func goBackToV1(s *streamsBed) {
+	s.store.GoBack(s.copied)
+	for _, servers := range s.servers {
+		for _, server := range servers {
+			if server.drains.IsZero() {
+				s.listEngine(server, "ready")
+			} else {
+				s.store.Remove("servers", server.ID)
+			}
+		}
+	}
+}
+
+// TestStreamsOfALostAssignmentKeepTheirVersion guards against take-ups as a new assignment says of streams
+// that began as a lost one said, and against new streams that wait.
+func TestStreamsOfALostAssignmentKeepTheirVersion(t *testing.T) {
+	for name, lose := range lostAssignments {
+		for versions, leaves := range map[string]time.Duration{"v2 came": 0, "v1 just gone": 3500 * time.Millisecond} {
+			p := crashPlay{
+				habit: habits["8 s and 5 s, equal shares"], whileDown: lose, newBeginAtOnce: true,
+				before: func(s *streamsBed) {
+					s.copied = s.store.Copy()
+					v2Joins(500*time.Millisecond, leaves)(s)
+				},
+			}
+			t.Run(name+", "+versions, p.run)
+		}
+	}
+}
