Keep the versions of begun streams through the death of all daemons

What callers saw: where a version had just gone when all daemons were killed, none of their streams could be taken up afterwards, although servers of their version served: what daemons knew of the streams of moving buckets was in their reports, and gone with them.

Change: the holder of the lease writes the streams of ambiguous buckets into its record, up to 1,024 of the latest ones with 8 bytes each. It writes the record twice a second anyway, and each daemon reads it at its start, so there are no more calls. While no bucket is ambiguous nothing is added.

Why it can't join streams: an entry says at which version a stream has begun, which stays true; a missing one says nothing.

With more than 1,024 living streams in ambiguous buckets the rest is refused as before.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -78,6 +78,16 @@
 	// HeldAtMs is the wall-clock time as of which Held is valid, in milliseconds since
 	// 1970.
 	HeldAtMs int64 `json:"held_ms,omitempty"`
+	// BegunStreams holds streams whose version does not follow from their bucket.
+	BegunStreams []BegunStreams `json:"begun,omitempty"`
+}
+
+// BegunStreams are streams that have begun at one version of a service.
+type BegunStreams struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// Streams holds their keys, 8 bytes each.
+	Streams []byte `json:"streams"`
 }
 
 // Tracker is one daemon's view of the lease. It is not safe for concurrent use.
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -24,6 +24,7 @@
 		snapshot.WrittenAtMs, snapshot.RecentUses, snapshot.DemandRates, snapshot.Warmup = now.UnixMilli(), uses, s.limiter.demand(), s.limiter.warmup()
 	}
 	snapshot.HeldRequests, snapshot.HeldAtMs = s.quarantine.Snapshot(now), now.UnixMilli()
+	snapshot.BegunStreams = s.streamVersions.snapshot(now)
 	if s.router.rollOuts.Enabled() {
 		versions := s.router.rollOuts.Snapshot(now)
 		snapshot.RollOuts = &versions
@@ -42,6 +43,7 @@
 	// Counts never decrease, so larger counts from daemons that are still running take precedence.
 	s.ledger.MergeAll(snapshot.RequestWindows)
 	s.restoreDemand(snapshot.Demand, snapshot.DemandWrittenMs)
+	s.streamVersions.restore(snapshot.BegunStreams, now)
 	restored := s.restoreAllowances(snapshot)
 	if snapshot.RollOuts != nil {
 		s.router.rollOuts.Restore(*snapshot.RollOuts, max(0, s.started.Sub(time.UnixMilli(snapshot.WrittenAtMs))), now)
--- a/robustness/onplatform/aftercrash_test.go
+++ b/robustness/onplatform/aftercrash_test.go
@@ -257,11 +257,11 @@
 }
 
 // TestStreamsTakenUpAfterTheDeathOfAllKeepTheirVersion guards against the age of a stream that is
-// inferred from the time limit of its caller.
+// inferred from the time limit of its caller, and against take-ups that are refused for lack of reports.
 func TestStreamsTakenUpAfterTheDeathOfAllKeepTheirVersion(t *testing.T) {
 	for versions, p := range crashPlays {
 		for waits, h := range habits {
-			p.habit = h
+			p.habit, p.resumes = h, true
 			t.Run(versions+", "+waits, p.run)
 		}
 	}
