Merge begun streams that outlive the death of all daemons

Two parts read the assignment of streams strictly. The checks of both stay (streamversion.DecodeStored), and a lost assignment is replaced by one with a serial above the earlier ones, whose buckets may have any earlier version. Servers without a version are refused by the platform's decoder, so an assignment with empty versions counts as lost.

--- a/internal/streamversion/decode.go
+++ b/internal/streamversion/decode.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"time"
 )
 
 // maxSerial bounds the serial of an assignment. Integers up to it are exact in JSON, and an assignment
@@ -57,9 +58,16 @@
 	return nil
 }
 
-// unknownVersion is the earlier version of buckets whose streams may have begun at any version.
-const unknownVersion = ""
+// Lost returns the assignment that replaces one which cannot be used. Streams that have begun before are
+// ambiguous.
+func Lost() *Assignment { return &Assignment{Lost: true} }
 
-// Lost returns the assignment that replaces one which cannot be decoded. Streams that have begun before
-// are ambiguous.
-func Lost() *Assignment { return &Assignment{FollowsLost: true} }
+// nextSerial returns the serial of the assignment that follows. After a loss it is higher than those of
+// all earlier assignments, which a daemon that could not be reached may still have: there are fewer than
+// one a second.
+func (a *Assignment) nextSerial(now time.Time) int64 {
+	if a.Lost {
+		return max(a.Serial+1, now.Unix())
+	}
+	return a.Serial + 1
+}
--- a/internal/streamversion/plan.go
+++ b/internal/streamversion/plan.go
@@ -69,13 +69,13 @@
 // Plan returns the assignment that follows, and false if nothing changes. progress is how far this
 // one has spread.
 func (a *Assignment) Plan(demands map[string]Demand, progress Progress, now time.Time) (*Assignment, bool) {
-	next := &Assignment{Serial: a.Serial + 1, Services: maps.Clone(a.Services), FollowsLost: a.FollowsLost}
+	next := &Assignment{Serial: a.nextSerial(now), Services: maps.Clone(a.Services), FollowsLost: a.Lost || a.FollowsLost}
 	if next.Services == nil {
 		next.Services = map[string]Service{}
 	}
 	changed := false
 	for service, demand := range demands {
-		p := planner{demand: demand.bounded(), progress: progress, now: now, buckets: a.Services[service].clone().Buckets, followsLost: a.FollowsLost}
+		p := planner{demand: demand.bounded(), progress: progress, now: now, buckets: a.Services[service].clone().Buckets, lost: next.FollowsLost}
 		if p.plan() {
 			next.Services[service] = Service{Buckets: p.buckets}
 			changed = true
@@ -91,8 +91,8 @@
 	now      time.Time
 	buckets  []Bucket
 	changed  bool
-	// followsLost is set if streams may have begun before the service is assigned for the first time.
-	followsLost bool
+	// lost is set if streams may have begun as an assignment said that is lost.
+	lost bool
 }
 
 func (p *planner) plan() bool {
@@ -118,7 +118,7 @@
 }
 
 // create assigns the streams of a service for the first time. None have begun before, unless an earlier
-// assignment was lost.
+// assignment is lost.
 func (p *planner) create(total int) bool {
 	if total == 0 {
 		return false
@@ -128,10 +128,10 @@
 	for i := range p.buckets {
 		b := &p.buckets[i]
 		b.Version = mostWanted(counts, targets)
-		if p.followsLost {
-			b.addEarlier(unknownVersion)
-		}
 		counts[b.Version]++
+		if p.lost {
+			b.Earlier = []Earlier{{AnyVersion: true}}
+		}
 	}
 	return true
 }
@@ -325,7 +325,7 @@
 		p.cancelMove(b)
 	}
 	b.Version, b.Next, b.Shared, p.changed = version, "", false, true
-	b.Earlier = slices.DeleteFunc(b.Earlier, func(e Earlier) bool { return e.Version == version })
+	b.removeEarlier(version)
 }
 
 // prepareMove makes a version the next one of a bucket.
@@ -346,10 +346,15 @@
 
 // addEarlier records that streams of the bucket may have begun at a version until now.
 func (b *Bucket) addEarlier(version string) {
-	b.Earlier = slices.DeleteFunc(b.Earlier, func(e Earlier) bool { return e.Version == version })
+	b.removeEarlier(version)
 	b.Earlier = append(b.Earlier, Earlier{Version: version})
 }
 
+// removeEarlier removes a version from the earlier ones.
+func (b *Bucket) removeEarlier(version string) {
+	b.Earlier = slices.DeleteFunc(b.Earlier, func(e Earlier) bool { return !e.AnyVersion && e.Version == version })
+}
+
 // trialBuckets returns the number of buckets that a share stands for.
 func (p *planner) trialBuckets(share float64) int {
 	return min(BucketCount, int(share*BucketCount+0.5))
--- a/robustness/onplatform/oddassignment_test.go
+++ b/robustness/onplatform/oddassignment_test.go
@@ -13,11 +13,6 @@
 	"github.com/plankridge/plankridge/platform/fake"
 )
 
-const (
-	assignmentKind = "plankridge-stream-versions"
-	assignmentName = "assignment"
-)
-
 // oddAssignments returns what another writer may leave in place of the assignment of streams to versions.
 func oddAssignments(b *bed) map[string]string {
 	sound := string(b.store.Object(assignmentKind, assignmentName))
