Ignore records of use from the future

What callers saw: another writer left a record of use with a time far ahead in the place of a zone leader's. Daemons that start after the death of all took it alone: the use of all workspaces counted as none, and its rates as the demand.

Cause: records older than the newest one by more than a second are dropped, whatever the newest one's time is; the difference of two times overflows for the lowest one.

Change: records of more than a minute ahead of the clock or with a negative time are dropped before they are merged, and rates out of range as in the lease's record.

Evidence: TestUsesRecordFromTheFutureHidesNoOther on the code before: use 0 instead of 100 (times 2^63-1 and an hour ahead), demand 1e300 instead of 10 (all three times). After: holds. No play with whole daemons of this one.

--- a/internal/router/keptuses.go
+++ b/internal/router/keptuses.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/allowance"
@@ -30,6 +31,8 @@
 	// usesMergeWindow is the maximum difference in age between the records of several zone leaders
 	// that are merged: two writes of each.
 	usesMergeWindow = 2 * usesWriteInterval
+	// maxClockSkew is how far the clock of another zone leader may be ahead.
+	maxClockSkew = time.Minute
 )
 
 // usesRecord is the usage that a zone leader records.
@@ -99,13 +102,21 @@
 		}
 		records = append(records, record)
 	}
-	latest := mergeUses(records)
+	latest := mergeUses(plausibleRecords(records, time.Now()))
 	if latest.WrittenMs > snapshot.WrittenAtMs {
 		snapshot.RecentUses, snapshot.DemandRates, snapshot.Warmup, snapshot.WrittenAtMs = latest.Uses, latest.DemandRates, latest.Warmup, latest.WrittenMs
 	}
 	return snapshot, nil
 }
 
+// plausibleRecords returns the records that zone leaders can have written by now. One from the future
+// would make all others count as old.
+func plausibleRecords(records []usesRecord, now time.Time) []usesRecord {
+	return slices.DeleteFunc(records, func(r usesRecord) bool {
+		return r.WrittenMs < 0 || r.WrittenMs > now.Add(maxClockSkew).UnixMilli()
+	})
+}
+
 // mergeUses merges the newest records of the zone leaders. Each leader may have received only part
 // of the reports, so the larger usage of each workspace counts.
 func mergeUses(records []usesRecord) usesRecord {
@@ -119,7 +130,7 @@
 			continue
 		}
 		merged.Warmup = merged.Warmup || record.Warmup
-		merged.DemandRates = mergeDemandRates(merged.DemandRates, record.DemandRates)
+		merged.DemandRates = mergeDemandRates(merged.DemandRates, plausibleRates(record.DemandRates))
 		for workspace, use := range record.Uses {
 			if use.Sum() > merged.Uses[workspace].Sum() {
 				merged.Uses[workspace] = use
