Let buckets leave a version without servers beside a trial

What callers would see: while a roll-out is on trial, no server of the stable version is ready and servers of a third version serve: new streams of the stable version's buckets are refused for as long as the trial lasts, of other services too where versions have to move, and the assignment is written ten times a second.

Cause: replaceUnserved prepared the move to the third version, and applyTrial cancelled it in the same step for the version on trial, each time. The change of the assignment never ended, so that it was never old enough, nor adopted by all, to be followed. Found by a review of the two-step moves.

Change: a bucket that leaves a version without servers does so first, and is shared with the trial afterwards. The test failed before: 20 changes in 20 steps, 1 wanted; Next "v2", "v3" wanted.

--- a/internal/streamversion/plan.go
+++ b/internal/streamversion/plan.go
@@ -371,6 +371,8 @@
 		case b.Shared && b.Next != trial.Version:
 			p.cancelMove(b)
 		case trial.Version == "" || b.Version == trial.Version || i >= shared:
+		case b.Next != trial.Version && p.served(b.Next) && !p.served(b.Version):
+			// The bucket leaves a version without servers first.
 		case b.Next != trial.Version:
 			p.cancelMove(b)
 			b.Next = trial.Version
--- a/internal/streamversion/plan_test.go
+++ b/internal/streamversion/plan_test.go
@@ -126,6 +126,29 @@
 	c.Check(changed, qt.IsTrue, qt.Commentf("the move is cancelled"))
 }
 
+// TestBucketsWithoutServersLeaveBesideATrial guards against buckets that are about to move to a third version
+// and to that on trial in turn, with a write of the assignment each time.
+func TestBucketsWithoutServersLeaveBesideATrial(t *testing.T) {
+	c := qt.New(t)
+	a, _ := settled(&Assignment{}, capacity(map[string]int{"v1": 400}), start)
+	demands := capacity(map[string]int{"v3": 400})
+	demands["llm"] = Demand{Capacity: demands["llm"].Capacity, Trial: Trial{Version: "v2", Shared: 0.25}}
+	changes := 0
+	for range 20 {
+		if next, changed := a.Plan(demands, Spreading, start); changed {
+			a, changes = next, changes+1
+		}
+	}
+	c.Check(changes, qt.Equals, 1)
+	c.Check(a.Services["llm"].Buckets[0].Next, qt.Equals, "v3")
+	a, steps := settled(a, demands, start)
+	c.Check(steps < 10, qt.IsTrue, qt.Commentf("%d steps", steps))
+	for _, b := range a.Services["llm"].Buckets {
+		c.Assert(b.Version, qt.Equals, "v3")
+	}
+	c.Check(a.Services["llm"].Buckets[0].Allows("v2"), qt.IsTrue)
+}
+
 func TestTrialIsSharedAndThenMovedOrCancelled(t *testing.T) {
 	c := qt.New(t)
 	a, _ := settled(&Assignment{}, capacity(map[string]int{"v1": 400}), start)
