Do not count redirects as reports of begun streams

What callers would see: after a relay has changed, streams that began lately are refused at other daemons without Retry-After, as nobody knows their version, though the daemons that began them are up.

Cause: a daemon reports each begun stream twice, counted by the sequence numbers of its statuses. A reply that redirects a daemon which reports to the wrong one is such a status with a number of its own and contained the streams, so two redirects within a round used up both reports, and no relay got one.

Change: statuses outside of the rounds of reports contain no begun streams. The test failed before: a redirect contains a stream (1 instead of 0).

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -62,7 +62,8 @@
 
 // Source provides the data that the daemon sends.
 type Source interface {
-	// FillStatus sets the fields that describe the daemon's current state.
+	// FillStatus sets the fields that describe the daemon's current state. The sequence number is
+	// zero for a status that is not sent in a round of reports.
 	FillStatus(status *gossippb.Status)
 	// OwnCounts returns the daemon's own usage as of a sequence number.
 	OwnCounts(sequence uint64) *gossippb.Counts
@@ -314,7 +315,9 @@
 	if plan.Relay && status.GetZone() == n.options.Zone {
 		return
 	}
-	reply := n.newStatus(n.nextSequence())
+	// It is not a report to a relay, so what reports contain a few times only does not count as reported.
+	reply := n.newStatus(0)
+	reply.Sequence = n.nextSequence()
 	answered{incarnation: status.GetIncarnation(), sequence: status.GetSequence()}.encode(reply)
 	for _, p := range n.options.Members.relayCandidates(status.GetZone(), now) {
 		reply.Known = append(reply.Known, p.encode())
--- a/internal/router/streamversions.go
+++ b/internal/router/streamversions.go
@@ -222,10 +222,11 @@
 	}
 }
 
-// report returns the streams for this daemon's report of a sequence number.
+// report returns the streams for this daemon's report of a sequence number. Other statuses, whose
+// sequence number is zero, contain none.
 func (s *streamVersions) report(sequence uint64, now time.Time) []*gossippb.BegunStreams {
 	a, confirmed := s.confirmed()
-	if a == nil {
+	if a == nil || sequence == 0 {
 		return nil
 	}
 	s.recordConfirmed(a, confirmed)
--- a/internal/router/streamversions_test.go
+++ b/internal/router/streamversions_test.go
@@ -93,3 +93,21 @@
 		}
 	})
 }
+
+// TestRedirectsDoNotCountAsReportsOfStreams guards against begun streams that no relay has received, since
+// daemons which report to the wrong one were redirected meanwhile.
+func TestRedirectsDoNotCountAsReportsOfStreams(t *testing.T) {
+	withAssignment(t, func(c *qt.C, s *streamVersions) {
+		s.Began("llm", "own", "v1")
+		for range 5 {
+			redirect := &gossippb.Status{}
+			s.state.FillStatus(redirect)
+			c.Check(redirect.GetBegun(), qt.HasLen, 0)
+		}
+		for sequence := range uint64(2) {
+			report := &gossippb.Status{Sequence: sequence + 1}
+			s.state.FillStatus(report)
+			c.Check(report.GetBegun(), qt.HasLen, 1, qt.Commentf("%d", sequence))
+		}
+	})
+}
