Let no leader that has just started vouch for the adoption of an assignment

What callers would see: two versions in one stream, where the leader of a zone has just started while a daemon of its zone is cut off and buckets move by plan.

Cause: only the daemon that assigns had to know the list of daemons before it took a move as adopted by all. The sums of a zone come from its leader, which counted the few daemons that it knew as all. Found by a review; very unlikely.

The test failed before: 4 instead of 0.

--- a/internal/router/reach.go
+++ b/internal/router/reach.go
@@ -22,6 +22,10 @@
 			reach.StreamAssignment = min(reach.StreamAssignment, p.StreamAssignment)
 		}
 	}
+	if !s.router.registered.Load() && now.Sub(s.started) < reportedDaemonsFor {
+		// Other daemons of the zone may not be known yet, and may have adopted an earlier assignment.
+		reach.StreamAssignment = 0
+	}
 	return reach
 }
 
--- a/internal/router/streamversions_test.go
+++ b/internal/router/streamversions_test.go
@@ -111,3 +111,16 @@
 		}
 	})
 }
+
+// TestLeaderThatKnowsFewDaemonsVouchesForNoAdoption guards against a move that counts as adopted by all
+// although the leader of a zone has just started and does not know the daemons of its zone.
+func TestLeaderThatKnowsFewDaemonsVouchesForNoAdoption(t *testing.T) {
+	withAssignment(t, func(c *qt.C, s *streamVersions) {
+		c.Check(s.state.zoneReach(time.Now()).StreamAssignment, qt.Equals, int64(0))
+		s.registered.Store(true)
+		c.Check(s.state.zoneReach(time.Now()).StreamAssignment, qt.Equals, int64(4))
+		s.registered.Store(false)
+		time.Sleep(reportedDaemonsFor)
+		c.Check(s.state.zoneReach(time.Now()).StreamAssignment, qt.Equals, int64(4), qt.Commentf("a store that is away must not stop all moves"))
+	})
+}
