--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -138,6 +138,9 @@
 			r.waitAfterError(ctx, "list VMs", err)
 			continue
 		}
+		if changes.Skipped > 0 {
+			r.logger.Warn("entries of the VM list cannot be decoded", "entries", changes.Skipped, "revision", changes.Revision)
+		}
 		r.Apply(changes)
 	}
 }
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -56,6 +56,8 @@
 	// Full means that VMs is the whole list and replaces the known one.
 	Full bool `json:"full"`
 	VMs  []VM `json:"vms"`
+	// Skipped is the number of entries that cannot be decoded.
+	Skipped int `json:"-"`
 }
 
 // VMLister reads the VM list.
