Read reclaim notices one by one

What operators of the product's own interface would see: one notice that cannot be decoded, and no daemon learns of any reclaim any more, as the same notices are asked for again and again.

Cause: the notices were decoded as a whole, so that the sequence number never went beyond the odd one.

Change: notices are decoded one by one. Beside those that cannot be decoded the others are handled, and the error is logged and waited on as before.

--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -3,7 +3,9 @@
 package cloud
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -11,6 +13,7 @@
 
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/httpjson"
+	"github.com/plankridge/plankridge/internal/jsonscan"
 	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
@@ -40,7 +43,7 @@
 	// Stop gives a VM back. Stopping a VM that is gone is no error.
 	Stop(ctx context.Context, vm string) error
 	// Notices returns the notices after a sequence number, waiting at most
-	// that long for one.
+	// that long for one. Beside an error it returns those that it could decode.
 	Notices(ctx context.Context, after int64, wait time.Duration) ([]Notice, error)
 }
 
@@ -71,8 +74,42 @@
 
 // Notices implements Provider.
 func (c *Client) Notices(ctx context.Context, after int64, wait time.Duration) ([]Notice, error) {
-	var notices []Notice
+	var raw httpjson.RawBody
 	path := fmt.Sprintf("/notices?after=%d&wait=%s", after, wait)
-	err := c.api.Call(ctx, http.MethodGet, path, nil, &notices)
-	return notices, err
+	if err := c.api.Call(ctx, http.MethodGet, path, nil, &raw); err != nil {
+		return nil, err
+	}
+	return decodeNotices(raw)
+}
+
+// errUnreadableNotices means that some notices of a response cannot be decoded.
+var errUnreadableNotices = errors.New("notices cannot be decoded")
+
+// decodeNotices decodes a response. Notices are decoded one by one: one that cannot be decoded, of any
+// depth, does not hide the others, which are returned with an error.
+func decodeNotices(raw []byte) ([]Notice, error) {
+	raw = bytes.TrimSpace(raw)
+	if len(raw) == 0 || string(raw) == "null" {
+		return nil, nil
+	}
+	if len(raw) < 2 || raw[0] != '[' || raw[len(raw)-1] != ']' {
+		return nil, errUnreadableNotices
+	}
+	var notices []Notice
+	elements := jsonscan.Elements(raw[1:len(raw)-1], startsNotice)
+	for _, element := range elements {
+		var notice Notice
+		if json.Unmarshal(element, &notice) == nil && notice.VM != "" {
+			notices = append(notices, notice)
+		}
+	}
+	if skipped := len(elements) - len(notices); skipped > 0 {
+		return notices, fmt.Errorf("%w: %d of %d", errUnreadableNotices, skipped, len(elements))
+	}
+	return notices, nil
+}
+
+// startsNotice reports whether a notice begins at a quote.
+func startsNotice(raw []byte, quote int) bool {
+	return bytes.HasPrefix(raw[quote:], []byte(`"sequence"`))
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -149,14 +149,13 @@
 	var after int64
 	for ctx.Err() == nil {
 		notices, err := provider.Notices(ctx, after, longPollTimeout)
-		if err != nil {
-			r.waitAfterError(ctx, "get reclaim notices", err)
-			continue
-		}
 		for _, notice := range notices {
 			after = max(after, notice.Sequence)
 			r.HandleReclaimNotice(notice.VM, notice.Deadline)
 		}
+		if err != nil {
+			r.waitAfterError(ctx, "get reclaim notices", err)
+		}
 	}
 }
 
