Guard the fake servers that move streams against data races

The race detector found it on in the plays of reclaimed servers: servers join the group of moves while others serve, and a server that is reclaimed reads its address while others are added. Only the fake and the test had the race.

--- a/robustness/onplatform/versionscuts_test.go
+++ b/robustness/onplatform/versionscuts_test.go
@@ -104,14 +104,15 @@
 func (s *streamsBed) reclaim(server *versionedServer) {
 	s.mu.Lock()
 	server.drains = time.Now()
+	address := s.serverAddress(server.ID)
 	s.mu.Unlock()
 	s.store.Put("servers", server.ID, map[string]any{
-		"service": model, "address": s.serverAddress(server.ID), "zone": "zone-1", "version": server.Version, "slots": 64, "state": "draining",
+		"service": model, "address": address, "zone": "zone-1", "version": server.Version, "slots": 64, "state": "draining",
 		"coldLeftMs": 0, "seq": 2, "spot": true, "leaves_ms": reclaimFor.Milliseconds(),
 	})
 	time.Sleep(reclaimFor)
 	server.TakeDown()
-	ip, _, _ := strings.Cut(s.serverAddress(server.ID), ":")
+	ip, _, _ := strings.Cut(address, ":")
 	for _, daemon := range s.ips {
 		s.net.RefuseNew(daemon, ip)
 	}
