Bound the queue of log lines in bytes

Callers choose text that is logged, such as the ID of a request, and a head may have 16 KiB of it. The queue held 4,096 lines whatever their size: with an output that is slow or blocked, clients could make a daemon hold over 64 MB of lines.

The queue now holds 2 MiB at most; further lines are dropped and counted as before. TestLongLinesTakeLittleMemory failed before: 33.7 MB were queued of 2,048 lines of 16 KiB.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -1,5 +1,5 @@
-// Package eventlog provides the daemon's logger. Lines pass through a bounded
-// queue to a writer. If the writer is slow or closed, lines are dropped and
+// Package eventlog provides the daemon's logger. Lines pass through a queue that is
+// bounded in lines and bytes to a writer. If the writer is slow or closed, lines are dropped and
 // counted, so that logging never blocks a request.
 package eventlog
 
@@ -17,6 +17,8 @@
 	// maxQueuedLines bounds the lines that wait for the writer. At 300 bytes per line
 	// they take about 1.2 MB.
 	maxQueuedLines = 4096
+	// maxQueuedBytes bounds the size of these lines, which may contain text of callers.
+	maxQueuedBytes = 2 << 20
 	// maxFlushBytes is the size at which no further lines are added to a write.
 	maxFlushBytes = 64 << 10
 	// closeTimeout is how long Close waits for a writer that blocks.
@@ -28,6 +30,7 @@
 type Writer struct {
 	out       io.Writer
 	lines     chan []byte
+	queued    atomic.Int64
 	dropped   atomic.Int64
 	done      chan struct{}
 	closeOnce sync.Once
@@ -44,14 +47,25 @@
 // Write implements io.Writer. Each call queues one line, or drops it if the queue
 // is full.
 func (w *Writer) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > maxQueuedBytes {
+		w.drop(size)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- bytes.Clone(line):
 	default:
-		w.dropped.Add(1)
+		w.drop(size)
 	}
 	return len(line), nil
 }
 
+// drop counts a line that is not queued.
+func (w *Writer) drop(size int64) {
+	w.queued.Add(-size)
+	w.dropped.Add(1)
+}
+
 // Dropped returns the number of lines dropped so far.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
@@ -71,6 +85,7 @@
 	for {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			reported = w.flush(line, reported)
 		case <-w.quit:
 			for len(w.lines) > 0 {
@@ -104,6 +119,7 @@
 	for buffer.Len() < maxFlushBytes {
 		select {
 		case line := <-w.lines:
+			w.queued.Add(-int64(len(line)))
 			buffer.Write(line)
 		default:
 			return
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -85,3 +85,24 @@
 	<-w.done
 	c.Check(out.String(), qt.Matches, `(?s).*"msg":"hello","k":1.*`)
 }
+
+// TestLongLinesTakeLittleMemory checks that lines with long text of callers are dropped beyond a number of bytes.
+func TestLongLinesTakeLittleMemory(t *testing.T) {
+	c := qt.New(t)
+	out := &blockedWriter{unblock: make(chan struct{})}
+	w := NewWriter(out)
+	logger := New(w, slog.LevelInfo)
+	text := strings.Repeat("x", 16<<10)
+	for range maxQueuedLines / 2 {
+		logger.Info("line", "request_id", text)
+	}
+	queued := 0
+	for len(w.lines) > 0 {
+		queued += len(<-w.lines)
+	}
+	c.Check(queued <= maxQueuedBytes, qt.IsTrue, qt.Commentf("%d", queued))
+	c.Check(queued > maxQueuedBytes/2, qt.IsTrue, qt.Commentf("%d", queued))
+	close(out.unblock)
+	w.Close()
+	<-w.done
+}
