Count the request of a finished answer toward held_bytes

A finished request of the own interface is kept for late readers, for ten minutes or until held_bytes is reached. Its size counted the answer alone, so that bodies of 8 MiB, whose answers are short, were kept as 512 bytes each: 40 of them take 320 MB, and held_bytes is 32 MiB by default.

The size now includes the request's content.

--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -138,12 +138,12 @@
 	return request.StateFailed, last.Failure.Outcome
 }
 
-// size estimates the memory of a finished flight in bytes.
+// size estimates the memory of a finished flight in bytes, with its request.
 func (f *Flight) size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	const perToken = 32
-	size := 512 + len(f.tokens)*perToken
+	size := 512 + len(f.tokens)*perToken + f.spec.Size()
 	if f.lastEvent != nil && f.lastEvent.Plain != nil {
 		size += len(f.lastEvent.Plain.Body)
 	}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -74,6 +74,26 @@
 	Plain       *PlainRequest `json:"plain,omitempty"`
 }
 
+// Size returns about how many bytes the content of the request takes.
+func (s *Spec) Size() int {
+	size := 0
+	if s.Model != nil {
+		size += len(s.Model.Prompt)
+		for name, value := range s.Model.Parameters {
+			size += len(name) + len(value)
+		}
+	}
+	if s.Plain != nil {
+		size += len(s.Plain.Path) + len(s.Plain.Body)
+		for name, values := range s.Plain.Header {
+			for _, value := range values {
+				size += len(name) + len(value)
+			}
+		}
+	}
+	return size
+}
+
 // Position is a position in a streamed answer.
 type Position struct {
 	// Run counts how often the answer was continued from a copy that may have lacked tokens already
