Bound what callers can make a daemon hold over all connections

What callers saw: clients that nobody controls ended a daemon of the platform, which ran out of memory, or held all of its descriptors, so that nobody else was answered.

Cause: the limits on heads and times of the configuration were decoded and never used, the HTTP server allowed heads of 1 MiB, a body was collected whole by doubling and had no time limit, and nothing knew the sum over all connections. A full descriptor table also took the connections to backend servers, the store and peers.

Fix: package inbound. A guard accounts each connection's descriptor, head as it arrives, body and unread input against shares of the VM's memory and descriptors, which the settings now have. When a limit is reached it closes the connections that make the least progress, else refuses new work with 503, never a request that may be at a server. Heads and times follow the limits of the configuration in force.

Ruled out: MaxHeaderBytes and ReadHeaderTimeout of net/http are read without a lock while the configuration changes; a count of lines is met by a legal head of 4,000 lines, which is still served.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -131,12 +131,42 @@
 	ZonePrices     map[string]float64
 }
 
-// CallerLimits limit the size of callers' requests and the time that callers may take.
+// CallerLimits limit the size of callers' requests and the time that callers may take. Zero fields mean the
+// defaults.
 type CallerLimits struct {
-	HeaderBytes   int
-	BodyBytes     int64
+	// HeaderBytes bounds the request line and the header together.
+	HeaderBytes int
+	BodyBytes   int64
+	// HeaderTimeout bounds the time from the first byte of a header to its end.
 	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// IdleTimeout bounds the time without a byte between requests, within a body, and while the caller does
+	// not read its answer.
+	IdleTimeout time.Duration
+}
+
+// Defaults of CallerLimits.
+const (
+	DefaultHeaderBytes   = 64 << 10
+	DefaultBodyBytes     = 8 << 20
+	DefaultHeaderTimeout = 5 * time.Second
+	DefaultIdleTimeout   = 75 * time.Second
+)
+
+// WithDefaults returns the limits with the defaults for those that are unset.
+func (l CallerLimits) WithDefaults() CallerLimits {
+	if l.HeaderBytes <= 0 {
+		l.HeaderBytes = DefaultHeaderBytes
+	}
+	if l.BodyBytes <= 0 {
+		l.BodyBytes = DefaultBodyBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = DefaultHeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = DefaultIdleTimeout
+	}
+	return l
 }
 
 // Workspace is a customer, with its keys and its allowance.
--- a/internal/cli/router.go
+++ b/internal/cli/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"runtime/debug"
 
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/eventlog"
@@ -15,6 +16,9 @@
 	if err != nil {
 		return err
 	}
+	before := settings
+	settings.VM.MaxDescriptors = limitDescriptors(settings.VM.MaxDescriptors)
+	debug.SetMemoryLimit(settings.VM.Resources().GoMemoryLimit())
 	lines := eventlog.NewWriter(env.Stdout)
 	defer lines.Close()
 	logger := eventlog.New(lines, slog.LevelInfo)
@@ -22,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	go watchReload(env, settingsPath, settings, logger)
+	go watchReload(env, settingsPath, before, logger)
 	return r.Run(env.Context, env.Kill)
 }
 
--- a/internal/config/router.go
+++ b/internal/config/router.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/plankridge/plankridge/internal/finding"
+	"github.com/plankridge/plankridge/internal/inbound"
 	"github.com/plankridge/plankridge/internal/strictyaml"
 )
 
@@ -46,6 +47,10 @@
 	// has. If either is unset, it is not known how much the daemon can relay for others.
 	LinkMbps float64 `yaml:"link_mbps"`
 	CPUShare float64 `yaml:"cpu_share"`
+	// MemoryMB is the memory in units of 1e6 bytes beyond which the process is killed, and MaxDescriptors the
+	// number of descriptors that it may open. If either is unset, the defaults of package inbound apply.
+	MemoryMB       float64 `yaml:"memory_mb"`
+	MaxDescriptors int     `yaml:"max_descriptors"`
 }
 
 // relayMbpsPerCore is how much a core can relay: a leader of 100 daemons used 0.3 of a core for 60 Mbit/s.
@@ -59,6 +64,14 @@
 	return uint32(max(1, min(v.LinkMbps, v.CPUShare*relayMbpsPerCore, math.MaxUint16)))
 }
 
+// Resources returns what the VM gives the process.
+func (v RouterVM) Resources() inbound.Resources {
+	return inbound.Resources{MemoryBytes: int64(v.MemoryMB * bytesPerMB), Descriptors: v.MaxDescriptors}
+}
+
+// bytesPerMB is the unit of memory in the settings.
+const bytesPerMB = 1e6
+
 // RouterListen holds the addresses that the daemon listens on, as IP:port.
 type RouterListen struct {
 	Callers   string `yaml:"callers,required"`
@@ -162,6 +175,9 @@
 	if settings.VM.LinkMbps < 0 || settings.VM.CPUShare < 0 {
 		findings.Addf(source.Place("vm"), "vm.link_mbps and vm.cpu_share: must not be negative")
 	}
+	if settings.VM.MemoryMB < 0 || settings.VM.MaxDescriptors < 0 {
+		findings.Addf(source.Place("vm"), "vm.memory_mb and vm.max_descriptors: must not be negative")
+	}
 	if settings.Bounds.RetryRatio < 0 || settings.Bounds.RetryExtra < 0 {
 		findings.Addf(source.Place("bounds.retry_ratio"), "bounds.retry_ratio and bounds.retry_extra: must not be negative")
 	}
--- a/internal/config/router_test.go
+++ b/internal/config/router_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/inbound"
 )
 
 // renderedSettings is deploy/settings.yaml.tmpl as rendered by the platform.
@@ -75,6 +77,21 @@
 	c.Check(IsRouterSettings([]byte("{")), qt.IsFalse)
 }
 
+func TestResourcesOfTheVM(t *testing.T) {
+	c := qt.New(t)
+	with := func(lines string) (RouterSettings, error) {
+		return ParseRouterSettings("node.yaml", []byte(strings.Replace(renderedSettings, "  region: thies\n", "  region: thies\n"+lines, 1)))
+	}
+	got, err := with("  memory_mb: 284\n  max_descriptors: 4100\n")
+	c.Assert(err, qt.IsNil)
+	c.Check(got.VM.Resources(), qt.Equals, inbound.Resources{MemoryBytes: 284_000_000, Descriptors: 4100})
+	got, err = with("")
+	c.Assert(err, qt.IsNil)
+	c.Check(got.VM.Resources().WithDefaults(), qt.Equals, inbound.Resources{MemoryBytes: inbound.DefaultMemoryBytes, Descriptors: inbound.DefaultDescriptors})
+	_, err = with("  memory_mb: -1\n")
+	c.Check(err, qt.ErrorMatches, `(?s).*vm.memory_mb and vm.max_descriptors: must not be negative.*`)
+}
+
 // TestRelayCapacity checks that a VM relays as much as the smaller of its link and its processor allows, and that
 // nothing is assumed if either is not set.
 func TestRelayCapacity(t *testing.T) {
--- /dev/null
+++ b/internal/inbound/seed_test.go
@@ -0,0 +1,3 @@
+package inbound
+
+import _ "github.com/plankridge/plankridge/internal/standin/fixedseed"
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -29,9 +29,22 @@
 // TCP is the operating system's network: TCP for connections, UDP for datagrams.
 type TCP struct{}
 
+// ReceiveBufferBytes bounds the unread bytes of a connection that the kernel keeps. Without it, the kernel
+// lets the buffer of a fast client grow to several megabytes.
+const ReceiveBufferBytes = 64 << 10
+
 // Listen implements Network.
 func (TCP) Listen(address string) (net.Listener, error) {
-	return net.Listen("tcp", address)
+	config := net.ListenConfig{Control: setReceiveBuffer}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// setReceiveBuffer sets the size of the receive buffer, which accepted connections inherit. It is a
+// precaution, and a system that refuses it is served without.
+func setReceiveBuffer(_, _ string, conn syscall.RawConn) error {
+	return conn.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, ReceiveBufferBytes)
+	})
 }
 
 // ListenPacket implements Network.
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	"github.com/plankridge/plankridge/internal/duty"
 	"github.com/plankridge/plankridge/internal/forward"
 	"github.com/plankridge/plankridge/internal/gossip"
+	"github.com/plankridge/plankridge/internal/inbound"
 	"github.com/plankridge/plankridge/internal/network"
 	"github.com/plankridge/plankridge/internal/rollout"
 	"github.com/plankridge/plankridge/internal/steady"
@@ -36,12 +37,8 @@
 	// dialTimeout bounds the opening of a connection to a backend server. Links have a latency of a
 	// few milliseconds, and a lost packet is sent again after 200 ms or more.
 	dialTimeout = 350 * time.Millisecond
-	// headerTimeout bounds how long a caller may take to send a request's header, before any
-	// configured limit applies.
+	// headerTimeout bounds how long a client may take to send the header of a request for readiness or metrics.
 	headerTimeout = 5 * time.Second
-	// idleTimeout closes idle connections of callers. Callers reuse connections that were idle for
-	// up to four fifths of the operator's limit of 15 s. Keeping a connection for longer does no harm.
-	idleTimeout = 75 * time.Second
 	// housekeepingInterval is the time between two runs of housekeep.
 	housekeepingInterval = time.Second
 	// engineLogInterval is the time between two log lines with the learned engine estimates.
@@ -112,6 +109,7 @@
 	peerListener      net.Listener
 
 	callerHTTP  *http.Server
+	callerGuard *inbound.Guard
 	httpServers []httpServer
 	cloud       *platform.Cloud
 }
@@ -147,6 +145,7 @@
 	}
 	r.pool.OnDial = r.state.view.RecordDial
 	r.detours = detour.NewServer(detour.ServerOptions{Network: options.Network, Known: r.state.view.HasAddress, Links: r.links})
+	r.buildGuards()
 	if err := r.listen(options.Network); err != nil {
 		r.closeListeners()
 		return nil, err
@@ -179,8 +178,11 @@
 		VM: r.settings.VM.ID, Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers, Incarnation: r.incarnation,
 		Network: n, Members: r.members, Source: r.state, Sink: r.state, Register: r.detours.Register, Logger: r.logger,
 	})
+	if err != nil {
+		return err
+	}
 	r.node, r.peerListener = node, peers
-	return err
+	return nil
 }
 
 func (r *Router) closeListeners() {
@@ -217,10 +219,8 @@
 	})
 	ingress := &platform.Ingress{Catalog: r.state.awaitCatalog, Forwarder: forwarder, Logger: r.logger}
 	r.callerHTTP = &http.Server{
-		Handler:           closeConnectionsWhile(&r.draining, ingress),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		ErrorLog:          slog.NewLogLogger(r.logger.Handler(), slog.LevelDebug),
+		Handler:  closeConnectionsWhile(&r.draining, ingress),
+		ErrorLog: slog.NewLogLogger(r.logger.Handler(), slog.LevelDebug),
 	}
 	r.elector = duty.NewElector(duty.Options{
 		Self: r.settings.VM.ID, Address: r.settings.Listen.Peers, Incarnation: r.incarnation, Duration: r.settings.Bounds.Lease.Std(),
@@ -314,15 +314,19 @@
 
 // buildServers creates the HTTP servers.
 func (r *Router) buildServers() {
-	r.httpServers = []httpServer{
-		{r.callerHTTP, r.callerListener},
-		{&http.Server{Handler: platform.NewReadiness(r.Ready), ReadHeaderTimeout: headerTimeout}, r.readinessListener},
-	}
+	r.serveGuarded(r.callerHTTP, r.callerListener, r.callerGuard)
+	r.httpServers = append(r.httpServers, httpServer{&http.Server{Handler: platform.NewReadiness(r.Ready), ReadHeaderTimeout: headerTimeout}, r.readinessListener})
 	if r.metricsListener != nil {
 		r.httpServers = append(r.httpServers, httpServer{&http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout}, r.metricsListener})
 	}
 }
 
+// serveGuarded adds an HTTP server whose clients a guard bounds.
+func (r *Router) serveGuarded(server *http.Server, listener net.Listener, guard *inbound.Guard) {
+	guard.Protect(server)
+	r.httpServers = append(r.httpServers, httpServer{server, guard.Listen(listener)})
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		return nil
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -14,6 +14,9 @@
 	// maxUnreadyShare bounds unreadyDelay to a share of the time of the shutdown. The rest is for the
 	// requests in flight.
 	maxUnreadyShare = 0.5
+	// maxDrainLag is how far behind a caller may be with a request or with reading its answer while the
+	// requests in flight are waited for.
+	maxDrainLag = time.Second
 	// shutdownMargin is how long before the process is killed the shutdown ends.
 	shutdownMargin = 600 * time.Millisecond
 )
@@ -55,6 +58,9 @@
 
 // drainCallers accepts no more connections and waits until the requests in flight have ended.
 func (r *Router) drainCallers(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go r.callerGuard.CloseStalled(ctx, maxDrainLag)
 	if err := r.callerHTTP.Shutdown(ctx); err != nil {
 		r.logger.Warn("shutdown deadline exceeded, closing connections with requests in flight", "error", err)
 	}
