Bound what clients of readiness and metrics can make a daemon hold

What was seen: 600 clients that stop a byte before the end of a request, or send nothing, at the listener for readiness or metrics take all descriptors of a daemon (256 here), so that neither the load balancer nor callers are answered; 400 heads of 2,700 lines or 40 of 920 KB take its memory.

Cause: these servers had a time for heads and no other bound.

Fix: a guard for each of them, with 0.03 of the descriptors and 0.02 of the memory. Their requests take a millisecond, so a connection that is 5 ms behind gives way to another one, also while its answer is not read. With 100 ms, as for callers, the readiness check waited 7 s behind 600 silent connections.

TestHeadsOfManyLinesAt..., TestHeadsOverTheLimitAt..., TestRequestsAByteShortAt... of both and TestSilentConnectionsAtReadiness failed before. TestAnswersThatAreNotReadAtMetrics passed before, too.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -37,8 +37,6 @@
 	// dialTimeout bounds the opening of a connection to a backend server. Links have a latency of a
 	// few milliseconds, and a lost packet is sent again after 200 ms or more.
 	dialTimeout = 350 * time.Millisecond
-	// headerTimeout bounds how long a client may take to send the header of a request for readiness or metrics.
-	headerTimeout = 5 * time.Second
 	// housekeepingInterval is the time between two runs of housekeep.
 	housekeepingInterval = time.Second
 	// engineLogInterval is the time between two log lines with the learned engine estimates.
@@ -315,9 +313,9 @@
 // buildServers creates the HTTP servers.
 func (r *Router) buildServers() {
 	r.serveGuarded(r.callerHTTP, r.callerListener, r.callerGuard)
-	r.httpServers = append(r.httpServers, httpServer{&http.Server{Handler: platform.NewReadiness(r.Ready), ReadHeaderTimeout: headerTimeout}, r.readinessListener})
+	r.serveGuarded(&http.Server{Handler: platform.NewReadiness(r.Ready)}, r.readinessListener, r.newStatusGuard("readiness"))
 	if r.metricsListener != nil {
-		r.httpServers = append(r.httpServers, httpServer{&http.Server{Handler: r.metricsHandler(), ReadHeaderTimeout: headerTimeout}, r.metricsListener})
+		r.serveGuarded(&http.Server{Handler: r.metricsHandler()}, r.metricsListener, r.newStatusGuard("metrics"))
 	}
 }
 
