Bound what clients can make a daemon hold at its peer listener

What was seen: at the listener for peers of a daemon on the platform, 600 silent connections took all descriptors (256); a header block that never ends took 16 MiB a connection, which is the gRPC server's default; 10 connections with 4,000 calls each that send nothing, or with 20 messages of 4 MiB a byte short, took up to 889 MB (VM of 96).

Cause: the gRPC server had no options. Its defaults bound neither the calls nor their messages, and take 120 s for a handshake.

All that has arrived on a connection counts as held until its message is delivered; a connection whose calls have got a message, such as a tunnel to a backend server, is never closed for another one. Headers of calls are bounded by 8 KiB, calls by 1,024 on a connection, the handshake by 5 s.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -129,7 +129,9 @@
 	Sink        Sink
 	// Register adds further services to the gRPC server of the peer listener. It may be nil.
 	Register func(grpc.ServiceRegistrar)
-	Logger   *slog.Logger
+	// ServerOptions configure the gRPC server.
+	ServerOptions []grpc.ServerOption
+	Logger        *slog.Logger
 }
 
 // Node sends and receives gossip for one daemon.
@@ -166,7 +168,7 @@
 		_ = packets.Close()
 		return nil, nil, eris.Wrap(err, "listen for peer calls")
 	}
-	n := &Node{options: options, packets: packets, server: grpc.NewServer(), trigger: make(chan struct{}, 1), alignToLeader: make(chan struct{}, 1), noticeLimiter: newNoticeLimiter(), pulls: map[string]*pullState{}}
+	n := &Node{options: options, packets: packets, server: grpc.NewServer(options.ServerOptions...), trigger: make(chan struct{}, 1), alignToLeader: make(chan struct{}, 1), noticeLimiter: newNoticeLimiter(), pulls: map[string]*pullState{}}
 	gossippb.RegisterPeersServer(n.server, n)
 	if options.Register != nil {
 		options.Register(n.server)
--- a/internal/router/guards.go
+++ b/internal/router/guards.go
@@ -7,7 +7,7 @@
 	"github.com/plankridge/plankridge/internal/inbound"
 )
 
-// buildGuards creates the guard of callers.
+// buildGuards creates the guards of callers and peers.
 func (r *Router) buildGuards() {
 	resources := r.settings.VM.Resources()
 	r.callerGuard = r.newGuard("callers", resources.Callers(), func() catalog.CallerLimits {
@@ -16,6 +16,7 @@
 		}
 		return catalog.CallerLimits{}
 	})
+	r.peerGuard = r.newGuard("peers", resources.Peers(), nil)
 }
 
 func (r *Router) newGuard(listener string, limits inbound.Limits, callerLimits func() catalog.CallerLimits) *inbound.Guard {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -108,6 +108,7 @@
 
 	callerHTTP  *http.Server
 	callerGuard *inbound.Guard
+	peerGuard   *inbound.Guard
 	httpServers []httpServer
 	cloud       *platform.Cloud
 }
@@ -175,11 +176,12 @@
 	node, peers, err := gossip.Listen(gossip.Options{
 		VM: r.settings.VM.ID, Zone: r.settings.VM.Zone, Address: r.settings.Listen.Peers, Incarnation: r.incarnation,
 		Network: n, Members: r.members, Source: r.state, Sink: r.state, Register: r.detours.Register, Logger: r.logger,
+		ServerOptions: inbound.PeerServerOptions(insecure.NewCredentials()),
 	})
 	if err != nil {
 		return err
 	}
-	r.node, r.peerListener = node, peers
+	r.node, r.peerListener = node, r.peerGuard.ListenPeers(peers)
 	return nil
 }
 
--- a/robustness/clients/listeners_test.go
+++ b/robustness/clients/listeners_test.go
@@ -1,7 +1,12 @@
 package clients
 
 import (
+	"net"
+	"strings"
 	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
 )
 
 // The platform's load balancer and the operator's monitoring come from networks that others may reach.
@@ -67,3 +72,57 @@
 	r := request{head: []byte("GET " + pathMetrics + " HTTP/1.1\r\nHost: x\r\n")}
 	statusCrowd(t, small, portMetrics, pathMetrics, 100, repeating(nil, r.whole(), 1000*len(r.whole())))
 }
+
+// peersCrowd plays a crowd at the peer listener of a daemon on the platform. Its ordinary request is a peer's
+// call, besides a caller's.
+func peersCrowd(t *testing.T, b bounds, size int, send form) {
+	t.Helper()
+	d := startPlatformDaemon(t, b)
+	address := d.ip + ":8082"
+	ordinary := func() error {
+		if err := retry(func() (time.Duration, error) { return 0, pull(address) }); err != nil {
+			return err
+		}
+		return d.ordinary()
+	}
+	d.endure(address, size, send, ordinary, nil)
+}
+
+func TestSilentConnectionsOfPeers(t *testing.T) { peersCrowd(t, narrow, 600, writing(nil)) }
+
+func TestConnectionsOfPeersWithoutCalls(t *testing.T) {
+	peersCrowd(t, narrow, 600, func(conn net.Conn, _ int) { newHTTP2(conn) })
+}
+
+func TestHeadersWithoutEndOfPeers(t *testing.T) {
+	peersCrowd(t, small, 20, func(conn net.Conn, _ int) { newHTTP2(conn).headersWithoutEnd(12 << 20) })
+}
+
+func TestManyStreamsOfPeers(t *testing.T) {
+	peersCrowd(t, small, 10, func(conn net.Conn, _ int) { newHTTP2(conn).openStreams(methodConnect, 4000) })
+}
+
+func TestUnfinishedMessagesOfPeers(t *testing.T) {
+	peersCrowd(t, small, 10, func(conn net.Conn, _ int) {
+		newHTTP2(conn).unfinishedMessages(methodPull, 20, 4<<20-100)
+	})
+}
+
+func TestUnfinishedMessagesOfTunnels(t *testing.T) {
+	peersCrowd(t, small, 10, func(conn net.Conn, _ int) {
+		newHTTP2(conn).unfinishedMessages(methodConnect, 20, 4<<20-100)
+	})
+}
+
+// A datagram cannot make a daemon keep much.
+func TestDatagramsOfUnknownPeers(t *testing.T) {
+	d := startPlatformDaemon(t, small)
+	conn, err := net.Dial("udp", d.ip+":8082")
+	d.Assert(err, qt.IsNil)
+	defer func() { _ = conn.Close() }()
+	for range 2000 {
+		_, _ = conn.Write([]byte(strings.Repeat("x", 50_000)))
+	}
+	d.check("after datagrams")
+	d.Check(d.ordinary(), qt.IsNil)
+}
