Bound what callers of the own interface can make a daemon hold

What was seen: 40 bodies of 8 MiB a byte short took 366 MB, and 710 MB once their connections ended (VM of 144); 600 requests a byte short, or silent connections, took all descriptors (256), and an ordinary request was not answered.

Cause: heads, bodies and times were bounded for each request, nothing over all connections.

Fix: a guard for the callers' listener, with the memory and descriptors of limits.memory_mb and limits.max_descriptors. A large body counts until its request has ended, also when its caller has left. Kept answers and copies for other daemons take at most an eighth of the memory each. FuzzBody calls the parser as a method now, with the default limits; it checks the same.

--- a/internal/callerapi/api.go
+++ b/internal/callerapi/api.go
@@ -12,12 +12,12 @@
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/labstack/echo/v4/middleware"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/dispatch"
 	"github.com/plankridge/plankridge/internal/generation"
+	"github.com/plankridge/plankridge/internal/inbound"
 	"github.com/plankridge/plankridge/internal/keys"
 	"github.com/plankridge/plankridge/internal/request"
 )
@@ -68,7 +68,7 @@
 	options.Registerer.MustRegister(a.refusals)
 	a.echo.HideBanner = true
 	a.echo.HTTPErrorHandler = a.handleError
-	a.echo.Use(a.setWriteDeadline, a.closeWhileDraining, middleware.BodyLimit(bodyLimit(options.Limits.BodyBytes)))
+	a.echo.Use(a.setWriteDeadline, a.closeWhileDraining)
 	a.routes()
 	return a
 }
@@ -217,6 +217,7 @@
 	if refusal != nil {
 		return refusalProblem(c, refusal).Err()
 	}
+	holdUntilEnd(c, flight)
 	c.Response().Header().Set(headerRequestID, string(flight.ID()))
 	if spec.Async {
 		return writeAccepted(c, flight.ID())
@@ -224,6 +225,23 @@
 	return a.answer(c, flight, flight.Spec(), 0)
 }
 
+// minHeldBytes is the size from which a request's content counts until the request has ended, also when its
+// caller has left.
+const minHeldBytes = 64 << 10
+
+// holdUntilEnd accounts the content of a request that may outlive its connection.
+func holdUntilEnd(c echo.Context, flight *dispatch.Flight) {
+	size := flight.Spec().Size()
+	if size < minHeldBytes {
+		return
+	}
+	release := inbound.Detach(c.Request(), size)
+	go func() {
+		<-flight.Done()
+		release()
+	}()
+}
+
 // refusalProblem returns the problem for a refused request. A request that arrives
 // on an open connection after the daemon stopped accepting requests is redirected
 // to the same URL. It also closes the connection, so that the balancer routes the
--- a/internal/callerapi/fuzz_test.go
+++ b/internal/callerapi/fuzz_test.go
@@ -22,10 +22,11 @@
 	f.Add(`{"prompt":["a"]}`)
 	f.Add(`[1]`)
 	service := &config.Service{Model: &config.Model{MaxTokens: 100}}
+	api := &API{options: Options{Limits: config.DefaultSettings().Limits}}
 	f.Fuzz(func(t *testing.T, text string) {
 		req := httptest.NewRequest(http.MethodPost, "/v1/chat/completions", strings.NewReader(text))
 		c := echo.New().NewContext(req, httptest.NewRecorder())
-		body, parameters, err := parseGenerateBody(c)
+		body, parameters, err := api.parseGenerateBody(c)
 		if err != nil {
 			var refused problemError
 			if !errors.As(err, &refused) || refused.problem.Outcome != request.OutcomeNotRun {
--- a/internal/callerapi/models.go
+++ b/internal/callerapi/models.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	body, parameters, err := parseGenerateBody(c)
+	body, parameters, err := a.parseGenerateBody(c)
 	if err != nil {
 		return err
 	}
@@ -194,8 +194,8 @@
 
 // parseGenerateBody decodes and validates a body. It also returns the raw values
 // of the members that this API does not interpret.
-func parseGenerateBody(c echo.Context) (*generateBody, map[string][]byte, error) {
-	raw, err := readRequestBody(c)
+func (a *API) parseGenerateBody(c echo.Context) (*generateBody, map[string][]byte, error) {
+	raw, err := a.readRequestBody(c)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/callerapi/plain.go
+++ b/internal/callerapi/plain.go
@@ -2,33 +2,37 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
-	"strconv"
 	"strings"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"github.com/plankridge/plankridge/internal/config"
+	"github.com/plankridge/plankridge/internal/inbound"
 	"github.com/plankridge/plankridge/internal/keys"
 	"github.com/plankridge/plankridge/internal/request"
 )
 
 var errNonTextPart = errors.New("only text parts are offered")
 
-// bodyLimit formats a size in bytes for the body limit middleware.
-func bodyLimit(bytes int) string { return strconv.Itoa(bytes) + "B" }
-
-// readRequestBody reads a request body. The body limit middleware's errors are
-// returned unchanged, which keeps their status.
-func readRequestBody(c echo.Context) ([]byte, error) {
-	raw, err := io.ReadAll(c.Request().Body)
-	if err == nil {
+// readRequestBody reads a request body.
+func (a *API) readRequestBody(c echo.Context) ([]byte, error) {
+	limits := a.options.Limits.CallerLimits()
+	raw, err := inbound.ReadBody(c.Response(), c.Request(), inbound.BodyLimits{
+		MaxBytes: limits.BodyBytes, IdleTimeout: limits.IdleTimeout, Deadline: time.Now().Add(a.options.Limits.ReadTimeout.Std()),
+	})
+	switch {
+	case err == nil:
 		return raw, nil
-	}
-	var limit *echo.HTTPError
-	if errors.As(err, &limit) {
-		return nil, err
+	case errors.Is(err, inbound.ErrBodyTooLarge):
+		return nil, refuse(http.StatusRequestEntityTooLarge, err.Error()).Err()
+	case errors.Is(err, inbound.ErrBodyTimeout):
+		return nil, refuse(http.StatusRequestTimeout, err.Error()).Err()
+	case errors.Is(err, inbound.ErrNoMemory):
+		p := refuse(http.StatusServiceUnavailable, err.Error())
+		p.retryAfter = inbound.RetryAfter
+		return nil, p.Err()
 	}
 	return nil, refuse(http.StatusBadRequest, "body could not be read").Err()
 }
@@ -75,7 +79,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := readRequestBody(c)
+	body, err := a.readRequestBody(c)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/run.go
+++ b/internal/cli/run.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -38,6 +39,9 @@
 	if err != nil {
 		return err
 	}
+	settings.Limits.MaxDescriptors = limitDescriptors(settings.Limits.MaxDescriptors)
+	settings.Limits = settings.Limits.BoundByMemory()
+	debug.SetMemoryLimit(settings.Limits.Resources().GoMemoryLimit())
 	d, err := daemon.New(daemon.Options{
 		Settings: settings,
 		Network:  network.TCP{},
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -7,7 +7,9 @@
 
 	"github.com/rotisserie/eris"
 
+	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/finding"
+	"github.com/plankridge/plankridge/internal/inbound"
 	"github.com/plankridge/plankridge/internal/strictyaml"
 )
 
@@ -91,6 +93,11 @@
 
 // RequestLimits bounds the memory and time of requests.
 type RequestLimits struct {
+	// MemoryMB is the memory in units of 1e6 bytes beyond which the process is killed, and MaxDescriptors the
+	// number of descriptors that it may open. If either is unset, the defaults of package inbound apply.
+	MemoryMB       float64 `yaml:"memory_mb"`
+	MaxDescriptors int     `yaml:"max_descriptors"`
+
 	BodyBytes    int      `yaml:"body_bytes"`
 	HeaderBytes  int      `yaml:"header_bytes"`
 	AnswerBytes  int      `yaml:"answer_bytes"`
@@ -120,6 +127,29 @@
 	RetryWindow  Duration `yaml:"retry_window"`
 }
 
+// Resources returns what the VM gives the process.
+func (l RequestLimits) Resources() inbound.Resources {
+	return inbound.Resources{MemoryBytes: int64(l.MemoryMB * bytesPerMB), Descriptors: l.MaxDescriptors}
+}
+
+// maxKeptShare is the part of the memory that kept answers, and copies for other daemons, may each take.
+const maxKeptShare = 0.125
+
+// BoundByMemory returns the limits with those on kept answers and copies lowered to what the memory allows.
+func (l RequestLimits) BoundByMemory() RequestLimits {
+	most := int(maxKeptShare * float64(l.Resources().WithDefaults().MemoryBytes))
+	l.HeldAnswerBytes = min(l.HeldAnswerBytes, most)
+	l.RequestCopyBytes = min(l.RequestCopyBytes, most)
+	return l
+}
+
+// CallerLimits returns the limits on requests of callers and operators.
+func (l RequestLimits) CallerLimits() catalog.CallerLimits {
+	return catalog.CallerLimits{
+		HeaderBytes: l.HeaderBytes, BodyBytes: int64(l.BodyBytes), HeaderTimeout: l.ReadTimeout.Std(), IdleTimeout: max(l.ReadTimeout.Std(), l.WriteTimeout.Std()),
+	}
+}
+
 // Drain configures how a daemon shuts down.
 type Drain struct {
 	// Delay is how long the daemon still accepts requests after it reports itself
@@ -174,6 +204,9 @@
 			findings.Addf(source.Place(path), "%s: must be greater than zero", path)
 		}
 	}
+	if s.Limits.MemoryMB < 0 || s.Limits.MaxDescriptors < 0 {
+		findings.Addf(source.Place("limits"), "limits.memory_mb and limits.max_descriptors: must not be negative")
+	}
 	s.Limits.checkRetries(source, findings)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/plankridge/plankridge/internal/dispatch"
 	"github.com/plankridge/plankridge/internal/engine"
 	"github.com/plankridge/plankridge/internal/generation"
+	"github.com/plankridge/plankridge/internal/inbound"
 	"github.com/plankridge/plankridge/internal/keys"
 	"github.com/plankridge/plankridge/internal/limit"
 	"github.com/plankridge/plankridge/internal/network"
@@ -74,6 +75,7 @@
 	peerListener     net.Listener
 	operatorListener net.Listener
 
+	callerGuard    *inbound.Guard
 	callerAPI      *callerapi.API
 	callerServer   *http.Server
 	peerServer     *grpc.Server
@@ -219,12 +221,10 @@
 		Ready:      d.Ready,
 	})
 	d.callerServer = &http.Server{
-		Handler:           d.callerAPI,
-		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
-		ReadHeaderTimeout: d.settings.Limits.ReadTimeout.Std(),
-		ReadTimeout:       d.settings.Limits.ReadTimeout.Std(),
-		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+		Handler:  d.callerAPI,
+		ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
+	d.callerGuard = d.serveGuarded(d.callerServer, &d.callerListener, "callers", d.settings.Limits.Resources().Callers())
 	d.peerServer = grpc.NewServer(grpc.Creds(d.credentials.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
 	peerpb.RegisterPeerServer(d.peerServer, peer.NewServer(d.mesh, d.dispatcher, d.follower, d.burn, d.keys))
 	operators := operatorapi.New(operatorapi.Options{
@@ -241,6 +241,20 @@
 	d.operatorServer = &http.Server{Handler: operators, ReadHeaderTimeout: d.settings.Limits.ReadTimeout.Std()}
 }
 
+// serveGuarded puts a server and its listener under a guard.
+func (d *Daemon) serveGuarded(server *http.Server, listener *net.Listener, name string, limits inbound.Limits) *inbound.Guard {
+	guard := d.newGuard(name, limits)
+	guard.Protect(server)
+	*listener = guard.Listen(*listener)
+	return guard
+}
+
+func (d *Daemon) newGuard(listener string, limits inbound.Limits) *inbound.Guard {
+	return inbound.NewGuard(inbound.Options{
+		Listener: listener, Limits: limits, CallerLimits: d.settings.Limits.CallerLimits, Logger: d.logger, Registerer: d.metrics,
+	})
+}
+
 // locator adapts peer.Mesh to callerapi.Locator.
 type locator struct{ mesh *peer.Mesh }
 
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -64,7 +64,7 @@
 	case <-kill.Done():
 		return kill.Err()
 	}
-	if err := d.callerServer.Shutdown(kill); err != nil {
+	if err := d.drainCallers(kill); err != nil {
 		return eris.Wrap(err, "wait for callers")
 	}
 	if err := d.dispatcher.Drain(kill); err != nil {
@@ -75,6 +75,18 @@
 	return nil
 }
 
+// maxDrainLag is how far behind a caller may be with a request or with reading its answer while the requests in
+// flight are waited for.
+const maxDrainLag = time.Second
+
+// drainCallers waits until the requests of callers have ended.
+func (d *Daemon) drainCallers(kill context.Context) error {
+	ctx, cancel := context.WithCancel(kill)
+	defer cancel()
+	go d.callerGuard.CloseStalled(ctx, maxDrainLag)
+	return d.callerServer.Shutdown(kill)
+}
+
 // handOver gives to other daemons what they can continue: the slots of idempotency keys, and the unread
 // answers. Neither waits for the other, since one depends on the store and the other on peers.
 func (d *Daemon) handOver(kill context.Context) {
