Bound what clients of the operator API can make a daemon hold

What was seen: ten bodies of 32 MB without an end, at the listener for operators of a daemon with the own interface, took its memory (VM of 144), and so did 40 heads of 920 KB; 600 unfinished bodies took all descriptors.

Cause: bodies were decoded from the connection without a limit on size or time, before or without a token.

Fix: a guard for the listener, the limit on bodies that callers have, and their time limit. A body that is too large gets 413, one that is too slow 408, one without room 503.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -237,8 +237,11 @@
 		Logger:    d.logger,
 		Self:      d.status,
 		Ready:     d.Ready,
+
+		CallerLimits: d.settings.Limits.CallerLimits(),
 	})
-	d.operatorServer = &http.Server{Handler: operators, ReadHeaderTimeout: d.settings.Limits.ReadTimeout.Std()}
+	d.operatorServer = &http.Server{Handler: operators}
+	d.serveGuarded(d.operatorServer, &d.operatorListener, "operators", d.settings.Limits.Resources().Operators())
 }
 
 // serveGuarded puts a server and its listener under a guard.
--- a/internal/operatorapi/api.go
+++ b/internal/operatorapi/api.go
@@ -10,6 +10,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,10 +19,12 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/plankridge/plankridge/internal/burn"
+	"github.com/plankridge/plankridge/internal/catalog"
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/discovery"
 	"github.com/plankridge/plankridge/internal/finding"
 	"github.com/plankridge/plankridge/internal/generation"
+	"github.com/plankridge/plankridge/internal/inbound"
 	"github.com/plankridge/plankridge/internal/peer"
 	"github.com/plankridge/plankridge/internal/store"
 	"github.com/plankridge/plankridge/internal/vmlist"
@@ -46,6 +49,8 @@
 	Self func() peer.DaemonStatus
 	// Ready reports whether the daemon can accept requests.
 	Ready func() bool
+	// CallerLimits bound the requests.
+	CallerLimits catalog.CallerLimits
 }
 
 // API is the HTTP handler for operators.
@@ -121,10 +126,32 @@
 	Current  int64             `json:"current,omitempty"`
 }
 
+// readJSON decodes the body of a request. If it fails, it has responded.
+func (a *API) readJSON(c echo.Context, body any) (failed bool, err error) {
+	limits := a.options.CallerLimits.WithDefaults()
+	raw, err := inbound.ReadBody(c.Response(), c.Request(), inbound.BodyLimits{MaxBytes: limits.BodyBytes, IdleTimeout: limits.IdleTimeout, Deadline: time.Now().Add(limits.HeaderTimeout)})
+	status := http.StatusBadRequest
+	switch {
+	case err == nil:
+		err = json.Unmarshal(raw, body)
+	case errors.Is(err, inbound.ErrBodyTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, inbound.ErrBodyTimeout):
+		status = http.StatusRequestTimeout
+	case errors.Is(err, inbound.ErrNoMemory):
+		status = http.StatusServiceUnavailable
+		c.Response().Header().Set("Retry-After", strconv.Itoa(int(inbound.RetryAfter.Seconds())))
+	}
+	if err == nil {
+		return false, nil
+	}
+	return true, c.JSON(status, Failure{Message: err.Error()})
+}
+
 func (a *API) apply(c echo.Context) error {
 	var body ApplyRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
-		return c.JSON(http.StatusBadRequest, Failure{Message: err.Error()})
+	if failed, err := a.readJSON(c, &body); failed {
+		return err
 	}
 	if body.ApplyID == "" {
 		return c.JSON(http.StatusBadRequest, Failure{Message: "apply_id is missing"})
@@ -199,8 +226,8 @@
 
 func (a *API) diff(c echo.Context) error {
 	var body DiffRequest
-	if err := json.NewDecoder(c.Request().Body).Decode(&body); err != nil {
-		return c.JSON(http.StatusBadRequest, Failure{Message: err.Error()})
+	if failed, err := a.readJSON(c, &body); failed {
+		return err
 	}
 	desired, err := config.Load(body.Files)
 	if err != nil {
--- a/robustness/clients/own_test.go
+++ b/robustness/clients/own_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os/exec"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,3 +108,32 @@
 }
 
 func TestOwnInterfaceSilentConnections(t *testing.T) { ownCrowd(t, narrow, 600, writing(nil), nil) }
+
+// operatorsCrowd plays a crowd at the listener for operators.
+func operatorsCrowd(t *testing.T, b bounds, size int, send form) {
+	t.Helper()
+	d := startOwnDaemon(t, b)
+	ordinary := func() error {
+		if err := getEventually("http://" + d.ip + ":7080/v1/status"); err != nil {
+			return err
+		}
+		return d.ordinary()
+	}
+	d.endure(d.ip+":7080", size, send, ordinary, nil)
+}
+
+func applying(body string) []byte {
+	return []byte("POST /v1/apply HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: 1000000000\r\n\r\n" + body)
+}
+
+func TestOperatorsHeadsOverTheLimit(t *testing.T) {
+	operatorsCrowd(t, ownSmall, 40, writing([]byte("GET /v1/status HTTP/1.1\r\nHost: x\r\n"+headOfLines(920_000, shortLine))))
+}
+
+func TestOperatorsBodiesWithoutEnd(t *testing.T) {
+	operatorsCrowd(t, ownSmall, 10, repeating(applying(`{"apply_id": "`), []byte(strings.Repeat("x", 1000)), 32<<20))
+}
+
+func TestOperatorsUnfinishedBodies(t *testing.T) {
+	operatorsCrowd(t, narrow, 600, writing(applying(`{"apply_id": "`)))
+}
