Bound what clients can make a daemon of the own interface hold at its peer listener

What was seen: silent connections took all descriptors (256), header blocks without an end, calls without messages and unfinished messages of 30 MiB took the memory (VM of 144), as at the peer listener on the platform.

Cause: the gRPC server bounded messages to 32 MiB and nothing else.

Fix: a guard as on the platform, whose memory holds at least one message of the largest size.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -225,7 +225,8 @@
 		ErrorLog: slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
 	d.callerGuard = d.serveGuarded(d.callerServer, &d.callerListener, "callers", d.settings.Limits.Resources().Callers())
-	d.peerServer = grpc.NewServer(grpc.Creds(d.credentials.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))
+	d.peerServer = grpc.NewServer(append(inbound.PeerServerOptions(d.credentials.Server), grpc.MaxRecvMsgSize(peer.MaxMessageBytes))...)
+	d.peerListener = d.newGuard("peers", d.settings.Limits.Resources().PeersOf(peer.MaxMessageBytes)).ListenPeers(d.peerListener)
 	peerpb.RegisterPeerServer(d.peerServer, peer.NewServer(d.mesh, d.dispatcher, d.follower, d.burn, d.keys))
 	operators := operatorapi.New(operatorapi.Options{
 		Token:     operatorToken,
--- a/robustness/clients/own_test.go
+++ b/robustness/clients/own_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os/exec"
 	"strings"
 	"testing"
@@ -137,3 +138,30 @@
 func TestOperatorsUnfinishedBodies(t *testing.T) {
 	operatorsCrowd(t, narrow, 600, writing(applying(`{"apply_id": "`)))
 }
+
+// ownPeersCrowd plays a crowd at the listener for peers of the own interface.
+func ownPeersCrowd(t *testing.T, b bounds, size int, send form) {
+	t.Helper()
+	d := startOwnDaemon(t, b)
+	d.endure(d.ip+":9080", size, send, d.ordinary, nil)
+}
+
+const methodHeartbeat = "/plankridge.peer.v1.Peer/Heartbeat"
+
+func TestOwnInterfaceSilentConnectionsOfPeers(t *testing.T) {
+	ownPeersCrowd(t, narrow, 600, writing(nil))
+}
+
+func TestOwnInterfaceHeadersWithoutEndOfPeers(t *testing.T) {
+	ownPeersCrowd(t, ownSmall, 20, func(conn net.Conn, _ int) { newHTTP2(conn).headersWithoutEnd(12 << 20) })
+}
+
+func TestOwnInterfaceManyStreamsOfPeers(t *testing.T) {
+	ownPeersCrowd(t, ownSmall, 10, func(conn net.Conn, _ int) { newHTTP2(conn).openStreams(methodHeartbeat, 4000) })
+}
+
+func TestOwnInterfaceUnfinishedMessagesOfPeers(t *testing.T) {
+	ownPeersCrowd(t, ownSmall, 10, func(conn net.Conn, _ int) {
+		newHTTP2(conn).unfinishedMessages(methodHeartbeat, 20, 30<<20)
+	})
+}
