--- a/robustness/clients/platform_test.go
+++ b/robustness/clients/platform_test.go
@@ -132,7 +132,6 @@
 
 func (d *platformDaemon) callers() string   { return d.ip + ":8080" }
 func (d *platformDaemon) readiness() string { return "http://" + d.ip + ":8081/readyz" }
-func (d *platformDaemon) metrics() string   { return "http://" + d.ip + ":8083/metrics" }
 
 // request is a request of a caller, as bytes: the head without its end, and the body.
 type request struct{ head, body []byte }
