Let clients that do not read their answers give way

What was seen: 600 clients that ask for an answer of 4 MiB and do not read it (256 descriptors) take all connections of a daemon, and one to a backend server each; an ordinary request is refused for 15 s, and then again.

Cause: a request at a server was never ended for room, however long its client left the answer unread, and the callers' share of the descriptors did not count the connection to the server.

Fix: a connection counts as behind when its client has read nothing of an answer that waits for it for 2 s, which is when callers give up a stream. It may then be closed for another one; no status is sent. Callers get 0.35 of the descriptors instead of 0.5, and readiness, metrics and operators at least 8, so that everything fits into 256.

--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -54,7 +54,8 @@
 	// bodyBytes is the number of bytes behind the head that were read as its body.
 	bodyBytes int64
 	body      bodyState
-	// refused is set once the client was refused on the connection itself.
+	// refused is set once the client was refused on the connection itself, or its further requests are not read.
+	// The connection is then closed only after the client could read the response.
 	refused bool
 	// lastRequest is set once no further request is read.
 	lastRequest atomic.Bool
@@ -123,6 +124,7 @@
 // readHead reads a part of a head.
 func (c *Conn) readHead(p []byte) (int, error) {
 	if c.lastRequest.Load() {
+		c.refused = true
 		return 0, io.EOF
 	}
 	n, err := c.readUntil(p, c.headDeadline())
@@ -213,7 +215,6 @@
 	}
 	c.lastRequest.Store(true)
 	go func() {
-		// The HTTP server ends this with a deadline when it has written the answer.
 		_, _ = io.CopyBuffer(struct{ io.Writer }{io.Discard}, struct{ io.Reader }{c.Conn}, make([]byte, discardBufferBytes))
 	}()
 }
@@ -233,11 +234,10 @@
 			// A refusal is short, and fits into the kernel's buffer.
 			_ = c.Conn.SetWriteDeadline(now.Add(lingerTime))
 		}
+		c.guard.ledger.setWriting(&c.account, true, now)
 		n, err := c.Conn.Write(part)
 		written += n
-		if n > 0 {
-			c.guard.ledger.progress(&c.account, 0, time.Now())
-		}
+		c.guard.ledger.setWriting(&c.account, false, time.Now())
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.guard.report(closedUnread)
 		}
--- a/internal/inbound/conn_test.go
+++ b/internal/inbound/conn_test.go
@@ -165,6 +165,16 @@
 	})
 }
 
+func TestAnswerThatIsNotReadGivesWay(t *testing.T) {
+	inBubble(t, Limits{Connections: 1, Bytes: 8 * megabyte, MinLag: 100 * time.Millisecond, AnswerGrace: 2 * time.Second}, func(s *served) {
+		s.send("GET /long HTTP/1.1\r\nHost: x\r\n\r\n")
+		time.Sleep(time.Second)
+		s.Check(s.answer(s.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")), qt.Equals, http.StatusServiceUnavailable)
+		time.Sleep(2 * time.Second)
+		s.Check(s.answer(s.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n")), qt.Equals, http.StatusOK)
+	})
+}
+
 func TestRequestsBehindEachOtherAreServedInOrder(t *testing.T) {
 	inBubble(t, roomy, func(s *served) {
 		conn := s.dial()
--- a/internal/inbound/ledger.go
+++ b/internal/inbound/ledger.go
@@ -25,7 +25,8 @@
 	idle phase = iota
 	// reading means that a head or a body is arriving.
 	reading
-	// running means that a request may be at a backend server. It is never ended to make room.
+	// running means that a request may be at a backend server. It is not ended to make room, unless its client
+	// does not read the answer.
 	running
 	// answering means that the answer is complete and waits for the client to read it.
 	answering
@@ -38,6 +39,8 @@
 	since, progressAt time.Time
 	// received is the number of bytes that have arrived in the phase.
 	received int64
+	// writing is set while a part of the answer waits for the client to read it.
+	writing bool
 	// bytes is the memory held.
 	bytes int64
 	// evicted is set once the connection is to be closed.
@@ -48,10 +51,15 @@
 }
 
 // lag returns how far the client is behind: the time since its last byte, or what it has taken longer than a
-// client that sends at minProgress.
-func (a *account) lag(now time.Time) time.Duration {
+// client that sends at minProgress. It is zero while the client waits for the process.
+func (l *ledger) lag(a *account, now time.Time) time.Duration {
 	stalled := now.Sub(a.progressAt)
-	if a.phase != reading {
+	switch {
+	case a.phase == running && !a.writing:
+		return 0
+	case a.phase != reading && a.writing:
+		return max(0, stalled-l.limits.AnswerGrace)
+	case a.phase != reading:
 		return stalled
 	}
 	due := time.Duration(float64(a.received) / minProgress * float64(time.Second))
@@ -93,7 +101,7 @@
 	defer l.mu.Unlock()
 	outcome := admitted
 	if len(l.accounts) >= l.limits.Connections {
-		worst := l.furthestBehind(now, func(a *account) float64 { return float64(a.lag(now)) })
+		worst := l.furthestBehind(now, func(a *account) float64 { return float64(l.lag(a, now)) })
 		switch {
 		case worst == nil && l.allRunning():
 			return full
@@ -148,7 +156,7 @@
 	var worst *account
 	var worstWeight float64
 	for a := range l.accounts {
-		if a.phase == running || a.lag(now) < l.limits.MinLag {
+		if l.lag(a, now) < l.limits.MinLag {
 			continue
 		}
 		if w := weight(a); w > worstWeight {
@@ -174,7 +182,7 @@
 		return 0, false
 	}
 	for l.bytes+n > limit {
-		worst := l.furthestBehind(now, func(a *account) float64 { return float64(a.lag(now)) * float64(a.bytes-connectionBytes) })
+		worst := l.furthestBehind(now, func(a *account) float64 { return float64(l.lag(a, now)) * float64(a.bytes-connectionBytes) })
 		if worst == nil || worst == a {
 			return evicted, false
 		}
@@ -186,13 +194,6 @@
 	return evicted, true
 }
 
-// hasRoom reports whether n bytes fit within the limit.
-func (l *ledger) hasRoom(n int64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.bytes+n <= l.limits.Bytes
-}
-
 // hold adds n bytes that are held already, whether there is room or not.
 func (l *ledger) hold(a *account, n int64) {
 	l.mu.Lock()
@@ -237,7 +238,7 @@
 	})
 }
 
-// progress records bytes that have arrived or left.
+// progress records bytes that have arrived.
 func (l *ledger) progress(a *account, n int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -245,6 +246,13 @@
 	a.progressAt = now
 }
 
+// setWriting records that a part of the answer waits for the client, or that the client has read it.
+func (l *ledger) setWriting(a *account, writing bool, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a.writing, a.progressAt = writing, now
+}
+
 // enter begins a phase. It returns false if the connection is to be closed.
 func (l *ledger) enter(a *account, p phase, now time.Time) bool {
 	l.mu.Lock()
@@ -280,7 +288,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for a := range l.accounts {
-		if !a.evicted && (a.phase == reading || a.phase == answering) && a.lag(now) >= lag {
+		if !a.evicted && a.phase != idle && l.lag(a, now) >= lag {
 			l.evictLocked(a)
 			evicted++
 		}
@@ -294,3 +302,10 @@
 	defer l.mu.Unlock()
 	return len(l.accounts), l.bytes
 }
+
+// hasRoom reports whether n bytes fit within the limit.
+func (l *ledger) hasRoom(n int64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes+n <= l.limits.Bytes
+}
--- a/internal/inbound/ledger_test.go
+++ b/internal/inbound/ledger_test.go
@@ -36,7 +36,7 @@
 const megabyte = 1 << 20
 
 func newTestLedger(t *testing.T) *testLedger {
-	return &testLedger{qt.New(t), newLedger(Limits{Connections: 4, Bytes: 4 * megabyte, MinLag: 100 * time.Millisecond})}
+	return &testLedger{qt.New(t), newLedger(Limits{Connections: 4, Bytes: 4 * megabyte, MinLag: 100 * time.Millisecond, AnswerGrace: 2 * time.Second})}
 }
 
 // reading opens a connection that reads a request.
@@ -96,6 +96,21 @@
 	}
 }
 
+func TestClientsThatDoNotReadTheirAnswersGiveWay(t *testing.T) {
+	l := newTestLedger(t)
+	unread, slow := l.serving(0), l.serving(0)
+	l.serving(0)
+	l.serving(0)
+	l.setWriting(&unread.account, true, at(0))
+	l.Check(l.open(&newTestAccount().account, at(2000)), qt.Equals, full)
+	// A part of the answer was read meanwhile.
+	l.setWriting(&slow.account, false, at(1500))
+	l.setWriting(&slow.account, true, at(1500))
+	l.Check(l.open(&newTestAccount().account, at(2100)), qt.Equals, replaced)
+	l.Check(unread.closed, qt.IsTrue)
+	l.Check(slow.ended(), qt.IsFalse)
+}
+
 func TestMemoryIsTakenFromTheStalledFirst(t *testing.T) {
 	l := newTestLedger(t)
 	stalled, active := l.reading(0), l.reading(0)
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -38,6 +38,9 @@
 	Bytes int64
 	// MinLag is how far a connection must be behind to be closed in favor of another one.
 	MinLag time.Duration
+	// AnswerGrace is how long a client may read nothing of an answer that waits for it before it counts as
+	// behind.
+	AnswerGrace time.Duration
 }
 
 // The shares of the resources that clients may take. The rest of the descriptors is for backend servers, the
@@ -48,23 +51,29 @@
 	peerMemoryShare       = 0.10
 	statusMemoryShare     = 0.02
 	operatorMemoryShare   = 0.05
-	callerDescriptorShare = 0.5
+	callerDescriptorShare = 0.35
 	peerDescriptorShare   = 0.125
 	statusDescriptorShare = 0.03
 	// maxConnectionMemoryShare bounds the part of Limits.Bytes that connections take without any request.
 	maxConnectionMemoryShare = 0.5
+	// A request that is served takes a second descriptor, for its backend server.
+
 	// minConnections is the number of connections that each listener takes however small the VM is.
-	minConnections = 16
+	minConnections = 8
 	// Readiness checks and the like take a millisecond, on few connections.
 	minCallerLag = 100 * time.Millisecond
 	minStatusLag = 5 * time.Millisecond
+	// callerAnswerGrace is the time without an event after which callers give up a stream.
+	callerAnswerGrace = 2 * time.Second
 	// goMemoryShare is the part of the memory that the Go runtime may use.
 	goMemoryShare = 0.75
 )
 
 // Callers returns the limits of the listener for callers.
 func (r Resources) Callers() Limits {
-	return r.share(callerMemoryShare, callerDescriptorShare, minCallerLag)
+	limits := r.share(callerMemoryShare, callerDescriptorShare, minCallerLag)
+	limits.AnswerGrace = callerAnswerGrace
+	return limits
 }
 
 // Peers returns the limits of the listener for other daemons.
--- a/robustness/clients/callers_test.go
+++ b/robustness/clients/callers_test.go
@@ -171,6 +171,11 @@
 	callersCrowd(t, small, 200, writing(r.whole()), sending(r))
 }
 
+func TestAnswersThatAreNotReadTakeNoDescriptors(t *testing.T) {
+	r := post(pathLong, 2, false, "")
+	callersCrowd(t, narrow, 600, writing(r.whole()), sending(r))
+}
+
 // A version of the configuration may lower the limits beside a crowd and raise them again.
 func TestLimitsThatChangeBesideACrowd(t *testing.T) {
 	d := startPlatformDaemon(t, small)
