Bound replies that peers do not read

TestRepliesThatPeersDoNotRead failed.

Cause: gRPC queues replies without a bound, and encodes each of 55 KB into a pooled buffer of 1 MiB. Calls were admitted by what they had sent.

Fix: replies are encoded at their size and count as held until gRPC returns their buffer or it is collected; a call's memory is reserved when it is admitted, until its context ends.

Ruled out: counting what is written to the connection releases replies that are sent before they are counted, and never those of cancelled calls.

--- a/internal/inbound/ledger.go
+++ b/internal/inbound/ledger.go
@@ -302,10 +302,3 @@
 	defer l.mu.Unlock()
 	return len(l.accounts), l.bytes
 }
-
-// hasRoom reports whether n bytes fit within the limit.
-func (l *ledger) hasRoom(n int64) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.bytes+n <= l.limits.Bytes
-}
--- a/internal/inbound/peers.go
+++ b/internal/inbound/peers.go
@@ -35,6 +35,7 @@
 
 // PeerServerOptions returns the options of a gRPC server whose listener is one of ListenPeers.
 func PeerServerOptions(c credentials.TransportCredentials) []grpc.ServerOption {
+	replies := newReplyCodec()
 	return []grpc.ServerOption{
 		grpc.Creds(guardedCredentials{c}),
 		grpc.ConnectionTimeout(handshakeTimeout),
@@ -42,6 +43,9 @@
 		grpc.MaxConcurrentStreams(maxCallsPerConnection),
 		grpc.InTapHandle(admitCall),
 		grpc.StatsHandler(callStats{}),
+		grpc.ForceServerCodecV2(replies),
+		grpc.ChainUnaryInterceptor(replies.interceptUnary),
+		grpc.ChainStreamInterceptor(replies.interceptStream),
 	}
 }
 
@@ -73,7 +77,9 @@
 	}
 }
 
-// peerConn is a connection of a peer. All that has arrived counts as held until its message has been delivered.
+// peerConn is a connection of a peer. All that has arrived counts as held until its message has been delivered,
+// and each large
+// reply until it has been written to the connection.
 type peerConn struct {
 	net.Conn
 	guard     *Guard
@@ -83,6 +89,8 @@
 	mu sync.Mutex
 	// calls is the number of calls in progress, served the number of those that have got a message.
 	calls, served int
+	// undelivered is the number of bytes that have arrived and are accounted.
+	undelivered int64
 }
 
 // Read implements net.Conn.
@@ -96,9 +104,21 @@
 	if !c.guard.reserve(&c.account, int64(n), now) {
 		return 0, errNoMemory
 	}
+	c.mu.Lock()
+	c.undelivered += int64(n)
+	c.mu.Unlock()
 	return n, err
 }
 
+// delivered releases n bytes of messages that have arrived, or as many as are held.
+func (c *peerConn) delivered(n int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n = min(n, c.undelivered)
+	c.undelivered -= n
+	c.guard.ledger.release(&c.account, n)
+}
+
 // Close implements net.Conn.
 func (c *peerConn) Close() error {
 	var err error
@@ -124,7 +144,8 @@
 	}
 	c.guard.ledger.setPhase(&c.account, p)
 	if c.calls == 0 {
-		c.guard.ledger.release(&c.account, c.guard.options.Limits.Bytes)
+		c.guard.ledger.release(&c.account, c.undelivered)
+		c.undelivered = 0
 	}
 }
 
@@ -181,10 +202,15 @@
 
 // admitCall refuses a call for which there is no memory.
 func admitCall(ctx context.Context, _ *tap.Info) (context.Context, error) {
-	if c, ok := ctx.Value(peerKey{}).(*peerConn); ok && !c.guard.ledger.hasRoom(callBytes) {
-		c.guard.report(refusedForMemory)
+	c, ok := ctx.Value(peerKey{}).(*peerConn)
+	if !ok {
+		return ctx, nil
+	}
+	if !c.guard.reserve(&c.account, callBytes, time.Now()) {
 		return nil, status.Error(codes.ResourceExhausted, reasonNoMemory)
 	}
+	// The context ends with the call, also if nothing serves its method.
+	context.AfterFunc(ctx, func() { c.guard.ledger.release(&c.account, callBytes) })
 	return ctx, nil
 }
 
@@ -221,17 +247,15 @@
 	}
 	switch event := event.(type) {
 	case *stats.Begin:
-		c.guard.ledger.hold(&c.account, callBytes)
 		c.update(1, 0)
 	case *stats.InPayload:
-		c.guard.ledger.release(&c.account, int64(event.WireLength)+frameOverheadBytes)
+		c.delivered(int64(event.WireLength) + frameOverheadBytes)
 		if inProgress.serve() {
 			c.update(0, 1)
 		}
 	case *stats.OutPayload:
-		c.guard.ledger.release(&c.account, frameOverheadBytes)
+		c.delivered(frameOverheadBytes)
 	case *stats.End:
-		c.guard.ledger.release(&c.account, callBytes)
 		if inProgress.wasServed() {
 			c.update(-1, -1)
 		} else {
--- a/robustness/clients/http2_test.go
+++ b/robustness/clients/http2_test.go
@@ -91,6 +91,21 @@
 	}
 }
 
+// callWithoutReading makes n calls with an empty message each and does not take their replies.
+func (c *http2Client) callWithoutReading(method string, n int) {
+	_ = c.framer.WriteSettings(http2.Setting{ID: http2.SettingInitialWindowSize, Val: 0})
+	go func() { _, _ = io.Copy(io.Discard, c.conn) }()
+	for i := range n {
+		id := uint32(2*i + 1)
+		if c.framer.WriteHeaders(http2.HeadersFrameParam{StreamID: id, BlockFragment: headersOf(method), EndHeaders: true}) != nil {
+			return
+		}
+		if c.framer.WriteData(id, true, make([]byte, 5)) != nil {
+			return
+		}
+	}
+}
+
 // unfinishedMessages begins a message of the given size on each of n streams and sends all but its last byte,
 // as far as the daemon takes it.
 func (c *http2Client) unfinishedMessages(method string, n, size int) {
--- a/robustness/clients/listeners_test.go
+++ b/robustness/clients/listeners_test.go
@@ -114,6 +114,19 @@
 	})
 }
 
+func TestRepliesThatPeersDoNotRead(t *testing.T) {
+	d := startPlatformDaemon(t, small)
+	d.addRoutes(1000)
+	address := d.ip + ":8082"
+	ordinary := func() error {
+		if err := retry(func() (time.Duration, error) { return 0, pull(address) }); err != nil {
+			return err
+		}
+		return d.ordinary()
+	}
+	d.endure(address, 5, func(conn net.Conn, _ int) { newHTTP2(conn).callWithoutReading(methodPull, 900) }, ordinary, nil)
+}
+
 // A datagram cannot make a daemon keep much.
 func TestDatagramsOfUnknownPeers(t *testing.T) {
 	d := startPlatformDaemon(t, small)
--- a/robustness/clients/platform_test.go
+++ b/robustness/clients/platform_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
@@ -48,6 +49,8 @@
 	*process
 	store   *fake.Store
 	version int
+	// furtherRoutes are in the configuration besides those of the tests.
+	furtherRoutes []map[string]any
 }
 
 func startPlatformDaemon(t *testing.T, b bounds) *platformDaemon {
@@ -73,13 +76,13 @@
 	d.version++
 	d.store.Put("config", "main", map[string]any{
 		"version": d.version,
-		"routes": []map[string]any{{
+		"routes": append(d.furtherRoutes, []map[string]any{{
 			"name": "a", "host": host, "pathPrefix": "/a/", "kind": "idempotent", "timeoutMs": 60000, "targetLatencyMs": 1000,
 			"service": service, "maxAttempts": 2,
 		}, {
 			"name": "m", "host": host, "pathPrefix": "/m/", "kind": "idempotent", "timeoutMs": 60000, "targetLatencyMs": 1000,
 			"service": model, "maxAttempts": 2, "sticky": true,
-		}},
+		}}...),
 		"services": []map[string]any{
 			{"name": service, "healthPath": "/healthz", "maxConns": 2000},
 			{"name": model, "healthPath": "/healthz", "maxConns": 2000, "engine": map[string]any{"slots": 128, "kvCapacityTokens": 1 << 30, "stride": 3}},
@@ -90,6 +93,20 @@
 	})
 }
 
+// addRoutes makes the configuration large, and waits until the daemon has it.
+func (d *platformDaemon) addRoutes(n int) {
+	for i := range n {
+		name := fmt.Sprintf("%x", sha256.Sum256([]byte{byte(i), byte(i >> 8)}))
+		d.furtherRoutes = append(d.furtherRoutes, map[string]any{
+			"name": name, "host": host, "pathPrefix": "/" + name + "/", "kind": "idempotent", "timeoutMs": 60000, "targetLatencyMs": 1000,
+			"service": service, "maxAttempts": 2,
+		})
+	}
+	d.configure(maxHeaderBytes, maxBodyBytes)
+	last := post("/"+d.furtherRoutes[n-1]["name"].(string)+"/", 2, false, "")
+	d.Assert(eventually(func() bool { return d.send(last) == nil }), qt.IsTrue)
+}
+
 var subnet = 0
 
 // nextIP returns a loopback address that no other daemon of this run, or of another one on this machine, has.
