--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -137,9 +137,9 @@
 
 // BoundByMemory returns the limits with those on kept answers and copies lowered to what the memory allows.
 func (l RequestLimits) BoundByMemory() RequestLimits {
-	most := int(maxKeptShare * float64(l.Resources().WithDefaults().MemoryBytes))
-	l.HeldAnswerBytes = min(l.HeldAnswerBytes, most)
-	l.RequestCopyBytes = min(l.RequestCopyBytes, most)
+	bound := int(maxKeptShare * float64(l.Resources().WithDefaults().MemoryBytes))
+	l.HeldAnswerBytes = min(l.HeldAnswerBytes, bound)
+	l.RequestCopyBytes = min(l.RequestCopyBytes, bound)
 	return l
 }
 
--- a/internal/inbound/conn.go
+++ b/internal/inbound/conn.go
@@ -61,7 +61,7 @@
 	lastRequest atomic.Bool
 }
 
-// bodyState tells how far the handler of a request has read its body.
+// bodyState is how far the handler of a request has read its body.
 type bodyState int
 
 const (
--- a/internal/inbound/guard.go
+++ b/internal/inbound/guard.go
@@ -201,7 +201,7 @@
 	}
 }
 
-// refuseConnection tells the client of a connection that its request won't be read, and closes it.
+// refuseConnection answers a connection whose request is not read, and closes it.
 func (g *Guard) refuseConnection(conn net.Conn) {
 	_ = conn.SetWriteDeadline(time.Now().Add(lingerTime))
 	_, _ = conn.Write(refusal(http.StatusServiceUnavailable, "too many connections"))
--- a/internal/inbound/ledger.go
+++ b/internal/inbound/ledger.go
@@ -45,8 +45,8 @@
 	bytes int64
 	// evicted is set once the connection is to be closed.
 	evicted bool
-	// close closes the connection, and interrupt makes its reads and writes fail, so that the client can
-	// still be told. Neither may block.
+	// close closes the connection, and interrupt makes its reads and writes fail, so that the request can
+	// still be refused. Neither may block.
 	close, interrupt func()
 }
 
--- a/internal/inbound/limits.go
+++ b/internal/inbound/limits.go
@@ -47,17 +47,16 @@
 // store, peers and files, and the rest of the memory for the process's own state, the memory that awaits
 // garbage collection, and the kernel's buffers.
 const (
-	callerMemoryShare     = 0.35
-	peerMemoryShare       = 0.10
-	statusMemoryShare     = 0.02
-	operatorMemoryShare   = 0.05
+	callerMemoryShare   = 0.35
+	peerMemoryShare     = 0.10
+	statusMemoryShare   = 0.02
+	operatorMemoryShare = 0.05
+	// A request that is served takes a second descriptor, for its backend server.
 	callerDescriptorShare = 0.35
 	peerDescriptorShare   = 0.125
 	statusDescriptorShare = 0.03
 	// maxConnectionMemoryShare bounds the part of Limits.Bytes that connections take without any request.
 	maxConnectionMemoryShare = 0.5
-	// A request that is served takes a second descriptor, for its backend server.
-
 	// minConnections is the number of connections that each listener takes however small the VM is.
 	minConnections = 8
 	// Readiness checks and the like take a millisecond, on few connections.
--- a/internal/inbound/peers.go
+++ b/internal/inbound/peers.go
@@ -78,8 +78,7 @@
 }
 
 // peerConn is a connection of a peer. All that has arrived counts as held until its message has been delivered,
-// and each large
-// reply until it has been written to the connection.
+// and each large reply until it has been written to the connection.
 type peerConn struct {
 	net.Conn
 	guard     *Guard
@@ -214,7 +213,7 @@
 	return ctx, nil
 }
 
-// callStats follows the calls of the connections. It implements stats.Handler.
+// callStats updates the accounts of the connections as their calls proceed. It implements stats.Handler.
 type callStats struct{}
 
 // TagConn implements stats.Handler.
