--- a/review/standin2/main_test.go
+++ b/review/standin2/main_test.go
@@ -1,8 +1,5 @@
 //go:build review2
 
-// Package standin2 holds the stand-ins of the second review's scripts: the platform's store and cloud,
-// backend servers, clients and proxies, all on loopback addresses. The build tag keeps it out of the
-// default test run; review/build-2.sh builds it into one program.
 package standin2
 
 import (
