Do not take a reset during an upload for the end of an answer

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. Callers got that part as a whole answer; events ended as complete.

Cause: the kernel reports a reset once, to whichever call meets it first. Requests are written beside the reading of their answers, so mostly the write met it, and the kernel let the read see the end of the data, as of an orderly close. Nobody looked at the result of the write. Alike: a server that closes while it is sent data, and has read all that had arrived by then, ends its data in an orderly way, and its kernel resets the connection when more arrives. The probe of the server after such an end proves nothing here, since the server lives.

Ruled out: reading the error of the write only.

Change: a connection that network.TCP dials returns io.EOF only if, after the end of the peer's data, its own direction is still open (poll without POLLHUP; a reset and a timeout of the connection close both directions, whoever was told). While a request is being sent, or data of it is not acknowledged, it waits up to 50 polls for the reset. All readers of answers use these connections: upstream, http.Transport, and the daemon that helps another one, whose tunnel now ends with an error.

--- a/internal/detour/server.go
+++ b/internal/detour/server.go
@@ -67,13 +67,16 @@
 		return status.Error(codes.NotFound, err.Error())
 	}
 	defer func() { _ = conn.Close() }()
+	// Whether the caller has sent all of its request is not known here.
+	defer network.BeginSending(conn)()
 	stop := context.AfterFunc(call.Context(), func() { abort(conn) })
 	defer stop()
 	if err := call.Send(&detourpb.Frame{}); err != nil {
 		return err
 	}
 	go func() {
-		// The end of the call cancels its context, which aborts the connection.
+		// The end of the call cancels its context, which aborts the connection. A failure of the connection ends its
+		// reads with an error, too.
 		_ = copyTo(conn, call)
 	}()
 	if err := copyFrom(call, conn); err != nil {
--- /dev/null
+++ b/internal/engine/brokenstream_test.go
@@ -0,0 +1,38 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/network"
+	"github.com/plankridge/plankridge/internal/standin/rawserver"
+)
+
+// generate makes an attempt with a prompt of the given size at an engine that gives one response.
+func generate(c *qt.C, response rawserver.Response, size int) (events int, err error) {
+	s, err := rawserver.Start(func(*http.Request) rawserver.Response { return response })
+	c.Assert(err, qt.IsNil)
+	defer s.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	client := NewClient(&http.Client{Transport: network.Transport(network.TCP{}, false)})
+	attempt := Attempt{RequestID: "r", Number: 1, Prompt: strings.Repeat("x", size)}
+	err = client.Generate(ctx, s.Address(), attempt, func(Event) error { events++; return nil })
+	return events, err
+}
+
+// TestStreamEndedByAResetIsBroken guards against taking the events before a reset for the whole answer.
+func TestStreamEndedByAResetIsBroken(t *testing.T) {
+	c := qt.New(t)
+	token := `{"request_id":"r","attempt":1,"token":"a"}` + "\n"
+	for range 10 {
+		_, err := generate(c, rawserver.Response{Text: "HTTP/1.1 200 OK\r\n\r\n" + token, End: rawserver.CloseUnread}, 1_000_000)
+		c.Check(errors.Is(err, ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+	}
+}
--- a/internal/network/network.go
+++ b/internal/network/network.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 
@@ -60,7 +59,11 @@
 // Dial implements Network.
 func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAliveProbes, Control: setUserTimeout}
-	return dialer.DialContext(ctx, "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{socket: raw.(*net.TCPConn)}, nil
 }
 
 // A host that is partitioned or has lost power does not close its connections. Both
@@ -79,26 +82,3 @@
 	})
 	return errors.Join(err, sockoptErr)
 }
-
-const (
-	maxIdleConnsPerHost = 64
-	idleConnTimeout     = time.Minute
-	// maxResponseHeadBytes bounds the head of a response.
-	maxResponseHeadBytes = 64 << 10
-)
-
-// Transport returns an HTTP transport that dials through n. With newConnPerRequest,
-// connections are not reused, and so the transport never retries a request.
-func Transport(n Network, newConnPerRequest bool) *http.Transport {
-	return &http.Transport{
-		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return n.Dial(ctx, address)
-		},
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableKeepAlives:   newConnPerRequest,
-		DisableCompression:  true,
-
-		MaxResponseHeaderBytes: maxResponseHeadBytes,
-	}
-}
--- /dev/null
+++ b/internal/plain/brokenanswer_test.go
@@ -0,0 +1,60 @@
+package plain
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/internal/network"
+	"github.com/plankridge/plankridge/internal/standin/rawserver"
+)
+
+// maxAnswerBytes is the limit on answers in these tests.
+const maxAnswerBytes = 1 << 20
+
+// callOnce calls a service that gives one response, with a body of the given size.
+func callOnce(client *Client, s *rawserver.Server, idempotent bool, size int) (Answer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return client.Do(ctx, s.Address(), Call{
+		RequestID: "1", Attempt: 1, Idempotent: idempotent, Method: http.MethodPost, Path: "/x", Body: make([]byte, size),
+	})
+}
+
+func startRaw(c *qt.C, response rawserver.Response) *rawserver.Server {
+	s, err := rawserver.Start(func(*http.Request) rawserver.Response { return response })
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(s.Stop)
+	return s
+}
+
+// TestAnswerEndedByAResetIsNoAnswer guards against taking a part of an answer without a length for all of it when the service
+// resets the connection during the upload.
+func TestAnswerEndedByAResetIsNoAnswer(t *testing.T) {
+	const tries = 30
+	for name, end := range map[string]rawserver.End{"unread": rawserver.CloseUnread, "midway": rawserver.CloseMidway} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			for _, size := range []int{200_000, 1_000_000, 3 << 20} {
+				for _, idempotent := range []bool{true, false} {
+					s := startRaw(c, rawserver.Response{Text: "HTTP/1.1 200 OK\r\n\r\npart", End: end})
+					client := NewClient(network.TCP{}, maxAnswerBytes)
+					whole := 0
+					for range tries {
+						_, err := callOnce(client, s, idempotent, size)
+						if err == nil {
+							whole++
+							continue
+						}
+						c.Check(errors.Is(err, ErrNoAnswer), qt.IsTrue, qt.Commentf("%v", err))
+					}
+					c.Check(whole, qt.Equals, 0, qt.Commentf("%d bytes, idempotent %v: %d of %d", size, idempotent, whole, tries))
+				}
+			}
+		})
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -162,6 +162,7 @@
 }
 
 func writeRequest(c *conn, req *http.Request) error {
+	defer network.BeginSending(c.limitedConn.Conn)()
 	w := bufio.NewWriterSize(c, writeBufferSize)
 	if err := req.Write(w); err != nil {
 		return err
