Read the answer that came before a failed write

What callers saw, at the product's own interface: a plain service answered a long upload early, with a length or in chunks, and closed with the rest unread. Callers of orders got 502 in place of the whole answer, and calls that may be repeated were sent again and again. A model engine that does so lost its whole stream.

Cause: http.Transport closes a connection on which a write fails at once, also if a response lies in the receive buffer.

Change: on connections of network.Transport a failed write returns once the reads have ended (after a reset they end without waiting), the connection is closed, or a second has passed. http.Transport then delivers the response.

--- a/internal/engine/brokenstream_test.go
+++ b/internal/engine/brokenstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -14,6 +15,9 @@
 	"github.com/plankridge/plankridge/internal/standin/rawserver"
 )
 
+// lastEvent is a whole answer of an engine.
+const lastEvent = `{"request_id":"r","attempt":1,"finish_reason":"stop"}` + "\n"
+
 // generate makes an attempt with a prompt of the given size at an engine that gives one response.
 func generate(c *qt.C, response rawserver.Response, size int) (events int, err error) {
 	s, err := rawserver.Start(func(*http.Request) rawserver.Response { return response })
@@ -36,3 +40,22 @@
 		c.Check(errors.Is(err, ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
 	}
 }
+
+// TestSoundEarlyStreamIsWhole guards against losing a whole answer that comes while the prompt is still being sent.
+func TestSoundEarlyStreamIsWhole(t *testing.T) {
+	for name, response := range map[string]rawserver.Response{
+		"length, unread and reset":     {Text: fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(lastEvent), lastEvent), End: rawserver.CloseUnread},
+		"no length, sending side shut": {Text: "\r\n" + lastEvent, End: rawserver.HalfClose},
+		"no length, unread and reset":  {Text: "\r\n" + lastEvent, End: rawserver.CloseUnread},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			response.Text = "HTTP/1.1 200 OK\r\n" + response.Text
+			for range 10 {
+				events, err := generate(c, response, 1_000_000)
+				c.Check(err, qt.IsNil)
+				c.Check(events, qt.Equals, 1)
+			}
+		})
+	}
+}
--- a/internal/network/transport.go
+++ b/internal/network/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -14,6 +15,8 @@
 	idleConnTimeout     = time.Minute
 	// maxResponseHeadBytes bounds the head of a response.
 	maxResponseHeadBytes = 64 << 10
+	// maxWriteDelay bounds how long a failed write waits for the response that may have come before.
+	maxWriteDelay = time.Second
 )
 
 // HTTPTransport is an http.Transport that returns an error in place of the end of a response that a reset has cut.
@@ -24,7 +27,11 @@
 func Transport(n Network, newConnPerRequest bool) *HTTPTransport {
 	return &HTTPTransport{&http.Transport{
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
-			return n.Dial(ctx, address)
+			conn, err := n.Dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &responseFirstConn{Conn: conn, readsEnded: make(chan struct{})}, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
@@ -51,8 +58,10 @@
 func (x *exchange) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			end := BeginSending(info.Conn)
-			x.endSending.Store(&end)
+			if conn, ok := info.Conn.(*responseFirstConn); ok {
+				end := BeginSending(conn.Conn)
+				x.endSending.Store(&end)
+			}
 		},
 		WroteRequest: func(httptrace.WroteRequestInfo) {
 			if end := x.endSending.Swap(nil); end != nil {
@@ -61,3 +70,45 @@
 		},
 	}
 }
+
+// responseFirstConn is a connection whose failed writes return once its reads have ended. http.Transport closes a
+// connection on which a write fails, and loses a response that a server sent before it reset the connection.
+type responseFirstConn struct {
+	net.Conn
+	endReads   sync.Once
+	readsEnded chan struct{}
+}
+
+// Write implements net.Conn.
+func (c *responseFirstConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err == nil {
+		return n, nil
+	}
+	timeout := time.NewTimer(maxWriteDelay)
+	defer timeout.Stop()
+	select {
+	case <-c.readsEnded:
+	case <-timeout.C:
+	}
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *responseFirstConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.setReadsEnded()
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *responseFirstConn) Close() error {
+	c.setReadsEnded()
+	return c.Conn.Close()
+}
+
+func (c *responseFirstConn) setReadsEnded() {
+	c.endReads.Do(func() { close(c.readsEnded) })
+}
--- a/internal/plain/brokenanswer_test.go
+++ b/internal/plain/brokenanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -58,3 +59,32 @@
 		})
 	}
 }
+
+// TestSoundEarlyAnswerIsWhole guards against losing a whole answer that comes while the upload is still being written.
+func TestSoundEarlyAnswerIsWhole(t *testing.T) {
+	for name, response := range map[string]rawserver.Response{
+		"length, upload read on":           {Text: "Content-Length: 5\r\n\r\nwhole"},
+		"length, unread and reset":         {Text: "Content-Length: 5\r\n\r\nwhole", End: rawserver.CloseUnread},
+		"chunks, unread and reset":         {Text: "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", End: rawserver.CloseUnread},
+		"no length, sending side shut":     {Text: "\r\nwhole", End: rawserver.HalfClose},
+		"no length, closed after upload":   {Text: "\r\nwhole", End: rawserver.Close},
+		"no length, response after upload": {Text: "\r\nwhole", End: rawserver.Close, AfterRequest: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			response.Text = "HTTP/1.1 200 OK\r\n" + response.Text
+			for _, size := range []int{9 << 10, 200_000, 3 << 20} {
+				s := startRaw(c, response)
+				client := NewClient(network.TCP{}, maxAnswerBytes)
+				lost := 0
+				for range 10 {
+					if answer, err := callOnce(client, s, false, size); fmt.Sprintf("%s, %v", answer.Body, err) != "whole, <nil>" {
+						lost++
+						c.Log(size, err)
+					}
+				}
+				c.Check(lost, qt.Equals, 0, qt.Commentf("%d bytes", size))
+			}
+		})
+	}
+}
