Refuse answers whose status is none

What callers saw: a server in trouble sent an answer whose status was 000. It was skipped like an interim answer, and what followed was read as the next head: a body that looks like an answer reached the caller as one, with 200. The same with 099, +20 and an unrequested 101. An answer with status 600 or 999 reached the caller as it was.

Cause: every status below 200 counted as interim. net/http accepts each status of three characters that is a number.

Change: upstream checks each head that net/http has read; a status outside 100 to 599 (RFC 9110, section 15) and 101, which no request asks for, is no response. The connection is closed, the request may have run, and the caller gets 502. A status from 600 on is what RFC 9110 has clients treat as a server error; a gateway that gets an invalid response answers 502.

Handled before and kept as tests: heads cut at 14 places, also after an interim answer; -20, 20, 2000, "2 0"; lines without a colon or name, two lengths, noise.

--- /dev/null
+++ b/internal/network/responsehead.go
@@ -0,0 +1,40 @@
+package network
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Status codes are valid from minStatus to maxStatus (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// InvalidHeadError means that what a server sent is not the head of an HTTP/1 response (RFC 9112). The bytes after it
+// have no defined meaning, so the connection must be closed.
+type InvalidHeadError struct {
+	// Part names the part of the head that is invalid, and Text is that part.
+	Part, Text string
+}
+
+// maxErrorText is the number of bytes of Text in an error message.
+const maxErrorText = 100
+
+// Error implements error.
+func (e *InvalidHeadError) Error() string {
+	return fmt.Sprintf("server sent no HTTP response: invalid %s %q", e.Part, e.Text[:min(len(e.Text), maxErrorText)])
+}
+
+// CheckResponseHead returns an InvalidHeadError if a head that net/http has read as that of an HTTP/1 response is not
+// one. net/http accepts any status.
+func CheckResponseHead(resp *http.Response) error {
+	switch {
+	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+		return &InvalidHeadError{"status", resp.Status}
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		// No request asks for another protocol.
+		return &InvalidHeadError{"status", resp.Status}
+	}
+	return nil
+}
--- a/internal/upstream/brokenresponse_test.go
+++ b/internal/upstream/brokenresponse_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -19,6 +20,9 @@
 // fields are the header lines by which a response belongs to the requests of these tests.
 const fields = "Request-Id: 1\r\n"
 
+// soundResponse is a response to the requests of these tests.
+const soundResponse = "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nother"
+
 // startRaw starts a server that answers each request in the same way.
 func startRaw(c *qt.C, response rawserver.Response) *rawserver.Server {
 	s, err := rawserver.Start(func(*http.Request) rawserver.Response { return response })
@@ -58,6 +62,45 @@
 	return pool
 }
 
+// TestInvalidHeadIsNoResponse guards against passing on, as a response, bytes that are none by RFC 9112, or a part of such
+// bytes that looks like one.
+func TestInvalidHeadIsNoResponse(t *testing.T) {
+	for _, form := range rawserver.InvalidHeads(fields, soundResponse) {
+		t.Run(form.Name, func(t *testing.T) {
+			c := qt.New(t)
+			s := startRaw(c, rawserver.Response{Text: form.Text, AfterRequest: true, End: rawserver.Close})
+			status, text, err := exchangeOnce(newTCPPool(c), s.Address(), 0)
+			c.Check(errors.Is(err, ErrNoAnswer), qt.IsTrue, qt.Commentf("%d, %q, %v", status, text, err))
+		})
+	}
+}
+
+// TestCutHeadIsNoResponse guards against an empty response in place of one whose head was cut.
+func TestCutHeadIsNoResponse(t *testing.T) {
+	for _, form := range rawserver.CutHeads(fields) {
+		t.Run(form.Name, func(t *testing.T) {
+			c := qt.New(t)
+			s := startRaw(c, rawserver.Response{Text: form.Text, AfterRequest: true, End: rawserver.Close})
+			status, text, err := exchangeOnce(newTCPPool(c), s.Address(), 0)
+			c.Check(errors.Is(err, ErrNoAnswer), qt.IsTrue, qt.Commentf("%d, %q, %v", status, text, err))
+		})
+	}
+}
+
+// TestUnusualHeadIsAResponse guards against a check of heads that refuses those of sound servers.
+func TestUnusualHeadIsAResponse(t *testing.T) {
+	for _, form := range rawserver.SoundHeads(fields) {
+		t.Run(form.Name, func(t *testing.T) {
+			c := qt.New(t)
+			s := startRaw(c, rawserver.Response{Text: form.Text, AfterRequest: true, End: rawserver.Close})
+			status, text, err := exchangeOnce(newTCPPool(c), s.Address(), 0)
+			c.Check(err, qt.IsNil)
+			c.Check(status, qt.Equals, form.Status)
+			c.Check(text, qt.Equals, form.Body)
+		})
+	}
+}
+
 // earlyResponseTries is how often a race between an upload and its response is played.
 const earlyResponseTries = 30
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -189,6 +189,9 @@
 			// net/http replaces the error of a read in the middle of a header line.
 			return nil, cmp.Or(head.exceeded(), err)
 		}
+		if err := network.CheckResponseHead(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/robustness/onplatform/brokenanswers_test.go
+++ b/robustness/onplatform/brokenanswers_test.go
@@ -218,6 +218,41 @@
 	b.Check(got.header.Get("Response-Stamp"), qt.Equals, "", comment)
 }
 
+// TestBytesWithoutAHeadReachNoCaller guards against bytes that are no answer, or a part of them, that callers get as one.
+func TestBytesWithoutAHeadReachNoCaller(t *testing.T) {
+	b := newSocketBed(t)
+	for i, form := range invalidHeads("") {
+		b.respond = func(id string) rawserver.Response {
+			return rawserver.Response{Text: invalidHeads(id)[i].Text, AfterRequest: true, End: rawserver.Close}
+		}
+		for way, address := range b.through() {
+			for _, path := range socketPaths {
+				b.checkBroken(b.call(address, path, 8), qt.Commentf("%s, %s, %s", form.Name, path, way))
+			}
+		}
+	}
+}
+
+// invalidHeads returns the invalid and the cut heads of responses to a request.
+func invalidHeads(id string) []rawserver.Form {
+	return append(rawserver.InvalidHeads(fieldsOf(id), soundText(id)), rawserver.CutHeads(fieldsOf(id))...)
+}
+
+// TestUnusualHeadsReachCallers guards against answers of sound servers that are not passed on.
+func TestUnusualHeadsReachCallers(t *testing.T) {
+	b := newSocketBed(t)
+	for i, form := range rawserver.SoundHeads("") {
+		b.respond = func(id string) rawserver.Response {
+			return rawserver.Response{Text: rawserver.SoundHeads(fieldsOf(id))[i].Text, AfterRequest: true, End: rawserver.Close}
+		}
+		for way, address := range b.through() {
+			got := b.call(address, orderPath, 8)
+			b.Check(got.status, qt.Equals, form.Status, qt.Commentf("%s, %s", form.Name, way))
+			b.Check(got.body, qt.Equals, form.Body, qt.Commentf("%s, %s", form.Name, way))
+		}
+	}
+}
+
 // withoutLength is an answer to a request that ends with its connection: that of a plain service, or a stream.
 func withoutLength(id string, stream bool) string {
 	if stream {
