Refuse answers whose heads RFC 9112 does not allow

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. Callers got it as an answer. "Content-Length : 3" was no length, so the body was all that came until the connection closed; "Transfer-Encoding : chunked" left the framing of the chunks in the body; other such lines were dropped or passed on.

Cause: net/http accepts blanks in names so that it can read old servers, and does not use these fields. It checks neither the bytes of the reason phrase nor the version: HTTP/2.0 and 0.9 pass for HTTP/1.

Change: the check of heads covers them, also in interim answers. Names have to be tokens, the reason phrase may hold no control bytes, and the version is HTTP/1.

--- a/internal/network/responsehead.go
+++ b/internal/network/responsehead.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Status codes are valid from minStatus to maxStatus (RFC 9110, section 15).
@@ -27,14 +29,28 @@
 }
 
 // CheckResponseHead returns an InvalidHeadError if a head that net/http has read as that of an HTTP/1 response is not
-// one. net/http accepts any status.
+// one. net/http accepts any version and status, and blanks in the names of fields; it does not use a field with such a
+// name, also if it states the length of the body.
 func CheckResponseHead(resp *http.Response) error {
 	switch {
+	case resp.ProtoMajor != 1:
+		return &InvalidHeadError{"version", resp.Proto}
 	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
 		return &InvalidHeadError{"status", resp.Status}
+	case !httpguts.ValidHeaderFieldValue(resp.Status):
+		return &InvalidHeadError{"reason phrase", resp.Status}
 	case resp.StatusCode == http.StatusSwitchingProtocols:
 		// No request asks for another protocol.
 		return &InvalidHeadError{"status", resp.Status}
 	}
+	return checkFieldNames(resp.Header)
+}
+
+func checkFieldNames(header http.Header) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return &InvalidHeadError{"field name", name}
+		}
+	}
 	return nil
 }
--- a/internal/standin/rawserver/forms.go
+++ b/internal/standin/rawserver/forms.go
@@ -29,6 +29,10 @@
 		{"status 000 before a response", "HTTP/1.1 000 Bad\r\n" + fields + "\r\n" + ok},
 		{"status 000 without a length", "HTTP/1.1 000 Bad\r\n" + fields + "\r\n" + answer},
 		{"protocol switch before a response", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n" + fields + "\r\n" + ok},
+		{"blank before the colon of a length", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 3\r\n\r\n" + answer},
+		{"blank before the colon of a coding", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n7\r\n" + answer + "\r\n0\r\n\r\n"},
+		{"blank in a folded name", "HTTP/1.1 200 OK\r\n" + fields + "Content-\r\n Length: 3\r\n\r\n" + answer},
+		{"interim response with a blank in a name", "HTTP/1.1 100 Continue\r\nA b: c\r\n\r\n" + ok},
 		{"first line that begins with a blank", response("HTTP/1.1 200 OK\r\n A: b", fields, answer)},
 		{"line without a colon", response("HTTP/1.1 200 OK\r\nA", fields, answer)},
 		{"empty name", response("HTTP/1.1 200 OK\r\n: b", fields, answer)},
@@ -38,6 +42,16 @@
 	for _, status := range []string{"000", "099", "+20", "-20", "20", "2000", "2 0", "600", "999"} {
 		forms = append(forms, Form{"status " + status, response("HTTP/1.1 "+status+" Bad", fields, answer)})
 	}
+	for _, name := range []string{"A b", "A ", "A\t", "A\x00b", "A\x01b", "A\x7fb", "A\rb", "A\x80b", "A(b"} {
+		forms = append(forms, Form{fmt.Sprintf("name %q", name), response("HTTP/1.1 200 OK\r\n"+name+": c", fields, answer)})
+	}
+	for _, value := range []string{"a\x00b", "a\x01b", "a\x7fb", "a\rb"} {
+		forms = append(forms, Form{fmt.Sprintf("value %q", value), response("HTTP/1.1 200 OK\r\nA: "+value, fields, answer)})
+		forms = append(forms, Form{fmt.Sprintf("reason phrase %q", value), response("HTTP/1.1 200 "+value, fields, answer)})
+	}
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/11", "HTTP 1.1", "http/1.1", "ICY"} {
+		forms = append(forms, Form{"version " + version, response(version+" 200 OK", fields, answer)})
+	}
 	return forms
 }
 
