Check the heads of answers at all HTTP clients

What callers saw, at the product's own interface: answers of plain services with status 600 or 999, an unrequested 101, blanks in names or another version as they were; a status of 000 closed their connection. What the daemons did themselves: bytes with such a status from an engine passed for its promise that it had not run the attempt, and from the store or the cloud for the promise that a call had no effect, though it may have had one.

Cause: these clients use http.Transport, which reads heads as net/http does.

Change: the transport of package network makes the check of upstream, closes the connection and returns the error. Plain services then give no whole answer, a stream of an engine is broken, and the outcome of a call of the store or the cloud is unknown.

TestBrokenAnswersOfPlainServicesReachNoCaller plays all of them as orders through whole daemons: 502, outcome unknown. The other forms, cut heads among them, were handled before.

--- a/internal/engine/brokenstream_test.go
+++ b/internal/engine/brokenstream_test.go
@@ -31,6 +31,20 @@
 	return events, err
 }
 
+// TestBytesWithoutAHeadAreNoStream guards against taking bytes that are no HTTP response for an answer, or for the promise
+// of an engine that it has not run the attempt.
+func TestBytesWithoutAHeadAreNoStream(t *testing.T) {
+	ok := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(lastEvent), lastEvent)
+	for _, form := range append(rawserver.InvalidHeads("", ok), rawserver.CutHeads("")...) {
+		t.Run(form.Name, func(t *testing.T) {
+			c := qt.New(t)
+			events, err := generate(c, rawserver.Response{Text: form.Text, AfterRequest: true, End: rawserver.Close}, 8)
+			c.Check(errors.Is(err, ErrBroken), qt.IsTrue, qt.Commentf("%v", err))
+			c.Check(events, qt.Equals, 0)
+		})
+	}
+}
+
 // TestStreamEndedByAResetIsBroken guards against taking the events before a reset for the whole answer.
 func TestStreamEndedByAResetIsBroken(t *testing.T) {
 	c := qt.New(t)
--- a/internal/network/transport.go
+++ b/internal/network/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +20,7 @@
 	maxWriteDelay = time.Second
 )
 
-// HTTPTransport is an http.Transport that returns an error in place of the end of a response that a reset has cut.
+// HTTPTransport is an http.Transport that returns an InvalidHeadError in place of a response with an invalid head.
 type HTTPTransport struct{ *http.Transport }
 
 // Transport returns an HTTP transport that dials through n. With newConnPerRequest,
@@ -45,19 +46,31 @@
 // RoundTrip implements http.RoundTripper.
 func (t *HTTPTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var x exchange
-	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace())))
+	resp, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), x.trace())))
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckResponseHead(resp); err != nil {
+		_ = x.conn.Close()
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // exchange is a request and its response.
 type exchange struct {
+	// conn is the connection of the last attempt.
+	conn net.Conn
 	// endSending is called once the request is written.
 	endSending atomic.Pointer[func()]
 }
 
-// trace returns hooks that declare the sending of the request.
+// trace returns hooks that declare the sending of the request and check the fields of interim responses.
 func (x *exchange) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
+			x.conn = info.Conn
 			if conn, ok := info.Conn.(*responseFirstConn); ok {
 				end := BeginSending(conn.Conn)
 				x.endSending.Store(&end)
@@ -68,6 +81,9 @@
 				(*end)()
 			}
 		},
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error {
+			return checkFieldNames(http.Header(header))
+		},
 	}
 }
 
--- a/internal/plain/brokenanswer_test.go
+++ b/internal/plain/brokenanswer_test.go
@@ -33,6 +33,40 @@
 	return s
 }
 
+// forms returns the invalid and the cut heads of responses.
+func forms() []rawserver.Form {
+	const fields = HeaderRequestID + ": 1\r\n"
+	return append(rawserver.InvalidHeads(fields, "HTTP/1.1 200 OK\r\n"+fields+"Content-Length: 5\r\n\r\nother"), rawserver.CutHeads(fields)...)
+}
+
+// TestBytesWithoutAHeadAreNoAnswer guards against passing on, as an answer, bytes that are none by RFC 9112.
+func TestBytesWithoutAHeadAreNoAnswer(t *testing.T) {
+	for _, form := range forms() {
+		t.Run(form.Name, func(t *testing.T) {
+			c := qt.New(t)
+			s := startRaw(c, rawserver.Response{Text: form.Text, AfterRequest: true, End: rawserver.Close})
+			for _, idempotent := range []bool{true, false} {
+				answer, err := callOnce(NewClient(network.TCP{}, maxAnswerBytes), s, idempotent, 5)
+				c.Check(errors.Is(err, ErrNoAnswer), qt.IsTrue, qt.Commentf("%d, %q, %v", answer.Status, answer.Body, err))
+			}
+		})
+	}
+}
+
+// TestUnusualHeadIsAnAnswer guards against a check of heads that refuses those of sound services.
+func TestUnusualHeadIsAnAnswer(t *testing.T) {
+	for _, form := range rawserver.SoundHeads(HeaderRequestID + ": 1\r\n") {
+		t.Run(form.Name, func(t *testing.T) {
+			c := qt.New(t)
+			s := startRaw(c, rawserver.Response{Text: form.Text, AfterRequest: true, End: rawserver.Close})
+			answer, err := callOnce(NewClient(network.TCP{}, maxAnswerBytes), s, true, 5)
+			c.Check(err, qt.IsNil)
+			c.Check(answer.Status, qt.Equals, form.Status)
+			c.Check(string(answer.Body), qt.Equals, form.Body)
+		})
+	}
+}
+
 // TestAnswerEndedByAResetIsNoAnswer guards against taking a part of an answer without a length for all of it when the service
 // resets the connection during the upload.
 func TestAnswerEndedByAResetIsNoAnswer(t *testing.T) {
--- a/robustness/brokenanswers_test.go
+++ b/robustness/brokenanswers_test.go
@@ -89,6 +89,10 @@
 // callers get as an answer.
 func TestBrokenAnswersOfPlainServicesReachNoCaller(t *testing.T) {
 	b := newRawBed(t)
+	for _, form := range append(rawserver.InvalidHeads("", soundRawResponse.Text), rawserver.CutHeads("")...) {
+		b.response = rawserver.Response{Text: form.Text, AfterRequest: true, End: rawserver.Close}
+		b.checkBroken(2, form.Name)
+	}
 	for name, end := range map[string]rawserver.End{"closed unread": rawserver.CloseUnread, "closed midway": rawserver.CloseMidway, "reset": rawserver.Reset} {
 		b.response = rawserver.Response{Text: "HTTP/1.1 200 OK\r\n\r\npart", End: end}
 		for range 20 {
