--- a/internal/network/responsehead.go
+++ b/internal/network/responsehead.go
@@ -54,3 +54,9 @@
 	}
 	return nil
 }
+
+// EndsWithConnection reports whether a response has neither a length nor chunks, so that it ends in the same way when it
+// is whole and when its server exits.
+func EndsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -153,6 +153,6 @@
 	}
 	return Answer{
 		Status: resp.StatusCode, Header: resp.Header, Body: body,
-		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed,
+		EndsWithConnection: network.EndsWithConnection(resp),
 	}, nil
 }
