Do not take the beginning of a JSON answer for all of it

What the daemons did: an object of the store whose answer had no length and was cut after its metadata was read as one that another writer has spoiled, which may be replaced. What an operator saw: an apply whose answer was cut after its head was reported as done, without a generation.

Cause: the text of an answer without a length ends in the same way when it is whole and when it is cut. Objects are decoded as far as they are valid, and an empty text was no error.

Change: an answer without a length whose JSON value has not ended was cut, and the outcome of the call is unknown. An answer that is invalid before its end is decoded as before, and so is each that has a length.

Evidence: TestCutObjectIsNoObject cuts an object at each of its 101 bytes; in 50 cases the code before returned an object without its content. Now none, and the same for TestEmptyAnswerIsNoSuccess. Lists were handled before (TestCutListIsNoList, each byte).

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/plankridge/plankridge/internal/network"
 )
 
 // maxResponseBytes bounds how much of a response body is read.
@@ -114,7 +116,13 @@
 	if resp.StatusCode < 200 || resp.StatusCode > 299 {
 		return &StatusError{Status: resp.StatusCode, Body: string(bytes.TrimSpace(raw))}
 	}
-	if out == nil || len(raw) == 0 {
+	if out == nil {
+		return nil
+	}
+	if network.EndsWithConnection(resp) && isCut(raw) {
+		return errCut
+	}
+	if len(raw) == 0 {
 		return nil
 	}
 	if rawBody, ok := out.(*RawBody); ok {
@@ -127,6 +135,15 @@
 	return nil
 }
 
+// errCut means that a response, which has no length, ended before its JSON value did.
+var errCut = errors.New("answer was cut off")
+
+// isCut reports whether a text ends before its JSON value does.
+func isCut(raw []byte) bool {
+	err := json.NewDecoder(bytes.NewReader(raw)).Decode(&json.RawMessage{})
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 func (c *Client) httpClient() *http.Client {
 	if c.HTTP != nil {
 		return c.HTTP
