Check the heads of answers at operators' clients and the replay

What an operator saw: an apply was reported as done because of bytes that are no HTTP answer, such as a head with a blank in the name of a field or a status line of HTTP/2.0. The replay of a trace would have counted such answers alike.

Cause: both used an http.Transport of their own (the operators' client http.DefaultClient), not that of package network, which checks heads and connection ends.

Change: both use network.Transport. httpjson.Client has no default client any more, so that a caller cannot leave the check out. Operators' connections now have the dial timeout and the bound on unacknowledged data of the daemons' connections, and use HTTP/1.1; proxies of the environment are used as before.

The replay was read, not played with these answers.

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -45,7 +45,8 @@
 	Base string
 	// Token is sent as a bearer token unless it is empty.
 	Token string
-	// HTTP is the HTTP client. If nil, http.DefaultClient is used.
+	// HTTP is the HTTP client. Its transport should be one of package network, which returns errors for responses
+	// that are cut or not HTTP.
 	HTTP *http.Client
 }
 
@@ -70,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.httpClient().Do(req)
+	resp, err := c.HTTP.Do(req)
 	if err != nil {
 		if !sent.Load() {
 			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
@@ -144,13 +145,6 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
-func (c *Client) httpClient() *http.Client {
-	if c.HTTP != nil {
-		return c.HTTP
-	}
-	return http.DefaultClient
-}
-
 // traceSent returns a context that records whether a request using it obtained a
 // connection. Before that, no byte can have been sent.
 func traceSent(ctx context.Context) (context.Context, *atomic.Bool) {
--- a/internal/operatorapi/client.go
+++ b/internal/operatorapi/client.go
@@ -8,6 +8,7 @@
 
 	"github.com/plankridge/plankridge/internal/generation"
 	"github.com/plankridge/plankridge/internal/httpjson"
+	"github.com/plankridge/plankridge/internal/network"
 )
 
 // Client is a client of a daemon's operator API. A rejected call returns a
@@ -19,7 +20,9 @@
 // NewClient returns a client of the daemon at the URL. An empty token sends no
 // Authorization header.
 func NewClient(url, token string) *Client {
-	return &Client{api: httpjson.Client{Base: url, Token: token}}
+	transport := network.Transport(network.TCP{}, false)
+	transport.Proxy = http.ProxyFromEnvironment
+	return &Client{api: httpjson.Client{Base: url, Token: token, HTTP: &http.Client{Transport: transport}}}
 }
 
 // FailureError is a Failure returned by a daemon, with the HTTP status.
--- a/internal/operatorapi/client_test.go
+++ b/internal/operatorapi/client_test.go
@@ -25,3 +25,15 @@
 	c := qt.New(t)
 	c.Check(apply(c, rawserver.Response{Text: "HTTP/1.1 200 OK\r\n\r\n", AfterRequest: true, End: rawserver.Close}), qt.IsNotNil)
 }
+
+// TestBytesWithoutAHeadAreNoSuccess guards against telling operators that files were applied because of bytes that are no
+// head of a response.
+func TestBytesWithoutAHeadAreNoSuccess(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+	for _, form := range append(rawserver.InvalidHeads("", ok), rawserver.CutHeads("")...) {
+		t.Run(form.Name, func(t *testing.T) {
+			c := qt.New(t)
+			c.Check(apply(c, rawserver.Response{Text: form.Text, AfterRequest: true, End: rawserver.Close}), qt.IsNotNil)
+		})
+	}
+}
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rotisserie/eris"
 
+	"github.com/plankridge/plankridge/internal/network"
 	"github.com/plankridge/plankridge/internal/request"
 )
 
@@ -94,14 +95,13 @@
 // the time for which a daemon that shuts down still accepts requests.
 const idleTimeout = time.Second
 
-// maxIdle bounds the idle connections to one address.
-const maxIdle = 64
-
 // Run sends a trace and returns its summary.
 func Run(ctx context.Context, trace *Trace, options Options) (*Summary, error) {
 	client := &http.Client{Transport: options.Transport}
 	if options.Transport == nil {
-		client.Transport = &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: maxIdle}
+		transport := network.Transport(network.TCP{}, false)
+		transport.IdleConnTimeout = idleTimeout
+		client.Transport = transport
 	}
 	defer client.CloseIdleConnections()
 	s := &sender{url: options.URL, client: client, trace: trace}
