Log answers whose heads are not HTTP

What operators saw: a request that failed with "no answer", and no word on the server that had sent bytes which the daemon refuses. Such a server is at fault, and the log is where it is found.

Change: a warning that names the request, the server and the part of the head that is invalid, beside the one for too many bytes.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -61,7 +61,7 @@
 		r.options.RollOuts.RecordExposure(r.call.Service)
 	}
 	if err != nil {
-		r.reportOversized(choice.Entry, err)
+		r.reportInvalidResponse(choice.Entry, err)
 		r.endContinuation(false)
 		return r.endNoAnswer(ctx)
 	}
--- a/internal/forward/moves.go
+++ b/internal/forward/moves.go
@@ -302,7 +302,7 @@
 	if errors.Is(context.Cause(ctx), errLeaving) {
 		return r.endBroken(ctx, "leaving")
 	}
-	r.reportOversized(choice.Entry, err)
+	r.reportInvalidResponse(choice.Entry, err)
 	return r.endBroken(ctx, "broken-stream")
 }
 
