Test that a stopping daemon cuts no order it takes late

Another operator's report: in a planned stop, requests that came late in the grace were taken, passed on and cut at its end. Only short orders were tested on kept connections.

--- a/robustness/onplatform/shutdown_test.go
+++ b/robustness/onplatform/shutdown_test.go
@@ -35,9 +35,18 @@
 }
 
 func (b *bed) connect(d *daemon) *keptConnection {
-	conn, err := b.net.Host(callerIP).Dial(context.Background(), d.ip+":80")
+	k, err := b.tryConnect(d)
 	b.Assert(err, qt.IsNil)
-	return &keptConnection{bed: b, Conn: conn, reader: bufio.NewReader(conn)}
+	return k
+}
+
+// tryConnect is like connect for a daemon that may not listen.
+func (b *bed) tryConnect(d *daemon) (*keptConnection, error) {
+	conn, err := b.net.Host(callerIP).Dial(context.Background(), d.ip+":80")
+	if err != nil {
+		return nil, err
+	}
+	return &keptConnection{bed: b, Conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
 // order sends an order and reports whether its answer is complete.
@@ -162,3 +171,51 @@
 		})
 	}
 }
+
+// TestOrdersLateInTheGraceAreNotCut guards against orders that a stopping daemon takes late in its grace and cuts at the end.
+func TestOrdersLateInTheGraceAreNotCut(t *testing.T) {
+	const interval, orders = 400 * time.Millisecond, 20
+	for _, took := range []time.Duration{time.Second, 3 * time.Second} {
+		t.Run(took.String(), func(t *testing.T) {
+			var server *fake.Server
+			run(t, 1, func(b *bed) {
+				b.drain = interval * orders
+				server = b.addServer("i-1", plain, &fake.Server{Behave: func(int, *http.Request) fake.Behaviour { return fake.Behaviour{Delay: took} }})
+				route := plainRoute("/o/", "non_idempotent", 1)
+				route["timeoutMs"] = 10000
+				b.configure(routes{route})
+			}, func(b *bed) {
+				var callers sync.WaitGroup
+				var kept [orders]*keptConnection
+				for i := range kept {
+					kept[i] = b.connect(b.daemons[0])
+					callers.Go(func() { _, _ = kept[i].order() })
+				}
+				callers.Wait()
+
+				b.daemons[0].stop()
+				var answered, lost atomic.Int64
+				order := func(k *keptConnection) {
+					defer func() { _ = k.Close() }()
+					id, ok := k.order()
+					if ok {
+						answered.Add(1)
+					} else {
+						lost.Add(int64(server.RunCount(id)))
+					}
+				}
+				for _, k := range kept {
+					callers.Go(func() { order(k) })
+					if k, err := b.tryConnect(b.daemons[0]); err == nil {
+						callers.Go(func() { order(k) })
+					}
+					time.Sleep(interval)
+				}
+				callers.Wait()
+				b.Check(<-b.daemons[0].done, qt.IsNil)
+				b.Check(lost.Load(), qt.Equals, int64(0))
+				b.Check(answered.Load() > 0, qt.IsTrue)
+			})
+		})
+	}
+}
