List as known red that codings of HTTP/1.0 answers are passed on

What callers see: a 200 with the framing of chunks in its body, from a server that sends Transfer-Encoding in an HTTP/1.0 answer. RFC 9112, section 6.1, says that the framing of such a message is faulty.

Cause: net/http drops the field before it returns the response, so the check of heads does not see it. The mend has to read the bytes of the head apart.

--- a/internal/upstream/brokenresponse_test.go
+++ b/internal/upstream/brokenresponse_test.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// TestCodingInHTTP10IsNoResponse guards against passing on the framing of a coding, which HTTP/1.0 does not have (RFC 9112,
+// section 6.1), as the body.
+func TestCodingInHTTP10IsNoResponse(t *testing.T) {
+	c := qt.New(t)
+	text := "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+	s := startRaw(c, rawserver.Response{Text: text, AfterRequest: true, End: rawserver.Close})
+	status, body, err := exchangeOnce(newTCPPool(c), s.Address(), 0)
+	c.Check(errors.Is(err, ErrNoAnswer), qt.IsTrue, qt.Commentf("%d, %q, %v", status, body, err))
+}
+
 // TestUnusualHeadIsAResponse guards against a check of heads that refuses those of sound servers.
 func TestUnusualHeadIsAResponse(t *testing.T) {
 	for _, form := range rawserver.SoundHeads(fields) {
