Reserve the next attempt before a stream is taken from a leaving server

Cause: evacuator.plan ended the attempt first, and runAttempts asked afterwards for what the next one needs: time and attempts, the quarantine, the allowance, the retry budget, the version, a server. Each of these may refuse it.

Change: nextAttempt.reserve takes all of it at once or nothing, from any goroutine. An attempt is ended by runningAttempt.replace, under a lock with its end and its first event, only if the next one was reserved. What is reserved and not used is returned. The loop over attempts uses the same function. A stream that stays is planned again.

Ruled out: that the budget alone matters.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -42,12 +42,13 @@
 func (r *run) try(ctx context.Context, choice *backend.Choice) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	r.running = &runningAttempt{choice: choice, next: r.nextAfter(choice), cancel: cancel}
+	defer func() { r.reserved = r.running.end() }()
 	stopTimer := r.startSilenceTimer(cancel)
 	defer stopTimer()
 	// During a network partition the connection to the previous incarnation stays silent, so
 	// the attempt ends when the server is known to have restarted.
 	choice.OnRestart(func() { cancel(errRestarted) })
-	r.cancelAttempt = cancel
 	if err := r.step(r.firstStep()); err != nil {
 		return result{outcome: backend.OutcomeNeutral, logLabel: "not-allowed", done: true, err: r.giveUp(ctx, &Refusal{Reason: err.Error()})}
 	}
--- a/internal/forward/charge.go
+++ b/internal/forward/charge.go
@@ -11,7 +11,9 @@
 
 // runWithinAllowance runs the call if its workspace's allowance admits it.
 func (r *run) runWithinAllowance(ctx context.Context) error {
-	if refusal := r.checkQuarantine(time.Now()); refusal != nil {
+	block, refusal := r.checkQuarantine(0, time.Now())
+	if refusal != nil {
+		r.blockedBy = block
 		return r.giveUp(ctx, refusal)
 	}
 	w := r.workspace()
@@ -51,39 +53,10 @@
 	return wait
 }
 
-// chargeRepeat charges another run of the call to its workspace's allowance, unless the
-// previous charge is still unused.
-func (r *run) chargeRepeat() *Refusal {
-	if r.verdict == nil || r.charged {
-		return nil
-	}
-	verdict := r.options.Limiter.AdmitRetry(r.call.Workspace, r.cost)
-	r.verdict = &verdict
-	if !verdict.Admitted {
-		return &Refusal{Reason: reasonAboveAllowance}
-	}
-	r.charged = true
-	return nil
-}
-
-// spendRetry takes a retry from the budget if the call has been sent before, unless the retry taken
-// last was not sent.
-func (r *run) spendRetry() *Refusal {
-	if r.sentAttempts == 0 || r.retryUnused {
-		return nil
-	}
-	verdict := r.options.Budget.TryRetry(r.call.Service)
-	r.retryVerdict, r.retryUnused = &verdict, verdict.Admitted
-	if verdict.Admitted {
-		return nil
-	}
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: "retry budget is spent", RetryAfter: retryAfterTransient}
-}
-
 // refundRetry returns a retry that was not sent to the budget.
 func (r *run) refundRetry() {
 	if r.retryUnused {
-		r.options.Budget.Refund(r.call.Service, r.retryVerdict.At)
+		r.refundBudget(r.retryVerdict)
 	}
 }
 
--- a/internal/forward/evacuate.go
+++ b/internal/forward/evacuate.go
@@ -28,8 +28,8 @@
 	drainTimeout = 80 * time.Millisecond
 	// freeTimeout bounds the call that frees an unused copy.
 	freeTimeout = 500 * time.Millisecond
-	// moveRetryDelay is how long after a failed move a stream may be moved again to the same target, or
-	// after the retry budget was found spent.
+	// moveRetryDelay is how long after a failed move a stream may be moved again to the same target, and
+	// after a refusal it may be moved or resumed.
 	moveRetryDelay = 50 * time.Millisecond
 	// maxMoves is the number of moves that are begun for one stream at one server.
 	maxMoves = 4
@@ -177,11 +177,23 @@
 			room--
 			e.begin(m, move.Target)
 		case move.Outcome == evacuation.Resumes:
-			m.abandon()
+			m.resumeElsewhere(now)
 		}
 	}
 }
 
+// resumeElsewhere ends the stream at its server, so that it is resumed at another one. If the attempt to
+// resume it is refused, the stream stays: its server may run it to its end.
+func (m *movable) resumeElsewhere(now time.Time) {
+	refusal := m.attempt.replace(errLeaving, now)
+	if refusal == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.notBefore, m.log.notMoved = now.Add(moveRetryDelay), refusal.Reason
+}
+
 // state returns the stream as package evacuation plans it. It returns false for streams that are being
 // moved or whose server stays after all.
 func (m *movable) state(now time.Time) (evacuation.Stream, bool) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -166,9 +165,11 @@
 	retryUnused  bool
 	// continuation is the stopped run that is to be continued, or nil.
 	continuation *continuation
-	// cancelAttempt ends the current attempt.
-	cancelAttempt context.CancelCauseFunc
-	moves         moveLog
+	// running is the current attempt, and reserved what the next one has been given before the last one
+	// ended, or nil.
+	running  *runningAttempt
+	reserved *grant
+	moves    moveLog
 	// lastEventAt is when the last event was sent to the caller. pausedSince is the same for the last
 	// event before a move, until the first one after it.
 	lastEventAt, pausedSince time.Time
@@ -188,6 +189,7 @@
 	}
 	err := r.runWithinAllowance(ctx)
 	r.dropContinuation()
+	r.dropReserved()
 	r.refundRetry()
 	r.recordCall(ctx, err)
 	return err
@@ -211,23 +213,23 @@
 // mayHaveRun reports whether any attempt may have run.
 func (r *run) mayHaveRun() bool { return r.lifecycle.Outcome() != request.OutcomeNotRun }
 
-// checkQuarantine refuses a call that crashes the servers that run it.
-func (r *run) checkQuarantine(now time.Time) *Refusal {
+// checkQuarantine refuses a call that crashes the servers that run it. sent is the number of earlier
+// attempts. It returns what of the call the quarantine blocks, or nil.
+func (r *run) checkQuarantine(sent int, now time.Time) (*quarantine.Block, *Refusal) {
 	if r.options.Quarantine == nil {
-		return nil
+		return nil, nil
 	}
 	refusal := &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterQuarantine}
 	block, blocked := r.options.Quarantine.Blocked(r.fingerprint, now)
 	switch {
 	case blocked:
 		refusal.Reason = blockReason(block)
-		r.blockedBy = &block
-	case r.sentAttempts > 0 && r.options.Quarantine.Suspected(r.fingerprint):
+		return &block, refusal
+	case sent > 0 && r.options.Quarantine.Suspected(r.fingerprint):
 		refusal.Reason = "servers ended under requests like this one"
-	default:
-		return nil
+		return nil, refusal
 	}
-	return refusal
+	return nil, nil
 }
 
 func blockReason(block quarantine.Block) string {
@@ -277,26 +279,17 @@
 	}
 	for {
 		if r.continuation != nil {
+			r.dropReserved()
 			if done, err := r.continueRun(ctx); done {
 				return err
 			}
 			continue
 		}
 		now := time.Now()
-		if refusal := cmp.Or(r.checkAttempt(now), r.checkQuarantine(now)); refusal != nil {
+		choice, refusal := r.begin(now)
+		if refusal != nil {
 			return r.giveUp(ctx, refusal)
 		}
-		if refusal := r.chargeRepeat(); refusal != nil {
-			return r.giveUp(ctx, refusal)
-		}
-		if refusal := r.spendRetry(); refusal != nil {
-			return r.giveUp(ctx, refusal)
-		}
-		choice, ok := r.options.View.Begin(r.need(), now)
-		if !ok {
-			r.countUnplacedDemand(now)
-			return r.giveUp(ctx, r.refuseNoServer(now))
-		}
 		r.countDemand(choice.Load, now)
 		if refusal := r.refuseTooLate(choice, now); refusal != nil {
 			choice.RefundAdmission()
@@ -335,6 +328,9 @@
 	if r.continuation != nil {
 		return false, nil
 	}
+	if r.adoptVersion() {
+		return false, nil
+	}
 	if refusal := r.chooseRetryVersion(); refusal != nil {
 		return true, r.giveUp(ctx, refusal)
 	}
@@ -367,23 +363,3 @@
 	}
 	return need
 }
-
-// checkAttempt returns nil if the state of the call allows another attempt.
-func (r *run) checkAttempt(now time.Time) *Refusal {
-	refusal := &Refusal{Status: http.StatusServiceUnavailable, RetryAfter: retryAfterTransient}
-	switch {
-	case r.sentAttempts == 0 && r.unsentAttempts < maxUnreachable:
-		return nil
-	case r.unsentAttempts >= maxUnreachable:
-		refusal.Reason = "no backend server could be reached"
-	case errors.Is(r.lifecycle.MayDispatch(), request.ErrMayHaveRun):
-		refusal.Reason = "an earlier attempt may have run"
-	case r.sentAttempts >= max(1, r.call.Route.MaxAttempts):
-		refusal.Reason = "route allows no further attempt"
-	case r.call.Deadline().Sub(now) < minAttemptTime:
-		refusal.Reason = "no time is left for another attempt"
-	default:
-		return nil
-	}
-	return refusal
-}
--- a/internal/forward/moves.go
+++ b/internal/forward/moves.go
@@ -81,8 +81,8 @@
 type movable struct {
 	run    *run
 	source *backend.Choice
-	// abandon ends the attempt, so that the stream is resumed at another server.
-	abandon func()
+	// attempt is the attempt that forwards the stream.
+	attempt *runningAttempt
 	// drop closes the source's connection.
 	drop func()
 	// need is what the attempt required of its server.
@@ -117,9 +117,8 @@
 	if r.evacuator == nil || engine == nil || !engine.Moves || r.call.Prompt == nil || r.call.Route.Kind != catalog.EventStream {
 		return nil
 	}
-	cancel := r.cancelAttempt
 	m := &movable{
-		run: r, source: choice, abandon: func() { cancel(errLeaving) }, drop: answer.Exchange.Drop,
+		run: r, source: choice, attempt: r.running, drop: answer.Exchange.Drop,
 		need: r.need(), resumable: r.canResume(),
 	}
 	choice.OnLeaving(func() { r.evacuator.add(m) })
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -13,8 +13,8 @@
 )
 
 // refuseNoServer refuses a call for which no server can be picked.
-func (r *run) refuseNoServer(now time.Time) *Refusal {
-	wait, found := r.options.View.RetryAfter(r.need(), now)
+func (r *run) refuseNoServer(need backend.Need, now time.Time) *Refusal {
+	wait, found := r.options.View.RetryAfter(need, now)
 	if !found && r.resumed() {
 		// Servers of this version may never come back.
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: "no backend server of the stream's version is left"}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -37,6 +37,9 @@
 		if err != nil {
 			return r.endReading(ctx, choice, answer, watched, progress.begun(), err)
 		}
+		if !r.running.mayWrite() {
+			return r.endReading(ctx, choice, answer, watched, progress.begun(), context.Cause(ctx))
+		}
 		watched.recordEvent(time.Now())
 		if err := r.forwardEvent(choice, answer, event); err != nil {
 			watched.finish(false)
--- a/internal/forward/streamversion.go
+++ b/internal/forward/streamversion.go
@@ -35,22 +35,22 @@
 	}
 }
 
-// chooseStreamVersion chooses the version of a resumable stream that has not begun in this call.
-func (r *run) chooseStreamVersion() *Refusal {
+// streamVersion sets the version of a resumable stream that has not begun in this call.
+func (r *run) streamVersion(version attemptVersion) (attemptVersion, *Refusal) {
 	if !r.hasStreamVersion() {
-		return nil
+		return version, nil
 	}
 	var err error
 	if r.resumed() {
-		r.stream, err = r.options.StreamVersions.Resume(r.call.Service, r.call.Resumes, r.begunAfter())
+		version.stream, err = r.options.StreamVersions.Resume(r.call.Service, r.call.Resumes, r.begunAfter())
 	} else {
-		r.stream, err = r.options.StreamVersions.Begin(r.call.Service, r.call.ID, r.candidate)
+		version.stream, err = r.options.StreamVersions.Begin(r.call.Service, r.call.ID, version.candidate)
 	}
 	if err != nil {
-		return streamVersionRefusal(err)
+		return version, streamVersionRefusal(err)
 	}
-	r.candidate = r.stream.Candidate
-	return nil
+	version.candidate = version.stream.Candidate
+	return version, nil
 }
 
 // streamVersionRefusal refuses a call whose version is not known. A stream whose version is not known
--- a/internal/forward/version.go
+++ b/internal/forward/version.go
@@ -20,7 +20,9 @@
 	if r.options.RollOuts != nil {
 		r.candidate = r.options.RollOuts.AssignRequest(r.call.Service, r.call.Route.Name, !r.call.Route.Retryable(), r.versionDraw(), time.Now())
 	}
-	return r.chooseStreamVersion()
+	version, refusal := r.streamVersion(attemptVersion{candidate: r.candidate, stream: r.stream})
+	r.candidate, r.stream = version.candidate, version.stream
+	return refusal
 }
 
 // versionDraw returns the number by which a roll-out assigns the call.
@@ -31,19 +33,35 @@
 	return float64(xxhash.Sum64String(versionSalt+r.call.ID)) / math.MaxUint64
 }
 
-// chooseRetryVersion chooses the version for a retry. Retries use the stable version unless all
-// requests have moved to the candidate, and streams that have begun go on at their version.
+// attemptVersion is the version at which an attempt runs.
+type attemptVersion struct {
+	// candidate is set for the candidate version of a roll-out.
+	candidate bool
+	// stream is the version of a resumable stream.
+	stream StreamVersion
+}
+
+// chooseRetryVersion chooses the version for a retry.
 func (r *run) chooseRetryVersion() *Refusal {
-	if r.begunStream() && r.hasStreamVersion() {
+	version, refusal := r.retryVersion(r.begunStream())
+	r.candidate, r.stream = version.candidate, version.stream
+	return refusal
+}
+
+// retryVersion returns the version for a retry. Retries use the stable version unless all requests have
+// moved to the candidate, and streams that have begun go on at their version.
+func (r *run) retryVersion(begun bool) (attemptVersion, *Refusal) {
+	version := attemptVersion{candidate: r.candidate, stream: r.stream}
+	if begun && r.hasStreamVersion() {
 		if r.versionUncertain {
-			return streamVersionRefusal(streamversion.ErrAmbiguous)
+			return version, streamVersionRefusal(streamversion.ErrAmbiguous)
 		}
-		return nil
+		return version, nil
 	}
 	if r.options.RollOuts != nil {
-		r.candidate = r.options.RollOuts.FullyShifted(r.call.Service, time.Now())
+		version.candidate = r.options.RollOuts.FullyShifted(r.call.Service, time.Now())
 	}
-	return r.chooseStreamVersion()
+	return r.streamVersion(version)
 }
 
 // reportToRollOut reports the result of an answer for the comparison of versions.
--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -63,8 +63,8 @@
 	quotaOver, quotaSlack float64
 	// drain is the time from a daemon's stop until it is killed; without it there are 8 s.
 	drain time.Duration
-	// withoutRollOuts is set if the operator allows no roll-outs.
-	withoutRollOuts bool
+	// withoutRollOuts is set if the operator allows no roll-outs, withoutRetries if the retry budget is empty.
+	withoutRollOuts, withoutRetries bool
 	// engine holds further fields of the model service's engine in the configuration.
 	engine map[string]any
 }
@@ -144,6 +144,9 @@
 	if b.withoutRollOuts {
 		settings.Bounds.RollOutShare, settings.Bounds.RollOutSlack, settings.Bounds.RollOutStop = 0, 0, 0
 	}
+	if b.withoutRetries {
+		settings.Bounds.RetryRatio, settings.Bounds.RetryExtra = 0, 0
+	}
 	r, err := router.New(router.Options{
 		Settings: settings, Network: b.net.Host(ip), Logger: slog.New(slog.NewTextHandler(logOutput(), nil)),
 		OnViolation: func(err error) { b.Errorf("invariant violated: %v", err) },
--- /dev/null
+++ b/robustness/onplatform/refusedretry_test.go
@@ -0,0 +1,83 @@
+package onplatform
+
+import (
+	"cmp"
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/plankridge/plankridge/platform/fake"
+)
+
+// refusedRetry is a play in which something refuses the attempt that would follow the running one.
+type refusedRetry struct {
+	// servers is the number of servers; without it there are three. allLeave is set if all of them leave.
+	servers  int
+	allLeave bool
+	// withoutRetries is set if the retry budget is empty.
+	withoutRetries bool
+	// workspace is the caller's, in place of one without an allowance.
+	workspace map[string]any
+	// firstEvent is the time to the first event, in place of that between events.
+	firstEvent time.Duration
+}
+
+// tokensOfStream is what a stream of these tests takes from an allowance, by moveBed.stream.
+const tokensOfStream = 950
+
+var refusedRetries = map[string]refusedRetry{
+	"the retry budget is spent":               {withoutRetries: true},
+	"the retry budget is spent, no event yet": {withoutRetries: true, firstEvent: 3500 * time.Millisecond},
+	"the allowance is used up":                {workspace: limited(1, tokensOfStream)},
+	"there is no other server":                {servers: 1},
+	"all servers leave":                       {allLeave: true},
+}
+
+// run plays a resumable stream whose server leaves. No server takes copies of running streams.
+func (p refusedRetry) run(t *testing.T, test func(m *moveBed, source *fake.Server, wait func() []reply)) {
+	m := &moveBed{moves: fake.Moves{CopyTime: 20 * time.Millisecond, Keep: 5 * time.Second}}
+	m.moves.Behave = func(int, fake.MoveCall) fake.MoveBehaviour { return fake.MoveBehaviour{NoRoom: true} }
+	run(t, 1, func(b *bed) {
+		m.bed = b
+		b.withoutRetries = p.withoutRetries
+		b.engine = map[string]any{"moves": true, "handleS": 5, "kvTokenBytes": 35136, "linkMbps": 260000}
+		for i := range cmp.Or(p.servers, 3) {
+			s := m.addMoving(fmt.Sprint("i-", i+1))
+			s.FirstEvent = p.firstEvent
+		}
+		var workspaces []map[string]any
+		if p.workspace != nil {
+			workspaces = append(workspaces, p.workspace)
+		}
+		b.configure(routes{streamRoute("/s/", true, 2)}, workspaces...)
+	}, func(*bed) {
+		wait := m.streams(1)
+		source, others := m.at()
+		m.announce(source, leavesAfter)
+		if p.allLeave {
+			for _, s := range others {
+				m.announce(s, leavesAfter)
+			}
+		}
+		test(m, source, wait)
+	})
+}
+
+// TestStreamIsNotGivenUpWithoutNextAttempt guards against streams that are taken from a leaving server that
+// still runs them, and then cut because the attempt to resume them is refused.
+func TestStreamIsNotGivenUpWithoutNextAttempt(t *testing.T) {
+	for name, p := range refusedRetries {
+		t.Run(name, func(t *testing.T) {
+			p.run(t, func(m *moveBed, source *fake.Server, wait func() []reply) {
+				got := wait()[0]
+				m.checkWhole(got)
+				m.Check(source.RunCount(got.id), qt.Equals, 1)
+				for _, s := range m.servers {
+					m.Check(s == source || len(s.Arrivals()) == 0, qt.IsTrue, qt.Commentf("%s was asked", s.ID))
+				}
+			})
+		})
+	}
+}
