Keep a server's error answer until a retry brings another one

Cause: forwardAnswer discarded the answer by shouldRetry (kind, attempts, time), and the budget or the allowance then refused the retry. Where the retry was made and declined, lost or silent, the answer was gone as well.

Change: the retry is reserved first; if it is refused, the answer is forwarded. The discarded answer is kept, and giveUp sends it if the call ends without another. One that is longer than the buffer is not discarded. The log line has not_retried, plankridge_attempts_kept_total counts, and explain prints the reason.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -105,6 +105,8 @@
 	MovesDone   int      `json:"moves_done"`
 	MovesFailed []string `json:"moves_failed"`
 	NotMoved    string   `json:"not_moved"`
+	// NotRetried is why an attempt that was to be replaced by another one was not.
+	NotRetried string `json:"not_retried"`
 	// AdmissionLevel, AdmissionShare and AdmissionUtilization are the admitted share of the service's
 	// demand, that of requests of this rank and workspace, and the predicted utilization. They are
 	// zero if no admission level was binding.
@@ -311,6 +313,9 @@
 		if l.NotMoved != "" {
 			text += ", not moved: " + l.NotMoved
 		}
+		if l.NotRetried != "" {
+			text += ", not retried: " + l.NotRetried
+		}
 		if l.AdmissionUtilization > 0 {
 			text += fmt.Sprintf(", predicted utilization %.2f of what the servers can do in time, %.2f of such requests admitted, by sums %d ms old",
 				l.AdmissionUtilization, l.AdmissionShare, l.AdmissionSumsMS)
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -33,8 +33,9 @@
 		}
 		r.reportCompleted(end, answer.Status, answer.Status == http.StatusOK, time.Now())
 	}
-	if r.shouldRetry(answer.Status) {
+	if len(buffered) <= maxBufferedAnswer && r.shouldRetry(answer.Status) && r.running.reserveOnly(time.Now()) == nil {
 		answer.Exchange.Close()
+		r.kept = &keptAnswer{answer: answer, body: buffered}
 		failed := r.endWithStep(request.StepLost, backend.OutcomeFailed, "status-"+strconv.Itoa(answer.Status))
 		failed.signal = signalBad
 		return failed
@@ -71,8 +72,23 @@
 	return result{outcome: backend.OutcomeNeutral, logLabel: "caller-left", done: true, err: errCallerLeft}
 }
 
-// shouldRetry reports whether to make another attempt after a server error instead of
-// forwarding the error to the caller.
+// keptAnswer is a whole error answer of a server. The caller gets it if no later attempt brings an answer.
+type keptAnswer struct {
+	answer *Answer
+	body   []byte
+}
+
+// forwardKept sends the kept answer to the caller.
+func (r *run) forwardKept() error {
+	r.sendHeader(r.kept.answer)
+	if err := r.reply.Write(r.kept.body); err != nil {
+		return errCallerLeft
+	}
+	return nil
+}
+
+// shouldRetry reports whether to make another attempt after a server error, if there can be one, instead
+// of forwarding the error to the caller.
 func (r *run) shouldRetry(status int) bool {
 	return status >= http.StatusInternalServerError &&
 		r.call.Route.Kind == catalog.Idempotent &&
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	r.running = &runningAttempt{choice: choice, next: r.nextAfter(choice), cancel: cancel}
-	defer func() { r.reserved = r.running.end() }()
+	defer r.running.end()
 	stopTimer := r.startSilenceTimer(cancel)
 	defer stopTimer()
 	// During a network partition the connection to the previous incarnation stays silent, so
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -55,6 +55,8 @@
 	errSilent     = errors.New("server stayed silent")
 	errCallerLeft = errors.New("caller has left")
 	errRestarted  = errors.New("server has started again")
+	// errServerFailed means that a server has answered with an error.
+	errServerFailed = errors.New("server has answered with an error")
 )
 
 // Options holds the dependencies and settings of a Forwarder.
@@ -169,7 +171,11 @@
 	// ended, or nil.
 	running  *runningAttempt
 	reserved *grant
-	moves    moveLog
+	// notRetried is why an attempt that was to be replaced was not, or empty.
+	notRetried string
+	// kept is the latest error answer in favor of which another attempt was made, or nil.
+	kept  *keptAnswer
+	moves moveLog
 	// lastEventAt is when the last event was sent to the caller. pausedSince is the same for the last
 	// event before a move, until the first one after it.
 	lastEventAt, pausedSince time.Time
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"strconv"
 	"time"
 
@@ -21,6 +22,8 @@
 	// moves counts the moves of streams by result, and movePause measures their pauses.
 	moves     *prometheus.CounterVec
 	movePause *prometheus.HistogramVec
+	// kept counts the attempts that were not given up because the next one was refused.
+	kept *prometheus.CounterVec
 	// levelDecisions counts the decisions on calls while an admission level binds.
 	levelDecisions *prometheus.CounterVec
 	// oversized counts attempts that ended because a server sent too many bytes for a part of its response.
@@ -61,6 +64,10 @@
 		movePause: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "plankridge_stream_move_pause_seconds", Help: "Time between the last event before a move and the first one after it.", Buckets: pauseBuckets,
 		}, []string{"service"}),
+		kept: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "plankridge_attempts_kept_total",
+			Help: "Attempts that go on, or whose answers are forwarded, because the next attempt was refused, by why they were to be replaced: leaving, silent or server-error.",
+		}, []string{"service", "cause"}),
 		levelDecisions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "plankridge_admission_decisions_total", Help: "Calls while the admission level of their service binds, by class of rank and decision.",
 		}, []string{"service", "class", "decision"}),
@@ -71,7 +78,7 @@
 			Name: "plankridge_call_invariant_violations_total", Help: "Steps that the life of a call does not have.",
 		}),
 	}
-	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.allowance, m.levelDecisions, m.moves, m.movePause, m.oversized, m.violations)
+	registerer.MustRegister(m.calls, m.duration, m.firstAnswer, m.resumed, m.allowance, m.levelDecisions, m.kept, m.moves, m.movePause, m.oversized, m.violations)
 	return m
 }
 
@@ -101,3 +108,15 @@
 	}
 	m.allowance.WithLabelValues(verdict.Class.String(), decision, strconv.FormatBool(verdict.ByClass)).Inc()
 }
+
+// countKept counts an attempt that was to be replaced for a cause and is not.
+func (m *Metrics) countKept(service string, cause error) {
+	label := "server-error"
+	switch {
+	case errors.Is(cause, errLeaving):
+		label = "leaving"
+	case errors.Is(cause, errSilent):
+		label = "silent"
+	}
+	m.kept.WithLabelValues(service, label).Inc()
+}
--- a/internal/forward/next.go
+++ b/internal/forward/next.go
@@ -57,7 +57,7 @@
 	}
 }
 
-// nextAfter returns the attempt that follows one at a server that is about to begin, at another server.
+// nextAfter returns the attempt that follows one at a server that is about to begin.
 func (r *run) nextAfter(choice *backend.Choice) nextAttempt {
 	next := nextAttempt{
 		run: r, need: r.need(), sent: r.sentAttempts, unsent: r.unsentAttempts,
@@ -67,7 +67,7 @@
 		next.sent++
 	}
 	next.need.Final = next.sent+1 >= r.call.Route.MaxAttempts
-	next.need.Tried, next.need.Excluded = with(next.need.Tried, choice.ID), with(next.need.Excluded, choice.ID)
+	next.need.Tried = with(next.need.Tried, choice.ID)
 	return next
 }
 
@@ -256,6 +256,10 @@
 	// reserved is the next attempt, or nil. ended is set once the attempt has ended.
 	reserved *grant
 	ended    bool
+	// refused is why the next attempt was last refused, or nil, and refusedRetry the decision of the retry
+	// budget if that refused it.
+	refused      *Refusal
+	refusedRetry *allowance.Verdict
 }
 
 // replace ends the attempt with a cause if the next attempt can be reserved. Otherwise the attempt goes on
@@ -266,18 +270,43 @@
 	if a.ended || a.reserved != nil {
 		return nil
 	}
-	g, refusal := a.reserveNext(errors.Is(cause, errLeaving), now)
-	if refusal != nil {
+	if refusal := a.reserveNext(cause, now); refusal != nil {
 		return refusal
 	}
-	a.reserved = &g
 	a.cancel(cause)
 	return nil
 }
 
-// reserveNext reserves the next attempt, which must not be at a leaving server if readyOnly is set. The
-// caller holds the lock.
-func (a *runningAttempt) reserveNext(readyOnly bool, now time.Time) (grant, *Refusal) {
+// reserveOnly reserves the next attempt of one whose answer is there, or returns why that is refused.
+func (a *runningAttempt) reserveOnly(now time.Time) *Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reserved != nil {
+		return nil
+	}
+	return a.reserveNext(errServerFailed, now)
+}
+
+// reserveNext reserves the next attempt, or records why that is refused. The caller holds the lock.
+func (a *runningAttempt) reserveNext(cause error, now time.Time) *Refusal {
+	g, refusal := a.grantNext(errors.Is(cause, errLeaving), now)
+	if refusal == nil {
+		a.reserved = &g
+		return nil
+	}
+	if a.refused == nil {
+		a.next.run.options.Metrics.countKept(a.next.run.call.Service, cause)
+	}
+	a.refused, a.refusedRetry = refusal, nil
+	if g.retry != nil && !g.retry.Admitted {
+		a.refusedRetry = g.retry
+	}
+	return refusal
+}
+
+// grantNext takes all that the next attempt needs, or nothing. If it is made because the server leaves, no
+// leaving server may get it. The caller holds the lock.
+func (a *runningAttempt) grantNext(leaving bool, now time.Time) (grant, *Refusal) {
 	n, r := a.next, a.next.run
 	n.begun = n.begun || a.wrote
 	version, refusal := r.retryVersion(n.begun)
@@ -290,12 +319,15 @@
 	n.need.Candidate, n.need.Version = version.candidate, version.stream.Version
 	n.need.Remaining = r.call.Deadline().Sub(now)
 	n.need.Resumed = n.need.Resumed || a.wrote
+	if leaving {
+		n.need.Excluded = with(n.need.Excluded, a.choice.ID)
+	}
 	g, refusal := n.reserve(now)
 	if refusal != nil {
 		return g, refusal
 	}
 	g.version, g.begun = version, n.begun
-	if readyOnly && g.choice.Leaving() {
+	if leaving && g.choice.Leaving() {
 		g.choice.RefundAdmission()
 		g.choice.End(backend.OutcomeNeutral, now)
 		r.refund(g)
@@ -316,10 +348,18 @@
 	return true
 }
 
-// end ends the attempt and returns the next one if it was reserved.
-func (a *runningAttempt) end() *grant {
+// end ends the attempt. The call takes over the next one, if it was reserved, or why it was refused.
+func (a *runningAttempt) end() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ended = true
-	return a.reserved
+	r := a.next.run
+	r.reserved = a.reserved
+	if a.refused == nil {
+		return
+	}
+	r.notRetried = a.refused.Reason
+	if a.refusedRetry != nil && !r.retryUnused {
+		r.retryVerdict = a.refusedRetry
+	}
 }
--- a/internal/forward/record.go
+++ b/internal/forward/record.go
@@ -109,6 +109,9 @@
 		attrs = append(attrs, "retries_allowed", v.Limit, "retries_spent", v.Used, "retries_free", v.Free, "retries_unreported", v.Unreported,
 			"retries_others_rate", v.OthersDemand, "retries_report_ms", v.ReportAge.Milliseconds(), "retries_drawn", v.ByChance, "retries_reach", v.ReachableShare, "retries_known", v.Restored)
 	}
+	if r.notRetried != "" {
+		attrs = append(attrs, "not_retried", r.notRetried)
+	}
 	if refusal != nil {
 		attrs = append(attrs, "retry_after_ms", refusal.RetryAfter.Milliseconds())
 	}
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -66,14 +66,17 @@
 	}
 }
 
-// giveUp sets the status according to whether the request may have run: only a request that
-// has not run is refused with 503.
+// giveUp ends a call without another attempt. If a server has answered with an error, the caller gets that.
+// Otherwise the status says whether the request may have run: only one that has not is refused with 503.
 func (r *run) giveUp(ctx context.Context, refusal *Refusal) error {
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		_ = r.step(request.StepCancel)
 		return errCallerLeft
 	}
 	_ = r.step(request.StepGiveUp)
+	if r.kept != nil && !r.headerSent {
+		return r.forwardKept()
+	}
 	switch {
 	case r.headerSent:
 		return ErrTruncated
--- a/robustness/onplatform/refusedretry_test.go
+++ b/robustness/onplatform/refusedretry_test.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,3 +83,58 @@
 		})
 	}
 }
+
+// failedPlay is a play of a request whose first server answers with 500.
+type failedPlay struct {
+	// servers is the number of servers; without it there are three.
+	servers int
+	// withoutRetries is set if the retry budget is empty.
+	withoutRetries bool
+	// workspace is the caller's, in place of one without an allowance.
+	workspace map[string]any
+	// second is the behaviour of the server that gets the request next.
+	second fake.Behaviour
+	// status is what the caller gets, and attempts is how often the request arrives at servers.
+	status, attempts int
+}
+
+// TestServersErrorIsNotReplacedByOurOwn guards against whole error answers of servers that are discarded for
+// a retry that is refused, or that brings no answer.
+func TestServersErrorIsNotReplacedByOurOwn(t *testing.T) {
+	const failed = http.StatusInternalServerError
+	for name, p := range map[string]failedPlay{
+		"the retry budget is spent":        {withoutRetries: true, status: failed, attempts: 1},
+		"the allowance is used up":         {workspace: limited(1, 200), status: failed, attempts: 1},
+		"the next server declines":         {second: fake.Behaviour{Decline: true}, status: failed, attempts: 2},
+		"the next server loses its answer": {second: fake.Behaviour{LoseAnswer: true}, status: failed, attempts: 2},
+		"the next server stays silent":     {second: fake.Behaviour{Delay: time.Minute}, status: failed, attempts: 2},
+		"the only server answers again":    {servers: 1, status: http.StatusOK, attempts: 2},
+		"the next server answers":          {status: http.StatusOK, attempts: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int64
+			run(t, 1, func(b *bed) {
+				b.withoutRetries = p.withoutRetries
+				for i := range cmp.Or(p.servers, 3) {
+					b.addServer(fmt.Sprint("i-", i+1), plain, &fake.Server{Behave: func(int, *http.Request) fake.Behaviour {
+						if asked.Add(1) == 1 {
+							return fake.Behaviour{Status: failed}
+						}
+						return p.second
+					}})
+				}
+				var workspaces []map[string]any
+				if p.workspace != nil {
+					workspaces = append(workspaces, p.workspace)
+				}
+				b.configure(routes{plainRoute("/a/", "idempotent", 2)}, workspaces...)
+			}, func(b *bed) {
+				got := b.send(call{method: "GET", path: "/a/x", key: testKey})
+				b.Check(got.status, qt.Equals, p.status)
+				b.Check(got.body, qt.Equals, "answer to "+got.id)
+				b.Check(got.header.Get("Response-Stamp"), qt.Not(qt.Equals), "")
+				b.Check(int(asked.Load()), qt.Equals, p.attempts)
+			})
+		})
+	}
+}
