End a slow attempt only once the next one is reserved

Callers of idempotent requests got our 502 while a server worked on them for longer than twice the latency target.

Cause: the timer for silent servers cancelled the attempt whenever the route had one left; the retry budget and the allowance were asked afterwards.

Change: the timer calls runningAttempt.replace, which reserves the next attempt first. If that is refused, the server works on and the timer starts again.

Where the retry is granted, the request goes to the next server as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -44,8 +44,7 @@
 	defer cancel(nil)
 	r.running = &runningAttempt{choice: choice, next: r.nextAfter(choice), cancel: cancel}
 	defer r.running.end()
-	stopTimer := r.startSilenceTimer(cancel)
-	defer stopTimer()
+	r.startSilenceTimer()
 	// During a network partition the connection to the previous incarnation stays silent, so
 	// the attempt ends when the server is known to have restarted.
 	choice.OnRestart(func() { cancel(errRestarted) })
@@ -192,14 +191,12 @@
 	return maxIdleNonIdempotent
 }
 
-// startSilenceTimer cancels an attempt of an idempotent request whose server stays silent,
-// if another attempt remains. The returned function stops the timer.
-func (r *run) startSilenceTimer(cancel context.CancelCauseFunc) (stop func() bool) {
-	if r.call.Route.Kind != catalog.Idempotent || r.sentAttempts+1 >= r.call.Route.MaxAttempts {
-		return func() bool { return false }
+// startSilenceTimer watches the attempt of an idempotent request for a server that stays silent, if
+// another attempt remains.
+func (r *run) startSilenceTimer() {
+	if r.call.Route.Kind == catalog.Idempotent && r.sentAttempts+1 < r.call.Route.MaxAttempts {
+		r.running.watchSilence(max(minSilenceTimeout, silenceTargetFactor*r.call.Route.LatencyTarget))
 	}
-	timeout := max(minSilenceTimeout, silenceTargetFactor*r.call.Route.LatencyTarget)
-	return time.AfterFunc(timeout, func() { cancel(errSilent) }).Stop
 }
 
 // countUsage records once that a server began to run the call.
--- a/internal/forward/next.go
+++ b/internal/forward/next.go
@@ -260,6 +260,8 @@
 	// budget if that refused it.
 	refused      *Refusal
 	refusedRetry *allowance.Verdict
+	// silence is the timer for a server that stays silent, or nil.
+	silence *time.Timer
 }
 
 // replace ends the attempt with a cause if the next attempt can be reserved. Otherwise the attempt goes on
@@ -353,6 +355,9 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ended = true
+	if a.silence != nil {
+		a.silence.Stop()
+	}
 	r := a.next.run
 	r.reserved = a.reserved
 	if a.refused == nil {
@@ -363,3 +368,18 @@
 		r.retryVerdict = a.refusedRetry
 	}
 }
+
+// watchSilence replaces the attempt after a timeout if the next one can be reserved. Otherwise the server
+// works on, and the next attempt is asked for again after another timeout.
+func (a *runningAttempt) watchSilence(timeout time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		return
+	}
+	a.silence = time.AfterFunc(timeout, func() {
+		if a.replace(errSilent, time.Now()) != nil {
+			a.watchSilence(timeout)
+		}
+	})
+}
--- a/robustness/onplatform/refusedretry_test.go
+++ b/robustness/onplatform/refusedretry_test.go
@@ -138,3 +138,45 @@
 		})
 	}
 }
+
+// TestSlowAnswerIsNotGivenUpWithoutNextAttempt guards against idempotent requests that are taken from a server
+// which works on them longer than usual, and then fail because the next attempt is refused.
+func TestSlowAnswerIsNotGivenUpWithoutNextAttempt(t *testing.T) {
+	for name, p := range map[string]struct {
+		withoutRetries bool
+		workspace      map[string]any
+		// works is how long the server works, and attempts is how often the request arrives at servers.
+		works    time.Duration
+		attempts int
+	}{
+		"the retry budget is spent":                  {withoutRetries: true, works: 350 * time.Millisecond, attempts: 1},
+		"the retry budget is spent, for a long time": {withoutRetries: true, works: 550 * time.Millisecond, attempts: 1},
+		"the allowance is used up":                   {workspace: limited(1, 200), works: 350 * time.Millisecond, attempts: 1},
+		"nothing refuses it":                         {works: 350 * time.Millisecond, attempts: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int64
+			run(t, 1, func(b *bed) {
+				b.withoutRetries = p.withoutRetries
+				for i := range 3 {
+					b.addServer(fmt.Sprint("i-", i+1), plain, &fake.Server{Behave: func(int, *http.Request) fake.Behaviour {
+						if asked.Add(1) == 1 {
+							return fake.Behaviour{Delay: p.works}
+						}
+						return fake.Behaviour{}
+					}})
+				}
+				var workspaces []map[string]any
+				if p.workspace != nil {
+					workspaces = append(workspaces, p.workspace)
+				}
+				b.configure(routes{plainRoute("/a/", "idempotent", 2)}, workspaces...)
+			}, func(b *bed) {
+				got := b.send(call{method: "GET", path: "/a/x", key: testKey})
+				b.Check(got.status, qt.Equals, http.StatusOK)
+				b.Check(got.body, qt.Equals, "answer to "+got.id)
+				b.Check(int(asked.Load()), qt.Equals, p.attempts)
+			})
+		})
+	}
+}
