Take the retry for the way back before a run is stopped for a move

Callers saw streams cut that had been stopped for a move, where the target declined the continuation and the retry for going back to the source, which holds the run's memory, was refused.

Cause: a move took one retry, and takeContinuation asked for the second after the stop. dropContinuation returned an unused retry just before the resuming attempt asked the same budget for one.

Change: evacuator.takeRetries takes both before the first copy. The second is returned when a server has continued the run, and otherwise serves the way back or the next attempt of the call. Without it, a stream is moved only if its server has said when it will be gone.

--- a/internal/backend/moves.go
+++ b/internal/backend/moves.go
@@ -69,6 +69,14 @@
 	return c.server.goneAt
 }
 
+// DepartureStated reports whether the server, or the cloud, has said when the server will be gone. Otherwise
+// GoneAt is an estimate.
+func (c *Choice) DepartureStated() bool {
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	return c.server.LeavesIn > 0 || c.server.Reclaimable
+}
+
 // PredictAnswer returns the predicted duration of a whole answer on the server after its first event, and
 // the predicted number of its tokens. Both are zero for plain services.
 func (c *Choice) PredictAnswer(answer pace.AnswerSize, now time.Time) (time.Duration, float64) {
--- a/internal/forward/evacuate.go
+++ b/internal/forward/evacuate.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/evacuation"
 	"github.com/plankridge/plankridge/internal/pace"
@@ -298,15 +299,14 @@
 
 // move makes the copies of a stream's run.
 func (e *evacuator) move(m *movable, target string) failure {
-	verdict := e.options.Budget.TryRetry(m.run.call.Service)
-	if !verdict.Admitted {
+	held, admitted := e.takeRetries(m)
+	if !admitted {
 		return failure{cause: reasonRetryBudget}
 	}
 	m.mu.Lock()
 	m.log.begun++
 	m.mu.Unlock()
 	e.options.Metrics.moves.WithLabelValues(m.run.call.Service, "begun").Inc()
-	held := stopped{retry: verdict}
 	choice, ok := e.options.View.BeginMoved(m.need, target, time.Now())
 	if !ok {
 		e.release(m.source.Entry, held)
@@ -326,6 +326,21 @@
 	return e.stop(m, held)
 }
 
+// takeRetries takes the retries for a move: one for the continuation, and one for going back to the source if
+// the target declines. Only a stream whose server has said when it will be gone is moved without the second.
+func (e *evacuator) takeRetries(m *movable) (held stopped, admitted bool) {
+	service := m.run.call.Service
+	if held.retry = e.options.Budget.TryRetry(service); !held.retry.Admitted {
+		return stopped{}, false
+	}
+	held.fallback = e.options.Budget.TryRetry(service)
+	if held.fallback.Admitted || m.source.DepartureStated() {
+		return held, true
+	}
+	e.release(m.source.Entry, held)
+	return stopped{}, false
+}
+
 // copyBeside copies the run while it goes on, until it may be stopped.
 func (e *evacuator) copyBeside(m *movable, target backend.Entry) (Handle, failure) {
 	var held Handle
@@ -395,14 +410,16 @@
 	return evacuation.Lost, Handle{}
 }
 
-// release releases what is held for a run that is not continued: the place at the target, the retry and
+// release releases what is held for a run that is not continued: the place at the target, the retries and
 // the copy.
 func (e *evacuator) release(source backend.Entry, held stopped) {
 	if held.target != nil {
 		held.target.End(backend.OutcomeNeutral, time.Now())
 	}
-	if held.retry.Admitted {
-		e.options.Budget.Refund(source.Service, held.retry.At)
+	for _, retry := range []allowance.Verdict{held.retry, held.fallback} {
+		if retry.Admitted {
+			e.options.Budget.Refund(source.Service, retry.At)
+		}
 	}
 	if held.handle.ID == "" {
 		return
--- a/internal/forward/moves.go
+++ b/internal/forward/moves.go
@@ -72,8 +72,9 @@
 	handle Handle
 	// target is the claimed place at the target.
 	target *backend.Choice
-	// retry is the admitted retry by which the continuation counts as an arrival.
-	retry allowance.Verdict
+	// retry is the admitted retry by which the continuation counts as an arrival, and fallback another one
+	// for going back to the source if the target declines. fallback may not be admitted.
+	retry, fallback allowance.Verdict
 }
 
 // movable is a running stream that can be moved to another server. The call's goroutine forwards the
@@ -317,9 +318,11 @@
 func (r *run) takeContinuation(now time.Time) *backend.Choice {
 	c := r.continuation
 	if !c.paid {
-		verdict := r.options.Budget.TryRetry(r.call.Service)
-		c.retry, c.paid = verdict, verdict.Admitted
-		if !verdict.Admitted {
+		if !c.fallback.Admitted {
+			c.fallback = r.options.Budget.TryRetry(r.call.Service)
+		}
+		c.retry, c.paid, c.fallback = c.fallback, c.fallback.Admitted, allowance.Verdict{}
+		if !c.paid {
 			r.moves.notMoved = reasonRetryBudget
 			return nil
 		}
@@ -356,7 +359,8 @@
 	return false, nil
 }
 
-// dropContinuation releases what is held for a run that is not continued.
+// dropContinuation releases what is held for a run that is not continued. A retry goes to the attempt that
+// may follow.
 func (r *run) dropContinuation() {
 	c := r.continuation
 	if c == nil {
@@ -366,9 +370,20 @@
 	if !c.paid {
 		c.retry = allowance.Verdict{}
 	}
+	r.passOnRetry(&c.retry)
+	r.passOnRetry(&c.fallback)
 	r.evacuator.release(c.source, c.stopped)
 }
 
+// passOnRetry makes an unused retry that of the next attempt, unless that has one already.
+func (r *run) passOnRetry(retry *allowance.Verdict) {
+	if retry.Admitted && !r.retryUnused {
+		unused := *retry
+		r.retryVerdict, r.retryUnused = &unused, true
+		*retry = allowance.Verdict{}
+	}
+}
+
 // continueFrom returns the stopped run that the current attempt continues, or nil.
 func (r *run) continueFrom() *ContinueFrom {
 	if r.continuation == nil {
@@ -385,10 +400,12 @@
 		return
 	case !continued:
 		r.recordMoveFailure("continuation-lost")
+		r.passOnRetry(&r.continuation.fallback)
 	case r.continuation.place == evacuation.AtTarget:
 		r.moves.done++
 		r.options.Metrics.moves.WithLabelValues(r.call.Service, "done").Inc()
 	}
+	r.refundBudget(&r.continuation.fallback)
 	r.continuation = nil
 	r.pausedSince = r.lastEventAt
 }
--- a/robustness/onplatform/bed_test.go
+++ b/robustness/onplatform/bed_test.go
@@ -65,6 +65,8 @@
 	drain time.Duration
 	// withoutRollOuts is set if the operator allows no roll-outs, withoutRetries if the retry budget is empty.
 	withoutRollOuts, withoutRetries bool
+	// retryExtra is the number of retries in a window beside those for requests; without it there are 50.
+	retryExtra float64
 	// engine holds further fields of the model service's engine in the configuration.
 	engine map[string]any
 }
@@ -135,7 +137,7 @@
 		Cloud:  config.RouterAddress{Address: cloudIP + ":1"},
 		Bounds: config.RouterBounds{
 			DrainTimeout: config.Duration(cmp.Or(b.drain, 8*time.Second)), Lease: config.Duration(3 * time.Second),
-			RetryRatio: 0.2, RetryWindow: config.Duration(10 * time.Second), RetryExtra: 50,
+			RetryRatio: 0.2, RetryWindow: config.Duration(10 * time.Second), RetryExtra: cmp.Or(b.retryExtra, extraRetries),
 			UsageWindow: config.Duration(5 * time.Second), UsageDue: config.Duration(10 * time.Second),
 			RollOutShare: 0.1, RollOutSlack: 50, RollOutStop: config.Duration(5 * time.Second),
 			QuotaOverShare: b.quotaOver, QuotaSlackTokens: b.quotaSlack,
