End a silent attempt of the own interface only once the next one is reserved

Callers of the own interface waited in vain for a stream whose engine had been silent, or for an idempotent plain call that took long, while the retry budget was spent: the attempt had been cancelled, and the retry waited for the budget.

Change: runningAttempt.replace reserves the next attempt (quarantine, slot, retry) before it cancels the running one. The loop takes the reserved attempt first. What is reserved and not used is returned.

TestSilentEngineKeepsItsStreamWithoutARetry and TestSlowPlainAnswerIsKeptWithoutARetry failed before (stream incomplete; 502 in place of 200) and pass now.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -16,14 +16,20 @@
 	"github.com/plankridge/plankridge/internal/route"
 )
 
-func (d *Dispatcher) tryPlain(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) result {
-	ctx, stop := context.WithTimeoutCause(ctx, d.options.Limits.PlainAttemptTimeout.Std(), errSilent)
-	defer stop()
+func (d *Dispatcher) tryPlain(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot, tried map[string]bool) result {
+	timeout := d.options.Limits.PlainAttemptTimeout.Std()
 	if flight.spec.Idempotent() {
 		var cancel context.CancelCauseFunc
 		ctx, cancel = context.WithCancelCause(ctx)
 		defer cancel(nil)
+		running := d.newRunningAttempt(flight, choice, tried, cancel)
+		defer func() { flight.reserved = running.end() }()
+		running.watchSilence(timeout)
 		go cancelOnEvacuate(ctx, slot.Evacuate, cancel)
+	} else {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeoutCause(ctx, timeout, errSilent)
+		defer stop()
 	}
 	spec := flight.spec.Plain
 	answer, err := d.options.Plain.Do(ctx, choice.Server.Address, plain.Call{
@@ -90,12 +96,14 @@
 // isEvacuated reports whether an attempt was cancelled because its server must be evacuated.
 func isEvacuated(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEvacuated) }
 
-func (d *Dispatcher) tryModel(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot) result {
+func (d *Dispatcher) tryModel(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot, tried map[string]bool) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	running := d.newRunningAttempt(flight, choice, tried, cancel)
+	defer func() { flight.reserved = running.end() }()
+	timeout := d.options.Limits.AttemptIdleTimeout.Std()
+	running.watchSilence(timeout)
 	go cancelOnEvacuate(ctx, slot.Evacuate, cancel)
-	silence := time.AfterFunc(d.options.Limits.AttemptIdleTimeout.Std(), func() { cancel(errSilent) })
-	defer silence.Stop()
 
 	stream := &modelStream{dispatcher: d, flight: flight, slot: slot, predicted: choice.Wait, attempt: flight.attempts(), version: choice.Server.Version}
 	attempt := d.engineAttempt(flight)
@@ -104,7 +112,7 @@
 		if !stream.matches(&event) {
 			return nil
 		}
-		silence.Reset(d.options.Limits.AttemptIdleTimeout.Std())
+		running.heard(timeout)
 		return stream.handleEvent(event)
 	})
 	if err == nil && stream.finish == nil {
--- a/internal/dispatch/flight.go
+++ b/internal/dispatch/flight.go
@@ -57,6 +57,9 @@
 	// retries is what the attempts mean for the retry budget. Only the goroutine of the running
 	// attempt uses it.
 	retries retryHistory
+	// reserved is the next attempt if it was reserved before the last one ended, or nil. Only the goroutine
+	// of the running attempt uses it.
+	reserved *nextAttempt
 	// prepare runs before the first attempt.
 	prepare func(context.Context) error
 
--- /dev/null
+++ b/internal/dispatch/next.go
@@ -0,0 +1,128 @@
+package dispatch
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/plankridge/plankridge/internal/discovery"
+	"github.com/plankridge/plankridge/internal/route"
+	"github.com/plankridge/plankridge/internal/steady"
+)
+
+// replaceInterval is how often a running attempt that is to be replaced asks for the next one.
+const replaceInterval = 200 * time.Millisecond
+
+// nextAttempt is what an attempt has been given before it is made.
+type nextAttempt struct {
+	choice route.Choice
+	slot   *discovery.Slot
+	charge attemptCharge
+}
+
+// runningAttempt is the attempt that a request is making. Other goroutines may end it in favor of the next
+// one, once that is reserved.
+type runningAttempt struct {
+	dispatcher *Dispatcher
+	flight     *Flight
+	// tried holds the IDs of the servers of this attempt and those before it.
+	tried  map[string]bool
+	cancel context.CancelCauseFunc
+
+	mu sync.Mutex
+	// reserved is the next attempt, or nil. ended is set once the attempt has ended.
+	reserved *nextAttempt
+	ended    bool
+	// silence is the timer for a silent server, or nil.
+	silence *time.Timer
+}
+
+// newRunningAttempt returns the attempt at a server, which cancel ends.
+func (d *Dispatcher) newRunningAttempt(flight *Flight, choice route.Choice, tried map[string]bool, cancel context.CancelCauseFunc) *runningAttempt {
+	tried = maps.Clone(tried)
+	tried[choice.Server.ID] = true
+	return &runningAttempt{dispatcher: d, flight: flight, tried: tried, cancel: cancel}
+}
+
+// replace ends the attempt with a cause if the next attempt can be reserved. It returns false if the
+// attempt goes on. It has no effect on an attempt that has ended.
+func (a *runningAttempt) replace(cause error) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended || a.reserved != nil {
+		return true
+	}
+	a.reserved = a.dispatcher.reserveNext(a.flight, a.tried)
+	if a.reserved == nil {
+		return false
+	}
+	a.cancel(cause)
+	return true
+}
+
+// end ends the attempt and returns the next one if it was reserved.
+func (a *runningAttempt) end() *nextAttempt {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ended = true
+	if a.silence != nil {
+		a.silence.Stop()
+	}
+	return a.reserved
+}
+
+// watchSilence replaces the attempt once it has been silent for a timeout, or as soon after that as the next
+// one can be reserved.
+func (a *runningAttempt) watchSilence(timeout time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.silence = time.AfterFunc(timeout, func() {
+		if a.replace(errSilent) {
+			return
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if !a.ended {
+			a.silence.Reset(replaceInterval)
+		}
+	})
+}
+
+// heard restarts the time of the server's silence.
+func (a *runningAttempt) heard(timeout time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.ended {
+		a.silence.Reset(timeout)
+	}
+}
+
+// reserveNext takes all that the next attempt of a request needs while another one runs, or returns nil if
+// something refuses it.
+func (d *Dispatcher) reserveNext(flight *Flight, tried map[string]bool) *nextAttempt {
+	if d.checkQuarantine(flight, time.Now()) != nil {
+		return nil
+	}
+	choice, slot, ok, err := d.acquireServer(flight, tried)
+	if err != nil || !ok {
+		return nil
+	}
+	charge, allowed := d.chargeRetry(flight, false, steady.Now())
+	if !allowed {
+		slot.Release(false, time.Now())
+		return nil
+	}
+	return &nextAttempt{choice: choice, slot: slot, charge: charge}
+}
+
+// dropReserved returns what is reserved for an attempt that is not made.
+func (d *Dispatcher) dropReserved(flight *Flight) {
+	next := flight.reserved
+	if next == nil {
+		return
+	}
+	flight.reserved = nil
+	next.slot.Release(false, time.Now())
+	d.refundCharge(flight, next.charge)
+}
--- a/internal/dispatch/retries.go
+++ b/internal/dispatch/retries.go
@@ -49,13 +49,20 @@
 		}
 		return attemptCharge{}, true
 	}
-	if retries.moving {
-		return attemptCharge{retry: true, charge: d.options.Retries.CountRetry(service, now)}, true
-	}
-	charge, allowed := d.options.Retries.TryRetry(service, now)
+	charge, allowed := d.chargeRetry(flight, retries.moving, now)
 	if !allowed {
 		d.recordDelay(flight, now)
 	}
+	return charge, allowed
+}
+
+// chargeRetry counts a retry in the budget of its service. It returns false if the budget does not allow it
+// now. One that is made because a server or daemon leaves is always allowed.
+func (d *Dispatcher) chargeRetry(flight *Flight, moving bool, now time.Time) (attemptCharge, bool) {
+	if moving {
+		return attemptCharge{retry: true, charge: d.options.Retries.CountRetry(flight.spec.Service, now)}, true
+	}
+	charge, allowed := d.options.Retries.TryRetry(flight.spec.Service, now)
 	return attemptCharge{retry: true, charge: charge}, allowed
 }
 
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -46,36 +46,59 @@
 		}
 	}
 	tried := map[string]bool{}
+	defer d.dropReserved(flight)
 	for round := 0; ; round++ {
 		if ctx.Err() != nil {
 			d.endInterrupted(flight, context.Cause(ctx))
 			return
 		}
-		if err := cmp.Or(flight.mayDispatch(), d.checkQuarantine(flight, time.Now())); err != nil {
-			d.giveUp(flight, err)
-			return
-		}
-		choice, slot, ok, err := d.acquireServer(flight, tried)
+		next, err := d.takeNext(ctx, flight, tried, round)
 		if err != nil {
 			d.giveUp(flight, err)
 			return
 		}
-		if !ok {
-			d.awaitServerChange(ctx, round)
+		if next == nil {
 			continue
 		}
-		charge, allowed := d.chargeAttempt(flight, steady.Now())
-		if !allowed {
-			slot.Release(false, time.Now())
+		if d.attempt(ctx, flight, tried, *next) {
+			return
+		}
+		tried[next.choice.Server.ID] = true
+		if flight.reserved == nil {
 			d.waitBackoff(ctx, round)
-			continue
 		}
-		if d.attempt(ctx, flight, choice, slot, charge) {
-			return
+	}
+}
+
+// takeNext returns the next attempt: the reserved one, or one that it takes now. It returns nil after a wait if
+// there is no server or the retry budget does not allow one now.
+func (d *Dispatcher) takeNext(ctx context.Context, flight *Flight, tried map[string]bool, round int) (*nextAttempt, error) {
+	if next := flight.reserved; next != nil {
+		flight.reserved = nil
+		if !flight.retries.sent {
+			d.refundCharge(flight, next.charge)
+			next.charge = attemptCharge{}
 		}
-		tried[choice.Server.ID] = true
+		return next, nil
+	}
+	if err := cmp.Or(flight.mayDispatch(), d.checkQuarantine(flight, time.Now())); err != nil {
+		return nil, err
+	}
+	choice, slot, ok, err := d.acquireServer(flight, tried)
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		d.awaitServerChange(ctx, round)
+		return nil, nil
+	}
+	charge, allowed := d.chargeAttempt(flight, steady.Now())
+	if !allowed {
+		slot.Release(false, time.Now())
 		d.waitBackoff(ctx, round)
+		return nil, nil
 	}
+	return &nextAttempt{choice: choice, slot: slot, charge: charge}, nil
 }
 
 // endInterrupted ends a request whose context has ended. The request is handed over to
@@ -138,7 +161,8 @@
 }
 
 // attempt makes one attempt and reports whether the request has ended.
-func (d *Dispatcher) attempt(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot, charge attemptCharge) bool {
+func (d *Dispatcher) attempt(ctx context.Context, flight *Flight, tried map[string]bool, next nextAttempt) bool {
+	choice, slot, charge := next.choice, next.slot, next.charge
 	if !flight.spec.Idempotent() {
 		d.permit(ctx, flight)
 	}
@@ -157,9 +181,9 @@
 	var outcome result
 	sent := time.Now()
 	if flight.spec.Kind == request.KindPlain {
-		outcome = d.tryPlain(ctx, flight, choice, slot)
+		outcome = d.tryPlain(ctx, flight, choice, slot, tried)
 	} else {
-		outcome = d.tryModel(ctx, flight, choice, slot)
+		outcome = d.tryModel(ctx, flight, choice, slot, tried)
 	}
 	failed := outcome.step != request.StepAnswer && ctx.Err() == nil
 	ended := time.Now()
