Take a stream of the own interface from a leaving server only for a reserved attempt

Callers of the own interface lost streams that were taken from a server a second before its reclaim, where no other server had the version that began them.

Cause: cancelOnEvacuate ended the attempt whatever followed. Change: runningAttempt.watchEvacuation replaces it once the next one is reserved; at a server that is gone it ends at once, as before.

TestStreamOfTheLastServerOfItsVersionStays failed before (stream incomplete) and passes in three runs.

--- a/internal/discovery/slot.go
+++ b/internal/discovery/slot.go
@@ -46,6 +46,13 @@
 	})
 }
 
+// Gone reports whether the server is not listed any more.
+func (slot *Slot) Gone() bool {
+	slot.registry.mu.Lock()
+	defer slot.registry.mu.Unlock()
+	return slot.registry.servers[slot.server.vm.ID] != slot.server
+}
+
 // Leaving reports whether the server is leaving or gone, so that its process may exit once it has
 // answered.
 func (slot *Slot) Leaving(now time.Time) bool {
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -22,10 +22,10 @@
 		var cancel context.CancelCauseFunc
 		ctx, cancel = context.WithCancelCause(ctx)
 		defer cancel(nil)
-		running := d.newRunningAttempt(flight, choice, tried, cancel)
+		running := d.newRunningAttempt(flight, choice, slot, tried, cancel)
 		defer func() { flight.reserved = running.end() }()
 		running.watchSilence(timeout)
-		go cancelOnEvacuate(ctx, slot.Evacuate, cancel)
+		go running.watchEvacuation(ctx)
 	} else {
 		var stop context.CancelFunc
 		ctx, stop = context.WithTimeoutCause(ctx, timeout, errSilent)
@@ -84,26 +84,17 @@
 	return d.serverEnded(ctx, address) && !slot.Leaving(time.Now())
 }
 
-// cancelOnEvacuate cancels an attempt when its server must be evacuated.
-func cancelOnEvacuate(ctx context.Context, evacuate <-chan struct{}, cancel context.CancelCauseFunc) {
-	select {
-	case <-evacuate:
-		cancel(errEvacuated)
-	case <-ctx.Done():
-	}
-}
-
 // isEvacuated reports whether an attempt was cancelled because its server must be evacuated.
 func isEvacuated(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errEvacuated) }
 
 func (d *Dispatcher) tryModel(ctx context.Context, flight *Flight, choice route.Choice, slot *discovery.Slot, tried map[string]bool) result {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	running := d.newRunningAttempt(flight, choice, tried, cancel)
+	running := d.newRunningAttempt(flight, choice, slot, tried, cancel)
 	defer func() { flight.reserved = running.end() }()
 	timeout := d.options.Limits.AttemptIdleTimeout.Std()
 	running.watchSilence(timeout)
-	go cancelOnEvacuate(ctx, slot.Evacuate, cancel)
+	go running.watchEvacuation(ctx)
 
 	stream := &modelStream{dispatcher: d, flight: flight, slot: slot, predicted: choice.Wait, attempt: flight.attempts(), version: choice.Server.Version}
 	attempt := d.engineAttempt(flight)
--- a/internal/dispatch/next.go
+++ b/internal/dispatch/next.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -26,6 +27,7 @@
 type runningAttempt struct {
 	dispatcher *Dispatcher
 	flight     *Flight
+	slot       *discovery.Slot
 	// tried holds the IDs of the servers of this attempt and those before it.
 	tried  map[string]bool
 	cancel context.CancelCauseFunc
@@ -39,10 +41,10 @@
 }
 
 // newRunningAttempt returns the attempt at a server, which cancel ends.
-func (d *Dispatcher) newRunningAttempt(flight *Flight, choice route.Choice, tried map[string]bool, cancel context.CancelCauseFunc) *runningAttempt {
+func (d *Dispatcher) newRunningAttempt(flight *Flight, choice route.Choice, slot *discovery.Slot, tried map[string]bool, cancel context.CancelCauseFunc) *runningAttempt {
 	tried = maps.Clone(tried)
 	tried[choice.Server.ID] = true
-	return &runningAttempt{dispatcher: d, flight: flight, tried: tried, cancel: cancel}
+	return &runningAttempt{dispatcher: d, flight: flight, slot: slot, tried: tried, cancel: cancel}
 }
 
 // replace ends the attempt with a cause if the next attempt can be reserved. It returns false if the
@@ -53,7 +55,7 @@
 	if a.ended || a.reserved != nil {
 		return true
 	}
-	a.reserved = a.dispatcher.reserveNext(a.flight, a.tried)
+	a.reserved = a.dispatcher.reserveNext(a.flight, a.tried, errors.Is(cause, errEvacuated))
 	if a.reserved == nil {
 		return false
 	}
@@ -98,9 +100,32 @@
 	}
 }
 
+// watchEvacuation replaces the attempt when its server must be evacuated, or as soon after that as the next
+// one can be reserved. The attempt at a server that is gone ends at once.
+func (a *runningAttempt) watchEvacuation(ctx context.Context) {
+	select {
+	case <-a.slot.Evacuate:
+	case <-ctx.Done():
+		return
+	}
+	ticker := time.NewTicker(replaceInterval)
+	defer ticker.Stop()
+	for !a.replace(errEvacuated) {
+		if a.slot.Gone() {
+			a.cancel(errEvacuated)
+			return
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // reserveNext takes all that the next attempt of a request needs while another one runs, or returns nil if
-// something refuses it.
-func (d *Dispatcher) reserveNext(flight *Flight, tried map[string]bool) *nextAttempt {
+// something refuses it. evacuated is set if the server of the running attempt leaves.
+func (d *Dispatcher) reserveNext(flight *Flight, tried map[string]bool, evacuated bool) *nextAttempt {
 	if d.checkQuarantine(flight, time.Now()) != nil {
 		return nil
 	}
@@ -108,7 +133,7 @@
 	if err != nil || !ok {
 		return nil
 	}
-	charge, allowed := d.chargeRetry(flight, false, steady.Now())
+	charge, allowed := d.chargeRetry(flight, evacuated, steady.Now())
 	if !allowed {
 		slot.Release(false, time.Now())
 		return nil
--- a/robustness/refusedretry_test.go
+++ b/robustness/refusedretry_test.go
@@ -12,6 +12,7 @@
 	"github.com/plankridge/plankridge/internal/config"
 	"github.com/plankridge/plankridge/internal/dev"
 	"github.com/plankridge/plankridge/internal/standin/faults"
+	"github.com/plankridge/plankridge/internal/vmlist"
 )
 
 // withoutRetries empties the retry budget and sets short time limits of attempts.
@@ -63,3 +64,37 @@
 		b.Check(time.Since(begun) < 10*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(begun)))
 	})
 }
+
+// TestStreamOfTheLastServerOfItsVersionStays guards against streams of the own interface that are taken from a
+// server before it is reclaimed, and then fail because no other server has its version.
+func TestStreamOfTheLastServerOfItsVersionStays(t *testing.T) {
+	runAdjusted(t, nil, func(b *bed) {
+		b.d.StandIns.Fleet.SetVersions(func(vm vmlist.VM) string { return "version of " + vm.ID })
+		time.Sleep(3 * time.Second)
+		begun := time.Now()
+		want := b.whole(chatBody)
+		whole := time.Since(begun)
+		r, cancel := b.stream(http.MethodPost, balancerURL+"/v1/chat/completions", "devis", chatBody)
+		defer cancel()
+		begun = time.Now()
+		r.tokens(5)
+		source := b.runningServer()
+		// The stream ends within the time in which running streams are taken from the server.
+		b.d.StandIns.Fleet.Reclaim(source, whole-time.Since(begun)+500*time.Millisecond)
+		r.tokens(-1)
+		b.Check(r.done, qt.IsTrue)
+		b.Check(r.text, qt.Equals, want)
+	})
+}
+
+// runningServer returns the ID of the server that runs the only request.
+func (b *bed) runningServer() string {
+	var ids []string
+	for id, engine := range b.d.StandIns.EnginesByVM() {
+		if engine.Running() > 0 {
+			ids = append(ids, id)
+		}
+	}
+	b.Assert(ids, qt.HasLen, 1)
+	return ids[0]
+}
