Split the running attempt from the next one, and skip the latter where none may follow

No change for callers, but for the log: a call that ends with a kept error answer says in not_retried why no later attempt brought another one. Attempts of requests that must not run twice do not describe a next one any more.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -33,7 +33,8 @@
 		}
 		r.reportCompleted(end, answer.Status, answer.Status == http.StatusOK, time.Now())
 	}
-	if len(buffered) <= maxBufferedAnswer && r.shouldRetry(answer.Status) && r.running.reserveOnly(time.Now()) == nil {
+	whole := len(buffered) <= maxBufferedAnswer
+	if whole && r.shouldRetry(answer.Status) && r.running.reserveAfterAnswer(time.Now()) == nil {
 		answer.Exchange.Close()
 		r.kept = &keptAnswer{answer: answer, body: buffered}
 		failed := r.endWithStep(request.StepLost, backend.OutcomeFailed, "status-"+strconv.Itoa(answer.Status))
--- a/internal/forward/next.go
+++ b/internal/forward/next.go
@@ -1,18 +1,15 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"maps"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/plankridge/plankridge/internal/allowance"
 	"github.com/plankridge/plankridge/internal/backend"
 	"github.com/plankridge/plankridge/internal/quarantine"
 	"github.com/plankridge/plankridge/internal/request"
-	"github.com/plankridge/plankridge/internal/streamversion"
 )
 
 // nextAttempt describes the next attempt of a call. It does not change with the call, so that the attempt
@@ -60,19 +57,23 @@
 // nextAfter returns the attempt that follows one at a server that is about to begin.
 func (r *run) nextAfter(choice *backend.Choice) nextAttempt {
 	next := nextAttempt{
-		run: r, need: r.need(), sent: r.sentAttempts, unsent: r.unsentAttempts,
+		run: r, sent: r.sentAttempts, unsent: r.unsentAttempts,
 		mayRepeat: r.call.Route.Retryable(), begun: r.begunStream(), needsCharge: r.verdict != nil, needsRetry: true,
 	}
 	if r.continuation == nil {
 		next.sent++
 	}
+	if !next.mayRepeat {
+		return next
+	}
+	next.need = r.need()
 	next.need.Final = next.sent+1 >= r.call.Route.MaxAttempts
-	next.need.Tried = with(next.need.Tried, choice.ID)
+	next.need.Tried = withElement(next.need.Tried, choice.ID)
 	return next
 }
 
-// with returns a copy of a set with another element.
-func with(set map[string]bool, element string) map[string]bool {
+// withElement returns a copy of a set with another element.
+func withElement(set map[string]bool, element string) map[string]bool {
 	larger := map[string]bool{element: true}
 	maps.Copy(larger, set)
 	return larger
@@ -242,144 +243,3 @@
 	r.refund(*r.reserved)
 	r.reserved = nil
 }
-
-// runningAttempt is the attempt that a call is making. Other goroutines may end it in favor of the next
-// one, once that is reserved.
-type runningAttempt struct {
-	choice *backend.Choice
-	next   nextAttempt
-	cancel context.CancelCauseFunc
-
-	mu sync.Mutex
-	// wrote is set once the server has written an event of the answer.
-	wrote bool
-	// reserved is the next attempt, or nil. ended is set once the attempt has ended.
-	reserved *grant
-	ended    bool
-	// refused is why the next attempt was last refused, or nil, and refusedRetry the decision of the retry
-	// budget if that refused it.
-	refused      *Refusal
-	refusedRetry *allowance.Verdict
-	// silence is the timer for a server that stays silent, or nil.
-	silence *time.Timer
-}
-
-// replace ends the attempt with a cause if the next attempt can be reserved. Otherwise the attempt goes on
-// and the reason is returned. It has no effect on an attempt that has ended.
-func (a *runningAttempt) replace(cause error, now time.Time) *Refusal {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.ended || a.reserved != nil {
-		return nil
-	}
-	if refusal := a.reserveNext(cause, now); refusal != nil {
-		return refusal
-	}
-	a.cancel(cause)
-	return nil
-}
-
-// reserveOnly reserves the next attempt of one whose answer is there, or returns why that is refused.
-func (a *runningAttempt) reserveOnly(now time.Time) *Refusal {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.reserved != nil {
-		return nil
-	}
-	return a.reserveNext(errServerFailed, now)
-}
-
-// reserveNext reserves the next attempt, or records why that is refused. The caller holds the lock.
-func (a *runningAttempt) reserveNext(cause error, now time.Time) *Refusal {
-	g, refusal := a.grantNext(errors.Is(cause, errLeaving), now)
-	if refusal == nil {
-		a.reserved = &g
-		return nil
-	}
-	if a.refused == nil {
-		a.next.run.options.Metrics.countKept(a.next.run.call.Service, cause)
-	}
-	a.refused, a.refusedRetry = refusal, nil
-	if g.retry != nil && !g.retry.Admitted {
-		a.refusedRetry = g.retry
-	}
-	return refusal
-}
-
-// grantNext takes all that the next attempt needs, or nothing. If it is made because the server leaves, no
-// leaving server may get it. The caller holds the lock.
-func (a *runningAttempt) grantNext(leaving bool, now time.Time) (grant, *Refusal) {
-	n, r := a.next, a.next.run
-	n.begun = n.begun || a.wrote
-	version, refusal := r.retryVersion(n.begun)
-	if refusal == nil && a.wrote && r.hasStreamVersion() && a.choice.ListedVersion() != a.choice.Version {
-		refusal = streamVersionRefusal(streamversion.ErrAmbiguous)
-	}
-	if refusal != nil {
-		return grant{}, refusal
-	}
-	n.need.Candidate, n.need.Version = version.candidate, version.stream.Version
-	n.need.Remaining = r.call.Deadline().Sub(now)
-	n.need.Resumed = n.need.Resumed || a.wrote
-	if leaving {
-		n.need.Excluded = with(n.need.Excluded, a.choice.ID)
-	}
-	g, refusal := n.reserve(now)
-	if refusal != nil {
-		return g, refusal
-	}
-	g.version, g.begun = version, n.begun
-	if leaving && g.choice.Leaving() {
-		g.choice.RefundAdmission()
-		g.choice.End(backend.OutcomeNeutral, now)
-		r.refund(g)
-		return g, &Refusal{Reason: "all other servers leave as well"}
-	}
-	return g, nil
-}
-
-// mayWrite records that the server has written an event. It returns false if the caller must not get it,
-// because the next attempt was reserved for a stream without events.
-func (a *runningAttempt) mayWrite() bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.reserved != nil && !a.reserved.begun {
-		return false
-	}
-	a.wrote = true
-	return true
-}
-
-// end ends the attempt. The call takes over the next one, if it was reserved, or why it was refused.
-func (a *runningAttempt) end() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.ended = true
-	if a.silence != nil {
-		a.silence.Stop()
-	}
-	r := a.next.run
-	r.reserved = a.reserved
-	if a.refused == nil {
-		return
-	}
-	r.notRetried = a.refused.Reason
-	if a.refusedRetry != nil && !r.retryUnused {
-		r.retryVerdict = a.refusedRetry
-	}
-}
-
-// watchSilence replaces the attempt after a timeout if the next one can be reserved. Otherwise the server
-// works on, and the next attempt is asked for again after another timeout.
-func (a *runningAttempt) watchSilence(timeout time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.ended {
-		return
-	}
-	a.silence = time.AfterFunc(timeout, func() {
-		if a.replace(errSilent, time.Now()) != nil {
-			a.watchSilence(timeout)
-		}
-	})
-}
--- a/internal/forward/refuse.go
+++ b/internal/forward/refuse.go
@@ -75,6 +75,7 @@
 	}
 	_ = r.step(request.StepGiveUp)
 	if r.kept != nil && !r.headerSent {
+		r.notRetried = refusal.Reason
 		return r.forwardKept()
 	}
 	switch {
