Test that no event of an outdated version is forwarded for want of a retry

Played as one of the places that discard an answer before the next attempt is in hand: the caller gets 502 when the first event arrives. No fault: the event may not be forwarded, since the stream may be answered at the other version.

--- a/robustness/onplatform/refusedretry_test.go
+++ b/robustness/onplatform/refusedretry_test.go
@@ -180,3 +180,28 @@
 		})
 	}
 }
+
+// TestFirstEventOfAMovedVersionIsNotForwarded guards against a stream that begins at a version at which streams begin no
+// more, because the attempt at another version is refused.
+func TestFirstEventOfAMovedVersionIsNotForwarded(t *testing.T) {
+	const firstEvent = 5 * time.Second
+	p := refusedRetry{firstEvent: firstEvent, withoutRetries: true}
+	p.run(t, func(m *moveBed, source *fake.Server, wait func() []reply) {
+		for _, s := range m.servers {
+			if s != source {
+				m.setVersion(s, "v2")
+			}
+		}
+		m.store.Remove("servers", source.ID)
+		got := wait()[0]
+		m.Check(got.status, qt.Equals, http.StatusBadGateway)
+		m.Check(got.took < firstEvent+100*time.Millisecond, qt.IsTrue, qt.Commentf("%v", got.took))
+	})
+}
+
+// setVersion lists a server with another version of its software.
+func (m *moveBed) setVersion(s *fake.Server, version string) {
+	m.store.Put("servers", s.ID, map[string]any{
+		"service": model, "address": m.serverAddress(s.ID), "zone": "zone-1", "slots": 6, "state": "ready", "seq": 3, "version": version, "coldLeftMs": 0,
+	})
+}
