Avoid a server whose silent attempt cannot be replaced

Since a silent attempt is no longer cancelled when its retry is refused, the server counted as failing only when the request had ended. A server that is lost without a sign would have got requests for longer while the budget is spent.

Change: the silence is recorded once, like a failed attempt, and the attempt goes on. An answer counts as a success, as before.

--- a/internal/backend/choice.go
+++ b/internal/backend/choice.go
@@ -237,3 +237,11 @@
 		c.server.serviceTime += time.Duration(serviceTimeWeight * float64(took-c.server.serviceTime))
 	}
 }
+
+// RecordSilence records that the server has been silent for longer than its requests usually take, although the
+// attempt goes on. It counts like a failed attempt.
+func (c *Choice) RecordSilence(now time.Time) {
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	c.server.recordOutcome(OutcomeFailed, now)
+}
--- a/internal/backend/view_test.go
+++ b/internal/backend/view_test.go
@@ -79,6 +79,19 @@
 	c.Check(pick(v, start.Add(failureHalfLife+time.Millisecond)), qt.Equals, "a")
 }
 
+// TestServerOfASilentAttemptIsAvoided guards against further requests to a server that may be lost, while an attempt
+// that cannot be replaced waits for it.
+func TestServerOfASilentAttemptIsAvoided(t *testing.T) {
+	c := qt.New(t)
+	v := plainView("a", "b")
+	waiting, _ := v.Begin(Need{Service: "s", Zone: "z-a", Target: 100 * time.Millisecond}, start)
+	c.Check(pick(v, start), qt.Equals, "a")
+	waiting.RecordSilence(start)
+	c.Check(pick(v, start), qt.Equals, "b")
+	waiting.End(OutcomeServed, start)
+	c.Check(pick(v, start.Add(failureHalfLife)), qt.Equals, "a")
+}
+
 func TestWrongServerIsNotUsedAgainUntilListed(t *testing.T) {
 	c := qt.New(t)
 	v := plainView("a")
--- a/internal/forward/running.go
+++ b/internal/forward/running.go
@@ -28,8 +28,9 @@
 	// budget if that refused it.
 	refused      *Refusal
 	refusedRetry *allowance.Verdict
-	// silence is the timer for a server that stays silent, or nil.
+	// silence is the timer for a server that stays silent, or nil. silent is set once its silence is recorded.
 	silence *time.Timer
+	silent  bool
 }
 
 // replace ends the attempt with a cause if the next attempt can be reserved. Otherwise the attempt goes on
@@ -146,8 +147,21 @@
 		return
 	}
 	a.silence = time.AfterFunc(timeout, func() {
-		if a.replace(errSilent, time.Now()) != nil {
-			a.watchSilence(timeout)
+		now := time.Now()
+		if a.replace(errSilent, now) == nil {
+			return
 		}
+		a.recordSilence(now)
+		a.watchSilence(timeout)
 	})
 }
+
+// recordSilence records once that the server is silent, so that other requests avoid it.
+func (a *runningAttempt) recordSilence(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.silent && !a.ended {
+		a.silent = true
+		a.choice.RecordSilence(now)
+	}
+}
