Wait until daemons serve streams in the tests of broken answers

The set-up waited until both daemons answered lookups. The second daemon still had the assignment of streams to versions from before the first service was listed, and refused the stream with 503, Retry-After 0.150, "streams of the service are not assigned to versions yet". The answer to the broken bytes was not at fault; no check is changed.

--- a/robustness/onplatform/brokenanswers_test.go
+++ b/robustness/onplatform/brokenanswers_test.go
@@ -104,7 +104,10 @@
 	b.direct = b.startDaemon(settings, 0, network.TCP{})
 	b.detoured = b.startDaemon(settings, 1, cutNetwork{unreachable: b.server.Address()})
 	for _, address := range []string{b.direct, b.detoured} {
-		b.Assert(b.eventually(func() bool { return b.call(address, lookupPath, 0).status == http.StatusOK }), qt.IsTrue)
+		// A daemon that has no versions for streams yet answers other requests.
+		for _, path := range []string{lookupPath, streamPath} {
+			b.Assert(b.eventually(func() bool { return b.call(address, path, 0).status == http.StatusOK }), qt.IsTrue)
+		}
 	}
 	return b
 }
