Give each listener of a test deployment a port of its own

A daemon of the tests of broken answers failed to listen on its port ("address already in use") in 1 of 800 starts: addresses were picked one by one, with the listener closed before the next one was picked, so that two listeners could get the same port.

--- a/robustness/onplatform/brokenanswers_test.go
+++ b/robustness/onplatform/brokenanswers_test.go
@@ -35,6 +35,8 @@
 	// direct is the address of a daemon, and detoured that of one that reaches the server through the first one only.
 	direct, detoured string
 	next             int
+	// given are the addresses that freeAddress has returned.
+	given map[string]bool
 }
 
 // cutNetwork is a network on which one address cannot be reached.
@@ -62,7 +64,7 @@
 
 // newSocketBed starts a deployment. The server answers requests as sound servers do until respond is set.
 func newSocketBed(t *testing.T) *socketBed {
-	b := &socketBed{C: qt.New(t), respond: soundResponse}
+	b := &socketBed{C: qt.New(t), respond: soundResponse, given: map[string]bool{}}
 	var err error
 	b.server, err = rawserver.Start(func(r *http.Request) rawserver.Response {
 		id := r.Header.Get("Request-Id")
@@ -133,15 +135,21 @@
 	return listener.Addr().String()
 }
 
-// freeAddress returns a loopback address that nothing listens on. Its IP is that of this process alone, so that no
-// other one takes the port meanwhile.
+// freeAddress returns a loopback address that nothing listens on, another one at each call. Its IP is that of this process
+// alone, so that no other one takes the port meanwhile.
 func (b *socketBed) freeAddress() string {
 	const span = 250
 	pid := os.Getpid()
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.98.%d.%d:0", pid/span%span, pid%span+1))
-	b.Assert(err, qt.IsNil)
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.98.%d.%d:0", pid/span%span, pid%span+1))
+		b.Assert(err, qt.IsNil)
+		address := listener.Addr().String()
+		b.Assert(listener.Close(), qt.IsNil)
+		if !b.given[address] {
+			b.given[address] = true
+			return address
+		}
+	}
 }
 
 // startDaemon starts the daemon of a seed and returns its address for callers.
