Share the set-up of the plays of refused retries, and name the timer of a silent server

Two tests of refused retries prepared the same deployment. They now share refusedPlay; the forms and checks are the same, and answers that are kept are also checked for the server's header in both.

--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -103,7 +103,7 @@
 		if !stream.matches(&event) {
 			return nil
 		}
-		running.heard(timeout)
+		running.restartSilence(timeout)
 		return stream.handleEvent(event)
 	})
 	if err == nil && stream.finish == nil {
--- a/internal/dispatch/next.go
+++ b/internal/dispatch/next.go
@@ -91,8 +91,8 @@
 	})
 }
 
-// heard restarts the time of the server's silence.
-func (a *runningAttempt) heard(timeout time.Duration) {
+// restartSilence starts the time of the server's silence anew.
+func (a *runningAttempt) restartSilence(timeout time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !a.ended {
--- a/robustness/onplatform/refusedretry_test.go
+++ b/robustness/onplatform/refusedretry_test.go
@@ -84,57 +84,63 @@
 	}
 }
 
-// failedPlay is a play of a request whose first server answers with 500.
-type failedPlay struct {
+// refusedPlay is a play of an idempotent request. Its first server behaves in one way, the others in another.
+type refusedPlay struct {
 	// servers is the number of servers; without it there are three.
 	servers int
 	// withoutRetries is set if the retry budget is empty.
 	withoutRetries bool
 	// workspace is the caller's, in place of one without an allowance.
 	workspace map[string]any
-	// second is the behaviour of the server that gets the request next.
-	second fake.Behaviour
+	// first and next are the behaviours of the server that gets the request first, and of those that get it later.
+	first, next fake.Behaviour
 	// status is what the caller gets, and attempts is how often the request arrives at servers.
 	status, attempts int
 }
 
+// check plays the request and checks that the caller gets a server's whole answer.
+func (p refusedPlay) check(t *testing.T) {
+	var asked atomic.Int64
+	run(t, 1, func(b *bed) {
+		b.withoutRetries = p.withoutRetries
+		for i := range cmp.Or(p.servers, 3) {
+			b.addServer(fmt.Sprint("i-", i+1), plain, &fake.Server{Behave: func(int, *http.Request) fake.Behaviour {
+				if asked.Add(1) == 1 {
+					return p.first
+				}
+				return p.next
+			}})
+		}
+		var workspaces []map[string]any
+		if p.workspace != nil {
+			workspaces = append(workspaces, p.workspace)
+		}
+		b.configure(routes{plainRoute("/a/", "idempotent", 2)}, workspaces...)
+	}, func(b *bed) {
+		got := b.send(call{method: "GET", path: "/a/x", key: testKey})
+		b.Check(got.status, qt.Equals, p.status)
+		b.Check(got.body, qt.Equals, "answer to "+got.id)
+		b.Check(got.header.Get("Response-Stamp"), qt.Not(qt.Equals), "")
+		b.Check(int(asked.Load()), qt.Equals, p.attempts)
+	})
+}
+
 // TestServersErrorIsNotReplacedByOurOwn guards against whole error answers of servers that are discarded for
 // a retry that is refused, or that brings no answer.
 func TestServersErrorIsNotReplacedByOurOwn(t *testing.T) {
 	const failed = http.StatusInternalServerError
-	for name, p := range map[string]failedPlay{
+	for name, p := range map[string]refusedPlay{
 		"the retry budget is spent":        {withoutRetries: true, status: failed, attempts: 1},
 		"the allowance is used up":         {workspace: limited(1, 200), status: failed, attempts: 1},
-		"the next server declines":         {second: fake.Behaviour{Decline: true}, status: failed, attempts: 2},
-		"the next server loses its answer": {second: fake.Behaviour{LoseAnswer: true}, status: failed, attempts: 2},
-		"the next server stays silent":     {second: fake.Behaviour{Delay: time.Minute}, status: failed, attempts: 2},
+		"the next server declines":         {next: fake.Behaviour{Decline: true}, status: failed, attempts: 2},
+		"the next server loses its answer": {next: fake.Behaviour{LoseAnswer: true}, status: failed, attempts: 2},
+		"the next server stays silent":     {next: fake.Behaviour{Delay: time.Minute}, status: failed, attempts: 2},
 		"the only server answers again":    {servers: 1, status: http.StatusOK, attempts: 2},
 		"the next server answers":          {status: http.StatusOK, attempts: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var asked atomic.Int64
-			run(t, 1, func(b *bed) {
-				b.withoutRetries = p.withoutRetries
-				for i := range cmp.Or(p.servers, 3) {
-					b.addServer(fmt.Sprint("i-", i+1), plain, &fake.Server{Behave: func(int, *http.Request) fake.Behaviour {
-						if asked.Add(1) == 1 {
-							return fake.Behaviour{Status: failed}
-						}
-						return p.second
-					}})
-				}
-				var workspaces []map[string]any
-				if p.workspace != nil {
-					workspaces = append(workspaces, p.workspace)
-				}
-				b.configure(routes{plainRoute("/a/", "idempotent", 2)}, workspaces...)
-			}, func(b *bed) {
-				got := b.send(call{method: "GET", path: "/a/x", key: testKey})
-				b.Check(got.status, qt.Equals, p.status)
-				b.Check(got.body, qt.Equals, "answer to "+got.id)
-				b.Check(got.header.Get("Response-Stamp"), qt.Not(qt.Equals), "")
-				b.Check(int(asked.Load()), qt.Equals, p.attempts)
-			})
+			p.first = fake.Behaviour{Status: failed}
+			p.check(t)
 		})
 	}
 }
@@ -142,41 +148,16 @@
 // TestSlowAnswerIsNotGivenUpWithoutNextAttempt guards against idempotent requests that are taken from a server
 // which works on them longer than usual, and then fail because the next attempt is refused.
 func TestSlowAnswerIsNotGivenUpWithoutNextAttempt(t *testing.T) {
-	for name, p := range map[string]struct {
-		withoutRetries bool
-		workspace      map[string]any
-		// works is how long the server works, and attempts is how often the request arrives at servers.
-		works    time.Duration
-		attempts int
-	}{
-		"the retry budget is spent":                  {withoutRetries: true, works: 350 * time.Millisecond, attempts: 1},
-		"the retry budget is spent, for a long time": {withoutRetries: true, works: 550 * time.Millisecond, attempts: 1},
-		"the allowance is used up":                   {workspace: limited(1, 200), works: 350 * time.Millisecond, attempts: 1},
-		"nothing refuses it":                         {works: 350 * time.Millisecond, attempts: 2},
+	slow, slower := fake.Behaviour{Delay: 350 * time.Millisecond}, fake.Behaviour{Delay: 550 * time.Millisecond}
+	for name, p := range map[string]refusedPlay{
+		"the retry budget is spent":                  {withoutRetries: true, first: slow, attempts: 1},
+		"the retry budget is spent, for a long time": {withoutRetries: true, first: slower, attempts: 1},
+		"the allowance is used up":                   {workspace: limited(1, 200), first: slow, attempts: 1},
+		"nothing refuses it":                         {first: slow, attempts: 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var asked atomic.Int64
-			run(t, 1, func(b *bed) {
-				b.withoutRetries = p.withoutRetries
-				for i := range 3 {
-					b.addServer(fmt.Sprint("i-", i+1), plain, &fake.Server{Behave: func(int, *http.Request) fake.Behaviour {
-						if asked.Add(1) == 1 {
-							return fake.Behaviour{Delay: p.works}
-						}
-						return fake.Behaviour{}
-					}})
-				}
-				var workspaces []map[string]any
-				if p.workspace != nil {
-					workspaces = append(workspaces, p.workspace)
-				}
-				b.configure(routes{plainRoute("/a/", "idempotent", 2)}, workspaces...)
-			}, func(b *bed) {
-				got := b.send(call{method: "GET", path: "/a/x", key: testKey})
-				b.Check(got.status, qt.Equals, http.StatusOK)
-				b.Check(got.body, qt.Equals, "answer to "+got.id)
-				b.Check(int(asked.Load()), qt.Equals, p.attempts)
-			})
+			p.status = http.StatusOK
+			p.check(t)
 		})
 	}
 }
