Take the retry for the way back of a reclaimed stream only as its run is stopped

A regression of: each move held two retries from before its first copy, so that the budget lacked first retries for other streams of the leaving servers, which then ended with their server.

Where the server has said when it will be gone, the second retry is asked for just before the copy that stops the run. Servers that state no time are as before: both retries first, or the stream stays.

--- a/internal/forward/evacuate.go
+++ b/internal/forward/evacuate.go
@@ -323,18 +323,25 @@
 		e.release(m.source.Entry, held)
 		return failure{cause: reasonEnded}
 	}
+	if !held.fallback.Admitted {
+		// A stream whose server will be gone is stopped without a way back, too. Held during the copies, the
+		// retries for it would lack for other streams of the server.
+		held.fallback = e.options.Budget.TryRetry(m.run.call.Service)
+	}
 	return e.stop(m, held)
 }
 
-// takeRetries takes the retries for a move: one for the continuation, and one for going back to the source if
-// the target declines. Only a stream whose server has said when it will be gone is moved without the second.
+// takeRetries takes the retries that a move needs before its first copy: one for the continuation and, unless
+// the server has said when it will be gone, one for going back to it if the target declines.
 func (e *evacuator) takeRetries(m *movable) (held stopped, admitted bool) {
 	service := m.run.call.Service
 	if held.retry = e.options.Budget.TryRetry(service); !held.retry.Admitted {
 		return stopped{}, false
 	}
-	held.fallback = e.options.Budget.TryRetry(service)
-	if held.fallback.Admitted || m.source.DepartureStated() {
+	if m.source.DepartureStated() {
+		return held, true
+	}
+	if held.fallback = e.options.Budget.TryRetry(service); held.fallback.Admitted {
 		return held, true
 	}
 	e.release(m.source.Entry, held)
