--- a/robustness/onplatform/refusedcontinuation_test.go
+++ b/robustness/onplatform/refusedcontinuation_test.go
@@ -84,3 +84,33 @@
 func brokenStream() call {
 	return call{method: "POST", path: "/broken/x", key: testKey, tokens: "150,800"}
 }
+
+// TestStreamsOfAServerDoNotTakeEachOthersRetries guards against streams that are cut with their server, because others of
+// the server hold two retries each while they are copied.
+func TestStreamsOfAServerDoNotTakeEachOthersRetries(t *testing.T) {
+	const (
+		streams  = 4
+		leavesIn = 450 * time.Millisecond
+		// retries allows a move of each stream: 0.92 of the sum of this number and of a fifth of the streams.
+		retries = 3.8
+	)
+	m := &moveBed{moves: fake.Moves{CopyTime: 20 * time.Millisecond, Keep: 5 * time.Second}}
+	run(t, 1, func(b *bed) {
+		m.bed = b
+		b.retryExtra = retries
+		b.engine = map[string]any{"moves": true, "handleS": 5, "kvTokenBytes": 35136, "linkMbps": 260000}
+		m.addMoving("i-1")
+		b.configure(routes{streamRoute("/s/", false, 1)})
+	}, func(*bed) {
+		wait := m.streams(streams)
+		m.addMoving("i-2")
+		m.addMoving("i-3")
+		time.Sleep(500 * time.Millisecond)
+		m.announce(m.servers[0], leavesIn)
+		time.Sleep(leavesIn)
+		m.end(m.servers[0])
+		for _, r := range wait() {
+			m.checkWhole(r)
+		}
+	})
+}
